--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,5 @@
+//! The operators' command.
+
+fn main() {
+    println!("godwithaven {}", env!("CARGO_PKG_VERSION"));
+}
--- /dev/null
+++ b/src/kernel/id.rs
@@ -0,0 +1,40 @@
+//! Identifier aliases.
+
+use std::sync::Arc;
+
+/// Version of a bundle; the first published one is 1.
+pub type BundleVersion = u64;
+/// Token of a shard claim: the log offset of the claim. A higher token is newer.
+pub type FencingToken = u64;
+/// Offset of a record group in the log.
+pub type LogOffset = u64;
+/// Sequence number of a record group within one process, from 1.
+pub type GroupSequence = u64;
+/// Name of a job, `team/name`.
+pub type JobId = Arc<str>;
+/// Name of one attempt of a task, `team/name#index@attempt`.
+pub type TaskId = Arc<str>;
+/// Name of a team.
+pub type TeamId = Arc<str>;
+/// Name of a submission queue.
+pub type QueueId = Arc<str>;
+/// Name of a service.
+pub type ServiceId = Arc<str>;
+/// Name of a shard: `region/index` for workers, `service:name/index` for endpoints.
+pub type ShardId = Arc<str>;
+/// Name of a VM.
+pub type VmId = Arc<str>;
+/// Name of an availability zone.
+pub type ZoneId = Arc<str>;
+/// Name of a region.
+pub type RegionId = Arc<str>;
+/// Name of a rack.
+pub type RackId = Arc<str>;
+/// Name of one life of an entry process, `vm.incarnation`.
+pub type ProcessId = Arc<str>;
+/// Request id chosen by the caller, scoped by team: `team/id`.
+pub type RequestId = Arc<str>;
+/// Number of one dispatch of a request to an endpoint, unique within a router.
+pub type AttemptId = u64;
+/// SHA-256 digest of a request body or of a key.
+pub type BodyDigest = [u8; 32];
--- /dev/null
+++ b/src/kernel/job_kind.rs
@@ -0,0 +1,27 @@
+use serde::{Deserialize, Serialize};
+
+/// How the tasks of a job run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum JobKind {
+    /// Replicas that run until the job is cancelled.
+    #[display("service")]
+    Service,
+    /// Independent tasks that each run to completion.
+    #[display("batch")]
+    Batch,
+    /// Tasks that start together or not at all.
+    #[display("gang")]
+    Gang,
+}
+
+/// Order of jobs before fairness applies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PriorityClass {
+    /// Placed before all normal work.
+    Urgent,
+    /// The default.
+    #[default]
+    Normal,
+}
--- /dev/null
+++ b/src/kernel/job_outcome.rs
@@ -0,0 +1,32 @@
+use serde::{Deserialize, Serialize};
+
+/// The one final outcome of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum JobOutcome {
+    /// All tasks finished; holds the result of each task by index.
+    #[display("finished")]
+    Finished(Vec<String>),
+    /// A task used up its retries; holds the last reason.
+    #[display("failed: {_0}")]
+    Failed(String),
+    /// The team cancelled the job.
+    #[display("cancelled")]
+    Cancelled,
+    /// The job can never run; holds the reason.
+    #[display("refused: {_0}")]
+    Refused(String),
+}
+
+impl JobOutcome {
+    /// Returns the kind of the outcome, for metrics.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Finished(_) => "finished",
+            Self::Failed(_) => "failed",
+            Self::Cancelled => "cancelled",
+            Self::Refused(_) => "refused",
+        }
+    }
+}
--- /dev/null
+++ b/src/kernel/log_record.rs
@@ -0,0 +1,84 @@
+use serde::{Deserialize, Serialize};
+
+use crate::kernel::{BundleRecord, JobOutcome};
+use crate::prelude::*;
+
+/// One entry of the control log. An entry that is not valid at its offset has no effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, derive_more::From)]
+#[serde(rename_all = "snake_case")]
+pub enum LogRecord {
+    /// Publishes a bundle; valid if its base is in force and it carries enough signatures.
+    Bundle(BundleRecord),
+    /// Takes a shard over; valid if `over` is the present token, 0 if unclaimed.
+    #[from(skip)]
+    Claim {
+        /// The shard to own.
+        shard: ShardId,
+        /// The new owner.
+        process: ProcessId,
+        /// Token of the claim that this one replaces.
+        over: FencingToken,
+    },
+    /// Accepts a job; valid if the id is new.
+    #[from(skip)]
+    Submit {
+        /// The job.
+        spec: JobSpec,
+        /// The shard that places it.
+        shard: ShardId,
+    },
+    /// Asks to cancel a job.
+    #[from(skip)]
+    Cancel {
+        /// The job.
+        job: JobId,
+    },
+    /// Hands a waiting job to another shard; valid under the present token of its shard.
+    #[from(skip)]
+    Move {
+        /// The job.
+        job: JobId,
+        /// Its new shard.
+        to: ShardId,
+        /// Token of its old shard.
+        token: FencingToken,
+    },
+    /// Moves allotment between shards; valid under the present token of `from` and within its allotment.
+    #[from(skip)]
+    Transfer {
+        /// The team whose limit is divided.
+        team: TeamId,
+        /// The giving shard.
+        from: ShardId,
+        /// The receiving shard.
+        to: ShardId,
+        /// How much moves.
+        amount: ResourceVector,
+        /// Token of the giving shard.
+        token: FencingToken,
+    },
+    /// Announces a non-idempotent request; valid under the present token and if the id is new.
+    #[from(skip)]
+    Intent {
+        /// The request.
+        request: RequestId,
+        /// Digest of its body.
+        digest: BodyDigest,
+        /// The service partition.
+        shard: ShardId,
+        /// Token of the partition.
+        token: FencingToken,
+        /// When it was announced, in milliseconds of Unix time.
+        at_ms: u64,
+    },
+    /// Ends a job; valid under the present token of its shard and if it has no outcome.
+    #[from(skip)]
+    Outcome {
+        /// The job.
+        job: JobId,
+        /// Token of its shard.
+        token: FencingToken,
+        /// The outcome.
+        outcome: JobOutcome,
+    },
+}
--- /dev/null
+++ b/src/kernel/plugin_registry.rs
@@ -0,0 +1,98 @@
+use crate::kernel::{AdmissionCheck, JobKind, PlacementPolicy, RoutingPolicy};
+use crate::prelude::*;
+
+/// One plug-in, submitted by its own file with `inventory::submit!`.
+#[derive(Clone, Copy, derive_more::From)]
+pub enum PluginEntry {
+    /// Chooses workers.
+    Placement(PlacementPolicy),
+    /// Chooses endpoints.
+    Routing(RoutingPolicy),
+    /// Refuses requests.
+    Admission(AdmissionCheck),
+}
+
+impl PluginEntry {
+    /// Returns kind and name, for logs and error messages.
+    #[must_use]
+    pub const fn describe(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Placement(policy) => ("placement", policy.name),
+            Self::Routing(policy) => ("routing", policy.name),
+            Self::Admission(check) => ("admission", check.name),
+        }
+    }
+}
+
+inventory::collect!(PluginEntry);
+
+/// The registered plug-ins.
+#[derive(Clone, Default)]
+pub struct PluginRegistry {
+    /// Placement policies by name.
+    pub placements: FastMap<&'static str, PlacementPolicy>,
+    /// Routing policies by name.
+    pub routings: FastMap<&'static str, RoutingPolicy>,
+    /// Admission checks in the order in which they run.
+    pub admissions: Vec<AdmissionCheck>,
+}
+
+impl PluginRegistry {
+    /// Collects all plug-ins that are linked into the program.
+    #[must_use]
+    pub fn collect() -> Self {
+        let mut registry = Self::default();
+        for entry in inventory::iter::<PluginEntry> {
+            registry.add(*entry);
+        }
+        registry
+    }
+
+    /// Adds a plug-in; one of the same kind and name is replaced.
+    pub fn add(&mut self, entry: PluginEntry) {
+        match entry {
+            PluginEntry::Placement(policy) => {
+                self.placements.insert(policy.name, policy);
+            }
+            PluginEntry::Routing(policy) => {
+                self.routings.insert(policy.name, policy);
+            }
+            PluginEntry::Admission(check) => {
+                self.admissions.retain(|known| known.name != check.name);
+                self.admissions.push(check);
+                self.admissions.sort_by_key(|check| (check.rank, check.name));
+            }
+        }
+    }
+
+    /// Returns the placement policy that the bundle names for a kind of job.
+    #[must_use]
+    pub fn placement(&self, bundle: &PolicyBundle, kind: JobKind) -> Option<PlacementPolicy> {
+        let name = match kind {
+            JobKind::Service => &bundle.placement.service,
+            JobKind::Batch => &bundle.placement.batch,
+            JobKind::Gang => &bundle.placement.gang,
+        };
+        self.placements.get(name.as_str()).copied()
+    }
+
+    /// Returns why the bundle cannot be used with the linked plug-ins.
+    #[must_use]
+    pub fn missing(&self, bundle: &PolicyBundle) -> Option<String> {
+        let choice = &bundle.placement;
+        for name in [&choice.service, &choice.batch, &choice.gang] {
+            if !self.placements.contains_key(name.as_str()) {
+                return Some(unknown_plugin("placement policy", name, self.placements.keys().copied()));
+            }
+        }
+        let service =
+            bundle.services.iter().find(|service| !self.routings.contains_key(service.routing.as_str()))?;
+        Some(unknown_plugin("routing policy", &service.routing, self.routings.keys().copied()))
+    }
+}
+
+fn unknown_plugin(kind: &str, name: &str, known: impl Iterator<Item = &'static str>) -> String {
+    let mut known: Vec<&str> = known.collect();
+    known.sort_unstable();
+    format!("unknown {kind} {name:?}; known are {}", known.join(", "))
+}
--- /dev/null
+++ b/src/kernel/record_group.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The records of one append. A group whose sequence was folded before is a repeated append and has no effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordGroup {
+    /// The appending process.
+    pub process: ProcessId,
+    /// Sequence number of the group within the process.
+    pub sequence: GroupSequence,
+    /// The records, in order.
+    pub records: Vec<LogRecord>,
+}
--- /dev/null
+++ b/src/kernel/resource_vector.rs
@@ -0,0 +1,98 @@
+use serde::{Deserialize, Serialize};
+
+/// An amount of processor time, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[display("{cores_milli}m cores, {memory_mib} MiB, {accelerators} accelerators")]
+#[serde(deny_unknown_fields)]
+pub struct ResourceVector {
+    /// Thousandths of a core.
+    #[serde(default)]
+    pub cores_milli: u64,
+    /// MiB of memory.
+    #[serde(default)]
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl ResourceVector {
+    /// Returns the amount with the given parts.
+    #[must_use]
+    pub const fn new(cores_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
+        Self { cores_milli, memory_mib, accelerators }
+    }
+
+    /// Applies `combine` to each dimension of both amounts.
+    #[must_use]
+    pub fn zip(self, other: Self, combine: impl Fn(u64, u64) -> u64) -> Self {
+        Self {
+            cores_milli: combine(self.cores_milli, other.cores_milli),
+            memory_mib: combine(self.memory_mib, other.memory_mib),
+            accelerators: combine(self.accelerators, other.accelerators),
+        }
+    }
+
+    /// Returns the sum; each dimension saturates.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// Returns the difference; each dimension stops at zero.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        self.zip(other, u64::saturating_sub)
+    }
+
+    /// Returns the amount multiplied by `count`; each dimension saturates.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        self.zip(Self::default(), |amount, _| amount.saturating_mul(count))
+    }
+
+    /// Returns the smaller of both amounts in each dimension.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        self.zip(other, u64::min)
+    }
+
+    /// Whether this amount fits into `room` in every dimension.
+    #[must_use]
+    pub const fn fits(self, room: Self) -> bool {
+        self.cores_milli <= room.cores_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Whether every dimension is zero.
+    #[must_use]
+    pub fn is_zero(self) -> bool {
+        self == Self::default()
+    }
+
+    /// Returns the name of the first dimension that does not fit into `room`.
+    #[must_use]
+    pub const fn lacking(self, room: Self) -> Option<&'static str> {
+        if self.cores_milli > room.cores_milli {
+            return Some("cores");
+        }
+        if self.memory_mib > room.memory_mib {
+            return Some("memory");
+        }
+        if self.accelerators > room.accelerators {
+            return Some("accelerators");
+        }
+        None
+    }
+
+    /// Returns the largest fraction of `total` that this amount takes in any dimension.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "fleet totals stay far below 2^52")]
+    pub fn dominant_fraction(self, total: Self) -> f64 {
+        let fraction = |part: u64, whole: u64| if whole == 0 { 0.0 } else { part as f64 / whole as f64 };
+        fraction(self.cores_milli, total.cores_milli)
+            .max(fraction(self.memory_mib, total.memory_mib))
+            .max(fraction(self.accelerators, total.accelerators))
+    }
+}
--- /dev/null
+++ b/src/kernel/schedule_effect.rs
@@ -0,0 +1,24 @@
+use crate::kernel::{JobOutcome, WorkerCommand};
+use crate::prelude::*;
+
+/// What a shard's scheduler wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ScheduleEffect {
+    /// Send a command to a worker, again until a sync that carried it is answered.
+    Command(VmId, WorkerCommand),
+    /// Record the outcome of a job.
+    End(JobId, JobOutcome),
+    /// Log a placement decision.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// Its team.
+        team: TeamId,
+        /// The chosen worker.
+        vm: VmId,
+        /// Why this worker.
+        reason: &'static str,
+        /// Workers that were rejected, counted by reason.
+        rejected: Vec<(&'static str, u32)>,
+    },
+}
--- /dev/null
+++ b/src/kernel/schedule_event.rs
@@ -0,0 +1,23 @@
+use crate::kernel::{WorkerReport, WorkerVm};
+use crate::prelude::*;
+
+/// What a shard's scheduler is told.
+#[derive(Clone, Debug)]
+pub enum ScheduleEvent {
+    /// A bundle came into force.
+    BundleAdopted(Arc<PolicyBundle>),
+    /// The present workers of the shard; workers that are missing are gone.
+    WorkersListed(Vec<WorkerVm>),
+    /// The allotment of a team in the shard changed.
+    AllotmentChanged(TeamId, ResourceVector),
+    /// A job of the shard was accepted.
+    JobAccepted(Arc<JobSpec>),
+    /// A team cancelled a job.
+    JobCancelled(JobId),
+    /// A worker accepted a sync.
+    SyncAnswered(VmId, WorkerReport),
+    /// A worker did not answer a sync; its commands may or may not have taken effect.
+    SyncFailed(VmId),
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! A cluster scheduler for services, batch jobs and all-at-once jobs on one shared fleet.
+//!
+//! [`kernel`] makes the decisions, [`plugins`] holds the policies and adapters that register
+//! themselves, and [`tasks`] holds the actix-rt tasks that own sockets and state.
+
+pub mod kernel;
+pub mod logging;
+pub mod plugins;
+pub mod prelude;
+pub mod proto;
+pub mod settings;
+pub mod tasks;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,66 @@
+//! Structured log lines on standard error.
+
+use std::fmt::Write as _;
+
+use log::kv::{Error, Key, Value, VisitSource};
+
+use crate::prelude::*;
+use crate::settings::LogFormat;
+
+/// Starts logging for the whole program; later calls change nothing.
+pub fn start(format: LogFormat, level: log::LevelFilter) {
+    let line = match format {
+        LogFormat::Pairs => pairs_line,
+        LogFormat::Json => json_line,
+    };
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("godwithaven", level)
+        .format(move |out, _message, record| out.finish(format_args!("{}", line(record))))
+        .chain(std::io::stderr());
+    // A second start in one program, as in tests, keeps the first logger.
+    let _ = dispatch.apply();
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis()
+}
+
+/// Returns a record as `key=value` pairs.
+#[must_use]
+pub fn pairs_line(record: &log::Record<'_>) -> String {
+    let mut line = format!(
+        "time_ms={} level={} message={:?}",
+        unix_ms(),
+        record.level().as_str().to_lowercase(),
+        record.args().to_string()
+    );
+    let mut visitor = PairVisitor(|key: &str, value: &str| {
+        let _ = write!(line, " {key}={value:?}");
+    });
+    let _ = record.key_values().visit(&mut visitor);
+    line
+}
+
+/// Returns a record as one JSON object.
+#[must_use]
+pub fn json_line(record: &log::Record<'_>) -> String {
+    let mut object = serde_json::Map::new();
+    object.insert("time_ms".into(), u64::try_from(unix_ms()).unwrap_or(u64::MAX).into());
+    object.insert("level".into(), record.level().as_str().to_lowercase().into());
+    object.insert("message".into(), record.args().to_string().into());
+    let mut visitor = PairVisitor(|key: &str, value: &str| {
+        object.insert(key.to_owned(), value.into());
+    });
+    let _ = record.key_values().visit(&mut visitor);
+    serde_json::Value::Object(object).to_string()
+}
+
+struct PairVisitor<F>(F);
+
+impl<'kvs, F: FnMut(&str, &str)> VisitSource<'kvs> for PairVisitor<F> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        (self.0)(key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/plugins/admission_target.rs
@@ -0,0 +1,21 @@
+use crate::kernel::{AdmissionCheck, FrontRequest, PluginEntry, RefusalReason, TeamRefusal};
+use crate::prelude::*;
+
+// Runs after the key check, so that callers without a key cannot probe for names.
+inventory::submit!(PluginEntry::Admission(AdmissionCheck { name: "known_target", rank: 30, check }));
+
+fn check(request: &FrontRequest, bundle: &PolicyBundle) -> Option<TeamRefusal> {
+    let refuse = |text: String| Some(TeamRefusal::not_run(RefusalReason::NotFound, text));
+    if bundle.team(request.team()).is_none() {
+        return refuse(format!("team {:?} does not exist", request.team()));
+    }
+    match request {
+        FrontRequest::Submit { spec, .. } if bundle.queue(&spec.queue).is_none() => {
+            refuse(format!("queue {:?} does not exist", spec.queue))
+        }
+        FrontRequest::Call { service, .. } if bundle.service(service).is_none() => {
+            refuse(format!("service {service:?} does not exist"))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/plugins/bundle_signature.rs
@@ -0,0 +1,51 @@
+//! Ed25519 signatures of bundles.
+
+use ed25519_dalek::{Signature, Signer, SigningKey, Verifier, VerifyingKey};
+
+use crate::kernel::{BundleCodec, BundleRecord, PluginRegistry};
+use crate::plugins::bundle_toml;
+use crate::prelude::*;
+
+/// Signs a record and adds public key and signature to it.
+pub fn sign(record: &mut BundleRecord, key: &SigningKey) {
+    let signature = key.sign(&message(record));
+    let public = hex::encode(key.verifying_key().to_bytes());
+    record.signatures.push((public, hex::encode(signature.to_bytes())));
+}
+
+/// Counts the distinct `signers` with a valid signature.
+#[must_use]
+pub fn approvals(record: &BundleRecord, signers: &[String]) -> usize {
+    let message = message(record);
+    let valid: FastSet<&str> = record
+        .signatures
+        .iter()
+        .filter(|(public, signature)| {
+            signers.contains(public) && verify(&message, public, signature).is_some()
+        })
+        .map(|(public, _)| public.as_str())
+        .collect();
+    valid.len()
+}
+
+/// Returns the codec for bundles in TOML with ed25519 signatures.
+#[must_use]
+pub fn codec(registry: PluginRegistry, signers: Vec<String>, required: usize) -> BundleCodec {
+    BundleCodec {
+        parse: Arc::new(move |text| bundle_toml::parse(text, &registry)),
+        approvals: Arc::new(approvals),
+        signers,
+        required,
+    }
+}
+
+fn message(record: &BundleRecord) -> Vec<u8> {
+    format!("godwithaven bundle {} on {}\n{}", record.version, record.base, record.text).into_bytes()
+}
+
+fn verify(message: &[u8], public: &str, signature: &str) -> Option<()> {
+    let public: [u8; 32] = hex::decode(public).ok()?.try_into().ok()?;
+    let signature: [u8; 64] = hex::decode(signature).ok()?.try_into().ok()?;
+    let key = VerifyingKey::from_bytes(&public).ok()?;
+    key.verify(message, &Signature::from_bytes(&signature)).ok()
+}
--- /dev/null
+++ b/src/plugins/front_http.rs
@@ -0,0 +1,233 @@
+//! The callers' interface over HTTP/1.1.
+
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::kernel::{
+    FrontReply, FrontRequest, JobKind, JobOutcome, PriorityClass, RefusalReason, RunState, TeamRefusal,
+};
+use crate::plugins::http;
+use crate::prelude::*;
+use crate::tasks::adapter::{AdapterEntry, FrontContext, FrontEnd};
+use crate::tasks::gate::GateMessage;
+
+inventory::submit!(AdapterEntry::Front(FrontEnd { name: "front_http", serve }));
+
+/// Largest body in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+/// Longest wait for an outcome.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// A job as callers submit it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody {
+    name: String,
+    team: TeamId,
+    queue: QueueId,
+    kind: JobKind,
+    #[serde(default)]
+    priority: PriorityClass,
+    #[serde(default = "default_tasks")]
+    tasks: u32,
+    need: ResourceVector,
+    #[serde(default)]
+    run_ms: Option<u64>,
+    #[serde(default)]
+    retries: u32,
+}
+
+const fn default_tasks() -> u32 {
+    1
+}
+
+#[derive(Serialize)]
+struct AcceptedBody<'a> {
+    job: &'a str,
+    repeated: bool,
+}
+
+#[derive(Serialize)]
+struct StateBody<'a> {
+    job: &'a str,
+    shard: &'a str,
+    cancelled: bool,
+    outcome: Option<&'a JobOutcome>,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    code: RefusalReason,
+    message: &'a str,
+    run: RunState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+fn serve(context: FrontContext) -> LocalBoxFuture<'static, ()> {
+    let gate = context.gate;
+    http::serve(context.listener, context.token, move |request| answer(gate.clone(), request)).boxed_local()
+}
+
+async fn answer(gate: mpsc::Sender<GateMessage>, mut request: Request) -> Response<Bytes> {
+    let request = match decode(&mut request).await {
+        Ok(request) => request,
+        Err(refusal) => return encode(FrontReply::Refused(refusal)),
+    };
+    let (sender, reply) = oneshot::channel();
+    let _ = gate.send(GateMessage::Request(request, sender)).await;
+    let reply = reply.await.unwrap_or_else(|_| {
+        // The gate ends only after it has dropped the request unanswered.
+        FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::Stopping, "the process is stopping"))
+    });
+    encode(reply)
+}
+
+async fn decode(request: &mut Request) -> Result<FrontRequest, TeamRefusal> {
+    let path = request.path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method().clone(), parts.as_slice()) {
+        (Method::POST, ["v1", "jobs"]) => decode_submit(request).await,
+        (Method::GET, ["v1", "jobs", team, name]) => {
+            let wait = query_ms(request, "wait_ms").unwrap_or_default();
+            let job = format!("{team}/{name}").into();
+            Ok(FrontRequest::Inspect { key: key(request), job, wait: wait.min(MAX_WAIT) })
+        }
+        (Method::DELETE, ["v1", "jobs", team, name]) => {
+            Ok(FrontRequest::Cancel { key: key(request), job: format!("{team}/{name}").into() })
+        }
+        (Method::POST, ["v1", "services", service, "requests"]) => {
+            decode_call(request, (*service).into()).await
+        }
+        (method, _) => {
+            let text = format!("no such resource: {method} {path}");
+            Err(TeamRefusal::not_run(RefusalReason::NotFound, text))
+        }
+    }
+}
+
+async fn decode_submit(request: &mut Request) -> Result<FrontRequest, TeamRefusal> {
+    let key = key(request);
+    let body = body(request).await?;
+    let job: JobBody = serde_json::from_slice(&body).map_err(|error| bad_request(error.to_string()))?;
+    let spec = JobSpec {
+        id: format!("{}/{}", job.team, job.name).into(),
+        team: job.team,
+        queue: job.queue,
+        kind: job.kind,
+        priority: job.priority,
+        tasks: job.tasks,
+        need: job.need,
+        run_time: job.run_ms.map(Duration::from_millis),
+        retries: job.retries,
+    };
+    Ok(FrontRequest::Submit { key, spec })
+}
+
+async fn decode_call(request: &mut Request, service: ServiceId) -> Result<FrontRequest, TeamRefusal> {
+    let key = key(request);
+    let Some(team) = header(request, "x-team") else {
+        return Err(bad_request("the header x-team is missing"));
+    };
+    let Some(id) = header(request, "x-request-id") else {
+        return Err(bad_request("the header x-request-id is missing"));
+    };
+    let idempotent = header(request, "x-idempotent").is_some_and(|value| value == "true");
+    let deadline =
+        header(request, "x-deadline-ms").and_then(|value| value.parse().ok()).map(Duration::from_millis);
+    let (request_id, team) = (format!("{team}/{id}").into(), TeamId::from(team));
+    let body = body(request).await?;
+    Ok(FrontRequest::Call { key, team, service, request: request_id, idempotent, deadline, body })
+}
+
+async fn body(request: &mut Request) -> Result<Bytes, TeamRefusal> {
+    http::read_body(request, BODY_LIMIT).await.ok_or_else(|| {
+        TeamRefusal::not_run(
+            RefusalReason::TooLarge,
+            format!("the body is longer than {BODY_LIMIT} bytes or broken"),
+        )
+    })
+}
+
+fn bad_request(text: impl Into<String>) -> TeamRefusal {
+    TeamRefusal::not_run(RefusalReason::BadRequest, text)
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    request.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// Returns the digest of the key, so that the key itself goes no further than here.
+fn key(request: &Request) -> Option<BodyDigest> {
+    header(request, "x-team-key").map(|key| Sha256::digest(key.as_bytes()).into())
+}
+
+fn query_ms(request: &Request, name: &str) -> Option<Duration> {
+    let query = request.uri().query()?;
+    let (_, value) =
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?;
+    value.parse().ok().map(Duration::from_millis)
+}
+
+fn encode(reply: FrontReply) -> Response<Bytes> {
+    match reply {
+        FrontReply::Accepted { job, repeated } => {
+            json(StatusCode::ACCEPTED, &AcceptedBody { job: &job, repeated })
+        }
+        FrontReply::State { spec, shard, cancelled, outcome } => {
+            let body = StateBody { job: &spec.id, shard: &shard, cancelled, outcome: outcome.as_ref() };
+            json(StatusCode::OK, &body)
+        }
+        FrontReply::Answer { status, body } => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            Response::build(status)
+                .insert_header(("x-run", "ran"))
+                .message_body(body)
+                .unwrap_or_else(|_| failed())
+        }
+        FrontReply::Refused(refusal) => refuse(&refusal),
+    }
+}
+
+fn refuse(refusal: &TeamRefusal) -> Response<Bytes> {
+    let retry_after_ms = refusal.retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    let body =
+        RefusalBody { code: refusal.code, message: &refusal.message, run: refusal.run, retry_after_ms };
+    json(status(refusal.code), &body)
+}
+
+const fn status(code: RefusalReason) -> StatusCode {
+    match code {
+        RefusalReason::BadRequest | RefusalReason::FitsNowhere => StatusCode::BAD_REQUEST,
+        RefusalReason::KeyMissing | RefusalReason::KeyUnknown => StatusCode::UNAUTHORIZED,
+        RefusalReason::KeyOfOtherTeam => StatusCode::FORBIDDEN,
+        RefusalReason::NotFound => StatusCode::NOT_FOUND,
+        RefusalReason::IdReused => StatusCode::CONFLICT,
+        RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Deadline | RefusalReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::ConnectionLost | RefusalReason::AnswerUnknown => StatusCode::BAD_GATEWAY,
+        RefusalReason::NoConfiguration
+        | RefusalReason::LogUnavailable
+        | RefusalReason::NoEndpoint
+        | RefusalReason::NoOwner
+        | RefusalReason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response<Bytes> {
+    let Ok(text) = serde_json::to_vec(body) else { return failed() };
+    let response = Response::build(status)
+        .insert_header(("content-type", "application/json"))
+        .message_body(Bytes::from(text));
+    response.unwrap_or_else(|_| failed())
+}
+
+fn failed() -> Response<Bytes> {
+    Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+}
--- /dev/null
+++ b/src/plugins/http.rs
@@ -0,0 +1,77 @@
+//! Functions that the HTTP adapters share.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use actix_http::{HttpService, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use awc::{Client, Connector};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::prelude::*;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest wait for idle connections to end once the server stops.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Returns a client that keeps at most `connections` to one host and waits `timeout` for an answer.
+#[must_use]
+pub fn client(connections: usize, timeout: Duration) -> Client {
+    let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(connections);
+    Client::builder().connector(connector).timeout(timeout).disable_redirects().finish()
+}
+
+/// Reads a body of at most `limit` bytes; `None` if it is longer or broken off.
+pub async fn read_body(request: &mut Request, limit: usize) -> Option<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.ok()?;
+        if body.len() + chunk.len() > limit {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Some(body.freeze())
+}
+
+/// Serves HTTP/1.1 on the listener until the token is cancelled and the open connections end.
+pub async fn serve<F, R>(listener: TcpListener, token: CancellationToken, handler: F)
+where
+    F: Fn(Request) -> R + Clone + 'static,
+    R: Future<Output = Response<Bytes>> + 'static,
+{
+    let stopping = token.clone();
+    let factory = HttpService::build()
+        .graceful_shutdown_signal(move || stopping.clone().cancelled_owned())
+        .h1(fn_service(move |request: Request| {
+            let response = handler(request);
+            async move { Ok::<_, actix_http::Error>(response.await) }
+        }));
+    let Ok(service) = ServiceFactory::new_service(&factory, ()).await else { return };
+    let service = Rc::new(service);
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, address)) = accepted else { continue };
+                let service = service.clone();
+                connections.spawn_local(async move {
+                    // A connection that fails ends alone.
+                    let _ = service.call((stream, Some(address))).await;
+                });
+            }
+        }
+    }
+    drop(listener);
+    let drained = async { while connections.join_next().await.is_some() {} };
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, drained).await;
+}
--- /dev/null
+++ b/src/plugins/log_http.rs
@@ -0,0 +1,85 @@
+//! Speaks to the log service over HTTP/1.1.
+
+use futures_util::FutureExt;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+use crate::kernel::RecordGroup;
+use crate::plugins::http;
+use crate::prelude::*;
+use crate::tasks::adapter::{AdapterEntry, LogAdapter, LogClient, LogFault, LogPage};
+
+inventory::submit!(AdapterEntry::Log(LogAdapter { name: "log_http", connect }));
+
+/// Stream that orders everything the entry processes agree on.
+const STREAM: &str = "control";
+/// Longest wait for the log service beyond the wait for records.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Most groups in one page.
+const PAGE_SIZE: usize = 500;
+/// Largest page in bytes.
+const PAGE_LIMIT: usize = 512 << 20;
+
+#[derive(Serialize)]
+struct AppendBody {
+    body: String,
+}
+
+#[derive(Deserialize)]
+struct AppendReply {
+    offset: LogOffset,
+}
+
+#[derive(Deserialize)]
+struct ReadReply {
+    first: LogOffset,
+    next: LogOffset,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    offset: LogOffset,
+    body: String,
+}
+
+fn connect(address: &str) -> LogClient {
+    let client = http::client(4, TIMEOUT);
+    let base = format!("http://{address}/streams/{STREAM}/records");
+    let (reader, read_base) = (client.clone(), base.clone());
+    LogClient {
+        append: Rc::new(move |group| append(client.clone(), base.clone(), group).boxed_local()),
+        read: Rc::new(move |from, wait| read(reader.clone(), read_base.clone(), from, wait).boxed_local()),
+    }
+}
+
+async fn append(client: awc::Client, url: String, group: RecordGroup) -> Result<LogOffset, LogFault> {
+    let body = serde_json::to_string(&group).map_err(fault)?;
+    let mut response = client.post(url).send_json(&AppendBody { body }).await.map_err(fault)?;
+    if !response.status().is_success() {
+        return Err(LogFault(format!("status {}", response.status())));
+    }
+    let reply: AppendReply = response.json().await.map_err(fault)?;
+    Ok(reply.offset)
+}
+
+async fn read(
+    client: awc::Client,
+    base: String,
+    from: LogOffset,
+    wait: Duration,
+) -> Result<LogPage, LogFault> {
+    let url = format!("{base}?from={from}&max={PAGE_SIZE}&wait_ms={}", wait.as_millis());
+    let mut response = client.get(url).timeout(wait + TIMEOUT).send().await.map_err(fault)?;
+    if !response.status().is_success() {
+        return Err(LogFault(format!("status {}", response.status())));
+    }
+    let reply: ReadReply = response.json().limit(PAGE_LIMIT).await.map_err(fault)?;
+    let decode = |record: ReadRecord| (record.offset, serde_json::from_str(&record.body).ok());
+    let groups = reply.records.into_iter().map(decode).collect();
+    Ok(LogPage { first: reply.first, next: reply.next, groups })
+}
+
+fn fault(error: impl std::fmt::Display) -> LogFault {
+    LogFault(error.to_string())
+}
--- /dev/null
+++ b/src/plugins/mod.rs
@@ -0,0 +1,18 @@
+//! Policies, checks and adapters; each file registers its plug-in.
+
+mod admission_form;
+mod admission_key;
+mod admission_target;
+pub mod bundle_signature;
+pub mod bundle_toml;
+mod directory_http;
+mod endpoint_http;
+mod front_http;
+pub mod http;
+mod log_http;
+mod placement_batch_pack;
+mod placement_gang_reserve;
+mod placement_service_spread;
+mod routing_least_wait;
+mod routing_round_robin;
+mod worker_http;
--- /dev/null
+++ b/src/plugins/worker_http.rs
@@ -0,0 +1,153 @@
+//! Speaks to workers over HTTP/1.1.
+
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use serde::{Deserialize, Serialize};
+
+use crate::kernel::{TaskEnd, TaskEnding, TaskReport, WorkerCommand, WorkerReport};
+use crate::plugins::http;
+use crate::prelude::*;
+use crate::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult, WorkerAdapter, WorkerClient};
+
+inventory::submit!(AdapterEntry::Worker(WorkerAdapter { name: "worker_http", fences: true, connect }));
+
+/// Longest wait for a worker.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest report in bytes.
+const REPORT_LIMIT: usize = 16 << 20;
+
+#[derive(Serialize)]
+struct SyncBody<'a> {
+    token: FencingToken,
+    lease_ms: u64,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    commands: Vec<CommandBody<'a>>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    acknowledge: Vec<&'a str>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum CommandBody<'a> {
+    Start {
+        task: &'a str,
+        team: &'a str,
+        cores_milli: u64,
+        memory_mib: u64,
+        accelerators: u64,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        run_ms: Option<u64>,
+    },
+    Stop {
+        task: &'a str,
+    },
+    Checkpoint {
+        task: &'a str,
+    },
+    Throttle {
+        task: &'a str,
+        percent: u32,
+    },
+}
+
+#[derive(Deserialize)]
+struct SyncReply {
+    token: FencingToken,
+    #[serde(default)]
+    running: Vec<RunningBody>,
+    #[serde(default)]
+    ended: Vec<EndedBody>,
+}
+
+#[derive(Deserialize)]
+struct RunningBody {
+    task: TaskId,
+    team: TeamId,
+    cores_milli: u64,
+    memory_mib: u64,
+    accelerators: u64,
+    #[serde(default)]
+    used_cores_milli: u64,
+    #[serde(default)]
+    used_memory_mib: u64,
+    #[serde(default)]
+    checkpointed: bool,
+}
+
+#[derive(Deserialize)]
+struct EndedBody {
+    task: TaskId,
+    end: TaskEnding,
+    #[serde(default)]
+    result: String,
+}
+
+fn connect(address: &str) -> WorkerClient {
+    let client = http::client(1, TIMEOUT);
+    let base = format!("http://{address}/workers");
+    Rc::new(move |request| sync(client.clone(), format!("{base}/{}/sync", request.vm), request).boxed_local())
+}
+
+async fn sync(client: awc::Client, url: String, request: SyncRequest) -> SyncResult {
+    let acknowledge = request.commands.iter().filter_map(|command| match command {
+        WorkerCommand::Acknowledge { task } => Some(&**task),
+        _ => None,
+    });
+    let body = SyncBody {
+        token: request.token,
+        lease_ms: milliseconds(request.lease),
+        commands: request.commands.iter().filter_map(encode).collect(),
+        acknowledge: acknowledge.collect(),
+    };
+    let mut response = match client.post(url).send_json(&body).await {
+        Ok(response) => response,
+        Err(error) => return SyncResult::Unknown(error.to_string()),
+    };
+    let status = response.status().as_u16();
+    if status != 200 && status != 409 {
+        return SyncResult::Unknown(format!("status {status}"));
+    }
+    match response.json::<SyncReply>().limit(REPORT_LIMIT).await {
+        Ok(reply) if status == 409 => SyncResult::Fenced(reply.token),
+        Ok(reply) => SyncResult::Report(decode(reply)),
+        Err(error) => SyncResult::Unknown(error.to_string()),
+    }
+}
+
+fn encode(command: &WorkerCommand) -> Option<CommandBody<'_>> {
+    Some(match command {
+        WorkerCommand::Start { task, team, need, run_time } => CommandBody::Start {
+            task,
+            team,
+            cores_milli: need.cores_milli,
+            memory_mib: need.memory_mib,
+            accelerators: need.accelerators,
+            run_ms: run_time.map(milliseconds),
+        },
+        WorkerCommand::Stop { task } => CommandBody::Stop { task },
+        WorkerCommand::Checkpoint { task } => CommandBody::Checkpoint { task },
+        WorkerCommand::Throttle { task, percent } => CommandBody::Throttle { task, percent: *percent },
+        WorkerCommand::Acknowledge { .. } => return None,
+    })
+}
+
+fn decode(reply: SyncReply) -> WorkerReport {
+    let running = reply.running.into_iter().map(|body| TaskReport {
+        task: body.task,
+        team: body.team,
+        need: ResourceVector::new(body.cores_milli, body.memory_mib, body.accelerators),
+        used: ResourceVector::new(body.used_cores_milli, body.used_memory_mib, body.accelerators),
+        checkpointed: body.checkpointed,
+    });
+    let ended = reply.ended.into_iter().map(|body| TaskEnd {
+        task: body.task,
+        ending: body.end,
+        result: body.result,
+    });
+    WorkerReport { running: running.collect(), ended: ended.collect() }
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/tasks/adapter.rs
@@ -0,0 +1,249 @@
+//! Plug-ins that speak to the world outside: plain structs of closures.
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::kernel::{EndpointVm, RecordGroup, RouteFailure, WorkerCommand, WorkerReport, WorkerVm};
+use crate::prelude::*;
+use crate::tasks::gate::GateMessage;
+
+/// Why the log service gave no usable answer; the action may have taken effect.
+#[derive(Clone, Debug, derive_more::Display)]
+pub struct LogFault(pub String);
+
+/// A page of groups read from the log.
+#[derive(Clone, Debug, Default)]
+pub struct LogPage {
+    /// Oldest retained offset.
+    pub first: LogOffset,
+    /// Offset after the last group of the page.
+    pub next: LogOffset,
+    /// Groups by offset; `None` where a record cannot be decoded.
+    pub groups: Vec<(LogOffset, Option<RecordGroup>)>,
+}
+
+/// Result of an append: the offset of the group.
+pub type AppendFuture = LocalBoxFuture<'static, Result<LogOffset, LogFault>>;
+/// Result of a read.
+pub type ReadFuture = LocalBoxFuture<'static, Result<LogPage, LogFault>>;
+
+/// A connection to the log service.
+#[derive(Clone)]
+pub struct LogClient {
+    /// Appends a group.
+    pub append: Rc<dyn Fn(RecordGroup) -> AppendFuture>,
+    /// Reads from an offset and waits up to the duration for records.
+    pub read: Rc<dyn Fn(LogOffset, Duration) -> ReadFuture>,
+}
+
+/// Speaks to a log service.
+#[derive(Clone, Copy)]
+pub struct LogAdapter {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Returns a client for the address.
+    pub connect: fn(address: &str) -> LogClient,
+}
+
+/// An entry VM as the VM list gives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryVm {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Address of the interface for other entry processes, `ip:port`.
+    pub address: String,
+    /// Whether the VM is leaving.
+    pub leaving: bool,
+}
+
+/// The VM list.
+#[derive(Clone, Debug, Default)]
+pub struct VmList {
+    /// Entry VMs.
+    pub entries: Vec<EntryVm>,
+    /// Workers.
+    pub workers: Vec<WorkerVm>,
+    /// Endpoints.
+    pub endpoints: Vec<EndpointVm>,
+}
+
+/// Speaks to a VM list.
+#[derive(Clone, Copy)]
+pub struct DirectoryAdapter {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Fetches the list from the address; the error is one line for the log.
+    pub fetch: fn(address: &str) -> LocalBoxFuture<'static, Result<VmList, String>>,
+}
+
+/// What a worker sync carries.
+#[derive(Clone, Debug)]
+pub struct SyncRequest {
+    /// The worker.
+    pub vm: VmId,
+    /// Token of the owner of its shard.
+    pub token: FencingToken,
+    /// How long the worker may run its tasks from now on.
+    pub lease: Duration,
+    /// Commands since the last answered sync.
+    pub commands: Vec<WorkerCommand>,
+}
+
+/// Result of a worker sync.
+#[derive(Clone, Debug)]
+pub enum SyncResult {
+    /// The worker accepted the sync.
+    Report(WorkerReport),
+    /// The worker knows a newer owner.
+    Fenced(FencingToken),
+    /// No answer; the commands may have taken effect.
+    Unknown(String),
+}
+
+/// A connection to one worker.
+pub type WorkerClient = Rc<dyn Fn(SyncRequest) -> LocalBoxFuture<'static, SyncResult>>;
+
+/// Speaks to workers.
+#[derive(Clone, Copy)]
+pub struct WorkerAdapter {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Whether workers refuse tokens older than the highest that they have seen.
+    pub fences: bool,
+    /// Returns a client for the address of a worker.
+    pub connect: fn(address: &str) -> WorkerClient,
+}
+
+/// Answer of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// A pool of connections to one endpoint.
+pub type EndpointClient =
+    Rc<dyn Fn(RequestId, Bytes, Duration) -> LocalBoxFuture<'static, Result<EndpointAnswer, RouteFailure>>>;
+
+/// Speaks to endpoints.
+#[derive(Clone, Copy)]
+pub struct EndpointAdapter {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Returns a client for an address that keeps at most the given number of connections.
+    pub connect: fn(address: &str, connections: usize) -> EndpointClient,
+}
+
+/// What a front end gets at start.
+pub struct FrontContext {
+    /// The bound socket.
+    pub listener: TcpListener,
+    /// Where requests go.
+    pub gate: mpsc::Sender<GateMessage>,
+    /// Ends the front end; requests that were taken are answered first.
+    pub token: CancellationToken,
+}
+
+/// Takes requests from callers.
+#[derive(Clone, Copy)]
+pub struct FrontEnd {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Serves until the token is cancelled and the last request is answered.
+    pub serve: fn(FrontContext) -> LocalBoxFuture<'static, ()>,
+}
+
+/// One adapter, submitted by its own file with `inventory::submit!`.
+#[derive(Clone, Copy)]
+pub enum AdapterEntry {
+    /// Speaks to a log service.
+    Log(LogAdapter),
+    /// Speaks to a VM list.
+    Directory(DirectoryAdapter),
+    /// Speaks to workers.
+    Worker(WorkerAdapter),
+    /// Speaks to endpoints.
+    Endpoint(EndpointAdapter),
+    /// Takes requests from callers.
+    Front(FrontEnd),
+}
+
+inventory::collect!(AdapterEntry);
+
+impl AdapterEntry {
+    /// Returns kind and name, for logs and error messages.
+    #[must_use]
+    pub const fn describe(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Log(adapter) => ("log", adapter.name),
+            Self::Directory(adapter) => ("directory", adapter.name),
+            Self::Worker(adapter) => ("worker", adapter.name),
+            Self::Endpoint(adapter) => ("endpoint", adapter.name),
+            Self::Front(front) => ("front", front.name),
+        }
+    }
+
+    /// Returns kind and name of all linked adapters, sorted.
+    #[must_use]
+    pub fn list() -> Vec<(&'static str, &'static str)> {
+        let mut list: Vec<_> = inventory::iter::<Self>.into_iter().map(Self::describe).collect();
+        list.sort_unstable();
+        list
+    }
+
+    /// Returns the first linked adapter that `select` accepts.
+    pub fn find<T>(select: impl Fn(&Self) -> Option<T>) -> Option<T> {
+        inventory::iter::<Self>.into_iter().find_map(select)
+    }
+
+    /// Returns the [`LogAdapter`] of the entry, if it is one.
+    #[must_use]
+    pub const fn log(&self) -> Option<LogAdapter> {
+        match self {
+            Self::Log(adapter) => Some(*adapter),
+            _ => None,
+        }
+    }
+
+    /// Returns the [`DirectoryAdapter`] of the entry, if it is one.
+    #[must_use]
+    pub const fn directory(&self) -> Option<DirectoryAdapter> {
+        match self {
+            Self::Directory(adapter) => Some(*adapter),
+            _ => None,
+        }
+    }
+
+    /// Returns the [`WorkerAdapter`] of the entry, if it is one.
+    #[must_use]
+    pub const fn worker(&self) -> Option<WorkerAdapter> {
+        match self {
+            Self::Worker(adapter) => Some(*adapter),
+            _ => None,
+        }
+    }
+
+    /// Returns the [`EndpointAdapter`] of the entry, if it is one.
+    #[must_use]
+    pub const fn endpoint(&self) -> Option<EndpointAdapter> {
+        match self {
+            Self::Endpoint(adapter) => Some(*adapter),
+            _ => None,
+        }
+    }
+
+    /// Returns the [`FrontEnd`] of the entry, if it is one.
+    #[must_use]
+    pub const fn front(&self) -> Option<FrontEnd> {
+        match self {
+            Self::Front(adapter) => Some(*adapter),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/tasks/directory.rs
@@ -0,0 +1,51 @@
+//! Polls the VM list.
+
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::prelude::*;
+use crate::tasks::adapter::{DirectoryAdapter, VmList};
+use crate::tasks::peer::PeerMessage;
+use crate::tasks::router::RouterMessage;
+use crate::tasks::scheduler::SchedulerMessage;
+
+/// Time between two reads of the VM list.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// State of the directory task.
+pub struct DirectoryTask {
+    /// Speaks to the VM list.
+    pub adapter: DirectoryAdapter,
+    /// Address of the VM list.
+    pub address: String,
+    /// The scheduler task.
+    pub scheduler: mpsc::Sender<SchedulerMessage>,
+    /// The router task.
+    pub router: mpsc::Sender<RouterMessage>,
+    /// The peer task.
+    pub peer: mpsc::Sender<PeerMessage>,
+}
+
+impl DirectoryTask {
+    /// Polls until the token is cancelled.
+    pub async fn run(self, token: CancellationToken) {
+        loop {
+            match (self.adapter.fetch)(&self.address).await {
+                Ok(list) => self.publish(list).await,
+                Err(fault) => {
+                    log::warn!(fault = fault.as_str(); "VM list not read, the last one stays in use");
+                }
+            }
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = tokio::time::sleep(POLL_INTERVAL) => {}
+            }
+        }
+    }
+
+    async fn publish(&self, list: VmList) {
+        let _ = self.peer.send(PeerMessage::Listed(list.entries)).await;
+        let _ = self.scheduler.send(SchedulerMessage::Listed(list.workers)).await;
+        let _ = self.router.send(RouterMessage::Listed(list.endpoints)).await;
+    }
+}
--- /dev/null
+++ b/src/tasks/gate.rs
@@ -0,0 +1,261 @@
+//! Admits requests of callers and hands them to the task that answers them.
+
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::kernel::{
+    FrontReply, FrontRequest, JobOutcome, LedgerChange, PluginRegistry, RefusalReason, ShardClaim,
+    TeamRefusal, rendezvous,
+};
+use crate::prelude::*;
+use crate::tasks::journal::JournalMessage;
+use crate::tasks::metrics::EntryMetrics;
+use crate::tasks::peer::{ForwardedCall, PeerMessage};
+use crate::tasks::router::{RoutedCall, RouterMessage};
+
+/// Longest wait for a record to be folded.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the gate is told.
+pub enum GateMessage {
+    /// A request of a caller.
+    Request(FrontRequest, oneshot::Sender<FrontReply>),
+    /// A request that another entry process admitted, for a partition that this process owns.
+    Forwarded(Box<RoutedCall>),
+    /// The ledger changed.
+    Changed(LedgerChange),
+}
+
+/// State of the gate task.
+pub struct GateTask {
+    process: ProcessId,
+    zone: ZoneId,
+    registry: PluginRegistry,
+    bundle: Option<Arc<PolicyBundle>>,
+    claims: FastMap<ShardId, ShardClaim>,
+    watchers: FastMap<JobId, Vec<oneshot::Sender<JobOutcome>>>,
+    journal: mpsc::Sender<JournalMessage>,
+    router: mpsc::Sender<RouterMessage>,
+    peer: mpsc::Sender<PeerMessage>,
+    metrics: EntryMetrics,
+}
+
+impl GateTask {
+    /// Returns the task.
+    #[must_use]
+    pub fn new(
+        process: ProcessId,
+        zone: ZoneId,
+        registry: PluginRegistry,
+        journal: mpsc::Sender<JournalMessage>,
+        router: mpsc::Sender<RouterMessage>,
+        peer: mpsc::Sender<PeerMessage>,
+        metrics: EntryMetrics,
+    ) -> Self {
+        let (claims, watchers) = (FastMap::default(), FastMap::default());
+        Self { process, zone, registry, bundle: None, claims, watchers, journal, router, peer, metrics }
+    }
+
+    /// Runs until the token is cancelled.
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<GateMessage>, token: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                Some(message) = inbox.recv() => self.handle(message).await,
+            }
+        }
+    }
+
+    async fn handle(&mut self, message: GateMessage) {
+        match message {
+            GateMessage::Request(request, reply) => match self.refuse(&request) {
+                Some(refusal) => {
+                    log::info!(decision = "admission", team = request.team(), refusal:% = refusal; "refused");
+                    self.metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+                    let _ = reply.send(FrontReply::Refused(refusal));
+                }
+                None => self.admit(request, reply).await,
+            },
+            GateMessage::Forwarded(call) => {
+                let _ = self.router.send(RouterMessage::Call(call)).await;
+            }
+            GateMessage::Changed(change) => self.change(change),
+        }
+    }
+
+    fn change(&mut self, change: LedgerChange) {
+        match change {
+            LedgerChange::BundleAdopted(bundle) => {
+                log::info!(version = bundle.version; "bundle in force");
+                self.bundle = Some(bundle);
+            }
+            LedgerChange::BundleRefused(version, reason) => {
+                log::warn!(version = version, reason = reason.as_str(); "bundle refused");
+            }
+            LedgerChange::ShardClaimed(shard, claim) => {
+                self.claims.insert(shard, claim);
+            }
+            LedgerChange::JobEnded(job, outcome) => {
+                for watcher in self.watchers.remove(&job).unwrap_or_default() {
+                    let _ = watcher.send(outcome.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn refuse(&self, request: &FrontRequest) -> Option<TeamRefusal> {
+        let Some(bundle) = &self.bundle else {
+            let text = "no configuration is in force yet";
+            return Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
+        };
+        self.registry.admissions.iter().find_map(|check| (check.check)(request, bundle))
+    }
+
+    async fn admit(&mut self, request: FrontRequest, reply: oneshot::Sender<FrontReply>) {
+        match request {
+            FrontRequest::Submit { spec, .. } => self.submit(spec, reply),
+            FrontRequest::Inspect { job, wait, .. } => self.inspect(job, wait, reply),
+            FrontRequest::Cancel { job, .. } => self.cancel(job, reply),
+            FrontRequest::Call { team, service, request, idempotent, deadline, body, .. } => {
+                let Some(shard) = self.partition(&service, &request) else { return };
+                let zone = self.zone.clone();
+                let call = RoutedCall { shard, team, request, zone, idempotent, deadline, body, reply };
+                self.route(call).await;
+            }
+        }
+    }
+
+    /// Returns the partition of a service that owns a request id.
+    fn partition(&self, service: &ServiceId, request: &RequestId) -> Option<ShardId> {
+        let count = self.bundle.as_ref()?.service(service)?.partitions.max(1);
+        let index = rendezvous::hash(&[request]) % u64::from(count);
+        Some(format!("service:{service}/{index}").into())
+    }
+
+    async fn route(&self, call: RoutedCall) {
+        match self.claims.get(&call.shard) {
+            None => {
+                let refusal = TeamRefusal::not_run(RefusalReason::NoOwner, "no process owns the service yet");
+                let _ = call.reply.send(FrontReply::Refused(refusal));
+            }
+            Some(claim) if claim.process == self.process => {
+                let _ = self.router.send(RouterMessage::Call(Box::new(call))).await;
+            }
+            Some(claim) => {
+                let forwarded = ForwardedCall { owner: claim.process.clone(), call };
+                let _ = self.peer.send(PeerMessage::Forward(Box::new(forwarded))).await;
+            }
+        }
+    }
+
+    fn submit(&self, spec: JobSpec, reply: oneshot::Sender<FrontReply>) {
+        let journal = self.journal.clone();
+        actix_rt::spawn(async move {
+            let _ = reply.send(submit_job(&journal, spec).await);
+        });
+    }
+
+    fn cancel(&self, job: JobId, reply: oneshot::Sender<FrontReply>) {
+        let journal = self.journal.clone();
+        actix_rt::spawn(async move {
+            let folded = commit(&journal, LogRecord::Cancel { job: job.clone() }).await;
+            let result = match folded {
+                Ok(_) => read_job(&journal, job).await,
+                Err(refusal) => FrontReply::Refused(refusal),
+            };
+            let _ = reply.send(result);
+        });
+    }
+
+    fn inspect(&mut self, job: JobId, wait: Duration, reply: oneshot::Sender<FrontReply>) {
+        let journal = self.journal.clone();
+        // Registered before the state is read, so that an outcome in between is not missed.
+        let (watcher, outcome) = oneshot::channel();
+        if !wait.is_zero() {
+            let watchers = self.watchers.entry(job.clone()).or_default();
+            watchers.retain(|watcher| !watcher.is_closed());
+            watchers.push(watcher);
+        }
+        actix_rt::spawn(async move {
+            let mut state = read_job(&journal, job.clone()).await;
+            if matches!(state, FrontReply::State { outcome: None, .. }) && !wait.is_zero() {
+                let _ = tokio::time::timeout(wait, outcome).await;
+                state = read_job(&journal, job).await;
+            }
+            let _ = reply.send(state);
+        });
+    }
+}
+
+async fn submit_job(journal: &mpsc::Sender<JournalMessage>, spec: JobSpec) -> FrontReply {
+    let job = spec.id.clone();
+    let (sender, shard) = oneshot::channel();
+    let key = job.clone();
+    let query: JournalMessage = JournalMessage::Query(Box::new(move |ledger| {
+        let _ = sender.send(ledger.shard_for(&key));
+    }));
+    let _ = journal.send(query).await;
+    let Ok(Some(shard)) = shard.await else {
+        let text = "the configuration in force has no worker shard";
+        return FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
+    };
+    let changes = match commit(journal, LogRecord::Submit { spec, shard }).await {
+        Ok(changes) => changes,
+        Err(refusal) => return FrontReply::Refused(refusal),
+    };
+    let mine = changes.iter().find_map(|change| match change {
+        LedgerChange::JobAccepted(spec, _) if spec.id == job => Some(Ok(false)),
+        LedgerChange::JobRepeated(id) if *id == job => Some(Ok(true)),
+        LedgerChange::JobConflict(id) if *id == job => Some(Err(())),
+        _ => None,
+    });
+    if let Some(Ok(repeated)) = mine {
+        FrontReply::Accepted { job, repeated }
+    } else {
+        let text = "the job id was used before with another body";
+        FrontReply::Refused(TeamRefusal::not_run(RefusalReason::IdReused, text))
+    }
+}
+
+/// Appends a record and waits until it is folded.
+async fn commit(
+    journal: &mpsc::Sender<JournalMessage>,
+    record: LogRecord,
+) -> Result<Arc<[LedgerChange]>, TeamRefusal> {
+    let (reply, folded) = oneshot::channel();
+    let _ = journal.send(JournalMessage::Commit(record, reply)).await;
+    match tokio::time::timeout(COMMIT_TIMEOUT, folded).await {
+        Ok(Ok(changes)) => Ok(changes),
+        Ok(Err(_)) => Err(TeamRefusal::not_run(
+            RefusalReason::LogUnavailable,
+            "the log cannot be reached; try again later",
+        )),
+        Err(_) => Err(TeamRefusal::may_have_run(
+            RefusalReason::LogUnavailable,
+            "the log did not confirm in time; repeat with the same id",
+        )),
+    }
+}
+
+async fn read_job(journal: &mpsc::Sender<JournalMessage>, job: JobId) -> FrontReply {
+    let (sender, state) = oneshot::channel();
+    let key = job.clone();
+    let query = JournalMessage::Query(Box::new(move |ledger| {
+        let _ = sender.send(ledger.jobs.get(&key).cloned());
+    }));
+    let _ = journal.send(query).await;
+    if let Ok(Some(state)) = state.await {
+        FrontReply::State {
+            spec: Box::new(state.spec),
+            shard: state.shard,
+            cancelled: state.cancelled,
+            outcome: state.outcome,
+        }
+    } else {
+        let text = format!("job {job:?} does not exist");
+        FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NotFound, text))
+    }
+}
--- /dev/null
+++ b/src/tasks/metrics.rs
@@ -0,0 +1,55 @@
+//! Counters of one entry process, served at `/metrics`.
+
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+
+/// Counters that the tasks add to.
+#[derive(Clone)]
+pub struct EntryMetrics {
+    /// What `/metrics` gathers.
+    pub registry: Registry,
+    /// Placed tasks.
+    pub placements: IntCounter,
+    /// Ended jobs by outcome.
+    pub jobs_ended: IntCounterVec,
+    /// Requests dispatched to endpoints.
+    pub dispatches: IntCounter,
+    /// Refusals by code.
+    pub refusals: IntCounterVec,
+    /// Appends to the log.
+    pub appends: IntCounter,
+    /// Failed appends and reads of the log.
+    pub log_faults: IntCounter,
+    /// Worker syncs by result.
+    pub syncs: IntCounterVec,
+}
+
+impl EntryMetrics {
+    /// Returns counters at zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two counters have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let plain = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let labelled = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        Ok(Self {
+            placements: plain("godwithaven_placements_total", "Placed tasks")?,
+            jobs_ended: labelled("godwithaven_jobs_ended_total", "Ended jobs", "outcome")?,
+            dispatches: plain("godwithaven_dispatches_total", "Requests dispatched to endpoints")?,
+            refusals: labelled("godwithaven_refusals_total", "Refused requests", "code")?,
+            appends: plain("godwithaven_log_appends_total", "Appends to the log")?,
+            log_faults: plain("godwithaven_log_faults_total", "Failed appends and reads of the log")?,
+            syncs: labelled("godwithaven_worker_syncs_total", "Worker syncs", "result")?,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/src/tasks/mod.rs
@@ -0,0 +1,17 @@
+//! The actix-rt tasks that own sockets and state and talk by messages on bounded channels.
+
+pub mod adapter;
+pub mod directory;
+pub mod endpoint;
+pub mod entry;
+pub mod gate;
+pub mod journal;
+pub mod metrics;
+pub mod operator;
+pub mod peer;
+pub mod router;
+pub mod scheduler;
+pub mod worker;
+
+/// Messages that a task's channel holds before senders wait.
+pub const CHANNEL_CAPACITY: usize = 4_096;
--- /dev/null
+++ b/src/tasks/scheduler.rs
@@ -0,0 +1,243 @@
+//! Runs the schedulers of all owned worker shards.
+
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::kernel::{
+    JobExplanation, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
+    ShardSummary, WorkerReport, WorkerVm,
+};
+use crate::prelude::*;
+use crate::tasks::journal::JournalMessage;
+use crate::tasks::metrics::EntryMetrics;
+use crate::tasks::worker::WorkerMessage;
+
+/// Time between ticks of the schedulers.
+const TICK: Duration = Duration::from_millis(500);
+
+/// A shard that this process has just claimed, with what the ledger knows of it.
+pub struct ClaimedShard {
+    /// The shard.
+    pub shard: ShardId,
+    /// Token of the claim.
+    pub token: FencingToken,
+    /// The bundle in force.
+    pub bundle: Option<Arc<PolicyBundle>>,
+    /// Jobs without an outcome, and whether they are cancelled.
+    pub jobs: Vec<(Arc<JobSpec>, bool)>,
+    /// Allotment of each team.
+    pub allotments: Vec<(TeamId, ResourceVector)>,
+}
+
+/// What the scheduler task is told.
+pub enum SchedulerMessage {
+    /// This process claimed a shard.
+    Claimed(Box<ClaimedShard>),
+    /// The ledger changed.
+    Changed(LedgerChange),
+    /// The VM list was read.
+    Listed(Vec<WorkerVm>),
+    /// A worker accepted a sync under the token.
+    Synced(ShardId, FencingToken, VmId, WorkerReport),
+    /// A worker did not answer a sync.
+    Silent(ShardId, FencingToken, VmId),
+    /// Asks why the tasks of a job are where they are; `None` if no owned shard has the job.
+    Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
+    /// Asks for summaries of all owned shards.
+    Summarise(oneshot::Sender<Vec<ShardSummary>>),
+}
+
+struct OwnedShard {
+    token: FencingToken,
+    scheduler: ShardScheduler,
+    listed: FastSet<VmId>,
+}
+
+/// State of the scheduler task.
+pub struct SchedulerTask {
+    process: ProcessId,
+    registry: PluginRegistry,
+    settle_time: Duration,
+    shards: FastMap<ShardId, OwnedShard>,
+    workers: Vec<WorkerVm>,
+    bundle: Option<Arc<PolicyBundle>>,
+    journal: mpsc::Sender<JournalMessage>,
+    worker: mpsc::Sender<WorkerMessage>,
+    metrics: EntryMetrics,
+}
+
+impl SchedulerTask {
+    /// Returns the task; leases granted by earlier owners end within `settle_time`.
+    #[must_use]
+    pub fn new(
+        process: ProcessId,
+        registry: PluginRegistry,
+        settle_time: Duration,
+        journal: mpsc::Sender<JournalMessage>,
+        worker: mpsc::Sender<WorkerMessage>,
+        metrics: EntryMetrics,
+    ) -> Self {
+        let shards = FastMap::default();
+        Self {
+            process,
+            registry,
+            settle_time,
+            shards,
+            workers: Vec::new(),
+            bundle: None,
+            journal,
+            worker,
+            metrics,
+        }
+    }
+
+    /// Runs until the token is cancelled.
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<SchedulerMessage>, token: CancellationToken) {
+        let mut tick = tokio::time::interval(TICK);
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                Some(message) = inbox.recv() => self.handle(message).await,
+                _ = tick.tick() => self.tell_all(&ScheduleEvent::Tick).await,
+            }
+        }
+    }
+
+    async fn handle(&mut self, message: SchedulerMessage) {
+        match message {
+            SchedulerMessage::Claimed(claimed) => self.claim(*claimed).await,
+            SchedulerMessage::Changed(change) => self.change(change).await,
+            SchedulerMessage::Listed(workers) => {
+                self.workers = workers;
+                self.list_workers().await;
+            }
+            SchedulerMessage::Synced(shard, token, vm, report) => {
+                if self.shards.get(&shard).is_some_and(|owned| owned.token == token) {
+                    self.tell(&shard, ScheduleEvent::SyncAnswered(vm, report)).await;
+                }
+            }
+            SchedulerMessage::Explain(job, reply) => {
+                let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
+                let _ = reply.send(explanation);
+            }
+            SchedulerMessage::Summarise(reply) => {
+                let summaries =
+                    self.shards.iter().map(|(shard, owned)| owned.scheduler.summary(shard.clone()));
+                let _ = reply.send(summaries.collect());
+            }
+            SchedulerMessage::Silent(shard, token, vm) => {
+                if self.shards.get(&shard).is_some_and(|owned| owned.token == token) {
+                    self.tell(&shard, ScheduleEvent::SyncFailed(vm)).await;
+                }
+            }
+        }
+    }
+
+    async fn claim(&mut self, claimed: ClaimedShard) {
+        let mut scheduler = ShardScheduler::new(self.registry.clone(), Instant::now() + self.settle_time);
+        for (spec, cancelled) in claimed.jobs {
+            scheduler.inherit(&spec, cancelled);
+        }
+        let owned = OwnedShard { token: claimed.token, scheduler, listed: FastSet::default() };
+        self.shards.insert(claimed.shard.clone(), owned);
+        for (team, amount) in claimed.allotments {
+            self.tell(&claimed.shard, ScheduleEvent::AllotmentChanged(team, amount)).await;
+        }
+        if let Some(bundle) = claimed.bundle {
+            self.bundle = Some(bundle.clone());
+            self.tell(&claimed.shard, ScheduleEvent::BundleAdopted(bundle)).await;
+        }
+        log::info!(shard = &*claimed.shard, token = claimed.token; "shard claimed");
+        self.list_workers().await;
+    }
+
+    async fn change(&mut self, change: LedgerChange) {
+        match change {
+            LedgerChange::BundleAdopted(bundle) => {
+                self.bundle = Some(bundle.clone());
+                self.tell_all(&ScheduleEvent::BundleAdopted(bundle)).await;
+                self.list_workers().await;
+            }
+            LedgerChange::ShardClaimed(shard, claim)
+                if claim.process != self.process && self.shards.remove(&shard).is_some() =>
+            {
+                log::info!(shard = &*shard, owner = &*claim.process; "shard lost");
+                let _ = self.worker.send(WorkerMessage::Disown(shard)).await;
+            }
+            LedgerChange::JobAccepted(spec, shard) | LedgerChange::JobMoved(spec, shard) => {
+                self.tell(&shard, ScheduleEvent::JobAccepted(spec)).await;
+            }
+            LedgerChange::JobCancelled(job, shard) => {
+                self.tell(&shard, ScheduleEvent::JobCancelled(job)).await;
+            }
+            LedgerChange::AllotmentChanged(shard, team, amount) => {
+                self.tell(&shard, ScheduleEvent::AllotmentChanged(team, amount)).await;
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives each owned shard its workers and opens connections to new ones.
+    async fn list_workers(&mut self) {
+        let Some(bundle) = self.bundle.clone() else { return };
+        let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
+        for shard in shards {
+            let mine = self
+                .workers
+                .iter()
+                .filter(|vm| vm.shard(bundle.shards_per_region) == shard)
+                .cloned()
+                .collect();
+            self.own_workers(&shard, &mine).await;
+            self.tell(&shard, ScheduleEvent::WorkersListed(mine)).await;
+        }
+    }
+
+    async fn own_workers(&mut self, shard: &ShardId, workers: &Vec<WorkerVm>) {
+        let Some(owned) = self.shards.get_mut(shard) else { return };
+        for vm in workers {
+            if owned.listed.insert(vm.vm.clone()) {
+                let (token, address) = (owned.token, vm.address.clone());
+                let message = WorkerMessage::Own { vm: vm.vm.clone(), address, shard: shard.clone(), token };
+                let _ = self.worker.send(message).await;
+            }
+        }
+    }
+
+    async fn tell_all(&mut self, event: &ScheduleEvent) {
+        let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
+        for shard in shards {
+            self.tell(&shard, event.clone()).await;
+        }
+    }
+
+    async fn tell(&mut self, shard: &ShardId, event: ScheduleEvent) {
+        let Some(owned) = self.shards.get_mut(shard) else { return };
+        let token = owned.token;
+        for effect in owned.scheduler.handle(event, Instant::now()) {
+            self.carry_out(token, effect).await;
+        }
+    }
+
+    async fn carry_out(&self, token: FencingToken, effect: ScheduleEffect) {
+        match effect {
+            ScheduleEffect::Command(vm, command) => {
+                let _ = self.worker.send(WorkerMessage::Command(vm, command)).await;
+            }
+            ScheduleEffect::End(job, outcome) => {
+                log::info!(job = &*job, outcome:% = outcome; "job ended");
+                self.metrics.jobs_ended.with_label_values(&[outcome.label()]).inc();
+                let record = LogRecord::Outcome { job, token, outcome };
+                let _ = self.journal.send(JournalMessage::Record(record)).await;
+            }
+            ScheduleEffect::Placed { task, team, vm, reason, rejected } => {
+                self.metrics.placements.inc();
+                log::info!(
+                    decision = "placement", task = &*task, team = &*team, vm = &*vm, reason = reason,
+                    rejected:? = rejected;
+                    "task placed"
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,12 @@
+//! Small fakes of the log service, the VM list, workers and endpoints.
+//!
+//! Each stand-in is an actix-rt task that owns its state; tests steer it with messages. They speak
+//! the protocols on the design page and share no code with the library.
+
+pub mod directory;
+pub mod endpoint;
+pub mod invariant;
+pub mod logservice;
+pub mod server;
+pub mod worker;
+pub mod world;
--- /dev/null
+++ b/standins/src/logservice.rs
@@ -0,0 +1,206 @@
+//! A log service with offsets, limited retention and switchable faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::server;
+
+/// Faults that a test switches on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogFaults {
+    /// Every request is answered with status 503 and has no effect.
+    pub down: bool,
+    /// Replies are held back this long.
+    pub delay: Duration,
+    /// Appends take effect but are answered with status 500.
+    pub lose_append_replies: bool,
+}
+
+enum LogMessage {
+    Append(String, String, oneshot::Sender<u64>),
+    Read(String, u64, usize, oneshot::Sender<LogRead>),
+    Trim(String, u64),
+}
+
+struct LogRead {
+    first: u64,
+    next: u64,
+    records: Vec<(u64, String)>,
+}
+
+#[derive(Default)]
+struct LogStream {
+    first: u64,
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct AppendBody {
+    body: String,
+}
+
+/// A running log service.
+#[derive(Clone)]
+pub struct LogStandin {
+    /// Its address.
+    pub address: SocketAddr,
+    faults: watch::Sender<LogFaults>,
+    inbox: mpsc::Sender<LogMessage>,
+}
+
+#[derive(Clone)]
+struct LogHandler {
+    faults: watch::Receiver<LogFaults>,
+    inbox: mpsc::Sender<LogMessage>,
+    appended: watch::Receiver<u64>,
+    token: CancellationToken,
+}
+
+impl LogStandin {
+    /// Starts the service on the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn start(address: &str, token: CancellationToken) -> std::io::Result<Self> {
+        let (listener, address) = server::bind(address).await?;
+        let (faults, faults_seen) = watch::channel(LogFaults::default());
+        let (appended, appended_seen) = watch::channel(0);
+        let (inbox, messages) = mpsc::channel(1_024);
+        actix_rt::spawn(keep_streams(messages, appended, token.clone()));
+        let handler = LogHandler {
+            faults: faults_seen,
+            inbox: inbox.clone(),
+            appended: appended_seen,
+            token: token.clone(),
+        };
+        actix_rt::spawn(server::serve(listener, token, move |request| handler.clone().answer(request)));
+        Ok(Self { address, faults, inbox })
+    }
+
+    /// Switches faults on and off.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Drops the records of a stream below an offset, as retention does.
+    pub async fn trim(&self, stream: &str, first: u64) {
+        let _ = self.inbox.send(LogMessage::Trim(stream.into(), first)).await;
+    }
+
+    /// Returns all retained records of a stream.
+    pub async fn read_all(&self, stream: &str) -> Vec<(u64, String)> {
+        let (reply, read) = oneshot::channel();
+        let _ = self.inbox.send(LogMessage::Read(stream.into(), 0, usize::MAX, reply)).await;
+        read.await.map(|read| read.records).unwrap_or_default()
+    }
+}
+
+async fn keep_streams(
+    mut messages: mpsc::Receiver<LogMessage>,
+    appended: watch::Sender<u64>,
+    token: CancellationToken,
+) {
+    let mut streams: FxHashMap<String, LogStream> = FxHashMap::default();
+    loop {
+        let message = tokio::select! {
+            () = token.cancelled() => return,
+            Some(message) = messages.recv() => message,
+        };
+        match message {
+            LogMessage::Append(stream, body, reply) => {
+                let stream = streams.entry(stream).or_default();
+                stream.records.push(body);
+                let _ = reply.send(stream.first + stream.records.len() as u64 - 1);
+                appended.send_modify(|count| *count += 1);
+            }
+            LogMessage::Read(stream, from, max, reply) => {
+                let _ = reply.send(streams.entry(stream).or_default().read(from, max));
+            }
+            LogMessage::Trim(stream, first) => {
+                let stream = streams.entry(stream).or_default();
+                let count = usize::try_from(first.saturating_sub(stream.first)).unwrap_or(usize::MAX);
+                let count = count.min(stream.records.len());
+                stream.records.drain(..count);
+                stream.first += count as u64;
+            }
+        }
+    }
+}
+
+impl LogStream {
+    fn read(&self, from: u64, max: usize) -> LogRead {
+        let from = from.max(self.first);
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let records: Vec<(u64, String)> =
+            (from..).zip(self.records.iter().skip(skip).take(max).cloned()).collect();
+        let next = records.last().map_or(from, |(offset, _)| offset + 1);
+        LogRead { first: self.first, next, records }
+    }
+}
+
+impl LogHandler {
+    async fn answer(self, request: Request) -> Response<Bytes> {
+        let faults = *self.faults.borrow();
+        if !faults.delay.is_zero() {
+            tokio::time::sleep(faults.delay).await;
+        }
+        if faults.down {
+            return server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "down" }));
+        }
+        let path = request.path().to_owned();
+        let stream = path.strip_prefix("/streams/").and_then(|rest| rest.strip_suffix("/records"));
+        match (request.method().clone(), stream) {
+            (Method::POST, Some(stream)) => self.append(stream, request, faults).await,
+            (Method::GET, Some(stream)) => self.read(stream, &request).await,
+            _ => server::json(StatusCode::NOT_FOUND, &json!({ "error": "no such stream" })),
+        }
+    }
+
+    async fn append(&self, stream: &str, mut request: Request, faults: LogFaults) -> Response<Bytes> {
+        let body = server::read_body(&mut request).await.unwrap_or_default();
+        let Ok(append) = serde_json::from_slice::<AppendBody>(&body) else {
+            return server::json(StatusCode::BAD_REQUEST, &json!({ "error": "body is missing" }));
+        };
+        let (reply, offset) = oneshot::channel();
+        let _ = self.inbox.send(LogMessage::Append(stream.into(), append.body, reply)).await;
+        match offset.await {
+            Ok(offset) if !faults.lose_append_replies => {
+                server::json(StatusCode::OK, &json!({ "offset": offset }))
+            }
+            _ => server::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({ "error": "reply lost" })),
+        }
+    }
+
+    async fn read(mut self, stream: &str, request: &Request) -> Response<Bytes> {
+        let from = server::query(request, "from").unwrap_or(0);
+        let max = usize::try_from(server::query(request, "max").unwrap_or(100)).unwrap_or(usize::MAX);
+        let wait = Duration::from_millis(server::query(request, "wait_ms").unwrap_or(0));
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            self.appended.mark_unchanged();
+            let (reply, read) = oneshot::channel();
+            let _ = self.inbox.send(LogMessage::Read(stream.into(), from, max, reply)).await;
+            let Ok(read) = read.await else {
+                return server::json(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "stopping" }));
+            };
+            let waited = tokio::time::Instant::now() >= deadline;
+            if !read.records.is_empty() || waited || self.token.is_cancelled() {
+                let records =
+                    read.records.iter().map(|(offset, body)| json!({ "offset": offset, "body": body }));
+                let records: Vec<serde_json::Value> = records.collect();
+                let body = json!({ "first": read.first, "next": read.next, "records": records });
+                return server::json(StatusCode::OK, &body);
+            }
+            let _ = tokio::time::timeout_at(deadline, self.appended.changed()).await;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,80 @@
+//! A minimal HTTP/1.1 server for the stand-ins.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Binds a loopback address; port 0 takes a free one.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub async fn bind(address: &str) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let local = listener.local_addr()?;
+    Ok((listener, local))
+}
+
+/// Serves until the token is cancelled; open connections are cut then.
+pub async fn serve<F, R>(listener: TcpListener, token: CancellationToken, handler: F)
+where
+    F: Fn(Request) -> R + Clone + 'static,
+    R: Future<Output = Response<Bytes>> + 'static,
+{
+    let factory = HttpService::build().h1(fn_service(move |request: Request| {
+        let response = handler(request);
+        async move { Ok::<_, actix_http::Error>(response.await) }
+    }));
+    let Ok(service) = ServiceFactory::new_service(&factory, ()).await else { return };
+    let service = Rc::new(service);
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, address)) = accepted else { continue };
+                let service = service.clone();
+                connections.spawn_local(async move {
+                    let _ = service.call((stream, Some(address))).await;
+                });
+            }
+        }
+    }
+}
+
+/// Reads the whole body; `None` if the connection breaks.
+pub async fn read_body(request: &mut Request) -> Option<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+    }
+    Some(body.freeze())
+}
+
+/// Returns a JSON response.
+#[must_use]
+pub fn json(status: StatusCode, body: &serde_json::Value) -> Response<Bytes> {
+    Response::build(status)
+        .insert_header(("content-type", "application/json"))
+        .finish()
+        .set_body(Bytes::from(body.to_string()))
+}
+
+/// Returns a number from the query string.
+#[must_use]
+pub fn query(request: &Request, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    let (_, value) =
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
--- /dev/null
+++ b/tests/proto.rs
@@ -0,0 +1,25 @@
+//! Guards against generated code that no longer matches its `.proto` file.
+
+use std::fs;
+use std::path::Path;
+
+use googletest::prelude::*;
+
+/// Set to write the generated code into the source tree instead of comparing it.
+const REGENERATE: &str = "GODWITHAVEN_REGENERATE";
+
+#[gtest]
+fn generated_code_matches_the_proto_file() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let target = root.join("src/proto/peer.rs");
+    let scratch = Path::new(env!("CARGO_TARGET_TMPDIR"));
+
+    let files = protox::compile(["peer.proto"], [root.join("proto")])?;
+    tonic_prost_build::configure().out_dir(scratch).compile_fds(files)?;
+    let generated = fs::read_to_string(scratch.join("godwithaven.peer.v1.rs"))?;
+    if std::env::var_os(REGENERATE).is_some() {
+        fs::write(&target, &generated)?;
+    }
+
+    verify_that!(fs::read_to_string(&target)? == generated, eq(true))
+}
