--- /dev/null
+++ b/tests/fixture_replay/mod.rs
@@ -0,0 +1,695 @@
+//! Replays events through a placement decider against plain records of workers, on a logical clock.
+//!
+//! Every check rests on what the workers of the harness did, never on the state of the decider.
+
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
+
+use std::collections::BTreeMap;
+
+use godwithaven::kernel::{
+    JobKind, JobOutcome, PluginRegistry, PriorityClass, ScheduleEffect, ScheduleEvent, ShardScheduler,
+    TaskEnd, TaskEnding, TaskReport, WorkerCommand, WorkerReport, WorkerVm, ZonePolicy, ZoneState,
+};
+use godwithaven::prelude::*;
+
+/// Logical time of one step; the time between ticks of the scheduler task.
+pub const STEP: Duration = Duration::from_millis(500);
+/// Lease that each sync grants, as in the default settings.
+pub const LEASE: Duration = Duration::from_secs(30);
+/// Time between syncs without commands.
+const SYNC_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a sync without an answer counts as failed.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+/// P5: no task starts in a closed zone once the change is this old.
+const ZONE_GRACE: Duration = Duration::from_secs(2);
+
+/// Makes decisions: an event and the time in, effects out.
+pub type Decide = Box<dyn FnMut(ScheduleEvent, Instant) -> Vec<ScheduleEffect>>;
+
+/// An attempt with the index of its worker and its need.
+type AssignedAttempt = (TaskId, usize, ResourceVector);
+
+/// What happens to the syncs of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SyncLink {
+    /// They are answered at once.
+    Prompt,
+    /// They take effect at once and are answered after this many steps.
+    Late(u32),
+    /// They neither take effect nor are answered.
+    Cut,
+    /// They take effect but are not answered.
+    Mute,
+}
+
+/// A running attempt of a task.
+struct ReplayTask {
+    team: TeamId,
+    need: ResourceVector,
+    key: (JobId, u32),
+    /// Progress at `since`.
+    done: Duration,
+    since: Instant,
+    /// `None` for services.
+    length: Option<Duration>,
+    percent: u32,
+    checkpointed: bool,
+}
+
+impl ReplayTask {
+    fn progress(&self, now: Instant) -> Duration {
+        self.done + now.duration_since(self.since) * self.percent / 100
+    }
+}
+
+struct PendingSync {
+    due: Instant,
+    report: Option<WorkerReport>,
+    carried: usize,
+}
+
+/// A worker as it really is.
+pub struct ReplayWorker {
+    /// The worker as listed.
+    pub vm: WorkerVm,
+    /// Whether the VM list shows it.
+    pub listed: bool,
+    /// What happens to its syncs.
+    pub link: SyncLink,
+    /// Whether it fails everything that it starts.
+    pub fails: bool,
+    alive: bool,
+    running: BTreeMap<TaskId, ReplayTask>,
+    ended: BTreeMap<TaskId, TaskEnd>,
+    known: FastSet<TaskId>,
+    lease_end: Option<Instant>,
+    used: ResourceVector,
+    /// What is assigned: starting, running and not stopped.
+    assigned: ResourceVector,
+    commands: Vec<WorkerCommand>,
+    in_flight: Option<PendingSync>,
+    next_sync: Instant,
+    last_answer: Option<WorkerReport>,
+}
+
+/// A submitted job with what really happened to it.
+pub struct ReplayJob {
+    /// The job.
+    pub spec: Arc<JobSpec>,
+    /// True run time of a task.
+    pub length: Duration,
+    /// Attempts below this number fail.
+    pub failing: u32,
+    /// When it was submitted.
+    pub submitted: Instant,
+    /// Whether its team cancelled it.
+    pub cancelled: bool,
+    /// Start of the first attempt of each task.
+    pub started: Vec<Option<Instant>>,
+    /// Outcomes that were recorded.
+    pub outcomes: Vec<JobOutcome>,
+    commanded: Vec<bool>,
+    saved: Vec<Duration>,
+    results: Vec<Option<String>>,
+    failures: u32,
+}
+
+/// One replay: workers, jobs, the decider, and the promises that it broke.
+pub struct ReplayRun {
+    /// Logical time.
+    pub now: Instant,
+    /// The workers by index.
+    pub workers: Vec<ReplayWorker>,
+    /// All submitted jobs.
+    pub jobs: BTreeMap<JobId, ReplayJob>,
+    /// Bundle in force.
+    pub bundle: PolicyBundle,
+    /// Allotment of each team.
+    pub allotments: BTreeMap<TeamId, ResourceVector>,
+    /// Starting, running and not stopped work of each team.
+    pub used_by_team: FastMap<TeamId, ResourceVector>,
+    /// Broken promises in order.
+    pub faults: Vec<String>,
+    /// Progress that was lost by stops, in task time.
+    pub lost_work: Duration,
+    /// Number of handled events.
+    pub events: u64,
+    /// Number of effects.
+    pub effects: u64,
+    /// Number of start commands.
+    pub starts: u64,
+    /// Whether starts are checked against allotments; the first-fit baseline has none.
+    pub check_allotments: bool,
+    decide: Decide,
+    index: FastMap<VmId, usize>,
+    /// Assigned attempts by task.
+    live: FastMap<(JobId, u32), Vec<AssignedAttempt>>,
+    closed_at: FastMap<ZoneId, Instant>,
+}
+
+/// Returns a decider that asks a scheduler with all linked plug-ins.
+pub fn kernel_decider(mut scheduler: ShardScheduler) -> Decide {
+    Box::new(move |event, now| scheduler.handle(event, now))
+}
+
+/// Returns the scheduler of a newly claimed shard.
+pub fn new_scheduler(settled_at: Instant) -> ShardScheduler {
+    ShardScheduler::new(PluginRegistry::collect(), settled_at)
+}
+
+/// Returns a worker VM in one of `zones` zones, with accelerators if `accelerators` is above zero.
+pub fn worker_vm(number: usize, zones: usize, accelerators: u64) -> WorkerVm {
+    WorkerVm {
+        vm: format!("w{number}").into(),
+        zone: format!("z{}", number % zones).into(),
+        region: "r1".into(),
+        rack: format!("k{}", number / 4).into(),
+        address: String::new(),
+        capacity: ResourceVector::new(64_000, 262_144, accelerators),
+        leaving: false,
+    }
+}
+
+/// Returns a bundle with open zones `z0`.. and the teams with their shares and limits.
+pub fn replay_bundle(zones: usize, teams: &[(TeamId, u64, ResourceVector)]) -> PolicyBundle {
+    let zone =
+        |number| ZonePolicy { id: format!("z{number}").into(), region: "r1".into(), state: ZoneState::In };
+    let mut bundle = PolicyBundle { version: 1, shards_per_region: 1, ..PolicyBundle::default() };
+    bundle.zones = (0..zones).map(zone).collect();
+    bundle.teams = teams
+        .iter()
+        .map(|(id, share, limit)| godwithaven::kernel::TeamPolicy {
+            id: id.clone(),
+            share: *share,
+            limit: *limit,
+            max_waiting: 50_000,
+            max_requests: 1_000,
+        })
+        .collect();
+    bundle
+}
+
+/// Returns a job without retries; `length` is the declared run time.
+pub fn job_spec(team: &str, name: &str, kind: JobKind, tasks: u32, need: ResourceVector) -> JobSpec {
+    JobSpec {
+        id: format!("{team}/{name}").into(),
+        team: team.into(),
+        queue: "main".into(),
+        kind,
+        priority: PriorityClass::Normal,
+        tasks,
+        need,
+        run_time: None,
+        retries: 0,
+    }
+}
+
+/// Starts a replay on listed workers that have all been heard.
+pub fn start_run(vms: Vec<WorkerVm>, bundle: PolicyBundle, decide: Decide, now: Instant) -> ReplayRun {
+    let allotments = bundle.teams.iter().map(|team| (team.id.clone(), team.limit)).collect();
+    let index = vms.iter().enumerate().map(|(index, vm)| (vm.vm.clone(), index)).collect();
+    let mut run = ReplayRun {
+        now,
+        workers: vms.into_iter().map(|vm| new_worker(vm, now)).collect(),
+        jobs: BTreeMap::new(),
+        bundle,
+        allotments,
+        used_by_team: FastMap::default(),
+        faults: Vec::new(),
+        lost_work: Duration::ZERO,
+        events: 0,
+        effects: 0,
+        starts: 0,
+        check_allotments: true,
+        decide,
+        index,
+        live: FastMap::default(),
+        closed_at: FastMap::default(),
+    };
+    run.announce();
+    run.advance(1);
+    run
+}
+
+fn new_worker(vm: WorkerVm, now: Instant) -> ReplayWorker {
+    ReplayWorker {
+        vm,
+        listed: true,
+        link: SyncLink::Prompt,
+        fails: false,
+        alive: true,
+        running: BTreeMap::new(),
+        ended: BTreeMap::new(),
+        known: FastSet::default(),
+        lease_end: None,
+        used: ResourceVector::default(),
+        assigned: ResourceVector::default(),
+        commands: Vec::new(),
+        in_flight: None,
+        next_sync: now,
+        last_answer: None,
+    }
+}
+
+impl ReplayRun {
+    /// Tells the decider the allotments, the bundle and the VM list.
+    fn announce(&mut self) {
+        for (team, amount) in self.allotments.clone() {
+            self.tell(ScheduleEvent::AllotmentChanged(team, amount));
+        }
+        self.tell(ScheduleEvent::BundleAdopted(Arc::new(self.bundle.clone())));
+        self.list();
+    }
+
+    fn list(&mut self) {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        let vms = listed.map(|worker| worker.vm.clone()).collect();
+        self.tell(ScheduleEvent::WorkersListed(vms));
+    }
+
+    /// Submits a job whose tasks truly run for `length` and fail in the first `failing` attempts.
+    pub fn submit(&mut self, spec: JobSpec, length: Duration, failing: u32) {
+        let (count, spec) = (spec.tasks as usize, Arc::new(spec));
+        let job = ReplayJob {
+            spec: spec.clone(),
+            length,
+            failing,
+            submitted: self.now,
+            cancelled: false,
+            started: vec![None; count],
+            outcomes: Vec::new(),
+            commanded: vec![false; count],
+            saved: vec![Duration::ZERO; count],
+            results: vec![None; count],
+            failures: 0,
+        };
+        if self.jobs.insert(spec.id.clone(), job).is_none() {
+            self.tell(ScheduleEvent::JobAccepted(spec));
+        }
+    }
+
+    /// Cancels a job that has no outcome yet.
+    pub fn cancel(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.outcomes.is_empty()) else { return };
+        job.cancelled = true;
+        self.tell(ScheduleEvent::JobCancelled(id.clone()));
+    }
+
+    /// Changes the state of a zone by a new bundle.
+    pub fn set_zone(&mut self, zone: usize, state: ZoneState) {
+        let policy = &mut self.bundle.zones[zone];
+        policy.state = state;
+        let id = policy.id.clone();
+        match state {
+            ZoneState::In => self.closed_at.remove(&id),
+            ZoneState::Out => Some(*self.closed_at.entry(id).or_insert(self.now)),
+        };
+        self.bundle.version += 1;
+        self.tell(ScheduleEvent::BundleAdopted(Arc::new(self.bundle.clone())));
+    }
+
+    /// Changes limit and allotment of a team.
+    pub fn set_limit(&mut self, team: &TeamId, limit: ResourceVector) {
+        self.allotments.insert(team.clone(), limit);
+        for policy in self.bundle.teams.iter_mut().filter(|policy| policy.id == *team) {
+            policy.limit = limit;
+        }
+        self.bundle.version += 1;
+        self.tell(ScheduleEvent::AllotmentChanged(team.clone(), limit));
+        self.tell(ScheduleEvent::BundleAdopted(Arc::new(self.bundle.clone())));
+    }
+
+    /// Takes a worker off the VM list; if it is dead, its tasks are gone.
+    pub fn remove_worker(&mut self, index: usize, dead: bool) {
+        self.workers[index].listed = false;
+        if dead {
+            let worker = &mut self.workers[index];
+            worker.alive = false;
+            worker.running.clear();
+            worker.ended.clear();
+            worker.known.clear();
+            worker.in_flight = None;
+            worker.used = ResourceVector::default();
+            self.forget_live(|_, vm| vm == index);
+        }
+        self.list();
+    }
+
+    /// Lists a worker again; a dead one returns empty.
+    pub fn return_worker(&mut self, index: usize) {
+        self.workers[index].listed = true;
+        self.workers[index].alive = true;
+        self.list();
+    }
+
+    /// Delivers the last answer of a worker once more.
+    pub fn repeat_answer(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        if let Some(report) = worker.last_answer.clone() {
+            self.tell(ScheduleEvent::SyncAnswered(worker.vm.vm.clone(), report));
+        }
+    }
+
+    /// Replaces the owner of the shard: commands that were not sent are gone, and jobs without outcome are inherited.
+    pub fn replace_owner(&mut self) {
+        let mut scheduler = new_scheduler(self.now + LEASE + LEASE / 100 + Duration::from_secs(2));
+        for job in self.jobs.values().filter(|job| job.outcomes.is_empty()) {
+            scheduler.inherit(&job.spec, job.cancelled);
+        }
+        for worker in &mut self.workers {
+            (worker.in_flight, worker.next_sync, worker.last_answer) = (None, self.now, None);
+            worker.commands.clear();
+        }
+        let running: FastSet<TaskId> =
+            self.workers.iter().flat_map(|worker| worker.running.keys().cloned()).collect();
+        self.forget_live(|task, _| !running.contains(task));
+        self.decide = kernel_decider(scheduler);
+        self.announce();
+    }
+
+    /// Heals all faults, cancels services and waits until every job has its outcome.
+    pub fn drain(&mut self, limit: Duration) {
+        for index in 0..self.workers.len() {
+            (self.workers[index].link, self.workers[index].fails) = (SyncLink::Prompt, false);
+            self.return_worker(index);
+        }
+        for zone in 0..self.bundle.zones.len() {
+            self.set_zone(zone, ZoneState::In);
+        }
+        for team in self.allotments.keys().cloned().collect::<Vec<_>>() {
+            self.set_limit(&team, worker_vm(0, 1, 8).capacity.times(1_000));
+        }
+        let services = self.jobs.values().filter(|job| job.spec.kind == JobKind::Service);
+        for id in services.map(|job| job.spec.id.clone()).collect::<Vec<_>>() {
+            self.cancel(&id);
+        }
+        let end = self.now + limit;
+        while self.now < end && self.jobs.values().any(|job| job.outcomes.is_empty()) {
+            self.advance(1);
+        }
+        self.advance(20);
+        for job in self.jobs.values().filter(|job| job.outcomes.is_empty()) {
+            self.faults.push(format!("P12: {} has no outcome {limit:?} after all faults ended", job.spec.id));
+        }
+        for worker in self.workers.iter().filter(|worker| !worker.running.is_empty()) {
+            let tasks: Vec<&TaskId> = worker.running.keys().collect();
+            self.faults.push(format!("work of ended jobs runs on {}: {tasks:?}", worker.vm.vm));
+        }
+    }
+
+    /// Advances the time by a number of steps.
+    pub fn advance(&mut self, steps: u32) {
+        for _ in 0..steps {
+            self.now += STEP;
+            for index in 0..self.workers.len() {
+                self.run_tasks(index);
+            }
+            for index in 0..self.workers.len() {
+                self.exchange(index);
+            }
+            self.tell(ScheduleEvent::Tick);
+        }
+    }
+
+    /// Ends tasks that are done or whose lease ended.
+    fn run_tasks(&mut self, index: usize) {
+        let (now, worker) = (self.now, &self.workers[index]);
+        let lapsed = worker.lease_end.is_some_and(|end| end <= now);
+        let done = |task: &ReplayTask| task.length.is_some_and(|length| task.progress(now) >= length);
+        let ended = worker.running.iter().filter(|(_, task)| lapsed || done(task));
+        let ended: Vec<(TaskId, TaskEnding)> = ended
+            .map(|(id, task)| {
+                (id.clone(), if done(task) { TaskEnding::Finished } else { TaskEnding::Lapsed })
+            })
+            .collect();
+        for (task, ending) in ended {
+            self.end_task(index, &task, ending);
+        }
+    }
+
+    fn end_task(&mut self, index: usize, id: &TaskId, ending: TaskEnding) {
+        let worker = &mut self.workers[index];
+        let Some(task) = worker.running.remove(id) else { return };
+        worker.used = worker.used.minus(task.need);
+        let result = format!("{ending} {id}");
+        worker.ended.insert(id.clone(), TaskEnd { task: id.clone(), ending, result: result.clone() });
+        self.forget_task(&task.key, id);
+        let Some(job) = self.jobs.get_mut(&task.key.0) else { return };
+        let position = task.key.1 as usize;
+        match ending {
+            TaskEnding::Finished => job.results[position] = Some(result),
+            TaskEnding::Failed => job.failures += 1,
+            _ => self.lost_work += task.progress(self.now).saturating_sub(job.saved[position]),
+        }
+    }
+
+    fn forget_task(&mut self, key: &(JobId, u32), id: &TaskId) {
+        let Some(attempts) = self.live.get_mut(key) else { return };
+        let Some(position) = attempts.iter().position(|(task, ..)| task == id) else { return };
+        let (_, vm, need) = attempts.swap_remove(position);
+        self.workers[vm].assigned = self.workers[vm].assigned.minus(need);
+        let team = &self.jobs[&key.0].spec.team;
+        let used = self.used_by_team.entry(team.clone()).or_default();
+        *used = used.minus(need);
+    }
+
+    fn forget_live(&mut self, gone: impl Fn(&TaskId, usize) -> bool) {
+        let found = self.live.iter().flat_map(|(key, attempts)| {
+            let gone = attempts.iter().filter(|(task, vm, _)| gone(task, *vm));
+            gone.map(move |(task, ..)| (key.clone(), task.clone()))
+        });
+        for (key, task) in found.collect::<Vec<_>>() {
+            self.forget_task(&key, &task);
+        }
+    }
+
+    /// Delivers the answer that is due and sends the next sync; one is in flight at a time.
+    fn exchange(&mut self, index: usize) {
+        let now = self.now;
+        if self.workers[index].in_flight.as_ref().is_some_and(|sync| sync.due <= now) {
+            self.deliver(index);
+        }
+        let worker = &self.workers[index];
+        if worker.in_flight.is_some() || (worker.next_sync > now && worker.commands.is_empty()) {
+            return;
+        }
+        let link = if worker.alive { worker.link } else { SyncLink::Cut };
+        let carried = worker.commands.len();
+        let report = (link != SyncLink::Cut).then(|| self.carry_out(index));
+        let (due, report) = match link {
+            SyncLink::Prompt => (now, report),
+            SyncLink::Late(steps) => (now + STEP * steps, report),
+            SyncLink::Cut | SyncLink::Mute => (now + SYNC_TIMEOUT, None),
+        };
+        let worker = &mut self.workers[index];
+        worker.next_sync = now + SYNC_INTERVAL;
+        worker.in_flight = Some(PendingSync { due, report, carried });
+        if due == now {
+            self.deliver(index);
+        }
+    }
+
+    fn deliver(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        let Some(sync) = worker.in_flight.take() else { return };
+        let vm = worker.vm.vm.clone();
+        let event = match sync.report {
+            Some(report) => {
+                worker.commands.drain(..sync.carried);
+                worker.last_answer = Some(report.clone());
+                ScheduleEvent::SyncAnswered(vm, report)
+            }
+            None => ScheduleEvent::SyncFailed(vm),
+        };
+        self.tell(event);
+    }
+
+    /// Carries out the pending commands as the worker does and returns its report.
+    fn carry_out(&mut self, index: usize) -> WorkerReport {
+        self.workers[index].lease_end = Some(self.now + LEASE);
+        for command in self.workers[index].commands.clone() {
+            match command {
+                WorkerCommand::Start { task, team, need, .. } => self.start_task(index, &task, team, need),
+                WorkerCommand::Stop { task } => self.end_task(index, &task, TaskEnding::Stopped),
+                WorkerCommand::Checkpoint { task } => {
+                    if let Some(running) = self.workers[index].running.get_mut(&task) {
+                        running.checkpointed = true;
+                        let (job, position) = (&running.key.0, running.key.1 as usize);
+                        if let Some(job) = self.jobs.get_mut(job) {
+                            job.saved[position] = running.progress(self.now);
+                        }
+                    }
+                }
+                WorkerCommand::Throttle { task, percent } => {
+                    if let Some(running) = self.workers[index].running.get_mut(&task) {
+                        (running.done, running.since) = (running.progress(self.now), self.now);
+                        running.percent = percent;
+                    }
+                }
+                WorkerCommand::Acknowledge { task } => {
+                    self.workers[index].ended.remove(&task);
+                }
+            }
+        }
+        let worker = &self.workers[index];
+        let report = |(task, running): (&TaskId, &ReplayTask)| TaskReport {
+            task: task.clone(),
+            team: running.team.clone(),
+            need: running.need,
+            used: running.need,
+            checkpointed: running.checkpointed,
+        };
+        WorkerReport {
+            running: worker.running.iter().map(report).collect(),
+            ended: worker.ended.values().cloned().collect(),
+        }
+    }
+
+    fn start_task(&mut self, index: usize, task: &TaskId, team: TeamId, need: ResourceVector) {
+        let now = self.now;
+        if !self.workers[index].known.insert(task.clone()) {
+            return;
+        }
+        let Some((job_id, position, attempt)) = JobSpec::split_task_id(task) else { return };
+        let key = (job_id, position);
+        let elsewhere = self.live.get(&key).into_iter().flatten();
+        for (other, vm, _) in elsewhere.filter(|(other, ..)| other != task) {
+            if self.workers[*vm].running.contains_key(other) {
+                self.faults.push(format!("P2: {task} starts while {other} runs on worker {vm}"));
+            }
+        }
+        let worker = &mut self.workers[index];
+        if self.closed_at.get(&worker.vm.zone).is_some_and(|closed| now > *closed + ZONE_GRACE) {
+            self.faults.push(format!("P5: {task} starts in closed zone {}", worker.vm.zone));
+        }
+        worker.used = worker.used.plus(need);
+        if !worker.used.fits(worker.vm.capacity) {
+            self.faults.push(format!("P1: {} runs {} of {}", worker.vm.vm, worker.used, worker.vm.capacity));
+        }
+        let Some(job) = self.jobs.get_mut(&key.0) else { return };
+        job.started[position as usize].get_or_insert(now);
+        let running = ReplayTask {
+            team,
+            need,
+            done: job.saved[position as usize],
+            key,
+            since: now,
+            length: (job.spec.kind != JobKind::Service).then_some(job.length),
+            percent: 100,
+            checkpointed: false,
+        };
+        let fails = worker.fails || attempt < job.failing;
+        worker.running.insert(task.clone(), running);
+        if fails {
+            self.end_task(index, task, TaskEnding::Failed);
+        }
+    }
+
+    /// Hands one event to the decider, and checks and records its effects.
+    pub fn tell(&mut self, event: ScheduleEvent) {
+        let effects = (self.decide)(event, self.now);
+        self.events += 1;
+        self.effects += effects.len() as u64;
+        let mut gangs = FastSet::default();
+        for effect in effects {
+            match effect {
+                ScheduleEffect::Command(vm, command) => self.record_command(&vm, command, &mut gangs),
+                ScheduleEffect::End(job, outcome) => self.record_end(&job, outcome),
+                ScheduleEffect::Placed { .. } => {}
+            }
+        }
+        for id in gangs {
+            let commanded = &self.jobs[&id].commanded;
+            let count = commanded.iter().filter(|commanded| **commanded).count();
+            if count < commanded.len() {
+                self.faults.push(format!("gang {id} starts {count} of {} tasks", commanded.len()));
+            }
+        }
+    }
+
+    fn record_command(&mut self, vm: &VmId, command: WorkerCommand, gangs: &mut FastSet<JobId>) {
+        let Some(&index) = self.index.get(vm) else {
+            self.faults.push(format!("command for unknown worker {vm}"));
+            return;
+        };
+        match &command {
+            WorkerCommand::Start { task, team, need, .. } => {
+                self.starts += 1;
+                self.record_start(index, task, team, *need, gangs);
+            }
+            // A start that the worker has not seen is taken back by the stop.
+            WorkerCommand::Stop { task } if !self.workers[index].running.contains_key(task) => {
+                if let Some((job, position, _)) = JobSpec::split_task_id(task) {
+                    self.forget_task(&(job, position), task);
+                }
+            }
+            _ => {}
+        }
+        self.workers[index].commands.push(command);
+    }
+
+    fn record_start(
+        &mut self,
+        index: usize,
+        task: &TaskId,
+        team: &TeamId,
+        need: ResourceVector,
+        gangs: &mut FastSet<JobId>,
+    ) {
+        let split = JobSpec::split_task_id(task);
+        let Some((job_id, position, _)) = split.filter(|(job, ..)| self.jobs.contains_key(job)) else {
+            self.faults.push(format!("start of unknown task {task}"));
+            return;
+        };
+        let worker = &mut self.workers[index];
+        if !self.bundle.zone_open(&worker.vm.zone) {
+            self.faults.push(format!("P5: {task} is placed in closed zone {}", worker.vm.zone));
+        }
+        let Some(job) = self.jobs.get_mut(&job_id) else { return };
+        if !job.outcomes.is_empty() || job.results[position as usize].is_some() {
+            self.faults.push(format!("{task} is placed although it ended"));
+        }
+        job.commanded[position as usize] = true;
+        if job.spec.kind == JobKind::Gang {
+            gangs.insert(job_id.clone());
+        }
+        if !worker.alive {
+            return;
+        }
+        worker.assigned = worker.assigned.plus(need);
+        if !worker.assigned.fits(worker.vm.capacity) {
+            self.faults.push(format!("P1: {} is assigned {} by {task}", worker.vm.vm, worker.assigned));
+        }
+        let used = self.used_by_team.entry(team.clone()).or_default();
+        *used = used.plus(need);
+        let allotment = self.allotments.get(team).copied().unwrap_or_default();
+        if self.check_allotments && !used.fits(allotment) {
+            self.faults.push(format!("P4: {team} has {used} of {allotment} with {task}"));
+        }
+        let attempts = self.live.entry((job_id, position)).or_default();
+        if let Some((other, ..)) = attempts.first() {
+            self.faults.push(format!("P2: {task} is placed while {other} is assigned"));
+        }
+        attempts.push((task.clone(), index, need));
+    }
+
+    fn record_end(&mut self, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            self.faults.push(format!("outcome of unknown job {id}"));
+            return;
+        };
+        let untrue = match &outcome {
+            JobOutcome::Finished(results) => {
+                !job.results.iter().map(Option::as_ref).eq(results.iter().map(Some))
+            }
+            JobOutcome::Failed(_) => job.failures <= job.spec.retries,
+            JobOutcome::Cancelled => !job.cancelled,
+            JobOutcome::Refused(_) => job.commanded.contains(&true),
+        };
+        job.outcomes.push(outcome);
+        let outcomes = &job.outcomes;
+        if untrue || outcomes.len() > 1 {
+            self.faults.push(format!("P12: outcomes of {id} are {outcomes:?}"));
+        }
+    }
+}
