--- a/src/plugins/bundle_signature.rs
+++ b/src/plugins/bundle_signature.rs
@@ -1,11 +1,19 @@
 //! Ed25519 signatures of bundles.
 
-use ed25519_dalek::{Signature, Signer, SigningKey, Verifier, VerifyingKey};
+pub use ed25519_dalek::SigningKey;
+use ed25519_dalek::{Signature, Signer, Verifier, VerifyingKey};
+use sha2::{Digest, Sha256};
 
 use crate::kernel::{BundleCodec, BundleRecord, PluginRegistry};
 use crate::plugins::bundle_toml;
 use crate::prelude::*;
 
+/// Returns the hexadecimal SHA-256 digest of a team key, as the bundle holds it.
+#[must_use]
+pub fn key_digest(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
 /// Signs a record and adds public key and signature to it.
 pub fn sign(record: &mut BundleRecord, key: &SigningKey) {
     let signature = key.sign(&message(record));
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters of one entry process, served at `/metrics`.
 
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, exponential_buckets};
 
 /// Counters that the tasks add to.
 #[derive(Clone)]
@@ -9,6 +9,8 @@
     pub registry: Registry,
     /// Placed tasks.
     pub placements: IntCounter,
+    /// Time of a placement decision in seconds, each event's time divided by its placements.
+    pub placement_seconds: Histogram,
     /// Ended jobs by outcome.
     pub jobs_ended: IntCounterVec,
     /// Requests dispatched to endpoints.
@@ -41,7 +43,13 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
+        // 1 µs to 2 s.
+        let buckets = exponential_buckets(0.000_001, 2.0, 22)?;
+        let options = HistogramOpts::new("godwithaven_placement_seconds", "Time of a placement decision");
+        let placement_seconds = Histogram::with_opts(options.buckets(buckets))?;
+        registry.register(Box::new(placement_seconds.clone()))?;
         Ok(Self {
+            placement_seconds,
             placements: plain("godwithaven_placements_total", "Placed tasks")?,
             jobs_ended: labelled("godwithaven_jobs_ended_total", "Ended jobs", "outcome")?,
             dispatches: plain("godwithaven_dispatches_total", "Requests dispatched to endpoints")?,
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -214,11 +214,22 @@
     async fn tell(&mut self, shard: &ShardId, event: ScheduleEvent) {
         let Some(owned) = self.shards.get_mut(shard) else { return };
         let token = owned.token;
-        for effect in owned.scheduler.handle(event, Instant::now()) {
+        let started = Instant::now();
+        let effects = owned.scheduler.handle(event, started);
+        self.observe(started.elapsed(), &effects);
+        for effect in effects {
             self.carry_out(token, effect).await;
         }
     }
 
+    fn observe(&self, elapsed: Duration, effects: &[ScheduleEffect]) {
+        let placed = effects.iter().filter(|effect| matches!(effect, ScheduleEffect::Placed { .. })).count();
+        let each = elapsed / u32::try_from(placed.max(1)).unwrap_or(u32::MAX);
+        for _ in 0..placed {
+            self.metrics.placement_seconds.observe(each.as_secs_f64());
+        }
+    }
+
     async fn carry_out(&self, token: FencingToken, effect: ScheduleEffect) {
         match effect {
             ScheduleEffect::Command(vm, command) => {
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -14,7 +14,7 @@
 pub struct WorldShape {
     /// Availability zones; all in region `r1`.
     pub zones: Vec<String>,
-    /// Workers in each zone, four a rack; every fourth has accelerators.
+    /// Workers in each zone, two a rack; every fourth has accelerators.
     pub workers_per_zone: usize,
     /// Services with the number of endpoints of each.
     pub services: Vec<(String, usize)>,
@@ -24,7 +24,7 @@
     fn default() -> Self {
         Self {
             zones: vec!["a".into(), "b".into(), "c".into()],
-            workers_per_zone: 4,
+            workers_per_zone: 8,
             services: vec![("planner".into(), 6)],
         }
     }
@@ -95,7 +95,7 @@
                     vm: vm.clone(),
                     zone: zone.clone(),
                     region: "r1".into(),
-                    rack: format!("rack-{zone}{}", index / 4),
+                    rack: format!("rack-{zone}{}", index / 2),
                     role: "worker".into(),
                     state: "live".into(),
                     address: address.clone(),
