Check bundles as a whole and report every fault at its line

Cause: the bundle parser stopped at the first fault and named no line, and took zero shares, duplicate ids, unknown teams, keys that are not digests and four thousand million shards.

The kernel types are unchanged.

The check of a limit against a guaranteed part waits for a bundle field that holds one.

--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -60,7 +60,7 @@
 pub use log_record::LogRecord;
 pub use peer_view::{PeerView, SUSPECT_AFTER};
 pub use placement_policy::PlacementPolicy;
-pub use plugin_registry::{PluginEntry, PluginRegistry};
+pub use plugin_registry::{PluginEntry, PluginRegistry, known_names};
 pub use policy_bundle::{
     BundleRecord, PlacementChoice, PolicyBundle, QueuePolicy, ServicePolicy, TeamKey, TeamPolicy, ZonePolicy,
     ZoneState,
--- a/src/kernel/plugin_registry.rs
+++ b/src/kernel/plugin_registry.rs
@@ -75,24 +75,12 @@
         };
         self.placements.get(name.as_str()).copied()
     }
-
-    /// Returns why the bundle cannot be used with the linked plug-ins.
-    #[must_use]
-    pub fn missing(&self, bundle: &PolicyBundle) -> Option<String> {
-        let choice = &bundle.placement;
-        for name in [&choice.service, &choice.batch, &choice.gang] {
-            if !self.placements.contains_key(name.as_str()) {
-                return Some(unknown_plugin("placement policy", name, self.placements.keys().copied()));
-            }
-        }
-        let service =
-            bundle.services.iter().find(|service| !self.routings.contains_key(service.routing.as_str()))?;
-        Some(unknown_plugin("routing policy", &service.routing, self.routings.keys().copied()))
-    }
 }
 
-fn unknown_plugin(kind: &str, name: &str, known: impl Iterator<Item = &'static str>) -> String {
-    let mut known: Vec<&str> = known.collect();
-    known.sort_unstable();
-    format!("unknown {kind} {name:?}; known are {}", known.join(", "))
+/// Returns names in order, for error messages.
+#[must_use]
+pub fn known_names<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    names.join(", ")
 }
--- a/src/plugins/bundle_signature.rs
+++ b/src/plugins/bundle_signature.rs
@@ -3,7 +3,7 @@
 use ed25519_dalek::{Signature, Signer, SigningKey, Verifier, VerifyingKey};
 
 use crate::kernel::{BundleCodec, BundleRecord, PluginRegistry};
-use crate::plugins::bundle_toml;
+use crate::plugins::bundle_toml::{self, BundleContext};
 use crate::prelude::*;
 
 /// Signs a record and adds public key and signature to it.
@@ -31,8 +31,13 @@
 /// Returns the codec for bundles in TOML with ed25519 signatures.
 #[must_use]
 pub fn codec(registry: PluginRegistry, signers: Vec<String>, required: usize) -> BundleCodec {
+    let count = signers.len();
     BundleCodec {
-        parse: Arc::new(move |text| bundle_toml::parse(text, &registry)),
+        parse: Arc::new(move |text| {
+            let context =
+                BundleContext { registry: &registry, known_zones: None, default_signers: Some(count) };
+            bundle_toml::parse(text, &context)
+        }),
         approvals: Arc::new(approvals),
         signers,
         required,
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -3,6 +3,9 @@
 mod admission_form;
 mod admission_key;
 mod admission_target;
+pub mod bundle_fault;
+mod bundle_form;
+mod bundle_rules;
 pub mod bundle_signature;
 pub mod bundle_toml;
 mod directory_http;
