--- /dev/null
+++ b/standins/tests/invariant.rs
@@ -0,0 +1,53 @@
+//! Guards against a checker that cannot find a broken promise.
+
+use std::time::{Duration, Instant};
+
+use godwithaven_standins::invariant::{BrokenPromises, WorkEvent, WorkRecord, WorldFacts, check};
+use googletest::prelude::*;
+
+fn facts() -> WorldFacts {
+    WorldFacts {
+        capacity: [("vm-1".to_owned(), [4, 4, 0]), ("vm-2".to_owned(), [4, 4, 0])].into_iter().collect(),
+        zones: [("vm-1".to_owned(), "a".to_owned())].into_iter().collect(),
+        limits: [("blue".to_owned(), [6, 6, 0])].into_iter().collect(),
+        closed: Vec::new(),
+    }
+}
+
+fn start(vm: &str, task: &str, cores: u64) -> WorkRecord {
+    WorkRecord::new(vm, task, WorkEvent::Started { team: "blue".into(), need: [cores, 1, 0] })
+}
+
+fn end(vm: &str, task: &str) -> WorkRecord {
+    WorkRecord::new(vm, task, WorkEvent::Ended("finished".into()))
+}
+
+#[gtest]
+fn work_within_all_bounds_is_accepted() -> Result<()> {
+    // Arrange
+    let records = [start("vm-1", "j#0@0", 4), end("vm-1", "j#0@0"), start("vm-2", "j#0@1", 4)];
+
+    // Act
+    let broken = check(&records, &facts());
+
+    // Assert
+    verify_that!(broken, eq(BrokenPromises::default()))
+}
+
+#[gtest]
+fn each_broken_promise_is_counted() -> Result<()> {
+    // Arrange
+    let doubled = [start("vm-1", "j#0@0", 1), start("vm-2", "j#0@1", 1)];
+    let over_capacity = [start("vm-1", "j#0@0", 5)];
+    let over_limit = [start("vm-1", "j#0@0", 4), start("vm-2", "j#1@0", 3)];
+    let before = Instant::now();
+    let closed = [start("vm-1", "j#0@0", 1)];
+    let mut closed_facts = facts();
+    closed_facts.closed.push(("a".into(), before, before + Duration::from_secs(60)));
+
+    // Act and assert
+    expect_that!(check(&doubled, &facts()).doubled, eq(1));
+    expect_that!(check(&over_capacity, &facts()).over_capacity, eq(1));
+    expect_that!(check(&over_limit, &facts()).over_limit, eq(1));
+    verify_that!(check(&closed, &closed_facts).started_in_closed_zone, eq(1))
+}
