Add the operators' command and the pages it reads

Cause: operators could only append bundles by hand and see a version number; nothing showed shards, teams, zones, endpoints or why work waits.

Publishing folds the log with the same ledger code as the entry processes, compares the base with the version in force, appends, and reads on until its record is adopted or refused; the same group is appended again after a lost reply. The operators' interface serves /v1/bundle, fleet, teams, zones, endpoints and explain from the existing messages; the VM list is read on demand for zones. Reports on a bundle hide a value that may be a key pasted in place of its digest.

Conclusion: bundles go from text to force by typed commands, and each command tells whether it worked.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,16 +1,67 @@
 //! The operators' command.
 
-use std::process::ExitCode;
-
+mod bundle;
+mod bundle_file;
 mod caller;
 mod demo;
+mod explain;
+mod failure;
+mod flags;
+mod key;
+mod operators;
+mod publish;
+mod summary;
+mod table;
 mod tally;
 
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use failure::CommandFailure;
+use flags::{BundleCmd, ExplainCmd, Godwithaven, GodwithavenCmd, KeyCmd};
+
 #[actix_rt::main]
 async fn main() -> ExitCode {
-    if std::env::args().nth(1).as_deref() == Some("demo") {
-        return demo::run().await;
+    let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if args.iter().any(|arg| arg == "--version") {
+        println!("godwithaven {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let command = match Godwithaven::from_vec(flags::split_values(args)) {
+        Ok(command) => command,
+        Err(error) if error.is_help() => {
+            print!("{error}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => return CommandFailure::Usage(error.to_string()).report(),
+    };
+    run(command).await.unwrap_or_else(|failure| failure.report())
+}
+
+async fn run(command: Godwithaven) -> Result<ExitCode, CommandFailure> {
+    let json = command.json;
+    match command.subcommand {
+        GodwithavenCmd::Demo(_) => return Ok(demo::run().await),
+        GodwithavenCmd::Bundle(command) => match command.subcommand {
+            BundleCmd::Check(check) => bundle::check(&check, json).await?,
+            BundleCmd::Diff(diff) => bundle::diff(&diff, json)?,
+            BundleCmd::Sign(sign) => bundle::sign(&sign)?,
+            BundleCmd::Publish(publish) => publish::publish(&publish, json).await?,
+            BundleCmd::Show(show) => bundle::show(&show, json).await?,
+        },
+        GodwithavenCmd::Key(command) => match command.subcommand {
+            KeyCmd::New(new) => key::create(&new)?,
+            KeyCmd::Hash(_) => key::hash()?,
+        },
+        GodwithavenCmd::Status(status) => summary::status(&status.entry, json).await?,
+        GodwithavenCmd::Fleet(fleet) => summary::fleet(&fleet.entry, json).await?,
+        GodwithavenCmd::Teams(teams) => summary::teams(&teams.entry, json).await?,
+        GodwithavenCmd::Zones(zones) => summary::zones(&zones.entry, json).await?,
+        GodwithavenCmd::Endpoints(endpoints) => summary::endpoints(&endpoints.entry, json).await?,
+        GodwithavenCmd::Explain(command) => match command.subcommand {
+            ExplainCmd::Job(job) => explain::job(&job, json).await?,
+            ExplainCmd::Request(request) => explain::request(&request, json).await?,
+        },
     }
-    eprintln!("usage: godwithaven demo");
-    ExitCode::from(2)
+    Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/cli/tests/commands.rs
@@ -0,0 +1,146 @@
+//! Guards against commands that report success for something that was not done, exit codes that scripts
+//! cannot rely on, and secrets that are printed.
+
+mod fixture;
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+
+use fixture::{Platform, bundle_text};
+use googletest::prelude::*;
+use serde_json::Value;
+
+#[gtest]
+#[actix_rt::test]
+async fn exit_codes_tell_bad_usage_from_failure() {
+    let dir = fixture::directory("exit_codes");
+    fs::write(dir.join("sound.toml"), bundle_text(1, 0)).unwrap();
+    fs::write(dir.join("faulty.toml"), bundle_text(0, 0)).unwrap();
+    let cases = [
+        ("godwithaven --help", 0),
+        ("godwithaven --version", 0),
+        ("godwithaven bundle check --help", 0),
+        ("godwithaven bundle check sound.toml", 0),
+        ("godwithaven bundle check faulty.toml", 1),
+        ("godwithaven bundle check absent.toml", 1),
+        ("godwithaven status --entry=127.0.0.1:1", 1),
+        ("godwithaven", 2),
+        ("godwithaven bundle", 2),
+        ("godwithaven bundle check", 2),
+        ("godwithaven status --colour", 2),
+        ("godwithaven explain job blue", 2),
+        ("godwithaven explain job ../status", 2),
+    ];
+    for (line, code) in cases {
+        let printed = fixture::shell(&dir, line, &[]).await;
+
+        expect_that!(printed.code, eq(code), "{line}: {printed:?}");
+        expect_that!(printed.out.is_empty() && printed.err.is_empty(), eq(false), "{line} printed nothing");
+    }
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn secrets_are_kept_in_files_of_their_owner() {
+    let dir = fixture::directory("secrets");
+
+    let created = fixture::shell(&dir, "godwithaven key new --out a.key", &[]).await;
+    let repeated = fixture::shell(&dir, "godwithaven key new --out a.key", &[]).await;
+    let hashed = fixture::shell(&dir, "printf 'blue-key\\n' | godwithaven key hash", &[]).await;
+    let wrong = fixture::shell(
+        &dir,
+        "echo secret-key > b.key; echo x > x.toml; godwithaven bundle sign x.toml --key b.key",
+        &[],
+    )
+    .await;
+
+    let secret = fs::read_to_string(dir.join("a.key")).unwrap();
+    let mode = fs::metadata(dir.join("a.key")).unwrap().permissions().mode();
+    expect_that!(mode & 0o777, eq(0o600));
+    expect_that!(created.out, not(contains_substring(secret.trim())));
+    expect_that!(repeated.code, eq(1));
+    expect_that!(hashed.out.trim(), eq("da71e267b3b77b50077da29f7322e9317a1f629a410f782a1a970f97e2548377"));
+    expect_that!(wrong.code, eq(1));
+    expect_that!(wrong.err, not(contains_substring("secret-key")));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn publishing_says_whether_the_bundle_was_adopted() {
+    // Arrange
+    let platform = Platform::start("publishing").await;
+    platform.write("one.toml", &bundle_text(1, 0));
+    platform.write("rival.toml", &bundle_text(2, 0));
+    let other = platform.shell("godwithaven key new --out other.key | sed -n 's/public key //p'").await;
+    let both = format!("\"{}\", \"{}\"", platform.signer, other.out.trim());
+    platform.write(
+        "two.toml",
+        &bundle_text(2, 1).replace("base = 1", &format!("base = 1\napprovals = 2\nsigners = [{both}]")),
+    );
+    platform.write(
+        "three.toml",
+        &bundle_text(3, 2).replace("base = 2", &format!("base = 2\napprovals = 2\nsigners = [{both}]")),
+    );
+    let sign = "for file in one two three rival; do godwithaven bundle sign $file.toml --key signing.key; done; \
+                godwithaven bundle sign one.toml --key other.key --out foreign.json";
+    platform.shell(sign).await;
+    let publish = |file: &str| format!("godwithaven bundle publish {file} --log $LOG");
+
+    // Act
+    let unsigned = platform.shell(&publish("one.toml")).await;
+    let foreign = platform.shell(&publish("foreign.json")).await;
+    let first = platform.shell(&publish("one.signed.json")).await;
+    let again = platform.shell(&publish("one.signed.json")).await;
+    let rival = platform.shell(&publish("rival.signed.json")).await;
+    let second = platform.shell(&publish("two.signed.json")).await;
+    let single = platform.shell(&publish("three.signed.json")).await;
+    platform.shell("godwithaven bundle sign three.signed.json --key other.key").await;
+    let double = platform.shell(&publish("three.signed.json --json")).await;
+    let shown = platform.wait_for("godwithaven bundle show", "version = 3").await;
+
+    // Assert
+    expect_that!((unsigned.code, unsigned.err), (eq(&1), contains_substring("not signed")));
+    expect_that!((foreign.code, foreign.err), (eq(&1), contains_substring("0 of 1 needed signatures")));
+    expect_that!((first.code, first.out), (eq(&0), eq("version 1 is in force\n")));
+    expect_that!(again.code, eq(0));
+    expect_that!(
+        (rival.code, rival.err),
+        (eq(&1), contains_substring("its base is 0, but version 1 is in force"))
+    );
+    expect_that!(second.code, eq(0));
+    expect_that!((single.code, single.err), (eq(&1), contains_substring("1 of 2 needed signatures")));
+    let double: Value = serde_json::from_str(&double.out).unwrap();
+    expect_that!(double["adopted"], eq(&Value::Bool(true)));
+    expect_that!(fs::read_to_string(platform.dir.join("three.toml")).unwrap(), eq(&shown.out));
+    platform.stop().await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_log_that_is_down_gives_no_false_answer() {
+    let platform = Platform::start("log_down").await;
+    platform.write("one.toml", &bundle_text(1, 0));
+    platform.shell("godwithaven bundle sign one.toml --key signing.key").await;
+
+    let printed =
+        platform.shell("godwithaven bundle publish one.signed.json --log 127.0.0.1:1 --wait-s 1").await;
+
+    expect_that!(printed.code, eq(1));
+    expect_that!(printed.err, contains_substring("not known whether it was published"));
+    platform.stop().await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn differences_are_named_by_id_and_not_by_place() {
+    let dir = fixture::directory("differences");
+    fs::write(dir.join("old.toml"), bundle_text(1, 0)).unwrap();
+    let new = bundle_text(2, 1).replacen("state = \"in\"", "state = \"out\"", 1);
+    fs::write(dir.join("new.toml"), new + "[[queues]]\nid = \"open\"\nopen_to_all_as = \"blue\"\n").unwrap();
+
+    let printed = fixture::shell(&dir, "godwithaven bundle diff old.toml new.toml", &[]).await;
+
+    let expected = "+ queues.open.id = \"open\"\n+ queues.open.open_to_all_as = \"blue\"\n~ base = 0 -> 1\n\
+                    ~ version = 1 -> 2\n~ zones.a.state = \"in\" -> \"out\"\n";
+    expect_that!(printed.out, eq(expected));
+}
--- a/src/plugins/bundle_fault.rs
+++ b/src/plugins/bundle_fault.rs
@@ -11,13 +11,15 @@
     pub span: Range<usize>,
     /// What is wrong, in one sentence.
     pub message: String,
+    /// Whether the place may hold a secret, which reports must not show.
+    pub secret: bool,
 }
 
 impl BundleFault {
     /// Returns the fault at a place of the text.
     #[must_use]
     pub fn new(span: Range<usize>, message: impl Into<String>) -> Self {
-        Self { span, message: message.into() }
+        Self { span, message: message.into(), secret: false }
     }
 
     /// Returns the line of the fault in `text`, from 1.
@@ -48,8 +50,19 @@
             |fault: &BundleFault| LabeledSpan::new_with_span(Some(fault.message.clone()), fault.span.clone());
         Self {
             name: name.to_owned(),
-            text: NamedSource::new(name, text.to_owned()),
+            text: NamedSource::new(name, mask_secrets(text, faults)),
             labels: faults.iter().map(label).collect(),
         }
     }
 }
+
+/// Returns the text with stars in place of secrets; places stay the same.
+fn mask_secrets(text: &str, faults: &[BundleFault]) -> String {
+    let mut masked = text.to_owned();
+    for fault in faults.iter().filter(|fault| fault.secret) {
+        if masked.get(fault.span.clone()).is_some() {
+            masked.replace_range(fault.span.clone(), &"*".repeat(fault.span.len()));
+        }
+    }
+    masked
+}
--- a/src/plugins/bundle_form.rs
+++ b/src/plugins/bundle_form.rs
@@ -51,6 +51,11 @@
         self.faults.push(BundleFault::new(span, message));
     }
 
+    /// Adds a fault about a value that may be a secret.
+    pub fn add_secret(&mut self, span: Range<usize>, message: impl Into<String>) {
+        self.faults.push(BundleFault { secret: true, ..BundleFault::new(span, message) });
+    }
+
     /// Returns the names that an array of tables declares, also in tables that cannot be read otherwise.
     #[must_use]
     pub fn declared(&self, name: &str) -> FastSet<String> {
--- a/src/plugins/bundle_rules.rs
+++ b/src/plugins/bundle_rules.rs
@@ -132,11 +132,9 @@
         let digest = key.value.sha256.to_ascii_lowercase();
         check_team(form, items, &key.value.team, key.place("team"));
         if hex::decode(&digest).ok().is_none_or(|bytes| bytes.len() != 32) {
-            // The text is not repeated: it may be a key that was pasted in place of its digest.
-            form.add(
-                key.place("sha256"),
-                "`sha256` must be 64 hexadecimal digits; see `godwithaven key hash`",
-            );
+            // It may be a key that was pasted in place of its digest.
+            let text = "`sha256` must be 64 hexadecimal digits; see `godwithaven key hash`";
+            form.add_secret(key.place("sha256"), text);
         } else if let Some(other) = seen.insert(digest, &key.value.id) {
             form.add(key.place("sha256"), format!("the same key is granted as {other:?}"));
         }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -20,6 +20,7 @@
 use crate::tasks::journal::{JournalMessage, JournalOutputs, JournalTask};
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::operator::OperatorService;
+use crate::tasks::operator_view::OperatorView;
 use crate::tasks::peer::{self, PeerMessage, PeerService, PeerTask};
 use crate::tasks::router::{RouterMessage, RouterTask};
 use crate::tasks::scheduler::{SchedulerMessage, SchedulerTask};
@@ -170,9 +171,13 @@
         let service = OperatorService {
             process: self.process,
             metrics: self.metrics,
-            journal: journal_sender,
-            scheduler: scheduler_sender,
-            router: router_sender,
+            view: OperatorView {
+                journal: journal_sender,
+                scheduler: scheduler_sender,
+                router: router_sender,
+                directory: self.adapters.directory,
+                directory_address: self.settings.directory.clone(),
+            },
             stopping: self.stopping.clone(),
         };
         actix_rt::spawn(service.serve(operator, self.token.clone()));
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -8,6 +8,7 @@
 pub mod journal;
 pub mod metrics;
 pub mod operator;
+pub mod operator_view;
 pub mod peer;
 pub mod router;
 pub mod scheduler;
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -1,18 +1,16 @@
-//! The operators' HTTP interface.
+//! The operators' HTTP interface. It only reads; every change goes through a bundle.
 
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use prometheus::TextEncoder;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::plugins::http;
 use crate::prelude::*;
-use crate::tasks::journal::JournalMessage;
 use crate::tasks::metrics::EntryMetrics;
-use crate::tasks::router::RouterMessage;
-use crate::tasks::scheduler::SchedulerMessage;
+use crate::tasks::operator_view::OperatorView;
 
 /// What the operators' interface reads from.
 #[derive(Clone)]
@@ -21,12 +19,8 @@
     pub process: ProcessId,
     /// Metrics of the process.
     pub metrics: EntryMetrics,
-    /// The journal task.
-    pub journal: mpsc::Sender<JournalMessage>,
-    /// The scheduler task.
-    pub scheduler: mpsc::Sender<SchedulerMessage>,
-    /// The router task.
-    pub router: mpsc::Sender<RouterMessage>,
+    /// What the other tasks know.
+    pub view: OperatorView,
     /// Cancelled as soon as the process stops taking requests.
     pub stopping: CancellationToken,
 }
@@ -38,48 +32,98 @@
     }
 
     async fn answer(self, request: Request) -> Response<Bytes> {
-        match request.path() {
-            "/healthz" => text(StatusCode::OK, "ok\n".into()),
-            "/readyz" => self.ready().await,
-            "/metrics" => self.metrics(),
-            "/v1/status" => self.status().await,
-            _ => text(StatusCode::NOT_FOUND, "no such page\n".into()),
+        if *request.method() != Method::GET {
+            return error(StatusCode::METHOD_NOT_ALLOWED, "the operators' interface only reads: use GET");
+        }
+        let path = request.path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match parts.as_slice() {
+            ["healthz"] => text(StatusCode::OK, "ok\n".into()),
+            ["readyz"] => self.ready().await,
+            ["metrics"] => self.metrics(),
+            ["v1", "status"] => page(self.status().await),
+            ["v1", "bundle"] => page(self.view.bundle().await),
+            ["v1", "fleet"] => page(self.view.fleet().await),
+            ["v1", "teams"] => page(self.view.teams().await),
+            ["v1", "zones"] => page(self.view.zones().await),
+            ["v1", "endpoints"] => page(self.view.endpoints().await),
+            ["v1", "explain", "job", team, name] => {
+                page(self.view.explain_job(format!("{team}/{name}").into()).await)
+            }
+            ["v1", "explain", "request", team, id] => {
+                page(self.view.explain_request(format!("{team}/{id}").into()).await)
+            }
+            _ => error(StatusCode::NOT_FOUND, &format!("no such page: {path}")),
         }
     }
 
+    /// Says whether callers should be sent here: unlike `/healthz` it fails while the process cannot admit.
     async fn ready(&self) -> Response<Bytes> {
-        if self.stopping.is_cancelled() {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".into());
-        }
-        match self.bundle_version().await {
-            Some(_) => text(StatusCode::OK, "ready\n".into()),
-            None => text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n".into()),
+        match self.obstacle().await {
+            None => text(StatusCode::OK, "ready\n".into()),
+            Some(obstacle) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{obstacle}\n")),
         }
     }
 
-    async fn status(&self) -> Response<Bytes> {
-        let version = self.bundle_version().await;
-        let body = serde_json::json!({ "process": &*self.process, "bundle_version": version });
-        text(StatusCode::OK, format!("{body}\n"))
+    /// Returns why the process takes no requests.
+    async fn obstacle(&self) -> Option<&'static str> {
+        if self.stopping.is_cancelled() {
+            return Some("stopping");
+        }
+        let adopted = self.view.ledger(|ledger| ledger.bundle.is_some()).await;
+        (adopted != Some(true)).then_some("no configuration")
     }
 
-    async fn bundle_version(&self) -> Option<BundleVersion> {
-        let (sender, version) = oneshot::channel();
-        let query = JournalMessage::Query(Box::new(move |ledger| {
-            let _ = sender.send(ledger.bundle.as_ref().map(|bundle| bundle.version));
-        }));
-        let _ = self.journal.send(query).await;
-        version.await.ok().flatten()
+    async fn status(&self) -> Option<Value> {
+        let obstacle = self.obstacle().await;
+        let process = self.process.clone();
+        let status = move |ledger: &crate::kernel::LedgerState| {
+            let owned = ledger.claims.values().filter(|claim| claim.process == process).count();
+            let open = ledger.jobs.values().filter(|job| job.outcome.is_none()).count();
+            json!({
+                "process": &*process,
+                "ready": obstacle.is_none(),
+                "obstacle": obstacle,
+                "bundle_version": ledger.bundle.as_ref().map(|bundle| bundle.version),
+                "log_next": ledger.next,
+                "shards_owned": owned,
+                "shards_claimed": ledger.claims.len(),
+                "open_jobs": open,
+            })
+        };
+        self.view.ledger(status).await
     }
 
     fn metrics(&self) -> Response<Bytes> {
         match TextEncoder::new().encode_to_string(&self.metrics.registry.gather()) {
             Ok(body) => text(StatusCode::OK, body),
-            Err(fault) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{fault}\n")),
+            Err(fault) => error(StatusCode::INTERNAL_SERVER_ERROR, &fault.to_string()),
         }
     }
 }
 
+fn page(value: Option<Value>) -> Response<Bytes> {
+    match value {
+        Some(Value::Null) => error(StatusCode::NOT_FOUND, "not known to this process"),
+        Some(value) => json_body(StatusCode::OK, &value),
+        None => error(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping"),
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Response<Bytes> {
+    json_body(status, &json!({ "error": message }))
+}
+
+fn json_body(status: StatusCode, value: &Value) -> Response<Bytes> {
+    Response::build(status)
+        .insert_header(("content-type", "application/json"))
+        .finish()
+        .set_body(Bytes::from(format!("{value}\n")))
+}
+
 fn text(status: StatusCode, body: String) -> Response<Bytes> {
-    Response::with_body(status, Bytes::from(body))
+    Response::build(status)
+        .insert_header(("content-type", "text/plain; charset=utf-8"))
+        .finish()
+        .set_body(Bytes::from(body))
 }
--- a/tests/bundle.rs
+++ b/tests/bundle.rs
@@ -103,10 +103,11 @@
 fn a_key_pasted_in_place_of_its_digest_is_not_repeated() {
     let text = changed("sha256 = \"", "sha256 = \"secret-key-");
 
-    let found = faults(&text);
+    let found = check(&text).err().unwrap_or_default();
+    let report = format!("{:?}", miette::Report::new(BundleReport::new("bundle", &text, &found)));
 
     expect_that!(found, len(eq(1)));
-    expect_that!(format!("{found:?}"), not(contains_substring("secret")));
+    expect_that!(format!("{found:?}{report}"), not(contains_substring("secret-key")));
 }
 
 #[gtest]
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,110 @@
+//! Guards against an operators' interface that changes something, that mixes up alive and ready, or that shows
+//! keys.
+
+mod fixture;
+
+use awc::Client;
+use awc::http::Method;
+use googletest::prelude::*;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use fixture::{BLUE_KEY, RED_KEY};
+
+/// Returns status and body of a page of the operators' interface.
+async fn page(entry: &godwithaven::tasks::entry::EntryProcess, path: &str) -> (u16, String) {
+    let url = format!("http://{}{path}", entry.operator_listen);
+    let mut response = Client::default().get(url).send().await.unwrap();
+    let body = response.body().await.unwrap();
+    (response.status().as_u16(), String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// Returns the JSON of a page.
+async fn json(entry: &godwithaven::tasks::entry::EntryProcess, path: &str) -> Value {
+    let (status, body) = page(entry, path).await;
+    assert_eq!(status, 200, "{path}: {body}");
+    serde_json::from_str(&body).unwrap()
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_process_is_alive_before_it_is_ready() {
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let entry = fixture::start_entry(&world, "entry-1", "a").await;
+
+    let alive = page(&entry, "/healthz").await;
+    let early = page(&entry, "/readyz").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    fixture::wait_ready(&entry).await;
+    let ready = page(&entry, "/readyz").await;
+
+    expect_that!(alive, eq(&(200, "ok\n".to_owned())));
+    expect_that!(early, eq(&(503, "no configuration\n".to_owned())));
+    expect_that!(ready, eq(&(200, "ready\n".to_owned())));
+    entry.stop().await;
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn pages_show_the_state_and_never_a_key() {
+    // Arrange
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let entry = fixture::start_entry(&world, "entry-1", "a").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    fixture::wait_ready(&entry).await;
+    let mut job = fixture::batch_job("blue", "load", 3);
+    job["run_ms"] = 20_000.into();
+    fixture::submit(&entry, BLUE_KEY, &job).await;
+    fixture::call(&entry, "blue", BLUE_KEY, "r-1", false).await;
+    fixture::call(&entry, "blue", RED_KEY, "r-2", false).await;
+    fixture::submit(&entry, "stray-key", &job).await;
+
+    // Act
+    let (status, bundle) = (json(&entry, "/v1/status").await, json(&entry, "/v1/bundle").await);
+    let (fleet, teams) = (json(&entry, "/v1/fleet").await, json(&entry, "/v1/teams").await);
+    let (zones, endpoints) = (json(&entry, "/v1/zones").await, json(&entry, "/v1/endpoints").await);
+    let job = json(&entry, "/v1/explain/job/blue/load").await;
+    let request = json(&entry, "/v1/explain/request/blue/r-1").await;
+    let (_, metrics) = page(&entry, "/metrics").await;
+
+    // Assert
+    expect_that!(status["bundle_version"], eq(&Value::from(1)));
+    expect_that!(status["open_jobs"], eq(&Value::from(1)));
+    expect_that!(bundle["signatures"].as_array().map(Vec::len), some(eq(1)));
+    expect_that!(fleet["shards"].as_array().map(Vec::len), some(eq(2)));
+    expect_that!(teams["teams"][0]["open_tasks"], eq(&Value::from(3)));
+    let workers = world.facts.zones.values().filter(|zone| *zone == "c").count();
+    expect_that!(zones["zones"][2]["workers"], eq(&Value::from(workers)));
+    expect_that!(endpoints["partitions"][0]["endpoints"].as_array().map(Vec::len), some(eq(6)));
+    expect_that!(job["state"], eq(&Value::from("open")));
+    expect_that!(job["tasks"].is_object(), eq(true));
+    expect_that!(request["stage"], eq(&Value::from("answered")));
+    let all = format!("{status}{bundle}{fleet}{teams}{zones}{endpoints}{job}{request}{metrics}");
+    for key in [BLUE_KEY, RED_KEY, "stray-key"] {
+        expect_that!(all, not(contains_substring(key)));
+    }
+    entry.stop().await;
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn what_is_not_there_or_not_reading_is_refused() {
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let entry = fixture::start_entry(&world, "entry-1", "a").await;
+
+    let absent = page(&entry, "/v1/explain/job/blue/none").await;
+    let unknown = page(&entry, "/v1/colours").await;
+    let url = format!("http://{}/v1/bundle", entry.operator_listen);
+    let written = Client::default().request(Method::POST, url).send().await.unwrap();
+
+    expect_that!(absent, eq(&(404, "{\"error\":\"not known to this process\"}\n".to_owned())));
+    expect_that!(unknown.0, eq(404));
+    expect_that!(written.status().as_u16(), eq(405));
+    entry.stop().await;
+    token.cancel();
+}
