--- a/src/kernel/id.rs
+++ b/src/kernel/id.rs
@@ -10,6 +10,8 @@
 pub type LogOffset = u64;
 /// Sequence number of a record group within one process, from 1.
 pub type GroupSequence = u64;
+/// Number of a record whose writer waits for its fold, unique within one process.
+pub type CommitTicket = u64;
 /// Name of a job, `team/name`.
 pub type JobId = Arc<str>;
 /// Name of one attempt of a task, `team/name#index@attempt`.
--- a/src/kernel/job_outcome.rs
+++ b/src/kernel/job_outcome.rs
@@ -29,4 +29,14 @@
             Self::Refused(_) => "refused",
         }
     }
+
+    /// Returns an estimate of the encoded size in bytes, upwards.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        match self {
+            Self::Finished(results) => 32 + results.iter().map(|result| 8 + result.len()).sum::<usize>(),
+            Self::Failed(reason) | Self::Refused(reason) => 32 + reason.len(),
+            Self::Cancelled => 32,
+        }
+    }
 }
--- a/src/kernel/job_spec.rs
+++ b/src/kernel/job_spec.rs
@@ -36,6 +36,12 @@
         format!("{}#{index}@{attempt}", self.id).into()
     }
 
+    /// Returns an estimate of the encoded size in bytes, upwards.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        320 + self.id.len() + self.team.len() + self.queue.len()
+    }
+
     /// Splits a task name into job, index and attempt.
     #[must_use]
     pub fn split_task_id(task: &str) -> Option<(JobId, u32, u32)> {
--- a/src/kernel/job_state.rs
+++ b/src/kernel/job_state.rs
@@ -17,3 +17,11 @@
     /// The final outcome, once there is one.
     pub outcome: Option<JobOutcome>,
 }
+
+impl JobState {
+    /// Returns an estimate of the encoded size in bytes, upwards.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        128 + self.spec.weight() + self.shard.len() + self.outcome.as_ref().map_or(0, JobOutcome::weight)
+    }
+}
--- a/src/kernel/ledger_change.rs
+++ b/src/kernel/ledger_change.rs
@@ -16,6 +16,8 @@
     JobRepeated(JobId),
     /// A submission reused an id with another body.
     JobConflict(JobId),
+    /// A submission would have taken its team above the bound of open tasks in its shard.
+    JobRefused(JobId),
     /// A team asked to cancel a job.
     JobCancelled(JobId, ShardId),
     /// A job moved to another shard.
--- a/src/kernel/ledger_state.rs
+++ b/src/kernel/ledger_state.rs
@@ -1,11 +1,9 @@
 use crate::kernel::{
-    BundleCodec, BundleRecord, JobOutcome, JobState, LedgerChange, RecordGroup, ShardClaim, rendezvous,
+    AllotmentTable, BundleCodec, BundleRecord, JobOutcome, JobState, JobTable, LedgerChange, ProcessTable,
+    RecordGroup, RequestMemory, ShardClaim, SnapshotItem, SnapshotPiece, rendezvous,
 };
 use crate::prelude::*;
 
-/// How long request ids are remembered, in milliseconds.
-const REQUEST_MEMORY_MS: u64 = 600_000;
-
 /// The state that every process derives from the control log in the same way.
 pub struct LedgerState {
     codec: BundleCodec,
@@ -18,12 +16,13 @@
     /// Present claim of each claimed shard.
     pub claims: FastMap<ShardId, ShardClaim>,
     /// Accepted jobs.
-    pub jobs: FastMap<JobId, JobState>,
+    pub jobs: JobTable,
     /// Allotment of each team in each shard.
-    pub allotments: FastMap<(ShardId, TeamId), ResourceVector>,
-    /// Announced requests with body digest and time in milliseconds of Unix time.
-    pub intents: FastMap<RequestId, (BodyDigest, u64)>,
-    sequences: FastMap<ProcessId, GroupSequence>,
+    pub allotments: AllotmentTable,
+    /// Announced requests.
+    pub intents: RequestMemory,
+    /// Appending processes and ledger time.
+    pub processes: ProcessTable,
 }
 
 impl LedgerState {
@@ -36,25 +35,27 @@
             bundle: None,
             published: None,
             claims: FastMap::default(),
-            jobs: FastMap::default(),
-            allotments: FastMap::default(),
-            intents: FastMap::default(),
-            sequences: FastMap::default(),
+            jobs: JobTable::default(),
+            allotments: AllotmentTable::default(),
+            intents: RequestMemory::default(),
+            processes: ProcessTable::default(),
         }
     }
 
     /// Applies the group at `offset` and returns its effective changes in order.
     pub fn fold(&mut self, offset: LogOffset, group: &RecordGroup) -> Vec<LedgerChange> {
         self.next = offset + 1;
-        let last = self.sequences.entry(group.process.clone()).or_default();
-        if group.sequence <= *last {
+        if !self.processes.admit(&group.process, group.sequence, group.at_ms, offset) {
             return Vec::new();
         }
-        *last = group.sequence;
         let mut changes = Vec::new();
         for record in &group.records {
             self.apply(offset, &group.process, record, &mut changes);
         }
+        if self.processes.step(offset) {
+            self.intents.forget(self.processes.now_ms);
+            self.jobs.forget(self.processes.now_ms);
+        }
         changes.push(LedgerChange::GroupFolded(group.process.clone(), group.sequence));
         changes
     }
@@ -65,45 +66,150 @@
         self.claims.get(shard).map_or(0, |claim| claim.token)
     }
 
+    /// Returns the worker shards of the bundle in force.
+    #[must_use]
+    pub fn worker_shards(&self) -> Vec<ShardId> {
+        let shards = self.bundle.as_ref().map(|bundle| bundle.shards()).unwrap_or_default();
+        shards.into_iter().filter(|shard| !shard.starts_with("service:")).collect()
+    }
+
     /// Returns the worker shard of a new job among the shards of all regions.
     #[must_use]
     pub fn shard_for(&self, job: &str) -> Option<ShardId> {
-        let shards = self.bundle.as_ref()?.shards();
-        let workers = shards.iter().filter(|shard| !shard.starts_with("service:"));
-        rendezvous::pick(job, workers, |shard| shard).cloned()
+        rendezvous::pick(job, self.worker_shards().iter(), |shard| shard).cloned()
+    }
+
+    /// Returns everything that a process needs which did not see the groups below `next`.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<SnapshotPiece> {
+        let mut items = vec![SnapshotItem::Clock(self.processes.now_ms, self.processes.stepped)];
+        items.extend(self.published.clone().map(SnapshotItem::Bundle));
+        let marks = self.processes.iter();
+        let mut rest: Vec<SnapshotItem> =
+            marks.map(|(process, mark)| SnapshotItem::Process(process.clone(), *mark)).collect();
+        rest.sort_unstable_by_key(|item| match item {
+            SnapshotItem::Process(_, mark) => mark.offset,
+            _ => 0,
+        });
+        items.append(&mut rest);
+        let mut claims: Vec<_> = self.claims.iter().collect();
+        claims.sort_unstable_by_key(|(shard, _)| *shard);
+        items.extend(
+            claims.into_iter().map(|(shard, claim)| SnapshotItem::Claim(shard.clone(), claim.clone())),
+        );
+        let mut allotments: Vec<_> = self.allotments.iter().collect();
+        allotments.sort_unstable_by_key(|(key, _)| *key);
+        items.extend(
+            allotments
+                .into_iter()
+                .map(|((shard, team), amount)| SnapshotItem::Allotment(shard.clone(), team.clone(), *amount)),
+        );
+        let mut open: Vec<&JobState> = self.jobs.values().filter(|state| state.outcome.is_none()).collect();
+        open.sort_unstable_by_key(|state| (state.offset, &state.spec.id));
+        items.extend(open.into_iter().cloned().map(SnapshotItem::Open));
+        let ended = self.jobs.ended().filter_map(|(at_ms, job)| Some((self.jobs.get(job)?.clone(), *at_ms)));
+        items.extend(ended.map(|(state, at_ms)| SnapshotItem::Ended(state, at_ms)));
+        let intents = self.intents.iter();
+        items.extend(
+            intents.map(|(request, digest, at_ms)| SnapshotItem::Intent(request.clone(), digest, at_ms)),
+        );
+        SnapshotPiece::cut(self.next, items)
+    }
+
+    /// Replaces the state by a snapshot that covers all groups below `covers`, and returns what changed.
+    pub fn restore(&mut self, covers: LogOffset, items: Vec<SnapshotItem>) -> Vec<LedgerChange> {
+        let old = std::mem::replace(self, Self::new(self.codec.clone()));
+        self.next = covers;
+        for item in items {
+            self.restore_item(item);
+        }
+        self.differences(&old)
+    }
+
+    fn restore_item(&mut self, item: SnapshotItem) {
+        match item {
+            SnapshotItem::Clock(now_ms, stepped) => {
+                self.processes.now_ms = now_ms;
+                self.processes.stepped = stepped;
+            }
+            SnapshotItem::Bundle(record) => {
+                self.bundle = (self.codec.parse)(&record.text).ok().map(Arc::new);
+                self.published = Some(record);
+            }
+            SnapshotItem::Process(process, mark) => self.processes.restore(process, mark),
+            SnapshotItem::Claim(shard, claim) => {
+                self.claims.insert(shard, claim);
+            }
+            SnapshotItem::Allotment(shard, team, amount) => self.allotments.restore(shard, team, amount),
+            SnapshotItem::Open(state) => self.jobs.insert(state),
+            SnapshotItem::Ended(state, at_ms) => self.jobs.insert_ended(state, at_ms),
+            SnapshotItem::Intent(request, digest, at_ms) => {
+                self.intents.note(&request, digest, at_ms);
+            }
+        }
+    }
+
+    /// Returns the changes that lead the readers of `old` to this state.
+    fn differences(&self, old: &Self) -> Vec<LedgerChange> {
+        let mut changes = Vec::new();
+        let version = |state: &Self| state.bundle.as_ref().map_or(0, |bundle| bundle.version);
+        if let Some(bundle) = self.bundle.clone().filter(|_| version(self) != version(old)) {
+            changes.push(LedgerChange::BundleAdopted(bundle));
+        }
+        let mut claims: Vec<_> = self.claims.iter().collect();
+        claims.sort_unstable_by_key(|(shard, _)| *shard);
+        let moved = claims.into_iter().filter(|(shard, claim)| old.claims.get(*shard) != Some(claim));
+        changes.extend(moved.map(|(shard, claim)| LedgerChange::ShardClaimed(shard.clone(), claim.clone())));
+        let mut allotments: Vec<_> = self.allotments.iter().collect();
+        allotments.sort_unstable_by_key(|(key, _)| *key);
+        changes.extend(allotments.into_iter().map(|((shard, team), amount)| {
+            LedgerChange::AllotmentChanged(shard.clone(), team.clone(), *amount)
+        }));
+        let mut jobs: Vec<&JobState> = self.jobs.values().collect();
+        jobs.sort_unstable_by_key(|state| (state.offset, &state.spec.id));
+        for state in jobs {
+            changes.extend(job_change(state, old.jobs.get(&state.spec.id)));
+        }
+        changes
     }
 
     fn apply(
         &mut self,
         offset: LogOffset,
-        process: &ProcessId,
+        author: &ProcessId,
         record: &LogRecord,
         changes: &mut Vec<LedgerChange>,
     ) {
         match record {
             LogRecord::Bundle(record) => self.apply_bundle(record, changes),
             LogRecord::Claim { shard, process, over } => {
-                self.apply_claim(offset, shard, process, *over, changes);
+                let claim = ShardClaim { process: process.clone(), token: offset + 1 };
+                self.apply_claim(author, shard, claim, *over, changes);
             }
             LogRecord::Submit { spec, shard } => self.apply_submit(offset, spec, shard, changes),
-            LogRecord::Cancel { job } => self.apply_cancel(job, changes),
+            LogRecord::Cancel { job } => {
+                let shard = self.jobs.cancel(job);
+                changes.extend(shard.map(|shard| LedgerChange::JobCancelled(job.clone(), shard)));
+            }
             LogRecord::Move { job, to, token } => self.apply_move(job, to, *token, changes),
             LogRecord::Transfer { team, from, to, amount, token } => {
                 if self.token(from) == *token {
-                    self.apply_transfer(team, from, to, *amount, changes);
+                    changes.extend(self.allotments.transfer(team, from, to, *amount));
                 }
             }
-            LogRecord::Intent { request, digest, shard, token, at_ms } => {
-                let owned = self.claims.get(shard).is_some_and(|claim| claim.process == *process);
-                if owned && self.token(shard) == *token && !self.intents.contains_key(request) {
-                    self.forget_requests(*at_ms);
-                    self.intents.insert(request.clone(), (*digest, *at_ms));
-                    changes.push(LedgerChange::IntentAccepted(shard.clone(), request.clone()));
+            LogRecord::Intent { request, digest, shard, token, .. } => {
+                let owned = self.claims.get(shard).is_some_and(|claim| claim.process == *author);
+                let valid = owned && self.token(shard) == *token;
+                let now_ms = self.processes.now_ms;
+                changes.push(if valid && self.intents.note(request, *digest, now_ms) {
+                    LedgerChange::IntentAccepted(shard.clone(), request.clone())
                 } else {
-                    changes.push(LedgerChange::IntentRefused(shard.clone(), request.clone()));
-                }
+                    LedgerChange::IntentRefused(shard.clone(), request.clone())
+                });
             }
             LogRecord::Outcome { job, token, outcome } => self.apply_outcome(job, *token, outcome, changes),
+            // A process that is up to date holds all that a snapshot can tell it.
+            LogRecord::Snapshot(_) | LogRecord::Alive => {}
         }
     }
 
@@ -112,7 +218,7 @@
             Ok(bundle) => {
                 let bundle = Arc::new(bundle);
                 self.published = Some(record.clone());
-                self.rescale_allotments(&bundle, changes);
+                changes.extend(self.allotments.rescale(&bundle));
                 self.bundle = Some(bundle.clone());
                 changes.push(LedgerChange::BundleAdopted(bundle));
             }
@@ -129,6 +235,15 @@
                 record.version, record.base
             ));
         }
+        self.read_bundle(record)
+    }
+
+    /// Parses a bundle and checks its signatures, but not its base.
+    ///
+    /// # Errors
+    ///
+    /// Returns one line that names the fault.
+    pub fn read_bundle(&self, record: &BundleRecord) -> Result<PolicyBundle, String> {
         let signers =
             self.bundle.as_ref().map(|bundle| &bundle.signers).filter(|signers| !signers.is_empty());
         let signers = signers.unwrap_or(&self.codec.signers);
@@ -144,36 +259,19 @@
         Ok(bundle)
     }
 
-    /// Divides each team's limit among the worker shards: evenly at first, in proportion afterwards.
-    fn rescale_allotments(&mut self, bundle: &PolicyBundle, changes: &mut Vec<LedgerChange>) {
-        let shards: Vec<ShardId> =
-            bundle.shards().into_iter().filter(|shard| !shard.starts_with("service:")).collect();
-        let old = std::mem::take(&mut self.allotments);
-        for team in &bundle.teams {
-            let held: Vec<ResourceVector> = shards
-                .iter()
-                .map(|shard| old.get(&(shard.clone(), team.id.clone())).copied().unwrap_or_default())
-                .collect();
-            for (shard, amount) in shards.iter().zip(divide_limit(team.limit, &held)) {
-                self.allotments.insert((shard.clone(), team.id.clone()), amount);
-                changes.push(LedgerChange::AllotmentChanged(shard.clone(), team.id.clone(), amount));
-            }
-        }
-    }
-
+    /// A process claims for itself; only the present owner may hand its shard to another process.
     fn apply_claim(
         &mut self,
-        offset: LogOffset,
+        author: &ProcessId,
         shard: &ShardId,
-        process: &ProcessId,
+        claim: ShardClaim,
         over: FencingToken,
         changes: &mut Vec<LedgerChange>,
     ) {
-        if self.token(shard) != over {
+        let owner = self.claims.get(shard).map(|present| &present.process);
+        if self.token(shard) != over || (claim.process != *author && owner != Some(author)) {
             return;
         }
-        // Offset 0 would equal the token of an unclaimed shard.
-        let claim = ShardClaim { process: process.clone(), token: offset + 1 };
         self.claims.insert(shard.clone(), claim.clone());
         changes.push(LedgerChange::ShardClaimed(shard.clone(), claim));
     }
@@ -185,27 +283,24 @@
         shard: &ShardId,
         changes: &mut Vec<LedgerChange>,
     ) {
+        let id = spec.id.clone();
         if let Some(known) = self.jobs.get(&spec.id) {
             let same = known.spec == *spec;
-            let id = spec.id.clone();
             changes.push(if same { LedgerChange::JobRepeated(id) } else { LedgerChange::JobConflict(id) });
             return;
         }
+        let open = self.jobs.open_tasks(shard, &spec.team) + u64::from(spec.tasks);
+        let team = self.bundle.as_ref().and_then(|bundle| bundle.team(&spec.team));
+        if team.is_some_and(|team| open > u64::from(team.max_waiting)) {
+            changes.push(LedgerChange::JobRefused(id));
+            return;
+        }
         let state =
             JobState { spec: spec.clone(), shard: shard.clone(), offset, cancelled: false, outcome: None };
-        self.jobs.insert(spec.id.clone(), state);
+        self.jobs.insert(state);
         changes.push(LedgerChange::JobAccepted(Arc::new(spec.clone()), shard.clone()));
     }
 
-    fn apply_cancel(&mut self, job: &JobId, changes: &mut Vec<LedgerChange>) {
-        let Some(state) = self.jobs.get_mut(job).filter(|state| state.outcome.is_none() && !state.cancelled)
-        else {
-            return;
-        };
-        state.cancelled = true;
-        changes.push(LedgerChange::JobCancelled(job.clone(), state.shard.clone()));
-    }
-
     fn apply_move(
         &mut self,
         job: &JobId,
@@ -213,41 +308,15 @@
         token: FencingToken,
         changes: &mut Vec<LedgerChange>,
     ) {
-        let Some(state) = self.jobs.get(job).filter(|state| state.outcome.is_none()) else { return };
-        if self.token(&state.shard) != token {
+        let Some(state) = self.jobs.open(job) else { return };
+        if self.token(&state.shard) != token || state.shard == *to {
             return;
         }
         let spec = Arc::new(state.spec.clone());
-        if let Some(state) = self.jobs.get_mut(job) {
-            state.shard = to.clone();
-        }
+        self.jobs.hand_over(job, to);
         changes.push(LedgerChange::JobMoved(spec, to.clone()));
     }
 
-    fn apply_transfer(
-        &mut self,
-        team: &TeamId,
-        from: &ShardId,
-        to: &ShardId,
-        amount: ResourceVector,
-        changes: &mut Vec<LedgerChange>,
-    ) {
-        let source = (from.clone(), team.clone());
-        let target = (to.clone(), team.clone());
-        let held = self.allotments.get(&source).copied().unwrap_or_default();
-        if !amount.fits(held) || !self.allotments.contains_key(&target) || source == target {
-            // The holder lowered its usable amount before it appended, so it must hear the amount in force.
-            changes.push(LedgerChange::AllotmentChanged(from.clone(), team.clone(), held));
-            return;
-        }
-        let rest = held.minus(amount);
-        let sum = self.allotments[&target].plus(amount);
-        self.allotments.insert(source, rest);
-        self.allotments.insert(target, sum);
-        changes.push(LedgerChange::AllotmentChanged(from.clone(), team.clone(), rest));
-        changes.push(LedgerChange::AllotmentChanged(to.clone(), team.clone(), sum));
-    }
-
     fn apply_outcome(
         &mut self,
         job: &JobId,
@@ -255,56 +324,29 @@
         outcome: &JobOutcome,
         changes: &mut Vec<LedgerChange>,
     ) {
-        let Some(state) = self.jobs.get(job).filter(|state| state.outcome.is_none()) else { return };
+        let Some(state) = self.jobs.open(job) else { return };
         if self.token(&state.shard) != token {
             return;
         }
-        if let Some(state) = self.jobs.get_mut(job) {
-            state.outcome = Some(outcome.clone());
-        }
+        self.jobs.end(job, outcome, self.processes.now_ms);
         changes.push(LedgerChange::JobEnded(job.clone(), outcome.clone()));
     }
-
-    fn forget_requests(&mut self, now_ms: u64) {
-        let oldest = now_ms.saturating_sub(REQUEST_MEMORY_MS);
-        self.intents.retain(|_, (_, at_ms)| *at_ms >= oldest);
-    }
-}
-
-/// Divides `limit` over the shards in proportion to what they hold; the parts add up to the limit.
-fn divide_limit(limit: ResourceVector, held: &[ResourceVector]) -> Vec<ResourceVector> {
-    let pick = |get: fn(&ResourceVector) -> u64| {
-        let parts: Vec<u64> = held.iter().map(get).collect();
-        divide_amount(get(&limit), &parts)
-    };
-    let cores = pick(|amount| amount.cores_milli);
-    let memory = pick(|amount| amount.memory_mib);
-    let accelerators = pick(|amount| amount.accelerators);
-    (0..held.len())
-        .map(|index| ResourceVector::new(cores[index], memory[index], accelerators[index]))
-        .collect()
 }
 
-fn divide_amount(limit: u64, held: &[u64]) -> Vec<u64> {
-    let total: u64 = held.iter().sum();
-    if held.is_empty() || total == limit {
-        return held.to_vec();
-    }
-    let count = held.len() as u64;
-    let mut parts: Vec<u64> = if total == 0 {
-        vec![limit / count; held.len()]
-    } else {
-        held.iter().map(|&part| scale(part, limit, total)).collect()
-    };
-    let rest = limit - parts.iter().sum::<u64>();
-    // Rounding down leaves less than one unit for each shard.
-    for part in parts.iter_mut().take(usize::try_from(rest).unwrap_or(usize::MAX)) {
-        *part += 1;
+/// Returns the change of a job that the reader of an older state has to hear.
+fn job_change(state: &JobState, old: Option<&JobState>) -> Option<LedgerChange> {
+    let id = state.spec.id.clone();
+    match (&state.outcome, old) {
+        (Some(outcome), known) if known.is_none_or(|known| known.outcome.is_none()) => {
+            Some(LedgerChange::JobEnded(id, outcome.clone()))
+        }
+        (None, None) => Some(LedgerChange::JobAccepted(Arc::new(state.spec.clone()), state.shard.clone())),
+        (None, Some(known)) if known.shard != state.shard => {
+            Some(LedgerChange::JobMoved(Arc::new(state.spec.clone()), state.shard.clone()))
+        }
+        (None, Some(known)) if known.cancelled != state.cancelled => {
+            Some(LedgerChange::JobCancelled(id, state.shard.clone()))
+        }
+        _ => None,
     }
-    parts
-}
-
-fn scale(part: u64, limit: u64, total: u64) -> u64 {
-    let scaled = u128::from(part) * u128::from(limit) / u128::from(total);
-    u64::try_from(scaled).unwrap_or(u64::MAX)
 }
--- a/src/kernel/log_record.rs
+++ b/src/kernel/log_record.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::kernel::{BundleRecord, JobOutcome};
+use crate::kernel::{BundleRecord, JobOutcome, SnapshotPiece};
 use crate::prelude::*;
 
 /// One entry of the control log. An entry that is not valid at its offset has no effect.
@@ -9,7 +9,8 @@
 pub enum LogRecord {
     /// Publishes a bundle; valid if its base is in force and it carries enough signatures.
     Bundle(BundleRecord),
-    /// Takes a shard over; valid if `over` is the present token, 0 if unclaimed.
+    /// Makes a process the owner of a shard; valid if `over` is the present token, 0 if unclaimed, and if the
+    /// new or the present owner wrote it.
     #[from(skip)]
     Claim {
         /// The shard to own.
@@ -81,4 +82,28 @@
         /// The outcome.
         outcome: JobOutcome,
     },
+    /// Shows that the process is alive to those that do not hear it; changes nothing.
+    #[from(skip)]
+    Alive,
+    /// Holds a part of the ledger for processes that missed older groups.
+    Snapshot(SnapshotPiece),
+}
+
+impl LogRecord {
+    /// Returns an estimate of the encoded size in bytes, upwards.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        match self {
+            Self::Alive => 16,
+            Self::Bundle(record) => record.weight(),
+            Self::Snapshot(piece) => piece.weight(),
+            Self::Submit { spec, shard } => spec.weight() + shard.len(),
+            Self::Outcome { job, outcome, .. } => 128 + job.len() + outcome.weight(),
+            Self::Claim { shard, process, .. } => 128 + shard.len() + process.len(),
+            Self::Cancel { job } => 64 + job.len(),
+            Self::Move { job, to, .. } => 96 + job.len() + to.len(),
+            Self::Transfer { team, from, to, .. } => 224 + team.len() + from.len() + to.len(),
+            Self::Intent { request, shard, .. } => 320 + request.len() + shard.len(),
+        }
+    }
 }
--- a/src/kernel/policy_bundle.rs
+++ b/src/kernel/policy_bundle.rs
@@ -220,3 +220,11 @@
     /// Hexadecimal public keys and signatures.
     pub signatures: Vec<(String, String)>,
 }
+
+impl BundleRecord {
+    /// Returns an estimate of the encoded size in bytes, upwards.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        128 + self.text.len() + 256 * self.signatures.len()
+    }
+}
--- a/src/kernel/record_group.rs
+++ b/src/kernel/record_group.rs
@@ -9,6 +9,9 @@
     pub process: ProcessId,
     /// Sequence number of the group within the process.
     pub sequence: GroupSequence,
+    /// Unix time of the process in milliseconds; 0 if it gives none.
+    #[serde(default)]
+    pub at_ms: u64,
     /// The records, in order.
     pub records: Vec<LogRecord>,
 }
--- a/src/kernel/schedule_event.rs
+++ b/src/kernel/schedule_event.rs
@@ -18,6 +18,8 @@
     SyncAnswered(VmId, WorkerReport),
     /// A worker did not answer a sync; its commands may or may not have taken effect.
     SyncFailed(VmId),
+    /// The bundle is known to be recent until the time; no task starts after it.
+    CurrentUntil(Instant),
     /// Time passed.
     Tick,
 }
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -16,6 +16,8 @@
     queue: VecDeque<(JobId, u32)>,
     use_by_team: FastMap<TeamId, ResourceVector>,
     allotments: FastMap<TeamId, ResourceVector>,
+    /// No task starts after this time; not bounded if `None`.
+    current_until: Option<Instant>,
     /// Until then, jobs accepted before the take-over wait for workers that were not heard.
     settled_at: Instant,
 }
@@ -52,6 +54,7 @@
             queue: VecDeque::new(),
             use_by_team: FastMap::default(),
             allotments: FastMap::default(),
+            current_until: None,
             settled_at,
         }
     }
@@ -76,6 +79,7 @@
             ScheduleEvent::JobAccepted(spec) => self.add_job(&spec, false),
             ScheduleEvent::JobCancelled(job) => self.cancel_job(&job, &mut effects),
             ScheduleEvent::SyncAnswered(vm, report) => self.apply_report(&vm, report, now, &mut effects),
+            ScheduleEvent::CurrentUntil(until) => self.current_until = Some(until),
             ScheduleEvent::SyncFailed(_) | ScheduleEvent::Tick => {}
         }
         self.place_waiting(now, &mut effects);
@@ -255,6 +259,9 @@
 
     fn place_waiting(&mut self, now: Instant, effects: &mut Vec<ScheduleEffect>) {
         let Some(bundle) = self.bundle.clone() else { return };
+        if self.current_until.is_some_and(|until| now >= until) {
+            return;
+        }
         let settled = now >= self.settled_at || self.workers.values().all(|state| state.heard);
         for _ in 0..self.queue.len() {
             let Some((id, index)) = self.queue.pop_front() else { return };
--- a/src/plugins/log_http.rs
+++ b/src/plugins/log_http.rs
@@ -13,10 +13,10 @@
 
 /// Stream that orders everything the entry processes agree on.
 const STREAM: &str = "control";
-/// Longest wait for the log service beyond the wait for records.
-const TIMEOUT: Duration = Duration::from_secs(5);
-/// Most groups in one page.
-const PAGE_SIZE: usize = 500;
+/// Longest wait for the log service beyond the wait for records; it can need 5 s when it is slow.
+const TIMEOUT: Duration = Duration::from_secs(8);
+/// Connections: overlapping reads of a slow log, and one append.
+const CONNECTIONS: usize = 12;
 /// Largest page in bytes.
 const PAGE_LIMIT: usize = 512 << 20;
 
@@ -44,7 +44,7 @@
 }
 
 fn connect(address: &str) -> LogClient {
-    let client = http::client(4, TIMEOUT);
+    let client = http::client(CONNECTIONS, TIMEOUT);
     let base = format!("http://{address}/streams/{STREAM}/records");
     let (reader, read_base) = (client.clone(), base.clone());
     LogClient {
@@ -69,7 +69,7 @@
     from: LogOffset,
     wait: Duration,
 ) -> Result<LogPage, LogFault> {
-    let url = format!("{base}?from={from}&max={PAGE_SIZE}&wait_ms={}", wait.as_millis());
+    let url = format!("{base}?from={from}&max={}&wait_ms={}", LogPage::SIZE, wait.as_millis());
     let mut response = client.get(url).timeout(wait + TIMEOUT).send().await.map_err(fault)?;
     if !response.status().is_success() {
         return Err(LogFault(format!("status {}", response.status())));
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -26,6 +26,11 @@
     pub groups: Vec<(LogOffset, Option<RecordGroup>)>,
 }
 
+impl LogPage {
+    /// Most groups in one page; a page with fewer reached the end of the log.
+    pub const SIZE: usize = 500;
+}
+
 /// Result of an append: the offset of the group.
 pub type AppendFuture = LocalBoxFuture<'static, Result<LogOffset, LogFault>>;
 /// Result of a read.
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -4,10 +4,10 @@
 
 use actix_rt::task::JoinHandle;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{LedgerState, PluginEntry, PluginRegistry};
+use crate::kernel::{LeaveStage, LedgerState, PluginEntry, PluginRegistry};
 use crate::plugins::bundle_signature;
 use crate::prelude::*;
 use crate::settings::{EntrySettings, SettingFault};
@@ -16,11 +16,12 @@
     AdapterEntry, DirectoryAdapter, EndpointAdapter, FrontContext, FrontEnd, LogAdapter, WorkerAdapter,
 };
 use crate::tasks::directory::DirectoryTask;
-use crate::tasks::gate::{GateMessage, GateTask};
-use crate::tasks::journal::{JournalMessage, JournalOutputs, JournalTask};
+use crate::tasks::gate::GateTask;
+use crate::tasks::journal::{JournalMessage, JournalTask};
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::operator::OperatorService;
-use crate::tasks::peer::{self, PeerMessage, PeerService, PeerTask};
+use crate::tasks::outbox::JournalOutputs;
+use crate::tasks::peer::{self, PeerMessage, PeerOutputs, PeerService, PeerTask};
 use crate::tasks::router::{RouterMessage, RouterTask};
 use crate::tasks::scheduler::{SchedulerMessage, SchedulerTask};
 use crate::tasks::worker::{SyncTiming, WorkerMessage, WorkerTask};
@@ -28,6 +29,9 @@
 /// Extra time after the lease of an earlier owner, for clock rate error and report lag.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest wait for each step of a hand-over.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A running entry process.
 pub struct EntryProcess {
     /// Name of this life of the process.
@@ -41,6 +45,8 @@
     stopping: CancellationToken,
     token: CancellationToken,
     front: JoinHandle<()>,
+    peer: mpsc::Sender<PeerMessage>,
+    journal: mpsc::Sender<JournalMessage>,
 }
 
 impl EntryProcess {
@@ -70,7 +76,11 @@
             stopping: stopping.clone(),
             settings,
         };
-        let front = start.spawn_all(listener, peer_listener, operator_listener);
+        let (journal, journal_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+        let (peer, peer_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+        let shared =
+            SharedInboxes { journal: (journal.clone(), journal_inbox), peer: (peer.clone(), peer_inbox) };
+        let front = start.spawn_all(listener, peer_listener, operator_listener, shared);
         log::info!(process = &*process, listen:% = address; "entry process started");
         Ok(Self {
             process,
@@ -80,18 +90,34 @@
             stopping,
             token,
             front,
+            peer,
+            journal,
         })
     }
 
-    /// Stops gracefully: takes no new requests, answers those that were taken, then ends all tasks.
-    pub async fn stop(self) {
+    /// Stops gracefully: takes no new requests, hands worker shards over, answers the requests that were taken,
+    /// hands the service partitions over, writes what is left to the log, then ends all tasks.
+    pub async fn stop(mut self) {
         self.stopping.cancel();
+        self.leave(LeaveStage::Workers).await;
         // The front end failed only if it panicked; the other tasks end either way.
-        let _ = self.front.await;
+        let _ = (&mut self.front).await;
+        self.leave(LeaveStage::All).await;
+        let (reply, flushed) = oneshot::channel();
+        let _ = self.journal.send(JournalMessage::Flush(reply)).await;
+        let _ = tokio::time::timeout(LEAVE_TIMEOUT, flushed).await;
         self.token.cancel();
         log::info!(process = &*self.process; "entry process stopped");
     }
 
+    async fn leave(&self, stage: LeaveStage) {
+        let (reply, left) = oneshot::channel();
+        let _ = self.peer.send(PeerMessage::Leave(stage, reply)).await;
+        if tokio::time::timeout(LEAVE_TIMEOUT, left).await.is_err() {
+            log::warn!(process = &*self.process; "shards not handed over in time");
+        }
+    }
+
     /// Ends all tasks at once, as a crash would.
     pub fn kill(self) {
         self.front.abort();
@@ -120,6 +146,12 @@
     }
 }
 
+/// Channels of the tasks that the process itself speaks to.
+struct SharedInboxes {
+    journal: (mpsc::Sender<JournalMessage>, mpsc::Receiver<JournalMessage>),
+    peer: (mpsc::Sender<PeerMessage>, mpsc::Receiver<PeerMessage>),
+}
+
 /// What the tasks are started with.
 struct TaskStart {
     process: ProcessId,
@@ -133,12 +165,18 @@
 
 impl TaskStart {
     /// Spawns all tasks and returns the handle of the front end.
-    fn spawn_all(self, front: TcpListener, peer: TcpListener, operator: TcpListener) -> JoinHandle<()> {
-        let (journal_sender, journal_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+    fn spawn_all(
+        self,
+        front: TcpListener,
+        peer: TcpListener,
+        operator: TcpListener,
+        shared: SharedInboxes,
+    ) -> JoinHandle<()> {
+        let (journal_sender, journal_inbox) = shared.journal;
+        let (peer_sender, peer_inbox) = shared.peer;
         let (scheduler_sender, scheduler_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (router_sender, router_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (gate_sender, gate_inbox) = mpsc::channel(CHANNEL_CAPACITY);
-        let (peer_sender, peer_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (worker_sender, worker_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let outputs = JournalOutputs {
             scheduler: scheduler_sender.clone(),
@@ -155,9 +193,15 @@
         actix_rt::spawn(router.run(router_inbox, self.token.clone()));
         let gate = self.gate(journal_sender.clone(), router_sender.clone(), peer_sender.clone());
         actix_rt::spawn(gate.run(gate_inbox, self.token.clone()));
-        let peers = self.peer(peer_sender.clone(), journal_sender.clone());
+        let peer_outputs = PeerOutputs {
+            peer: peer_sender.clone(),
+            journal: journal_sender.clone(),
+            gate: gate_sender.clone(),
+            scheduler: scheduler_sender.clone(),
+        };
+        let peers = PeerTask::new(self.process.clone(), self.settings.vm.clone(), peer_outputs);
         actix_rt::spawn(peers.run(peer_inbox, self.token.clone()));
-        let service = self.peer_service(peer_sender.clone(), gate_sender.clone());
+        let service = PeerService { peer: peer_sender.clone(), gate: gate_sender.clone() };
         actix_rt::spawn(peer::serve(peer, service, self.token.clone()));
         let directory = DirectoryTask {
             adapter: self.adapters.directory,
@@ -221,15 +265,6 @@
         let (process, zone) = (self.process.clone(), self.settings.zone.clone());
         GateTask::new(process, zone, self.registry.clone(), journal, router, peer, self.metrics.clone())
     }
-
-    fn peer(&self, peer: mpsc::Sender<PeerMessage>, journal: mpsc::Sender<JournalMessage>) -> PeerTask {
-        let settings = &self.settings;
-        PeerTask::new(self.process.clone(), settings.vm.clone(), settings.zone.clone(), peer, journal)
-    }
-
-    fn peer_service(&self, peer: mpsc::Sender<PeerMessage>, gate: mpsc::Sender<GateMessage>) -> PeerService {
-        PeerService { process: self.process.clone(), vm: self.settings.vm.clone(), peer, gate }
-    }
 }
 
 fn log_plugins() {
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -1,13 +1,11 @@
 //! Admits requests of callers and hands them to the task that answers them.
 
-use std::time::Duration;
-
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::{
     FrontReply, FrontRequest, JobOutcome, LedgerChange, PluginRegistry, RefusalReason, ShardClaim,
-    TeamRefusal, rendezvous,
+    TeamRefusal, rendezvous, shard_choice,
 };
 use crate::prelude::*;
 use crate::tasks::journal::JournalMessage;
@@ -15,8 +13,10 @@
 use crate::tasks::peer::{ForwardedCall, PeerMessage};
 use crate::tasks::router::{RoutedCall, RouterMessage};
 
-/// Longest wait for a record to be folded.
-const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a record to be folded: 5 s in the open group and an append to a log that needs 5 s.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(12);
+/// When to submit again after a team's queue was full.
+const FULL_RETRY: Duration = Duration::from_secs(5);
 
 /// What the gate is told.
 pub enum GateMessage {
@@ -26,6 +26,10 @@
     Forwarded(Box<RoutedCall>),
     /// The ledger changed.
     Changed(LedgerChange),
+    /// The bundle is known to be recent until the time.
+    CurrentUntil(Instant),
+    /// Free capacity of the worker shards, as far as it is known.
+    Free(Vec<(ShardId, ResourceVector)>),
 }
 
 /// State of the gate task.
@@ -34,6 +38,8 @@
     zone: ZoneId,
     registry: PluginRegistry,
     bundle: Option<Arc<PolicyBundle>>,
+    current_until: Option<Instant>,
+    free: FastMap<ShardId, ResourceVector>,
     claims: FastMap<ShardId, ShardClaim>,
     watchers: FastMap<JobId, Vec<oneshot::Sender<JobOutcome>>>,
     journal: mpsc::Sender<JournalMessage>,
@@ -54,8 +60,20 @@
         peer: mpsc::Sender<PeerMessage>,
         metrics: EntryMetrics,
     ) -> Self {
-        let (claims, watchers) = (FastMap::default(), FastMap::default());
-        Self { process, zone, registry, bundle: None, claims, watchers, journal, router, peer, metrics }
+        Self {
+            process,
+            zone,
+            registry,
+            bundle: None,
+            current_until: None,
+            free: FastMap::default(),
+            claims: FastMap::default(),
+            watchers: FastMap::default(),
+            journal,
+            router,
+            peer,
+            metrics,
+        }
     }
 
     /// Runs until the token is cancelled.
@@ -82,6 +100,8 @@
                 let _ = self.router.send(RouterMessage::Call(call)).await;
             }
             GateMessage::Changed(change) => self.change(change),
+            GateMessage::CurrentUntil(until) => self.current_until = Some(until),
+            GateMessage::Free(free) => self.free = free.into_iter().collect(),
         }
     }
 
@@ -111,6 +131,11 @@
             let text = "no configuration is in force yet";
             return Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
         };
+        let current = self.current_until.is_some_and(|until| Instant::now() < until);
+        if request.key().is_some() && !current {
+            let text = "the configuration may be out of date: neither the log nor enough peers answer";
+            return Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
+        }
         self.registry.admissions.iter().find_map(|check| (check.check)(request, bundle))
     }
 
@@ -153,11 +178,25 @@
 
     fn submit(&self, spec: JobSpec, reply: oneshot::Sender<FrontReply>) {
         let journal = self.journal.clone();
+        let Some(shard) = self.worker_shard(&spec) else {
+            let text = "the configuration in force has no worker shard";
+            let refusal = TeamRefusal::not_run(RefusalReason::NoConfiguration, text);
+            let _ = reply.send(FrontReply::Refused(refusal));
+            return;
+        };
         actix_rt::spawn(async move {
-            let _ = reply.send(submit_job(&journal, spec).await);
+            let _ = reply.send(submit_job(&journal, spec, shard).await);
         });
     }
 
+    /// Returns the worker shard of a new job.
+    fn worker_shard(&self, spec: &JobSpec) -> Option<ShardId> {
+        let shards = self.bundle.as_ref()?.shards();
+        let workers: Vec<ShardId> =
+            shards.into_iter().filter(|shard| !shard.starts_with("service:")).collect();
+        shard_choice::choose(spec, &workers, |shard| self.free.get(shard).copied())
+    }
+
     fn cancel(&self, job: JobId, reply: oneshot::Sender<FrontReply>) {
         let journal = self.journal.clone();
         actix_rt::spawn(async move {
@@ -190,34 +229,36 @@
     }
 }
 
-async fn submit_job(journal: &mpsc::Sender<JournalMessage>, spec: JobSpec) -> FrontReply {
+async fn submit_job(journal: &mpsc::Sender<JournalMessage>, spec: JobSpec, shard: ShardId) -> FrontReply {
     let job = spec.id.clone();
-    let (sender, shard) = oneshot::channel();
-    let key = job.clone();
-    let query: JournalMessage = JournalMessage::Query(Box::new(move |ledger| {
-        let _ = sender.send(ledger.shard_for(&key));
-    }));
-    let _ = journal.send(query).await;
-    let Ok(Some(shard)) = shard.await else {
-        let text = "the configuration in force has no worker shard";
-        return FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
-    };
     let changes = match commit(journal, LogRecord::Submit { spec, shard }).await {
         Ok(changes) => changes,
         Err(refusal) => return FrontReply::Refused(refusal),
     };
     let mine = changes.iter().find_map(|change| match change {
-        LedgerChange::JobAccepted(spec, _) if spec.id == job => Some(Ok(false)),
-        LedgerChange::JobRepeated(id) if *id == job => Some(Ok(true)),
-        LedgerChange::JobConflict(id) if *id == job => Some(Err(())),
+        LedgerChange::JobAccepted(spec, _) if spec.id == job => {
+            Some(FrontReply::Accepted { job: job.clone(), repeated: false })
+        }
+        LedgerChange::JobRepeated(id) if *id == job => {
+            Some(FrontReply::Accepted { job: job.clone(), repeated: true })
+        }
+        LedgerChange::JobConflict(id) if *id == job => {
+            let text = "the job id was used before with another body";
+            Some(FrontReply::Refused(TeamRefusal::not_run(RefusalReason::IdReused, text)))
+        }
+        LedgerChange::JobRefused(id) if *id == job => Some(FrontReply::Refused(full_queue())),
         _ => None,
     });
-    if let Some(Ok(repeated)) = mine {
-        FrontReply::Accepted { job, repeated }
-    } else {
-        let text = "the job id was used before with another body";
-        FrontReply::Refused(TeamRefusal::not_run(RefusalReason::IdReused, text))
-    }
+    mine.unwrap_or_else(|| {
+        let text = "the fate of the record is no longer known; repeat with the same id";
+        FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::LogUnavailable, text))
+    })
+}
+
+fn full_queue() -> TeamRefusal {
+    let text = "the team has too many open tasks in the shard of the job";
+    let refusal = TeamRefusal::not_run(RefusalReason::QueueFull, text);
+    TeamRefusal { retry_after: Some(FULL_RETRY), ..refusal }
 }
 
 /// Appends a record and waits until it is folded.
--- /dev/null
+++ b/src/tasks/heartbeat.rs
@@ -0,0 +1,122 @@
+//! Turns heartbeats into messages between entry processes and back.
+
+use tokio::sync::mpsc;
+use tonic::transport::Channel;
+
+use crate::kernel::{BundleRecord, PeerBeat, ShardNeed, ShardSummary};
+use crate::prelude::*;
+use crate::proto::peer::peer_client::PeerClient;
+use crate::proto::peer::{Amount, Beat, HeardPeer, HeartbeatRequest, ShardAmount, TeamNeed};
+use crate::tasks::peer::PeerMessage;
+
+/// Longest wait for a connection or the answer to a heartbeat.
+pub const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends a heartbeat to one peer and hands its answer to the peer task.
+pub async fn ask(
+    mut client: PeerClient<Channel>,
+    request: HeartbeatRequest,
+    sender: mpsc::Sender<PeerMessage>,
+) {
+    let asked = Instant::now();
+    let answer = tokio::time::timeout(TIMEOUT, client.heartbeat(request)).await;
+    let Ok(Ok(reply)) = answer else { return };
+    let reply = reply.into_inner();
+    let bundle = decode_bundle(&reply.bundle);
+    if let Some(beat) = decode(reply.beat) {
+        let _ = sender.send(PeerMessage::Answered(beat, asked, bundle)).await;
+    }
+}
+
+/// Encodes a heartbeat.
+#[must_use]
+pub fn encode(beat: &PeerBeat) -> Beat {
+    let heard = |(process, age): &(ProcessId, Duration)| HeardPeer {
+        process: process.to_string(),
+        age_ms: milliseconds(*age),
+    };
+    let free = |(shard, amount): &(ShardId, ResourceVector)| ShardAmount {
+        shard: shard.to_string(),
+        amount: Some(encode_amount(*amount)),
+    };
+    let need = |need: &ShardNeed| TeamNeed {
+        shard: need.shard.to_string(),
+        team: need.team.to_string(),
+        idle: Some(encode_amount(need.idle)),
+        wanted: Some(encode_amount(need.wanted)),
+    };
+    Beat {
+        process: beat.process.to_string(),
+        vm: beat.vm.to_string(),
+        bundle_version: beat.version,
+        log_age_ms: beat.log_age.map(milliseconds),
+        leaving: beat.leaving,
+        ready: beat.ready,
+        heard: beat.heard.iter().map(heard).collect(),
+        free: beat.free.iter().map(free).collect(),
+        needs: beat.needs.iter().map(need).collect(),
+    }
+}
+
+/// Decodes a heartbeat; `None` if it names no process.
+#[must_use]
+pub fn decode(beat: Option<Beat>) -> Option<PeerBeat> {
+    let beat = beat.filter(|beat| !beat.process.is_empty())?;
+    let heard = |heard: HeardPeer| (heard.process.into(), Duration::from_millis(heard.age_ms));
+    let free = |free: ShardAmount| (free.shard.into(), decode_amount(free.amount));
+    let need = |need: TeamNeed| ShardNeed {
+        shard: need.shard.into(),
+        team: need.team.into(),
+        idle: decode_amount(need.idle),
+        wanted: decode_amount(need.wanted),
+    };
+    Some(PeerBeat {
+        process: beat.process.into(),
+        vm: beat.vm.into(),
+        version: beat.bundle_version,
+        log_age: beat.log_age_ms.map(Duration::from_millis),
+        leaving: beat.leaving,
+        ready: beat.ready,
+        heard: beat.heard.into_iter().map(heard).collect(),
+        free: beat.free.into_iter().map(free).collect(),
+        needs: beat.needs.into_iter().map(need).collect(),
+    })
+}
+
+/// Encodes the bundle for a peer that has an older version.
+#[must_use]
+pub fn encode_bundle(published: Option<&BundleRecord>, known: BundleVersion) -> Vec<u8> {
+    let newer = published.filter(|record| record.version > known);
+    newer.and_then(|record| serde_json::to_vec(record).ok()).unwrap_or_default()
+}
+
+/// Decodes the bundle that came with a heartbeat.
+#[must_use]
+pub fn decode_bundle(bytes: &[u8]) -> Option<BundleRecord> {
+    if bytes.is_empty() { None } else { serde_json::from_slice(bytes).ok() }
+}
+
+/// Returns the free capacity of each shard.
+#[must_use]
+pub fn free_capacity(summaries: &[ShardSummary]) -> Vec<(ShardId, ResourceVector)> {
+    let free = |summary: &ShardSummary| (summary.shard.clone(), summary.capacity.minus(summary.used));
+    summaries.iter().map(free).collect()
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+const fn encode_amount(amount: ResourceVector) -> Amount {
+    Amount {
+        cores_milli: amount.cores_milli,
+        memory_mib: amount.memory_mib,
+        accelerators: amount.accelerators,
+    }
+}
+
+fn decode_amount(amount: Option<Amount>) -> ResourceVector {
+    amount.map_or_else(ResourceVector::default, |amount| {
+        ResourceVector::new(amount.cores_milli, amount.memory_mib, amount.accelerators)
+    })
+}
--- a/src/tasks/journal.rs
+++ b/src/tasks/journal.rs
@@ -2,52 +2,64 @@
 
 use std::pin::Pin;
 
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{GroupCommit, LedgerChange, LedgerState, RecordGroup};
+use crate::kernel::{
+    BundleRecord, GroupCommit, LedgerChange, LedgerState, RecordGroup, RetryBackoff, SnapshotCollector,
+    SnapshotSchedule,
+};
 use crate::prelude::*;
-use crate::tasks::adapter::{AppendFuture, LogClient, LogFault, LogPage, ReadFuture};
-use crate::tasks::gate::GateMessage;
+use crate::tasks::adapter::{AppendFuture, LogClient, LogFault, LogPage};
 use crate::tasks::metrics::EntryMetrics;
+use crate::tasks::outbox::JournalOutputs;
 use crate::tasks::peer::PeerMessage;
-use crate::tasks::router::RouterMessage;
-use crate::tasks::scheduler::{ClaimedShard, SchedulerMessage};
-
-/// Longest wait of one read for new records.
-const READ_WAIT: Duration = Duration::from_secs(2);
-/// Wait before a failed read or append is tried again.
-const RETRY_WAIT: Duration = Duration::from_millis(250);
-/// The log counts as unavailable when nothing was read for this long.
+use crate::tasks::publisher::LedgerPublisher;
+
+/// Longest wait of one read for new records, and the time after which another read starts beside a slow one.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Most reads at once; a log that answers after 5 s is still read every second.
+const MAX_READS: usize = 8;
+/// Time between checks for commits that waited too long.
+const TICK: Duration = Duration::from_millis(250);
+/// Shortest and longest wait before a failed read or append is tried again. The longest is well below the 6 s
+/// within which the log must be read to stay current.
+const RETRY_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// The log counts as unavailable when nothing was read for this long; a commit waits no longer for its append.
 const UNAVAILABLE_AFTER: Duration = Duration::from_secs(5);
+/// Shortest time between two appends for each live process: 9 processes stay below 90 appends a second.
+const SPACING_PER_PROCESS: Duration = Duration::from_millis(11);
 
 /// A question about the ledger; runs inside the journal task.
 pub type LedgerQuery = Box<dyn FnOnce(&LedgerState) + Send>;
 
-/// Changes of the group that carried an append, in order.
+/// Changes of the group that carried an append, in order; empty if they are no longer known.
 pub type CommitReply = Arc<[LedgerChange]>;
 
 /// What the journal is asked to do.
 pub enum JournalMessage {
-    /// Appends a record and replies once it is folded; dropped without a reply if the log is unavailable.
+    /// Appends a record and replies once it is folded; dropped without a reply only if it is never appended.
     Commit(LogRecord, oneshot::Sender<CommitReply>),
     /// Appends a record sooner or later; survives outages of the log.
     Record(LogRecord),
     /// Runs a question on the ledger.
     Query(LedgerQuery),
+    /// A peer has a bundle that this process may not have read.
+    Adopt(BundleRecord),
+    /// Number of live entry processes.
+    Peers(usize),
+    /// Replies once all records were appended and folded.
+    Flush(oneshot::Sender<()>),
 }
 
-/// Where the journal sends changes of the ledger.
-#[derive(Clone)]
-pub struct JournalOutputs {
-    /// The scheduler task.
-    pub scheduler: mpsc::Sender<SchedulerMessage>,
-    /// The router task.
-    pub router: mpsc::Sender<RouterMessage>,
-    /// The gate task.
-    pub gate: mpsc::Sender<GateMessage>,
-    /// The peer task.
-    pub peer: mpsc::Sender<PeerMessage>,
+/// One read with the offset and the time at which it started.
+struct LogRead {
+    from: LogOffset,
+    started: Instant,
+    result: Result<LogPage, LogFault>,
 }
 
 /// State of the journal task.
@@ -56,161 +68,276 @@
     client: LogClient,
     ledger: LedgerState,
     commit: GroupCommit,
-    replies: Vec<(GroupSequence, oneshot::Sender<CommitReply>)>,
-    outputs: JournalOutputs,
-    last_read: Instant,
+    spacing: Duration,
+    replies: FastMap<CommitTicket, oneshot::Sender<CommitReply>>,
+    tickets: CommitTicket,
+    flushes: Vec<oneshot::Sender<()>>,
+    /// Set while the log does not hold the next group.
+    search: Option<SnapshotCollector>,
+    snapshots: SnapshotSchedule,
+    publisher: LedgerPublisher,
+    last_read: Option<Instant>,
+    read_started: Instant,
+    read_backoff: RetryBackoff,
+    append_backoff: RetryBackoff,
     metrics: EntryMetrics,
 }
 
 impl JournalTask {
-    /// Returns the task; `window` is the group commit window.
+    /// Returns the task; `spacing` is the shortest time between two appends.
     #[must_use]
     pub fn new(
         process: ProcessId,
         client: LogClient,
         ledger: LedgerState,
         outputs: JournalOutputs,
-        window: Duration,
+        spacing: Duration,
         metrics: EntryMetrics,
     ) -> Self {
-        let commit = GroupCommit::new(process.clone(), window);
-        let last_read = Instant::now();
-        Self { process, client, ledger, commit, replies: Vec::new(), outputs, last_read, metrics }
+        let backoff = RetryBackoff::new(RETRY_WAIT.0, RETRY_WAIT.1);
+        Self {
+            commit: GroupCommit::new(process.clone(), spacing),
+            publisher: LedgerPublisher::new(process.clone(), outputs),
+            process,
+            client,
+            ledger,
+            spacing,
+            replies: FastMap::default(),
+            tickets: 0,
+            flushes: Vec::new(),
+            search: None,
+            snapshots: SnapshotSchedule::default(),
+            last_read: None,
+            read_started: Instant::now(),
+            read_backoff: backoff,
+            append_backoff: backoff,
+            metrics,
+        }
     }
 
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<JournalMessage>, token: CancellationToken) {
-        let mut read = self.start_read(Duration::ZERO);
+        let mut reads: FuturesUnordered<LocalBoxFuture<'static, LogRead>> = FuturesUnordered::new();
+        reads.push(self.start_read(Duration::ZERO));
         let mut append: Option<AppendFuture> = None;
+        let mut tick = tokio::time::interval(TICK);
         loop {
             if append.is_none() {
                 append = self.start_append();
             }
             let due = self.commit.due();
             tokio::select! {
-                () = token.cancelled() => return,
+                () = token.cancelled() => break,
                 Some(message) = inbox.recv() => self.handle(message),
-                result = &mut read => {
-                    let wait = self.finish_read(result).await;
-                    read = self.start_read(wait);
+                () = self.publisher.outbox.drain(), if !self.publisher.outbox.is_empty() => {}
+                Some(read) = reads.next(), if !self.publisher.outbox.is_full() => {
+                    let wait = self.finish_read(read);
+                    if reads.is_empty() {
+                        reads.push(self.start_read(wait));
+                    }
                 }
                 result = poll_append(&mut append) => {
                     append = self.finish_append(result);
                 }
                 () = sleep_until(due), if due.is_some() && append.is_none() => {}
+                _ = tick.tick() => {
+                    self.tick();
+                    if reads.len() < MAX_READS && self.read_started.elapsed() > READ_WAIT + TICK {
+                        reads.push(self.start_read(Duration::ZERO));
+                    }
+                }
             }
         }
+        self.withdraw(Instant::now());
+        // What is in flight may still take effect.
+        for (_, reply) in self.replies.drain() {
+            let _ = reply.send(Arc::new([]));
+        }
     }
 
     fn handle(&mut self, message: JournalMessage) {
         match message {
             JournalMessage::Commit(record, reply) => {
-                if self.last_read.elapsed() < UNAVAILABLE_AFTER {
-                    let sequence = self.commit.push(record, Instant::now());
-                    self.replies.push((sequence, reply));
+                if self.available() {
+                    self.tickets += 1;
+                    self.replies.insert(self.tickets, reply);
+                    self.commit.push(record, Some(self.tickets), Instant::now());
                 }
             }
-            JournalMessage::Record(record) => {
-                self.commit.push(record, Instant::now());
-            }
+            JournalMessage::Record(record) => self.commit.push(record, None, Instant::now()),
             JournalMessage::Query(query) => query(&self.ledger),
+            JournalMessage::Adopt(record) => self.publisher.adopt(&self.ledger, &record),
+            JournalMessage::Peers(count) => {
+                let count = u32::try_from(count).unwrap_or(u32::MAX);
+                self.commit.spacing = self.spacing.max(SPACING_PER_PROCESS.saturating_mul(count));
+            }
+            JournalMessage::Flush(reply) => {
+                self.flushes.push(reply);
+                self.finish_flushes();
+            }
+        }
+    }
+
+    /// Refuses commits that waited too long and writes a snapshot if one is due.
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let before = if self.available() { now.checked_sub(UNAVAILABLE_AFTER) } else { Some(now) };
+        if let Some(before) = before {
+            self.withdraw(before);
+        }
+        let first = self.ledger.worker_shards().into_iter().min();
+        let owner = first.and_then(|shard| self.ledger.claims.get(&shard)).map(|claim| &claim.process);
+        if owner == Some(&self.process) && self.available() && self.snapshots.due(self.ledger.next, now) {
+            let pieces = self.ledger.snapshot();
+            log::info!(covers = self.ledger.next, pieces = pieces.len(); "snapshot of the ledger appended");
+            for piece in pieces {
+                self.commit.push(piece.into(), None, now);
+            }
+        }
+    }
+
+    fn withdraw(&mut self, before: Instant) {
+        for ticket in self.commit.withdraw(before) {
+            self.replies.remove(&ticket);
         }
     }
 
-    fn start_read(&self, wait: Duration) -> ReadFuture {
-        let read = (self.client.read)(self.ledger.next, READ_WAIT);
+    fn available(&self) -> bool {
+        self.search.is_none() && self.last_read.is_some_and(|read| read.elapsed() < UNAVAILABLE_AFTER)
+    }
+
+    fn start_read(&mut self, wait: Duration) -> LocalBoxFuture<'static, LogRead> {
+        let from = self.search.as_ref().map_or(self.ledger.next, |search| search.next);
+        let read = (self.client.read)(from, READ_WAIT);
+        self.read_started = Instant::now() + wait;
         Box::pin(async move {
             tokio::time::sleep(wait).await;
-            read.await
+            let started = Instant::now();
+            LogRead { from, started, result: read.await }
         })
     }
 
     /// Folds what was read and returns how long to wait before the next read.
-    async fn finish_read(&mut self, result: Result<LogPage, LogFault>) -> Duration {
-        let page = match result {
+    fn finish_read(&mut self, read: LogRead) -> Duration {
+        let page = match read.result {
             Ok(page) => page,
             Err(fault) => {
                 self.metrics.log_faults.inc();
-                log::warn!(fault:% = fault; "log read failed");
-                return RETRY_WAIT;
+                let wait = self.read_backoff.fail(random());
+                log::warn!(fault:% = fault, wait_ms = wait.as_millis(); "log read failed");
+                return wait;
             }
         };
-        self.last_read = Instant::now();
+        self.read_backoff.succeed();
+        self.last_read = Some(Instant::now());
+        self.snapshots.note_first(page.first);
+        if self.search.is_none() && page.first > self.ledger.next {
+            log::warn!(next = self.ledger.next, first = page.first; "records dropped, looking for a snapshot");
+            self.search = Some(SnapshotCollector::new(page.first));
+            return Duration::ZERO;
+        }
+        let caught_up = page.groups.len() < LogPage::SIZE;
+        if self.search.is_some() {
+            self.search_page(page, caught_up);
+        } else if read.from <= self.ledger.next {
+            self.fold_page(page);
+            self.publisher.outbox.peer(PeerMessage::LogRead(read.started, caught_up));
+        }
+        Duration::ZERO
+    }
+
+    fn fold_page(&mut self, page: LogPage) {
         for (offset, group) in page.groups {
+            // Overlapping reads return some groups twice.
+            if offset < self.ledger.next {
+                continue;
+            }
             if let Some(group) = group {
-                self.fold(offset, &group).await;
+                self.fold(offset, &group);
             } else {
                 log::warn!(offset = offset; "undecodable record skipped");
                 self.ledger.next = offset + 1;
             }
         }
-        Duration::ZERO
     }
 
-    async fn fold(&mut self, offset: LogOffset, group: &RecordGroup) {
-        let changes: CommitReply = self.ledger.fold(offset, group).into();
-        if group.process == self.process {
-            self.commit.folded(group.sequence);
-            self.reply(group.sequence, &changes);
+    /// Gathers snapshot pieces and restores the newest complete snapshot at the end of the log.
+    fn search_page(&mut self, page: LogPage, caught_up: bool) {
+        let Some(search) = &mut self.search else { return };
+        search.next = search.next.max(page.first);
+        for (offset, group) in page.groups {
+            search.search(offset, group.as_ref());
         }
-        for change in changes.iter() {
-            self.publish(change).await;
+        if !caught_up {
+            return;
+        }
+        let Some((covers, items)) = search.take(page.first) else {
+            log::warn!(first = page.first; "no complete snapshot in the log yet, waiting for one");
+            return;
+        };
+        self.search = None;
+        log::info!(covers = covers; "snapshot loaded");
+        let changes = self.ledger.restore(covers, items);
+        let unknown: CommitReply = Arc::new([]);
+        let sequence = self.ledger.processes.sequence(&self.process);
+        self.finish_commit(sequence, &unknown);
+        for change in changes {
+            self.publisher.publish(&self.ledger, &change);
         }
     }
 
-    fn reply(&mut self, sequence: GroupSequence, changes: &CommitReply) {
-        let (done, waiting) =
-            std::mem::take(&mut self.replies).into_iter().partition(|(reply_to, _)| *reply_to <= sequence);
-        self.replies = waiting;
-        let done: Vec<(GroupSequence, oneshot::Sender<CommitReply>)> = done;
-        for (_, reply) in done {
-            // The caller may have stopped waiting.
-            let _ = reply.send(changes.clone());
+    fn fold(&mut self, offset: LogOffset, group: &RecordGroup) {
+        let changes: CommitReply = self.ledger.fold(offset, group).into();
+        for record in &group.records {
+            if let LogRecord::Snapshot(piece) = record {
+                self.snapshots.note_piece(&group.process, piece, Instant::now());
+            }
+        }
+        if group.process == self.process {
+            self.finish_commit(group.sequence, &changes);
+        }
+        for change in changes.iter() {
+            self.publisher.publish(&self.ledger, change);
         }
     }
 
-    async fn publish(&self, change: &LedgerChange) {
-        if let LedgerChange::ShardClaimed(shard, claim) = change
-            && claim.process == self.process
-            && !shard.starts_with("service:")
-        {
-            let claimed = Box::new(self.claimed_shard(shard, claim.token));
-            let _ = self.outputs.scheduler.send(SchedulerMessage::Claimed(claimed)).await;
+    fn finish_commit(&mut self, sequence: GroupSequence, changes: &CommitReply) {
+        for ticket in self.commit.folded(sequence) {
+            if let Some(reply) = self.replies.remove(&ticket) {
+                // The caller may have stopped waiting.
+                let _ = reply.send(changes.clone());
+            }
         }
-        // A receiver that is gone belongs to a process that is stopping.
-        let _ = self.outputs.scheduler.send(SchedulerMessage::Changed(change.clone())).await;
-        let _ = self.outputs.router.send(RouterMessage::Changed(change.clone())).await;
-        let _ = self.outputs.gate.send(GateMessage::Changed(change.clone())).await;
-        let _ = self.outputs.peer.send(PeerMessage::Changed(change.clone())).await;
+        self.finish_flushes();
     }
 
-    fn claimed_shard(&self, shard: &ShardId, token: FencingToken) -> ClaimedShard {
-        let jobs = self.ledger.jobs.values().filter(|job| job.shard == *shard && job.outcome.is_none());
-        let allotments = self.ledger.allotments.iter().filter(|((held_by, _), _)| held_by == shard);
-        ClaimedShard {
-            shard: shard.clone(),
-            token,
-            bundle: self.ledger.bundle.clone(),
-            jobs: jobs.map(|job| (Arc::new(job.spec.clone()), job.cancelled)).collect(),
-            allotments: allotments.map(|((_, team), amount)| (team.clone(), *amount)).collect(),
+    fn finish_flushes(&mut self) {
+        if self.commit.backlog() == 0 {
+            for flush in self.flushes.drain(..) {
+                let _ = flush.send(());
+            }
         }
     }
 
     fn start_append(&mut self) -> Option<AppendFuture> {
-        let group = self.commit.take(Instant::now())?;
+        let group = self.commit.take(Instant::now(), unix_ms())?;
         self.metrics.appends.inc();
         Some((self.client.append)(group))
     }
 
     /// Appends the group again after a fault; the fold drops repeated groups.
-    fn finish_append(&self, result: Result<LogOffset, LogFault>) -> Option<AppendFuture> {
-        let fault = result.err()?;
+    fn finish_append(&mut self, result: Result<LogOffset, LogFault>) -> Option<AppendFuture> {
+        let Err(fault) = result else {
+            self.append_backoff.succeed();
+            return None;
+        };
         self.metrics.log_faults.inc();
+        let wait = self.append_backoff.fail(random());
         let group = self.commit.retry()?.clone();
         log::warn!(fault:% = fault, sequence = group.sequence; "append failed, trying again");
         let append = (self.client.append)(group);
         Some(Box::pin(async move {
-            tokio::time::sleep(RETRY_WAIT).await;
+            tokio::time::sleep(wait).await;
             append.await
         }))
     }
@@ -229,3 +356,13 @@
         None => std::future::pending().await,
     }
 }
+
+/// Returns a random number for the jitter of waits; without random numbers there is no jitter.
+fn random() -> u64 {
+    getrandom::u64().unwrap_or_default()
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -8,7 +8,10 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use crate::kernel::{FrontReply, LedgerChange, PeerView, RefusalReason, RunState, TeamRefusal};
+use crate::kernel::{
+    BundleRecord, FrontReply, LeaveStage, LedgerChange, PeerBeat, PeerView, RefusalReason, RunState,
+    ShardSummary, TeamRefusal,
+};
 use crate::prelude::*;
 use crate::proto::peer::peer_client::PeerClient;
 use crate::proto::peer::peer_server::{Peer, PeerServer};
@@ -18,13 +21,15 @@
 };
 use crate::tasks::adapter::EntryVm;
 use crate::tasks::gate::GateMessage;
+use crate::tasks::heartbeat;
 use crate::tasks::journal::JournalMessage;
 use crate::tasks::router::RoutedCall;
+use crate::tasks::scheduler::SchedulerMessage;
 
 /// Time between heartbeats to each peer.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait for a connection or a heartbeat.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between looks at who is alive; a killed owner is replaced at most this much later than it is suspected.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait for the answer to a forwarded request beyond its deadline.
 const FORWARD_GRACE: Duration = Duration::from_secs(2);
 /// Deadline of forwarded requests that name none.
@@ -44,8 +49,18 @@
     Listed(Vec<EntryVm>),
     /// The ledger changed.
     Changed(LedgerChange),
-    /// A peer sent a heartbeat or answered one; holds process, VM and whether it is leaving.
-    Heard(ProcessId, VmId, bool),
+    /// A peer sent a heartbeat and waits for the answer.
+    Asked(PeerBeat, oneshot::Sender<HeartbeatReply>),
+    /// A peer answered a heartbeat that was sent at the time; holds the bundle that it has newer.
+    Answered(PeerBeat, Instant, Option<BundleRecord>),
+    /// A read of the log that started at the time was folded, and whether it reached the end.
+    LogRead(Instant, bool),
+    /// A bundle came into force in this process, as published.
+    Published(BundleRecord),
+    /// Summaries of the owned worker shards.
+    Summarised(Vec<ShardSummary>),
+    /// Hands shards over; replies once nothing is left to hand over.
+    Leave(LeaveStage, oneshot::Sender<()>),
     /// Hands a request to the owner of its partition.
     Forward(Box<ForwardedCall>),
 }
@@ -54,102 +69,182 @@
 pub struct PeerTask {
     process: ProcessId,
     vm: VmId,
-    zone: ZoneId,
     view: PeerView,
     bundle: Option<Arc<PolicyBundle>>,
+    published: Option<BundleRecord>,
+    summaries: Vec<ShardSummary>,
+    free: FastMap<ProcessId, Vec<(ShardId, ResourceVector)>>,
+    leaving: Option<oneshot::Sender<()>>,
     clients: FastMap<VmId, (String, PeerClient<Channel>)>,
     vm_by_process: FastMap<ProcessId, VmId>,
-    sender: mpsc::Sender<PeerMessage>,
-    journal: mpsc::Sender<JournalMessage>,
+    outputs: PeerOutputs,
+}
+
+/// Where the peer task sends messages.
+#[derive(Clone)]
+pub struct PeerOutputs {
+    /// Its own inbox.
+    pub peer: mpsc::Sender<PeerMessage>,
+    /// The journal task.
+    pub journal: mpsc::Sender<JournalMessage>,
+    /// The gate task.
+    pub gate: mpsc::Sender<GateMessage>,
+    /// The scheduler task.
+    pub scheduler: mpsc::Sender<SchedulerMessage>,
 }
 
 impl PeerTask {
-    /// Returns the task; `sender` leads to its own inbox.
+    /// Returns the task of a process on a VM.
     #[must_use]
-    pub fn new(
-        process: ProcessId,
-        vm: VmId,
-        zone: ZoneId,
-        sender: mpsc::Sender<PeerMessage>,
-        journal: mpsc::Sender<JournalMessage>,
-    ) -> Self {
-        let view = PeerView::new(process.clone(), Instant::now());
-        let (clients, vm_by_process) = (FastMap::default(), FastMap::default());
-        Self { process, vm, zone, view, bundle: None, clients, vm_by_process, sender, journal }
+    pub fn new(process: ProcessId, vm: VmId, outputs: PeerOutputs) -> Self {
+        Self {
+            view: PeerView::new(process.clone(), Instant::now()),
+            process,
+            vm,
+            bundle: None,
+            published: None,
+            summaries: Vec::new(),
+            free: FastMap::default(),
+            leaving: None,
+            clients: FastMap::default(),
+            vm_by_process: FastMap::default(),
+            outputs,
+        }
     }
 
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<PeerMessage>, token: CancellationToken) {
         let mut beat = tokio::time::interval(HEARTBEAT_INTERVAL);
+        let mut claim = tokio::time::interval(CLAIM_INTERVAL);
+        claim.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
                 Some(message) = inbox.recv() => self.handle(message),
                 _ = beat.tick() => {
                     self.send_heartbeats();
-                    self.claim_shards().await;
+                    self.ask_summaries();
                 }
+                _ = claim.tick() => self.look_around().await,
             }
         }
     }
 
     fn handle(&mut self, message: PeerMessage) {
+        let now = Instant::now();
         match message {
             PeerMessage::Listed(entries) => self.connect(entries),
-            PeerMessage::Changed(LedgerChange::BundleAdopted(bundle)) => self.bundle = Some(bundle),
+            PeerMessage::Changed(LedgerChange::BundleAdopted(bundle)) => {
+                self.view.version = bundle.version;
+                self.bundle = Some(bundle);
+            }
             PeerMessage::Changed(LedgerChange::ShardClaimed(shard, claim)) => {
-                self.view.note_claim(shard, claim);
+                self.view.note_claim(shard, claim, now);
+            }
+            PeerMessage::Changed(LedgerChange::GroupFolded(process, _)) => {
+                self.view.note_group(&process, now);
             }
             PeerMessage::Changed(_) => {}
-            PeerMessage::Heard(process, vm, leaving) => {
-                self.vm_by_process.insert(process.clone(), vm);
-                self.view.hear(process, leaving, Instant::now());
+            PeerMessage::Asked(beat, reply) => {
+                let bundle = heartbeat::encode_bundle(self.published.as_ref(), beat.version);
+                self.hear(&beat, None, now);
+                let beat = Some(heartbeat::encode(&self.beat(now)));
+                let _ = reply.send(HeartbeatReply { beat, bundle });
+            }
+            PeerMessage::Answered(beat, asked, bundle) => {
+                self.hear(&beat, Some(asked), now);
+                if let Some(record) = bundle {
+                    // The next answer brings it again if the journal is busy.
+                    let _ = self.outputs.journal.try_send(JournalMessage::Adopt(record));
+                }
+            }
+            PeerMessage::LogRead(started, caught_up) => self.view.note_read(started, caught_up),
+            PeerMessage::Published(record) => self.published = Some(record),
+            PeerMessage::Summarised(summaries) => self.summaries = summaries,
+            PeerMessage::Leave(stage, reply) => {
+                self.view.stage = stage;
+                self.leaving = Some(reply);
+                self.send_heartbeats();
             }
             PeerMessage::Forward(forwarded) => self.forward(*forwarded),
         }
     }
 
+    fn hear(&mut self, beat: &PeerBeat, asked: Option<Instant>, now: Instant) {
+        self.vm_by_process.insert(beat.process.clone(), beat.vm.clone());
+        self.free.insert(beat.process.clone(), beat.free.clone());
+        self.view.hear(beat, asked, now);
+    }
+
+    fn beat(&self, now: Instant) -> PeerBeat {
+        PeerBeat {
+            process: self.process.clone(),
+            vm: self.vm.clone(),
+            version: self.view.version,
+            log_age: self.view.log_age(now),
+            leaving: self.view.stage != LeaveStage::Staying,
+            ready: self.view.ready(),
+            heard: self.view.heard(now),
+            free: heartbeat::free_capacity(&self.summaries),
+            needs: Vec::new(),
+        }
+    }
+
     fn connect(&mut self, entries: Vec<EntryVm>) {
         let listed: FastSet<VmId> = entries.iter().map(|entry| entry.vm.clone()).collect();
+        let others = entries.iter().filter(|entry| entry.vm != self.vm && !entry.leaving);
+        self.view.note_listed(others.map(|entry| entry.vm.clone()).collect());
         self.clients.retain(|vm, _| listed.contains(vm));
         for entry in entries.into_iter().filter(|entry| entry.vm != self.vm) {
             let same = self.clients.get(&entry.vm).is_some_and(|(address, _)| *address == entry.address);
             let Ok(endpoint) = Endpoint::from_shared(format!("http://{}", entry.address)) else { continue };
             if !same {
-                let channel = endpoint.connect_timeout(HEARTBEAT_TIMEOUT).connect_lazy();
+                let channel = endpoint.connect_timeout(heartbeat::TIMEOUT).connect_lazy();
                 self.clients.insert(entry.vm, (entry.address, PeerClient::new(channel)));
             }
         }
     }
 
     fn send_heartbeats(&self) {
+        let beat = heartbeat::encode(&self.beat(Instant::now()));
         for (_, client) in self.clients.values() {
-            let mut client = client.clone();
-            let sender = self.sender.clone();
-            let request = HeartbeatRequest {
-                process: self.process.to_string(),
-                vm: self.vm.to_string(),
-                zone: self.zone.to_string(),
-                bundle_version: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
-                log_age_ms: 0,
-                leaving: false,
-            };
+            let request = HeartbeatRequest { beat: Some(beat.clone()) };
+            actix_rt::spawn(heartbeat::ask(client.clone(), request, self.outputs.peer.clone()));
+        }
+    }
+
+    fn ask_summaries(&self) {
+        let (reply, summaries) = oneshot::channel();
+        let sender = self.outputs.peer.clone();
+        if self.outputs.scheduler.try_send(SchedulerMessage::Summarise(reply)).is_ok() {
             actix_rt::spawn(async move {
-                let beat = tokio::time::timeout(HEARTBEAT_TIMEOUT, client.heartbeat(request)).await;
-                if let Ok(Ok(reply)) = beat {
-                    let reply = reply.into_inner();
-                    let heard = PeerMessage::Heard(reply.process.into(), reply.vm.into(), reply.leaving);
-                    let _ = sender.send(heard).await;
+                if let Ok(summaries) = summaries.await {
+                    let _ = sender.send(PeerMessage::Summarised(summaries)).await;
                 }
             });
         }
     }
 
-    async fn claim_shards(&mut self) {
-        let Some(bundle) = &self.bundle else { return };
-        for record in self.view.wanted_claims(&bundle.shards(), Instant::now()) {
-            let _ = self.journal.send(JournalMessage::Record(record)).await;
+    /// Claims and hands over shards, and tells the other tasks until when this process is current.
+    async fn look_around(&mut self) {
+        let now = Instant::now();
+        let shards = self.bundle.as_ref().map(|bundle| bundle.shards()).unwrap_or_default();
+        for record in self.view.wanted_records(&shards, now) {
+            let _ = self.outputs.journal.send(JournalMessage::Record(record)).await;
+        }
+        if let Some(leaving) = self.leaving.take_if(|_| self.view.handed_over(&shards, now)) {
+            let _ = leaving.send(());
         }
+        let live = self.view.live(now);
+        self.free.retain(|process, _| live.contains(process));
+        let _ = self.outputs.journal.try_send(JournalMessage::Peers(live.len()));
+        // The next look sends these again if a task is busy now.
+        let until = self.view.current_until(now).unwrap_or(now);
+        let _ = self.outputs.scheduler.try_send(SchedulerMessage::CurrentUntil(until));
+        let _ = self.outputs.gate.try_send(GateMessage::CurrentUntil(until));
+        let mut free = heartbeat::free_capacity(&self.summaries);
+        free.extend(self.free.values().flatten().cloned());
+        let _ = self.outputs.gate.try_send(GateMessage::Free(free));
     }
 
     fn forward(&self, forwarded: ForwardedCall) {
@@ -202,10 +297,6 @@
 
 /// The interface for other entry processes.
 pub struct PeerService {
-    /// This process.
-    pub process: ProcessId,
-    /// Its VM.
-    pub vm: VmId,
     /// The peer task.
     pub peer: mpsc::Sender<PeerMessage>,
     /// The gate task.
@@ -218,14 +309,11 @@
         &self,
         request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
-        let request = request.into_inner();
-        let heard = PeerMessage::Heard(request.process.into(), request.vm.into(), request.leaving);
-        let _ = self.peer.send(heard).await;
-        Ok(Response::new(HeartbeatReply {
-            process: self.process.to_string(),
-            vm: self.vm.to_string(),
-            ..HeartbeatReply::default()
-        }))
+        let beat = heartbeat::decode(request.into_inner().beat)
+            .ok_or_else(|| Status::invalid_argument("the heartbeat names no process"))?;
+        let (reply, answer) = oneshot::channel();
+        let _ = self.peer.send(PeerMessage::Asked(beat, reply)).await;
+        answer.await.map(Response::new).map_err(|_| Status::unavailable("the process is stopping"))
     }
 
     async fn forward(&self, request: Request<ForwardRequest>) -> Result<Response<ForwardReply>, Status> {
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -41,6 +41,8 @@
     Synced(ShardId, FencingToken, VmId, WorkerReport),
     /// A worker did not answer a sync.
     Silent(ShardId, FencingToken, VmId),
+    /// This process is current until the time; no task starts after it.
+    CurrentUntil(Instant),
     /// Asks why the tasks of a job are where they are; `None` if no owned shard has the job.
     Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
     /// Asks for summaries of all owned shards.
@@ -61,6 +63,7 @@
     shards: FastMap<ShardId, OwnedShard>,
     workers: Vec<WorkerVm>,
     bundle: Option<Arc<PolicyBundle>>,
+    current_until: Option<Instant>,
     journal: mpsc::Sender<JournalMessage>,
     worker: mpsc::Sender<WorkerMessage>,
     metrics: EntryMetrics,
@@ -85,6 +88,7 @@
             shards,
             workers: Vec::new(),
             bundle: None,
+            current_until: None,
             journal,
             worker,
             metrics,
@@ -116,6 +120,10 @@
                     self.tell(&shard, ScheduleEvent::SyncAnswered(vm, report)).await;
                 }
             }
+            SchedulerMessage::CurrentUntil(until) => {
+                self.current_until = Some(until);
+                self.tell_all(&ScheduleEvent::CurrentUntil(until)).await;
+            }
             SchedulerMessage::Explain(job, reply) => {
                 let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
                 let _ = reply.send(explanation);
@@ -140,6 +148,9 @@
         }
         let owned = OwnedShard { token: claimed.token, scheduler, listed: FastSet::default() };
         self.shards.insert(claimed.shard.clone(), owned);
+        if let Some(until) = self.current_until {
+            self.tell(&claimed.shard, ScheduleEvent::CurrentUntil(until)).await;
+        }
         for (team, amount) in claimed.allotments {
             self.tell(&claimed.shard, ScheduleEvent::AllotmentChanged(team, amount)).await;
         }
--- /dev/null
+++ b/tests/coordination_membership.rs
@@ -0,0 +1,262 @@
+//! Guards against lost, stolen and fought-over shards, and against processes that act on old bundles.
+
+#[path = "fixture/cluster.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{Cluster, STEP};
+use googletest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Returns a cluster whose shards all have owners.
+fn settled(count: usize, shards: usize) -> Cluster {
+    let mut cluster = Cluster::new(count, shards);
+    cluster.run(20 * SECOND);
+    cluster
+}
+
+/// Steps until the condition holds and returns the time it took.
+fn run_until(cluster: &mut Cluster, condition: impl Fn(&Cluster) -> bool) -> Duration {
+    let mut time = Duration::ZERO;
+    while !condition(cluster) && time < 60 * SECOND {
+        cluster.run(STEP);
+        time += STEP;
+    }
+    time
+}
+
+#[gtest]
+fn shards_are_spread_evenly_over_nine_processes() {
+    // Act
+    let cluster = settled(9, 64);
+
+    // Assert
+    expect_that!(cluster.owned().values().sum::<usize>(), eq(64));
+    expect_that!(cluster.owned().values().max(), some(le(&9)));
+    expect_that!(cluster.owned().values().min(), some(ge(&4)));
+    expect_that!(cluster.appended, le(80));
+}
+
+#[gtest]
+fn a_killed_owner_is_replaced_within_five_seconds() {
+    // Arrange
+    let mut cluster = settled(9, 64);
+
+    // Act
+    cluster.members[3].up = false;
+    let time = run_until(&mut cluster, Cluster::served);
+
+    // Assert
+    expect_that!(time, le(4 * SECOND));
+}
+
+#[gtest]
+fn a_stopping_process_hands_over_every_shard_while_it_still_serves() {
+    // Arrange
+    let mut cluster = settled(9, 64);
+
+    // Act
+    cluster.leave(3);
+    let time = run_until(&mut cluster, |cluster| cluster.left(3));
+
+    // Assert
+    expect_that!(time, le(2 * SECOND));
+    expect_true!(cluster.served());
+    expect_that!(cluster.owned().get("entry-3.1"), none());
+}
+
+#[gtest]
+fn a_joining_process_gets_its_part_shard_by_shard() {
+    // Arrange
+    let mut cluster = settled(8, 64);
+    let before = cluster.transcript.len();
+
+    // Act
+    cluster.join();
+    cluster.run(4 * SECOND);
+    let at_first = cluster.transcript.len() - before;
+    cluster.run(60 * SECOND);
+
+    // Assert
+    expect_that!(at_first, eq(0));
+    expect_that!(cluster.owned().get("entry-8.1"), some(ge(&3)));
+    expect_that!(cluster.transcript.len() - before, le(30));
+    expect_true!(cluster.served());
+}
+
+#[gtest]
+fn lost_messages_between_two_processes_steal_no_shard() {
+    for cut in [vec![(0, 1)], vec![(0, 1), (1, 0)]] {
+        // Arrange
+        let mut cluster = settled(3, 16);
+        let claims = cluster.transcript.len();
+
+        // Act
+        cluster.cut.extend(cut);
+        cluster.run(60 * SECOND);
+
+        // Assert: the third process vouches for both.
+        expect_that!(cluster.transcript.len(), eq(claims));
+    }
+}
+
+#[gtest]
+fn a_process_cut_off_from_all_peers_but_not_from_the_log_starts_no_fight() {
+    // Arrange
+    let mut cluster = settled(6, 32);
+    let claims = cluster.transcript.len();
+
+    // Act
+    cluster.isolate(2, true);
+    cluster.run(60 * SECOND);
+
+    // Assert
+    expect_that!(cluster.transcript.len(), eq(claims));
+}
+
+#[gtest]
+fn a_resumed_process_claims_nothing_before_it_has_read_the_log() {
+    for pause in [SECOND, 30 * SECOND, 120 * SECOND] {
+        // Arrange
+        let mut cluster = settled(3, 16);
+
+        // Act
+        cluster.members[0].up = false;
+        cluster.run(pause + STEP);
+        cluster.members[0].up = true;
+        cluster.members[0].log = false;
+        let claims = cluster.appended;
+        cluster.run(2 * SECOND);
+        let (current, ready) =
+            (cluster.members[0].view.is_current(cluster.now), cluster.members[0].view.ready());
+        cluster.members[0].log = true;
+        cluster.run(30 * SECOND);
+
+        // Assert: its peers read the log, so it is current by them, but not ready.
+        expect_true!(current);
+        expect_false!(ready);
+        expect_true!(cluster.served());
+        expect_that!(cluster.appended - claims, le(16), "after {pause:?}");
+    }
+}
+
+#[gtest]
+fn all_processes_replaced_at_once_leave_no_shard_behind() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+
+    // Act
+    cluster.members.iter_mut().for_each(|member| member.up = false);
+    (0..3).for_each(|_| cluster.join());
+    let time = run_until(&mut cluster, Cluster::served);
+
+    // Assert
+    expect_that!(time, le(5 * SECOND));
+}
+
+#[gtest]
+fn a_process_cut_off_from_log_and_peers_stops_being_current() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+
+    // Act
+    cluster.members[0].log = false;
+    cluster.run(30 * SECOND);
+    let by_peers = cluster.members[0].view.is_current(cluster.now);
+    cluster.isolate(0, true);
+    let time = run_until(&mut cluster, |cluster| !cluster.members[0].view.is_current(cluster.now));
+
+    // Assert
+    expect_true!(by_peers);
+    expect_that!(time, le(7 * SECOND));
+}
+
+#[gtest]
+fn an_outage_of_the_log_stops_nobody_who_hears_everybody() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+    let claims = cluster.transcript.len();
+
+    // Act
+    cluster.members.iter_mut().for_each(|member| member.log = false);
+    cluster.run(3_600 * SECOND);
+    let current: Vec<bool> =
+        cluster.members.iter().map(|member| member.view.is_current(cluster.now)).collect();
+    cluster.members[2].up = false;
+    cluster.run(10 * SECOND);
+
+    // Assert: once one is silent, it may be the one that reads the log.
+    expect_that!(current, each(eq(&true)));
+    expect_false!(cluster.members[0].view.is_current(cluster.now));
+    expect_that!(cluster.transcript.len(), eq(claims));
+}
+
+#[gtest]
+fn a_peer_with_a_newer_bundle_does_not_vouch_for_an_older_one() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+    cluster.members[0].log = false;
+
+    // Act
+    cluster.members[1].view.version = 2;
+    cluster.members[2].view.version = 2;
+    cluster.run(10 * SECOND);
+
+    // Assert
+    expect_false!(cluster.members[0].view.is_current(cluster.now));
+}
+
+#[gtest]
+fn a_take_over_session_reads_as_recorded() {
+    // Arrange
+    let mut cluster = settled(3, 6);
+
+    // Act: kill one, let it return as another process, stop one as planned.
+    cluster.members[1].up = false;
+    cluster.run(10 * SECOND);
+    cluster.join();
+    cluster.run(20 * SECOND);
+    cluster.leave(0);
+    cluster.run(5 * SECOND);
+
+    // Assert
+    let golden = include_str!("golden/take_over.txt");
+    expect_that!(format!("{}\n", cluster.transcript.join("\n")), eq(golden));
+}
+
+#[gtest]
+fn two_faults_at_once_never_leave_a_shard_without_owner_for_long() {
+    let mut random = 1_u64;
+    let mut next = |bound: u64| {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        usize::try_from((random >> 33) % bound).unwrap()
+    };
+    for round in 0..40 {
+        // Arrange
+        let mut cluster = settled(6, 32);
+        let (first, second) = (next(6), next(6));
+
+        // Act: two of pause, cut from the log and cut from the peers, then heal.
+        for index in [first, second] {
+            match next(3) {
+                0 => cluster.members[index].up = false,
+                1 => cluster.members[index].log = false,
+                _ => cluster.isolate(index, true),
+            }
+            cluster.run(u32::try_from(next(8)).unwrap() * SECOND);
+        }
+        cluster.run(u32::try_from(next(40)).unwrap() * SECOND);
+        for index in [first, second] {
+            cluster.members[index].up = true;
+            cluster.members[index].log = true;
+            cluster.isolate(index, false);
+        }
+        cluster.run(15 * SECOND);
+
+        // Assert
+        expect_true!(cluster.served(), "round {round}");
+        expect_that!(cluster.appended, le(32 * 8), "round {round}");
+    }
+}
