--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -162,7 +162,7 @@
     /// Explains the stage of a request; null if neither the ledger nor this process knows it.
     pub async fn explain_request(&self, request: RequestId) -> Option<Value> {
         let key = request.clone();
-        let announced = self.ledger(move |ledger| ledger.intents.contains_key(&key)).await?;
+        let announced = self.ledger(move |ledger| ledger.intents.knows(&key)).await?;
         let stage = ask(&self.router, |reply| RouterMessage::Explain(request.clone(), reply)).await?;
         if stage.is_none() && !announced {
             return Some(Value::Null);
@@ -197,7 +197,7 @@
         team.open_jobs += 1;
         team.open_tasks += u64::from(job.spec.tasks);
     }
-    for ((_, team), amount) in &ledger.allotments {
+    for ((_, team), amount) in ledger.allotments.iter() {
         let team = work.entry(team.clone()).or_default();
         team.allotted = team.allotted.plus(*amount);
     }
