--- a/src/kernel/endpoint_summary.rs
+++ b/src/kernel/endpoint_summary.rs
@@ -13,6 +13,6 @@
     pub busy: u32,
     /// Its slots.
     pub slots: u32,
-    /// `live`, `leaving` or `ejected`.
+    /// `live`, `leaving`, `ejected` or `probation`.
     pub state: String,
 }
--- /dev/null
+++ b/src/kernel/request_table.rs
@@ -0,0 +1,194 @@
+use std::collections::BTreeSet;
+
+use crate::kernel::{
+    AnswerMemory, RequestStage, RequestState, RouteRequest, RouteTeam, RunState, TeamQueue, TeamRefusal,
+};
+use crate::prelude::*;
+
+/// Most bytes of bodies of open requests in one partition.
+const MAX_OPEN_BYTES: usize = 64 << 20;
+
+/// The requests of one service partition: open ones with their queue and timers, and ended ones.
+#[derive(Default)]
+pub struct RequestTable {
+    requests: FastMap<RequestId, RequestState>,
+    queue: TeamQueue,
+    delayed: BTreeSet<(Instant, RequestId)>,
+    deadlines: BTreeSet<(Instant, RequestId)>,
+    memory: AnswerMemory,
+    open_bytes: usize,
+    last_sequence: u64,
+}
+
+impl RequestTable {
+    /// Returns a request.
+    #[must_use]
+    pub fn get(&self, id: &RequestId) -> Option<&RequestState> {
+        self.requests.get(id)
+    }
+
+    /// Returns a request; stages of open requests are changed by the other methods.
+    pub fn get_mut(&mut self, id: &RequestId) -> Option<&mut RequestState> {
+        self.requests.get_mut(id)
+    }
+
+    /// Takes over shares and bounds of teams.
+    pub fn set_teams(&mut self, teams: &[RouteTeam]) {
+        self.queue.set_teams(teams);
+    }
+
+    /// Whether the bounds allow one more open request like this.
+    #[must_use]
+    pub fn has_room(&self, request: &RouteRequest) -> bool {
+        self.open_bytes + request.size <= MAX_OPEN_BYTES && self.queue.has_room(&request.team)
+    }
+
+    /// Returns the number of waiting requests that are served before one like this in its team.
+    #[must_use]
+    pub fn ahead(&self, request: &RouteRequest) -> usize {
+        self.queue.ahead(&request.team, request.deadline)
+    }
+
+    /// Returns the number of requests that wait for a slot.
+    #[must_use]
+    pub const fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Opens a request.
+    pub fn admit(&mut self, request: RouteRequest, stage: RequestStage) {
+        self.last_sequence += 1;
+        let (id, sequence) = (request.id.clone(), self.last_sequence);
+        self.open_bytes += request.size;
+        self.queue.open(&request.team);
+        self.deadlines.insert((request.deadline, id.clone()));
+        if stage == RequestStage::Queued {
+            self.queue.push(&request.team, request.deadline, sequence, id.clone());
+        }
+        self.requests.insert(id, RequestState::new(request, stage, sequence));
+    }
+
+    /// Lets another arrival wait for an open request; the later deadline counts.
+    pub fn join(&mut self, request: &RouteRequest) {
+        let Some(state) = self.requests.get_mut(&request.id) else { return };
+        state.wanted = true;
+        let (old, new) = (state.request.deadline, state.request.deadline.max(request.deadline));
+        state.request.deadline = new;
+        self.deadlines.remove(&(old, request.id.clone()));
+        self.deadlines.insert((new, request.id.clone()));
+        if state.stage == RequestStage::Queued {
+            let (team, sequence) = (&state.request.team, state.sequence);
+            self.queue.remove(team, old, sequence, &request.id);
+            self.queue.push(team, new, sequence, request.id.clone());
+        }
+    }
+
+    /// Lets an open request wait for a slot.
+    pub fn enqueue(&mut self, id: &RequestId) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        state.stage = RequestStage::Queued;
+        self.queue.push(&state.request.team, state.request.deadline, state.sequence, id.clone());
+    }
+
+    /// Lets an open request wait until it may be sent again.
+    pub fn delay(&mut self, id: &RequestId, until: Instant) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        state.stage = RequestStage::Delayed(until);
+        self.delayed.insert((until, id.clone()));
+    }
+
+    /// Takes the next request out of the queue.
+    pub fn pop(&mut self) -> Option<RequestId> {
+        self.queue.pop()
+    }
+
+    /// Charges slot time to the team of a request; negative to correct an earlier estimate.
+    pub fn charge(&mut self, id: &RequestId, seconds: f64) {
+        if let Some(state) = self.requests.get(id) {
+            self.queue.charge(&state.request.team, seconds);
+        }
+    }
+
+    /// Ends an open request with an answer of `size` bytes; returns whether it was known.
+    pub fn answer(&mut self, id: &RequestId, size: usize, now: Instant) -> bool {
+        self.close(id);
+        let Some(state) = self.requests.get_mut(id) else { return false };
+        state.stage = RequestStage::Answered;
+        self.memory.keep(id.clone(), state.sequence, size, now);
+        true
+    }
+
+    /// Ends an open request without an answer; returns the refusal as it holds for the request.
+    pub fn refuse(&mut self, id: &RequestId, mut refusal: TeamRefusal, now: Instant) -> Option<TeamRefusal> {
+        self.close(id);
+        let state = self.requests.get_mut(id)?;
+        if state.may_have_run {
+            refusal.run = RunState::MayHaveRun;
+        }
+        state.stage = match (refusal.run, &state.stage) {
+            (RunState::NotRun, RequestStage::Announced) => RequestStage::Withdrawn,
+            (RunState::NotRun, _) => RequestStage::Cleared,
+            _ => RequestStage::Unknown(refusal.clone()),
+        };
+        if state.request.idempotent {
+            // A later arrival may run, so there is nothing to remember.
+            self.requests.remove(id);
+        } else {
+            self.memory.keep(id.clone(), state.sequence, 0, now);
+        }
+        Some(refusal)
+    }
+
+    /// Forgets an ended request.
+    pub fn remove(&mut self, id: &RequestId) {
+        self.requests.remove(id);
+    }
+
+    /// Removes and returns a request whose deadline has passed; it stays open.
+    pub fn pop_expired(&mut self, now: Instant) -> Option<RequestId> {
+        pop_due(&mut self.deadlines, now)
+    }
+
+    /// Puts requests whose wait has ended back into the queue.
+    pub fn wake(&mut self, now: Instant) {
+        while let Some(id) = pop_due(&mut self.delayed, now) {
+            self.enqueue(&id);
+        }
+    }
+
+    /// Forgets the oldest ended request that is out of bounds; the ledger knows the non-idempotent ones.
+    pub fn evict(&mut self, now: Instant) -> Option<RequestId> {
+        while let Some((id, sequence)) = self.memory.evict(now) {
+            let ended = |state: &RequestState| state.sequence == sequence && !state.is_open();
+            if self.requests.get(&id).is_some_and(ended) {
+                self.requests.remove(&id);
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Returns the open requests that are not in flight.
+    #[must_use]
+    pub fn unsent(&self) -> Vec<RequestId> {
+        let unsent = |state: &RequestState| state.is_open() && state.stage != RequestStage::InFlight;
+        self.requests.iter().filter(|(_, state)| unsent(state)).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn close(&mut self, id: &RequestId) {
+        let Some(state) = self.requests.get(id).filter(|state| state.is_open()) else { return };
+        let request = &state.request;
+        self.open_bytes -= request.size;
+        self.queue.remove(&request.team, request.deadline, state.sequence, id);
+        self.queue.close(&request.team);
+        self.deadlines.remove(&(request.deadline, id.clone()));
+        if let RequestStage::Delayed(until) = state.stage {
+            self.delayed.remove(&(until, id.clone()));
+        }
+    }
+}
+
+fn pop_due(set: &mut BTreeSet<(Instant, RequestId)>, now: Instant) -> Option<RequestId> {
+    set.first().filter(|(at, _)| *at <= now)?;
+    set.pop_first().map(|(_, id)| id)
+}
--- a/src/kernel/route_effect.rs
+++ b/src/kernel/route_effect.rs
@@ -21,19 +21,28 @@
         /// Endpoints that were rejected, counted by reason.
         rejected: Vec<(&'static str, u32)>,
     },
-    /// Give the answer of an attempt to all callers that wait for the request.
+    /// End an attempt unless a part of its answer has arrived; its result is reported as usual.
+    Abandon {
+        /// The endpoint.
+        vm: VmId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Give the answer of an attempt to all callers that wait for the request, and keep it.
     Deliver {
         /// The request.
         request: RequestId,
         /// The answered attempt.
         attempt: AttemptId,
     },
-    /// Refuse a request to all callers that wait for it.
+    /// Refuse the request to all callers that wait for it, and drop its body.
     Refuse(RequestId, TeamRefusal),
-    /// Refuse only the latest arrival of an id that is in use with another body.
+    /// Refuse the request to all callers that wait for it; it stays in flight.
+    RefuseWaiting(RequestId, TeamRefusal),
+    /// Refuse only the arrival that is being handled.
     RefuseArrival(RequestId, TeamRefusal),
-    /// Give the kept answer to the latest arrival.
+    /// Give the kept answer to the arrival that is being handled.
     Replay(RequestId),
-    /// Forget the kept answer.
+    /// Drop the kept answer.
     Forget(RequestId),
 }
--- a/src/kernel/service_router.rs
+++ b/src/kernel/service_router.rs
@@ -1,90 +1,73 @@
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 
 use crate::kernel::{
-    EndpointLoad, EndpointSummary, EndpointVm, RefusalReason, RouteEffect, RouteEvent, RouteFailure,
-    RouteRequest, RoutingPolicy, TeamRefusal,
+    EndpointHealth, EndpointPool, EndpointSummary, IntentFault, RefusalReason, RequestStage, RequestState,
+    RequestTable, RetryBudget, RouteEffect, RouteEvent, RouteFailure, RouteRequest, RoutingPolicy,
+    ServiceTimes, TeamRefusal, rendezvous,
 };
 use crate::prelude::*;
 
-/// How long the outcome of a request is kept.
-const KEEP_ANSWER: Duration = Duration::from_secs(600);
+/// Times that a request is sent before its endpoints' refusals are passed on to the caller.
+const MAX_REFUSALS: u32 = 8;
+/// First wait before a request is sent again; doubles each time.
+const RETRY_WAIT: Duration = Duration::from_millis(10);
+/// Time after which an endpoint must count a request that it was sent.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
 /// Queue, slots and endpoints of one service partition.
 pub struct ServiceRouter {
     policy: RoutingPolicy,
     timeout: Duration,
-    endpoints: FastMap<VmId, EndpointState>,
-    requests: FastMap<RequestId, RequestState>,
-    attempts: FastMap<AttemptId, (RequestId, VmId, Instant)>,
-    queue: VecDeque<RequestId>,
+    endpoints: EndpointPool,
+    requests: RequestTable,
+    attempts: BTreeMap<AttemptId, AttemptState>,
+    budget: RetryBudget,
+    times: ServiceTimes,
     next_attempt: AttemptId,
+    lost: bool,
 }
 
-struct EndpointState {
-    vm: EndpointVm,
-    busy: u32,
-    latency: Duration,
-    failures: f64,
-}
-
-struct RequestState {
-    request: RouteRequest,
-    stage: RequestStage,
-    changed: Instant,
-}
-
-#[derive(PartialEq)]
-enum RequestStage {
-    Announced,
-    Queued,
-    InFlight,
-    Answered,
-    Refused(TeamRefusal),
+struct AttemptState {
+    request: RequestId,
+    vm: VmId,
+    started: Instant,
+    charged: f64,
 }
 
 impl ServiceRouter {
-    /// Returns a router without endpoints.
+    /// Returns a router without endpoints; `timeout` is the longest time of an answer.
     #[must_use]
     pub fn new(policy: RoutingPolicy, timeout: Duration) -> Self {
         Self {
             policy,
             timeout,
-            endpoints: FastMap::default(),
-            requests: FastMap::default(),
-            attempts: FastMap::default(),
-            queue: VecDeque::new(),
+            endpoints: EndpointPool::new(timeout),
+            requests: RequestTable::default(),
+            attempts: BTreeMap::new(),
+            budget: RetryBudget::new(),
+            times: ServiceTimes::default(),
             next_attempt: 1,
+            lost: false,
         }
     }
 
-    /// Handles one event and returns its effects in order.
+    /// Handles one event and returns its effects in order; those for an arrival come first.
     pub fn handle(&mut self, event: RouteEvent, now: Instant) -> Vec<RouteEffect> {
         let mut effects = Vec::new();
         match event {
-            RouteEvent::EndpointsListed(vms) => self.list_endpoints(vms),
+            RouteEvent::EndpointsListed(vms) => self.endpoints.list(vms, now),
+            RouteEvent::TeamsChanged(teams) => self.requests.set_teams(&teams),
             RouteEvent::Arrived(request) => self.arrive(request, now, &mut effects),
-            RouteEvent::IntentAccepted(id) => self.enqueue(&id, now),
-            RouteEvent::IntentRefused(id) => {
-                let text = "the request id was announced before; its answer is not known here";
-                self.refuse(
-                    &id,
-                    TeamRefusal::may_have_run(RefusalReason::AnswerUnknown, text),
-                    now,
-                    &mut effects,
-                );
-            }
-            RouteEvent::IntentFailed(id) => {
-                let text = "the intent of a non-idempotent request cannot be recorded now";
-                self.refuse(
-                    &id,
-                    TeamRefusal::not_run(RefusalReason::LogUnavailable, text),
-                    now,
-                    &mut effects,
-                );
+            RouteEvent::CallersGone(id) => self.leave(&id, now, &mut effects),
+            RouteEvent::IntentAccepted(id) => self.confirm_intent(&id),
+            RouteEvent::IntentRefused(id, fault) => self.refuse_intent(&id, fault, now, &mut effects),
+            RouteEvent::Answered { attempt, status, size } => {
+                self.answer(attempt, status, size, now, &mut effects);
             }
-            RouteEvent::Answered(attempt, status) => self.answer(attempt, status, now, &mut effects),
             RouteEvent::Failed(attempt, failure) => self.fail(attempt, failure, now, &mut effects),
-            RouteEvent::Tick => self.expire(now, &mut effects),
+            RouteEvent::Probed { vm, sent, health } => self.probe(&vm, sent, health, now, &mut effects),
+            RouteEvent::ClaimLost => self.lose_claim(now, &mut effects),
+            RouteEvent::Tick => self.tick(now, &mut effects),
         }
         self.dispatch(now, &mut effects);
         effects
@@ -92,105 +75,166 @@
 
     /// Returns all endpoints for operators, by name.
     #[must_use]
-    pub fn endpoints(&self) -> Vec<EndpointSummary> {
-        let summary = |state: &EndpointState| EndpointSummary {
-            vm: state.vm.vm.clone(),
-            zone: state.vm.zone.clone(),
-            busy: state.busy,
-            slots: state.vm.slots,
-            state: if state.vm.leaving { "leaving" } else { "live" }.to_owned(),
-        };
-        let mut summaries: Vec<EndpointSummary> = self.endpoints.values().map(summary).collect();
-        summaries.sort_unstable_by(|left, right| left.vm.cmp(&right.vm));
-        summaries
+    pub fn endpoints(&self, now: Instant) -> Vec<EndpointSummary> {
+        self.endpoints.summaries(now)
     }
 
     /// Explains the present stage of a request; `None` if it is not known here.
     #[must_use]
     pub fn explain(&self, id: &RequestId) -> Option<String> {
-        self.requests.get(id).map(|state| match &state.stage {
-            RequestStage::Announced => "waits for its intent record".to_owned(),
-            RequestStage::Queued => "waits for a free slot".to_owned(),
-            RequestStage::InFlight => "runs on an endpoint".to_owned(),
-            RequestStage::Answered => "answered".to_owned(),
-            RequestStage::Refused(refusal) => format!("refused: {refusal}"),
-        })
+        self.requests.get(id).map(RequestState::explain)
     }
 
-    fn list_endpoints(&mut self, vms: Vec<EndpointVm>) {
-        let listed: FastSet<VmId> = vms.iter().map(|vm| vm.vm.clone()).collect();
-        self.endpoints.retain(|vm, state| listed.contains(vm) || state.busy > 0);
-        for vm in vms {
-            if let Some(state) = self.endpoints.get_mut(&vm.vm) {
-                state.vm = vm;
-            } else {
-                let name = vm.vm.clone();
-                let state = EndpointState { vm, busy: 0, latency: Duration::ZERO, failures: 0.0 };
-                self.endpoints.insert(name, state);
-            }
-        }
+    /// Whether the request is known here, so that the ledger need not be asked about it.
+    #[must_use]
+    pub fn knows(&self, id: &RequestId) -> bool {
+        self.requests.get(id).is_some()
+    }
+
+    /// Whether no attempt is in flight.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.attempts.is_empty()
     }
 
     fn arrive(&mut self, request: RouteRequest, now: Instant, effects: &mut Vec<RouteEffect>) {
-        let id = request.id.clone();
-        if let Some(known) = self.requests.get(&id) {
-            if known.request.digest != request.digest {
-                let text = "the request id was used before with another body";
-                effects.push(RouteEffect::RefuseArrival(
-                    id,
-                    TeamRefusal::not_run(RefusalReason::IdReused, text),
-                ));
-            } else if known.stage == RequestStage::Answered {
-                effects.push(RouteEffect::Replay(id));
-            } else if let RequestStage::Refused(refusal) = &known.stage {
-                effects.push(RouteEffect::RefuseArrival(id, refusal.clone()));
+        let known = self.requests.get(&request.id).map(|state| (state.request.digest, state.stage.clone()));
+        let repeat = match &known {
+            Some((digest, _)) if *digest != request.digest => Some(id_reused()),
+            Some((_, RequestStage::Unknown(refusal))) => Some(refusal.clone()),
+            None if request.announced.is_some_and(|digest| digest != request.digest) => Some(id_reused()),
+            None if request.announced.is_some() => Some(answer_unknown()),
+            _ => None,
+        };
+        if let Some(refusal) = repeat {
+            effects.push(RouteEffect::RefuseArrival(request.id, refusal));
+            return;
+        }
+        match known.map(|(_, stage)| stage) {
+            Some(RequestStage::Answered) => effects.push(RouteEffect::Replay(request.id)),
+            Some(RequestStage::Withdrawn) => self.admit(request, RequestStage::Announced, now, effects),
+            Some(RequestStage::Cleared) => self.admit(request, RequestStage::Queued, now, effects),
+            Some(_) => self.requests.join(&request),
+            None => {
+                let announce = (!request.idempotent).then(|| RouteEffect::Announce(request.id.clone()));
+                let stage = if request.idempotent { RequestStage::Queued } else { RequestStage::Announced };
+                self.admit(request, stage, now, effects);
+                effects.extend(announce.filter(|_| effects.is_empty()));
             }
+        }
+    }
+
+    /// Opens a request unless it cannot be served.
+    fn admit(
+        &mut self,
+        request: RouteRequest,
+        stage: RequestStage,
+        now: Instant,
+        effects: &mut Vec<RouteEffect>,
+    ) {
+        if let Some(refusal) = self.obstacle(&request, now) {
+            effects.push(RouteEffect::RefuseArrival(request.id, refusal));
             return;
         }
-        let idempotent = request.idempotent;
-        let stage = if idempotent { RequestStage::Queued } else { RequestStage::Announced };
-        self.requests.insert(id.clone(), RequestState { request, stage, changed: now });
-        if idempotent {
-            self.queue.push_back(id);
-        } else {
-            effects.push(RouteEffect::Announce(id));
+        self.requests.admit(request, stage);
+    }
+
+    /// Returns why a request is refused on arrival.
+    fn obstacle(&self, request: &RouteRequest, now: Instant) -> Option<TeamRefusal> {
+        if self.lost {
+            return Some(owner_changed());
+        }
+        let slots = self.endpoints.slots();
+        let spread = |count: usize| self.times.mean() * u32::try_from(count).unwrap_or(u32::MAX) / slots;
+        if !self.requests.has_room(request) {
+            let text = "too many requests of the team wait for the service";
+            let wait = spread(self.requests.waiting()).max(RETRY_WAIT);
+            return Some(TeamRefusal::not_run(RefusalReason::QueueFull, text).with_retry_after(wait));
+        }
+        let wait = spread(self.requests.ahead(request));
+        if now + wait + self.times.floor() >= request.deadline {
+            let text = "the deadline cannot be met at the measured service time";
+            let wait = spread(self.requests.waiting());
+            return Some(TeamRefusal::not_run(RefusalReason::Deadline, text).with_retry_after(wait));
         }
+        None
     }
 
-    fn enqueue(&mut self, id: &RequestId, now: Instant) {
-        let Some(state) = self.requests.get_mut(id).filter(|state| state.stage == RequestStage::Announced)
-        else {
+    fn leave(&mut self, id: &RequestId, now: Instant, effects: &mut Vec<RouteEffect>) {
+        let Some(state) = self.requests.get_mut(id).filter(|state| state.is_open()) else { return };
+        state.wanted = false;
+        if state.stage != RequestStage::InFlight {
+            let text = "the caller went away before the request was sent";
+            self.refuse(id, TeamRefusal::not_run(RefusalReason::Deadline, text), now, effects);
+        }
+    }
+
+    fn confirm_intent(&mut self, id: &RequestId) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        match state.stage {
+            RequestStage::Announced => self.requests.enqueue(id),
+            RequestStage::Withdrawn => state.stage = RequestStage::Cleared,
+            _ => {}
+        }
+    }
+
+    fn refuse_intent(
+        &mut self,
+        id: &RequestId,
+        fault: IntentFault,
+        now: Instant,
+        effects: &mut Vec<RouteEffect>,
+    ) {
+        let Some(state) = self.requests.get(id) else { return };
+        if !matches!(state.stage, RequestStage::Announced | RequestStage::Withdrawn) {
             return;
+        }
+        let text = "the intent of a non-idempotent request cannot be recorded now";
+        let refusal = match fault {
+            IntentFault::Known => answer_unknown(),
+            IntentFault::Conflict => id_reused(),
+            IntentFault::Unrecorded => TeamRefusal::not_run(RefusalReason::LogUnavailable, text),
         };
-        state.stage = RequestStage::Queued;
-        state.changed = now;
-        self.queue.push_back(id.clone());
+        if state.is_open() {
+            self.refuse(id, refusal, now, effects);
+        }
+        // The ledger answers for this id from now on.
+        self.requests.remove(id);
     }
 
+    /// Ends an open request without an answer.
     fn refuse(&mut self, id: &RequestId, refusal: TeamRefusal, now: Instant, effects: &mut Vec<RouteEffect>) {
-        let Some(state) = self.requests.get_mut(id) else { return };
-        state.stage = RequestStage::Refused(refusal.clone());
-        state.changed = now;
-        self.queue.retain(|waiting| waiting != id);
-        effects.push(RouteEffect::Refuse(id.clone(), refusal));
+        if let Some(refusal) = self.requests.refuse(id, refusal, now) {
+            effects.push(RouteEffect::Refuse(id.clone(), refusal));
+        }
     }
 
-    fn release(&mut self, attempt: AttemptId, failed: bool, now: Instant) -> Option<RequestId> {
-        let (id, vm, started) = self.attempts.remove(&attempt)?;
-        if let Some(state) = self.endpoints.get_mut(&vm) {
-            state.busy -= 1;
-            state.latency = (state.latency * 7 + now.saturating_duration_since(started)) / 8;
-            state.failures = state.failures.mul_add(0.875, if failed { 0.125 } else { 0.0 });
-        }
-        Some(id)
+    /// Ends an attempt and returns its request and endpoint.
+    fn release(&mut self, attempt: AttemptId, now: Instant) -> Option<(AttemptState, Duration)> {
+        let ended = self.attempts.remove(&attempt)?;
+        let spent = now.saturating_duration_since(ended.started);
+        self.requests.charge(&ended.request, spent.as_secs_f64() - ended.charged);
+        Some((ended, spent))
     }
 
-    fn answer(&mut self, attempt: AttemptId, status: u16, now: Instant, effects: &mut Vec<RouteEffect>) {
-        let Some(id) = self.release(attempt, status >= 500, now) else { return };
-        let Some(state) = self.requests.get_mut(&id) else { return };
-        state.stage = RequestStage::Answered;
-        state.changed = now;
-        effects.push(RouteEffect::Deliver { request: id, attempt });
+    fn answer(
+        &mut self,
+        attempt: AttemptId,
+        status: u16,
+        size: usize,
+        now: Instant,
+        effects: &mut Vec<RouteEffect>,
+    ) {
+        let Some((ended, spent)) = self.release(attempt, now) else { return };
+        self.endpoints.note_answer(&ended.vm, status >= 500, spent, now);
+        if status < 500 {
+            self.times.add(spent);
+        }
+        if !self.requests.answer(&ended.request, size, now) {
+            return;
+        }
+        effects.push(RouteEffect::Deliver { request: ended.request, attempt });
+        self.evict(now, effects);
     }
 
     fn fail(
@@ -200,70 +244,127 @@
         now: Instant,
         effects: &mut Vec<RouteEffect>,
     ) {
-        let Some(id) = self.release(attempt, true, now) else { return };
+        let Some((ended, _)) = self.release(attempt, now) else { return };
+        self.endpoints.note_failure(&ended.vm, failure, now);
+        let id = ended.request;
         let Some(state) = self.requests.get_mut(&id) else { return };
-        if failure == RouteFailure::NotStarted || state.request.idempotent {
-            state.stage = RequestStage::Queued;
-            self.queue.push_front(id);
+        state.failures += 1;
+        state.may_have_run |= failure == RouteFailure::Unknown;
+        let (failures, idempotent) = (state.failures, state.request.idempotent);
+        if self.lost || !state.wanted {
+            self.refuse(&id, owner_changed(), now, effects);
+        } else if failure == RouteFailure::Unknown && !(idempotent && self.budget.spend()) {
+            let text = "the endpoint did not answer; the request may have run";
+            self.refuse(&id, TeamRefusal::may_have_run(RefusalReason::ConnectionLost, text), now, effects);
+        } else if failures >= MAX_REFUSALS {
+            let text = "no endpoint could take the request";
+            let refusal = TeamRefusal::not_run(RefusalReason::NoEndpoint, text);
+            self.refuse(&id, refusal.with_retry_after(Duration::from_secs(1)), now, effects);
+        } else {
+            self.requests.delay(&id, now + retry_wait(&id, failures));
+        }
+    }
+
+    fn probe(
+        &mut self,
+        vm: &VmId,
+        sent: Instant,
+        health: Option<EndpointHealth>,
+        now: Instant,
+        effects: &mut Vec<RouteEffect>,
+    ) {
+        let arrived = |state: &AttemptState| state.vm == *vm && state.started + ARRIVAL_TIME <= sent;
+        let old = self.attempts.iter().filter(|(_, state)| arrived(state)).map(|(attempt, _)| *attempt);
+        let old: Vec<AttemptId> = old.collect();
+        if self.endpoints.note_probe(vm, sent, health, old.len(), now) {
+            let abandon = |attempt| RouteEffect::Abandon { vm: vm.clone(), attempt };
+            effects.extend(old.into_iter().map(abandon));
+        }
+    }
+
+    fn lose_claim(&mut self, now: Instant, effects: &mut Vec<RouteEffect>) {
+        self.lost = true;
+        for id in self.requests.unsent() {
+            self.refuse(&id, owner_changed(), now, effects);
+        }
+    }
+
+    fn tick(&mut self, now: Instant, effects: &mut Vec<RouteEffect>) {
+        while let Some(id) = self.requests.pop_expired(now) {
+            self.expire(&id, now, effects);
+        }
+        self.requests.wake(now);
+        self.endpoints.tick(now);
+        self.evict(now, effects);
+    }
+
+    /// Ends the wait of the callers of a request whose deadline has passed.
+    fn expire(&mut self, id: &RequestId, now: Instant, effects: &mut Vec<RouteEffect>) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        if state.stage == RequestStage::InFlight {
+            state.wanted = false;
+            let text = "no answer before the deadline; the request may have run";
+            let refusal = TeamRefusal::may_have_run(RefusalReason::Timeout, text);
+            effects.push(RouteEffect::RefuseWaiting(id.clone(), refusal));
             return;
         }
-        let text = "the endpoint did not answer; the request may have run";
-        self.refuse(&id, TeamRefusal::may_have_run(RefusalReason::ConnectionLost, text), now, effects);
+        let text = "no endpoint was free before the deadline";
+        self.refuse(id, TeamRefusal::not_run(RefusalReason::Deadline, text), now, effects);
     }
 
-    fn expire(&mut self, now: Instant, effects: &mut Vec<RouteEffect>) {
-        let late: Vec<RequestId> =
-            self.queue.iter().filter(|id| self.requests[*id].request.deadline <= now).cloned().collect();
-        for id in late {
-            let text = "no endpoint was free before the deadline";
-            self.refuse(&id, TeamRefusal::not_run(RefusalReason::Deadline, text), now, effects);
+    fn evict(&mut self, now: Instant, effects: &mut Vec<RouteEffect>) {
+        while let Some(id) = self.requests.evict(now) {
+            effects.push(RouteEffect::Forget(id));
         }
-        let done =
-            |state: &RequestState| matches!(state.stage, RequestStage::Answered | RequestStage::Refused(_));
-        self.requests.retain(|id, state| {
-            let keep = !done(state) || now.saturating_duration_since(state.changed) < KEEP_ANSWER;
-            if !keep {
-                effects.push(RouteEffect::Forget(id.clone()));
-            }
-            keep
-        });
     }
 
     fn dispatch(&mut self, now: Instant, effects: &mut Vec<RouteEffect>) {
-        while let Some(id) = self.queue.front().cloned() {
-            let Some(vm) = self.choose(&id) else { return };
-            self.queue.pop_front();
+        while self.requests.waiting() > 0 && self.endpoints.has_free(now) {
+            let Some(id) = self.requests.pop() else { return };
             let Some(state) = self.requests.get_mut(&id) else { continue };
-            state.stage = RequestStage::InFlight;
-            let attempt = self.next_attempt;
-            self.next_attempt += 1;
-            let timeout = self.timeout.min(state.request.deadline.saturating_duration_since(now));
-            if let Some(endpoint) = self.endpoints.get_mut(&vm) {
-                endpoint.busy += 1;
+            if now + self.times.floor() >= state.request.deadline {
+                self.expire(&id, now, effects);
+                continue;
+            }
+            let (request, attempt) = (&state.request, self.next_attempt);
+            let Some(choice) = self.endpoints.take(&self.policy, &request.zone, attempt, now) else {
+                self.requests.enqueue(&id);
+                return;
+            };
+            if state.failures == 0 {
+                self.budget.earn();
             }
-            self.attempts.insert(attempt, (id.clone(), vm.clone(), now));
-            let (reason, rejected) = (self.policy.name, Vec::new());
+            self.next_attempt += 1;
+            state.stage = RequestStage::InFlight;
+            let charged = self.times.mean().as_secs_f64();
+            self.requests.charge(&id, charged);
+            let (vm, rejected) = (choice.vm, choice.rejected);
+            let started = AttemptState { request: id.clone(), vm: vm.clone(), started: now, charged };
+            self.attempts.insert(attempt, started);
+            let (timeout, reason) = (self.timeout, self.policy.name);
             effects.push(RouteEffect::Dispatch { attempt, request: id, vm, timeout, reason, rejected });
         }
     }
+}
 
-    fn choose(&self, id: &RequestId) -> Option<VmId> {
-        let zone = &self.requests.get(id)?.request.zone;
-        let mut loads: Vec<EndpointLoad> = self
-            .endpoints
-            .values()
-            .filter(|state| !state.vm.leaving && state.busy < state.vm.slots)
-            .map(|state| EndpointLoad {
-                vm: state.vm.vm.clone(),
-                busy: state.busy,
-                slots: state.vm.slots,
-                same_zone: state.vm.zone == *zone,
-                latency: state.latency,
-                failures: state.failures,
-            })
-            .collect();
-        loads.sort_unstable_by(|left, right| left.vm.cmp(&right.vm));
-        let index = (self.policy.choose)(&loads, self.next_attempt)?;
-        loads.get(index).map(|load| load.vm.clone())
-    }
+/// Returns the wait before the next attempt; spread by the id, so that retries do not come in step.
+fn retry_wait(id: &RequestId, failures: u32) -> Duration {
+    let spread = rendezvous::hash(&[id, &failures.to_string()]) % 100;
+    let percent = 50 + u32::try_from(spread).unwrap_or(0);
+    RETRY_WAIT * (1 << failures.min(6)) * percent / 100
+}
+
+fn id_reused() -> TeamRefusal {
+    let text = "the request id was used before with another body, service or idempotency";
+    TeamRefusal::not_run(RefusalReason::IdReused, text)
+}
+
+fn answer_unknown() -> TeamRefusal {
+    let text = "the request id was announced before; its answer is not known here";
+    TeamRefusal::may_have_run(RefusalReason::AnswerUnknown, text)
+}
+
+fn owner_changed() -> TeamRefusal {
+    let text = "another process took over the service partition; try again";
+    TeamRefusal::not_run(RefusalReason::NoOwner, text)
 }
--- a/src/kernel/team_refusal.rs
+++ b/src/kernel/team_refusal.rs
@@ -30,4 +30,11 @@
     pub fn may_have_run(code: RefusalReason, message: impl Into<String>) -> Self {
         Self { code, message: message.into(), run: RunState::MayHaveRun, retry_after: None }
     }
+
+    /// Returns the refusal with a time to wait before trying again.
+    #[must_use]
+    pub const fn with_retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
 }
--- a/src/plugins/front_http.rs
+++ b/src/plugins/front_http.rs
@@ -1,5 +1,6 @@
 //! The callers' interface over HTTP/1.1.
 
+use actix_http::header::{HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -139,7 +140,14 @@
     };
     let idempotent = header(request, "x-idempotent").is_some_and(|value| value == "true");
     let deadline =
-        header(request, "x-deadline-ms").and_then(|value| value.parse().ok()).map(Duration::from_millis);
+        match header(request, "x-deadline-ms").map(|value| value.parse().map(Duration::from_millis)) {
+            Some(Err(_)) => return Err(bad_request("the header x-deadline-ms is not a whole number")),
+            Some(Ok(deadline)) => Some(deadline),
+            None => None,
+        };
+    if id.is_empty() {
+        return Err(bad_request("the header x-request-id is empty"));
+    }
     let (request_id, team) = (format!("{team}/{id}").into(), TeamId::from(team));
     let body = body(request).await?;
     Ok(FrontRequest::Call { key, team, service, request: request_id, idempotent, deadline, body })
@@ -198,7 +206,13 @@
     let retry_after_ms = refusal.retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
     let body =
         RefusalBody { code: refusal.code, message: &refusal.message, run: refusal.run, retry_after_ms };
-    json(status(refusal.code), &body)
+    let mut response = json(status(refusal.code), &body);
+    if let Some(wait) = retry_after_ms {
+        // The header has whole seconds; the body has the exact time.
+        let seconds = HeaderValue::from(wait.div_ceil(1_000));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
 }
 
 const fn status(code: RefusalReason) -> StatusCode {
--- a/src/plugins/routing_least_wait.rs
+++ b/src/plugins/routing_least_wait.rs
@@ -2,16 +2,16 @@
 
 inventory::submit!(PluginEntry::Routing(RoutingPolicy { name: "least_wait", choose }));
 
-/// Share of an endpoint's answer time by which it must beat one in the caller's zone.
-const ZONE_PREFERENCE: f64 = 0.05;
+/// Weight of failures; an endpoint that fails every request comes after all others.
+const FAILURE_WEIGHT: f64 = 4.0;
 
+/// Every load has a free slot, so the caller's zone costs no wait and comes before an emptier endpoint.
 fn choose(loads: &[EndpointLoad], _turn: u64) -> Option<usize> {
     (0..loads.len()).min_by(|&left, &right| cost(&loads[left]).total_cmp(&cost(&loads[right])))
 }
 
-/// Expected wait, raised for failures so that an endpoint that fails fast does not attract requests.
 fn cost(load: &EndpointLoad) -> f64 {
     let fill = f64::from(load.busy + 1) / f64::from(load.slots.max(1));
-    let distance = if load.same_zone { 0.0 } else { ZONE_PREFERENCE };
-    fill + distance + 4.0 * load.failures
+    let distance = if load.same_zone { 0.0 } else { 1.0 };
+    fill + distance + FAILURE_WEIGHT * load.failures
 }
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -7,7 +7,9 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{EndpointVm, RecordGroup, RouteFailure, WorkerCommand, WorkerReport, WorkerVm};
+use crate::kernel::{
+    EndpointHealth, EndpointVm, RecordGroup, RouteFailure, WorkerCommand, WorkerReport, WorkerVm,
+};
 use crate::prelude::*;
 use crate::tasks::gate::GateMessage;
 
@@ -127,17 +129,56 @@
     pub body: Bytes,
 }
 
-/// A pool of connections to one endpoint.
-pub type EndpointClient =
-    Rc<dyn Fn(RequestId, Bytes, Duration) -> LocalBoxFuture<'static, Result<EndpointAnswer, RouteFailure>>>;
+/// A request for one connection to an endpoint.
+#[derive(Clone)]
+pub struct EndpointCall {
+    /// The request.
+    pub request: RequestId,
+    /// Its body.
+    pub body: Bytes,
+    /// Longest time to the answer.
+    pub timeout: Duration,
+    /// Ends the call unless a part of its answer has arrived.
+    pub abandon: CancellationToken,
+}
+
+/// What came of an [`EndpointCall`].
+pub struct EndpointExchange {
+    /// The whole answer, or why there is none.
+    pub result: Result<EndpointAnswer, RouteFailure>,
+    /// The connection, if it can take another call.
+    pub connection: Option<EndpointConnection>,
+    /// Why bytes of the endpoint were dropped.
+    pub dropped: Option<&'static str>,
+}
+
+/// An open connection to an endpoint that can take one call.
+pub struct EndpointConnection {
+    /// Sends the call and waits for its answer.
+    pub exchange: Box<dyn FnOnce(EndpointCall) -> LocalBoxFuture<'static, EndpointExchange>>,
+}
+
+/// Opens a connection to one endpoint; `None` if that failed.
+pub type EndpointOpen = Rc<dyn Fn() -> LocalBoxFuture<'static, Option<EndpointConnection>>>;
+/// Asks an endpoint for its health over a new connection; `None` if it did not answer.
+pub type EndpointProbe = Rc<dyn Fn() -> LocalBoxFuture<'static, Option<EndpointHealth>>>;
+
+/// Reaches one endpoint.
+#[derive(Clone)]
+pub struct EndpointClient {
+    /// Opens a connection.
+    pub open: EndpointOpen,
+    /// Asks for its health.
+    pub probe: EndpointProbe,
+}
 
 /// Speaks to endpoints.
 #[derive(Clone, Copy)]
 pub struct EndpointAdapter {
     /// Name in the settings.
     pub name: &'static str,
-    /// Returns a client for an address that keeps at most the given number of connections.
-    pub connect: fn(address: &str, connections: usize) -> EndpointClient,
+    /// Returns a client for an address.
+    pub connect: fn(address: &str) -> EndpointClient,
 }
 
 /// What a front end gets at start.
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -15,6 +15,8 @@
     pub jobs_ended: IntCounterVec,
     /// Requests dispatched to endpoints.
     pub dispatches: IntCounter,
+    /// Answers of endpoints that were dropped, by reason.
+    pub dropped_answers: IntCounterVec,
     /// Refusals by code.
     pub refusals: IntCounterVec,
     /// Appends to the log.
@@ -53,6 +55,11 @@
             placements: plain("godwithaven_placements_total", "Placed tasks")?,
             jobs_ended: labelled("godwithaven_jobs_ended_total", "Ended jobs", "outcome")?,
             dispatches: plain("godwithaven_dispatches_total", "Requests dispatched to endpoints")?,
+            dropped_answers: labelled(
+                "godwithaven_dropped_answers_total",
+                "Answers of endpoints that were dropped",
+                "reason",
+            )?,
             refusals: labelled("godwithaven_refusals_total", "Refused requests", "code")?,
             appends: plain("godwithaven_log_appends_total", "Appends to the log")?,
             log_faults: plain("godwithaven_log_faults_total", "Failed appends and reads of the log")?,
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -8,8 +8,10 @@
 pub mod journal;
 pub mod metrics;
 pub mod operator;
+pub mod partition;
 pub mod peer;
 pub mod router;
+pub mod router_message;
 pub mod scheduler;
 pub mod worker;
 
--- /dev/null
+++ b/src/tasks/partition.rs
@@ -0,0 +1,170 @@
+//! State of one service partition that this process owns.
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use crate::kernel::{FrontReply, RouteEffect, RouteEvent, RouteRequest, ServiceRouter, TeamRefusal};
+use crate::prelude::*;
+use crate::tasks::adapter::EndpointAnswer;
+use crate::tasks::metrics::EntryMetrics;
+
+/// An open request: its body and the callers that wait for it.
+struct OpenCall {
+    body: Bytes,
+    digest: BodyDigest,
+    waiting: Vec<oneshot::Sender<FrontReply>>,
+}
+
+/// A service partition that this process owns, or owned: its router, request bodies and answers.
+pub struct OwnedPartition {
+    /// Token of the claim.
+    pub token: FencingToken,
+    /// Decides.
+    pub router: ServiceRouter,
+    open: FastMap<RequestId, OpenCall>,
+    kept: FastMap<RequestId, EndpointAnswer>,
+    arrived: FastMap<AttemptId, EndpointAnswer>,
+}
+
+impl OwnedPartition {
+    /// Returns a partition without requests.
+    #[must_use]
+    pub fn new(token: FencingToken, router: ServiceRouter) -> Self {
+        let (open, kept, arrived) = (FastMap::default(), FastMap::default(), FastMap::default());
+        Self { token, router, open, kept, arrived }
+    }
+
+    /// Handles an arrival; the caller is answered, or waits, before the effects are returned.
+    pub fn arrive(
+        &mut self,
+        request: RouteRequest,
+        body: Bytes,
+        reply: oneshot::Sender<FrontReply>,
+        now: Instant,
+    ) -> Vec<RouteEffect> {
+        let (id, digest) = (request.id.clone(), request.digest);
+        let effects = self.router.handle(RouteEvent::Arrived(request), now);
+        match effects.first() {
+            Some(RouteEffect::RefuseArrival(_, refusal)) => {
+                log::info!(decision = "routing", request = &*id, refusal:% = refusal; "arrival refused");
+                let _ = reply.send(FrontReply::Refused(refusal.clone()));
+            }
+            Some(RouteEffect::Replay(_)) => {
+                if let Some(answer) = self.kept.get(&id) {
+                    let _ = reply.send(whole(answer));
+                }
+            }
+            _ => {
+                let new = || OpenCall { body, digest, waiting: Vec::new() };
+                self.open.entry(id).or_insert_with(new).waiting.push(reply);
+            }
+        }
+        effects
+    }
+
+    /// Keeps the answer of an attempt until the router has judged it.
+    pub fn store(&mut self, attempt: AttemptId, answer: EndpointAnswer) {
+        self.arrived.insert(attempt, answer);
+    }
+
+    /// Drops the answer of an attempt if the router had no use for it; returns whether that was so.
+    pub fn discard(&mut self, attempt: AttemptId) -> bool {
+        self.arrived.remove(&attempt).is_some()
+    }
+
+    /// Carries out an effect that concerns callers only.
+    pub fn apply(&mut self, effect: RouteEffect, metrics: &EntryMetrics) {
+        match effect {
+            RouteEffect::Deliver { request, attempt } => self.deliver(&request, attempt),
+            RouteEffect::Refuse(request, refusal) => {
+                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "request refused");
+                metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+                self.refuse(&request, refusal);
+            }
+            RouteEffect::RefuseWaiting(request, refusal) => {
+                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "callers refused");
+                metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+                self.refuse_waiting(&request, &refusal);
+            }
+            RouteEffect::Forget(request) => self.forget(&request),
+            // Carried out where the request arrived, or for the partitions that are owned.
+            RouteEffect::RefuseArrival(..)
+            | RouteEffect::Replay(_)
+            | RouteEffect::Announce(_)
+            | RouteEffect::Dispatch { .. }
+            | RouteEffect::Abandon { .. } => {}
+        }
+    }
+
+    /// Gives the answer of an attempt to the callers, and keeps it.
+    fn deliver(&mut self, request: &RequestId, attempt: AttemptId) {
+        let Some(answer) = self.arrived.remove(&attempt) else { return };
+        if let Some(call) = self.open.remove(request) {
+            call.reply(&whole(&answer));
+        }
+        self.kept.insert(request.clone(), answer);
+    }
+
+    /// Refuses a request to its callers and drops its body.
+    fn refuse(&mut self, request: &RequestId, refusal: TeamRefusal) {
+        if let Some(call) = self.open.remove(request) {
+            call.reply(&FrontReply::Refused(refusal));
+        }
+    }
+
+    /// Refuses a request to its callers; it stays open.
+    fn refuse_waiting(&mut self, request: &RequestId, refusal: &TeamRefusal) {
+        for waiting in self.open.get_mut(request).into_iter().flat_map(|call| call.waiting.drain(..)) {
+            let _ = waiting.send(FrontReply::Refused(refusal.clone()));
+        }
+    }
+
+    /// Drops a kept answer.
+    fn forget(&mut self, request: &RequestId) {
+        self.kept.remove(request);
+    }
+
+    /// Returns the body of an open request.
+    #[must_use]
+    pub fn body(&self, request: &RequestId) -> Option<Bytes> {
+        self.open.get(request).map(|call| call.body.clone())
+    }
+
+    /// Returns the digest of an open request.
+    #[must_use]
+    pub fn digest(&self, request: &RequestId) -> Option<BodyDigest> {
+        self.open.get(request).map(|call| call.digest)
+    }
+
+    /// Returns the requests whose callers have all gone away since the last call.
+    pub fn deserted(&mut self) -> Vec<RequestId> {
+        let mut deserted = Vec::new();
+        for (id, call) in &mut self.open {
+            let before = call.waiting.len();
+            call.waiting.retain(|waiting| !waiting.is_closed());
+            if call.waiting.is_empty() && before > 0 {
+                deserted.push(id.clone());
+            }
+        }
+        deserted
+    }
+
+    /// Whether every request has ended.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.router.is_drained()
+    }
+}
+
+impl OpenCall {
+    fn reply(self, reply: &FrontReply) {
+        for waiting in self.waiting {
+            // The caller may have gone away.
+            let _ = waiting.send(reply.clone());
+        }
+    }
+}
+
+fn whole(answer: &EndpointAnswer) -> FrontReply {
+    FrontReply::Answer { status: answer.status, body: answer.body.clone() }
+}
--- a/src/tasks/router.rs
+++ b/src/tasks/router.rs
@@ -1,78 +1,23 @@
-//! Runs the routers of all owned service partitions and keeps request bodies and answers.
+//! Runs the routers of all owned service partitions.
 
-use bytes::Bytes;
-use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::{
-    EndpointSummary, EndpointVm, FrontReply, LedgerChange, PluginRegistry, RefusalReason, RouteEffect,
-    RouteEvent, RouteFailure, RouteRequest, ServiceRouter, TeamRefusal,
+    EndpointVm, FrontReply, IntentFault, LedgerChange, PluginRegistry, RefusalReason, RouteEffect,
+    RouteEvent, RouteFailure, RouteRequest, RouteTeam, ServiceRouter, ShardClaim, TeamPolicy, TeamRefusal,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
-use crate::tasks::adapter::{EndpointAdapter, EndpointAnswer};
-use crate::tasks::endpoint::{EndpointMessage, EndpointTask};
+use crate::tasks::adapter::EndpointAdapter;
+use crate::tasks::endpoint::{EndpointMessage, EndpointRequest, EndpointTask};
 use crate::tasks::journal::JournalMessage;
 use crate::tasks::metrics::EntryMetrics;
+use crate::tasks::partition::OwnedPartition;
+pub use crate::tasks::router_message::{AttemptResult, CheckedCall, RoutedCall, RouterMessage};
 
 /// Time between ticks of the routers.
-const TICK: Duration = Duration::from_millis(50);
-/// Longest wait for an answer where the caller names no deadline.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-
-/// A request for a service partition that this process owns.
-pub struct RoutedCall {
-    /// The partition.
-    pub shard: ShardId,
-    /// The team that the request is accounted to.
-    pub team: TeamId,
-    /// The request.
-    pub request: RequestId,
-    /// Zone of the entry process that took it.
-    pub zone: ZoneId,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
-    /// Longest time to an answer.
-    pub deadline: Option<Duration>,
-    /// The body.
-    pub body: Bytes,
-    /// Where the reply goes.
-    pub reply: oneshot::Sender<FrontReply>,
-}
-
-/// What the router task is told.
-pub enum RouterMessage {
-    /// A request for an owned partition.
-    Call(Box<RoutedCall>),
-    /// An attempt has ended.
-    Attempted(ShardId, AttemptId, Result<EndpointAnswer, RouteFailure>),
-    /// The ledger changed.
-    Changed(LedgerChange),
-    /// The VM list was read.
-    Listed(Vec<EndpointVm>),
-    /// The intent of a request can never be folded.
-    IntentFailed(ShardId, RequestId),
-    /// Asks for the endpoints of all owned partitions.
-    Summarise(oneshot::Sender<Vec<(ShardId, Vec<EndpointSummary>)>>),
-    /// Asks for the present stage of a request; `None` if no owned partition knows it.
-    Explain(RequestId, oneshot::Sender<Option<String>>),
-}
-
-struct CallState {
-    body: Bytes,
-    waiting: Vec<oneshot::Sender<FrontReply>>,
-    answer: Option<EndpointAnswer>,
-    digest: BodyDigest,
-}
-
-struct OwnedPartition {
-    token: FencingToken,
-    router: ServiceRouter,
-    calls: FastMap<RequestId, CallState>,
-    answers: FastMap<AttemptId, EndpointAnswer>,
-}
-
+const TICK: Duration = Duration::from_millis(10);
 /// State of the router task.
 pub struct RouterTask {
     process: ProcessId,
@@ -84,7 +29,9 @@
     bundle: Option<Arc<PolicyBundle>>,
     listed: Vec<EndpointVm>,
     partitions: FastMap<ShardId, OwnedPartition>,
-    endpoints: FastMap<VmId, mpsc::Sender<EndpointMessage>>,
+    lost: FastMap<(ShardId, FencingToken), OwnedPartition>,
+    endpoints: FastMap<VmId, (String, mpsc::Sender<EndpointMessage>)>,
+    draining: Vec<oneshot::Sender<()>>,
 }
 
 impl RouterTask {
@@ -108,22 +55,21 @@
             bundle: None,
             listed: Vec::new(),
             partitions: FastMap::default(),
+            lost: FastMap::default(),
             endpoints: FastMap::default(),
+            draining: Vec::new(),
         }
     }
 
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<RouterMessage>, token: CancellationToken) {
         let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
                 Some(message) = inbox.recv() => self.handle(message, &token).await,
-                _ = tick.tick() => {
-                    for shard in self.owned() {
-                        self.tell(&shard, RouteEvent::Tick).await;
-                    }
-                }
+                _ = tick.tick() => self.tick().await,
             }
         }
     }
@@ -131,71 +77,133 @@
     async fn handle(&mut self, message: RouterMessage, token: &CancellationToken) {
         match message {
             RouterMessage::Call(call) => self.call(*call).await,
-            RouterMessage::Attempted(shard, attempt, result) => self.attempted(&shard, attempt, result).await,
+            RouterMessage::Checked(checked) => self.arrive(*checked).await,
+            RouterMessage::Attempted(result) => self.attempted(*result).await,
+            RouterMessage::Probed(vm, sent, health) => {
+                for shard in self.owned() {
+                    self.tell(&shard, RouteEvent::Probed { vm: vm.clone(), sent, health }).await;
+                }
+            }
             RouterMessage::Changed(change) => self.change(change, token).await,
             RouterMessage::Listed(endpoints) => {
                 self.listed = endpoints;
                 self.list_endpoints(token).await;
             }
             RouterMessage::Summarise(reply) => {
-                let summaries =
-                    self.partitions.iter().map(|(shard, owned)| (shard.clone(), owned.router.endpoints()));
-                let _ = reply.send(summaries.collect());
+                let now = Instant::now();
+                let summary = |(shard, owned): (&ShardId, &OwnedPartition)| {
+                    (shard.clone(), owned.router.endpoints(now))
+                };
+                let _ = reply.send(self.partitions.iter().map(summary).collect());
             }
             RouterMessage::Explain(request, reply) => {
                 let _ = reply.send(self.partitions.values().find_map(|owned| owned.router.explain(&request)));
             }
-            RouterMessage::IntentFailed(shard, request) => {
-                self.tell(&shard, RouteEvent::IntentFailed(request)).await;
+            RouterMessage::IntentChecked(shard, request, known) => {
+                self.refuse_intent(&shard, request, known).await;
             }
+            RouterMessage::Drain(reply) => self.draining.push(reply),
         }
     }
 
+    async fn tick(&mut self) {
+        for shard in self.owned() {
+            let deserted = self.partitions.get_mut(&shard).map(OwnedPartition::deserted);
+            for request in deserted.into_iter().flatten() {
+                self.tell(&shard, RouteEvent::CallersGone(request)).await;
+            }
+            self.tell(&shard, RouteEvent::Tick).await;
+        }
+        let now = Instant::now();
+        for partition in self.lost.values_mut() {
+            // Only deadlines of requests in flight are left to handle.
+            for effect in partition.router.handle(RouteEvent::Tick, now) {
+                partition.apply(effect, &self.metrics);
+            }
+        }
+        self.lost.retain(|_, partition| !partition.is_idle());
+        if self.lost.is_empty() && self.partitions.values().all(OwnedPartition::is_idle) {
+            for reply in self.draining.drain(..) {
+                // The process may have stopped waiting.
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    /// Looks the id of a non-idempotent request up in the ledger, unless the router knows it.
     async fn call(&mut self, call: RoutedCall) {
+        let Some(partition) = self.partitions.get(&call.shard) else {
+            refuse_unowned(call.reply);
+            return;
+        };
+        let known = call.idempotent || partition.router.knows(&call.request);
+        let mut checked = CheckedCall::new(call, Instant::now());
+        if known {
+            self.arrive(checked).await;
+            return;
+        }
+        let look_up = self.look_up(checked.call.request.clone()).await;
+        let sender = self.sender.clone();
+        actix_rt::spawn(async move {
+            // The journal ends only with the process; the caller then learns that the reply was dropped.
+            let Ok(announced) = look_up.await else { return };
+            checked.announced = announced;
+            let _ = sender.send(RouterMessage::Checked(Box::new(checked))).await;
+        });
+    }
+
+    /// Asks the ledger for the digest of an announced request.
+    async fn look_up(&self, request: RequestId) -> oneshot::Receiver<Option<BodyDigest>> {
+        let (sender, answer) = oneshot::channel();
+        let query = JournalMessage::Query(Box::new(move |ledger| {
+            let _ = sender.send(ledger.intents.get(&request).map(|(digest, _)| *digest));
+        }));
+        let _ = self.journal.send(query).await;
+        answer
+    }
+
+    async fn arrive(&mut self, checked: CheckedCall) {
+        let CheckedCall { call, digest, deadline, announced } = checked;
         let Some(partition) = self.partitions.get_mut(&call.shard) else {
-            let text = "this process does not own the service partition";
-            let refusal = TeamRefusal::not_run(RefusalReason::NoOwner, text);
-            let _ = call.reply.send(FrontReply::Refused(refusal));
+            refuse_unowned(call.reply);
             return;
         };
-        let digest: BodyDigest = Sha256::digest(&call.body).into();
         let request = RouteRequest {
-            id: call.request.clone(),
+            id: call.request,
             team: call.team,
             zone: call.zone,
             digest,
+            size: call.body.len(),
             idempotent: call.idempotent,
-            deadline: Instant::now() + call.deadline.unwrap_or(DEFAULT_DEADLINE),
+            deadline,
+            announced,
         };
-        let state = partition.calls.entry(call.request).or_insert_with(|| CallState {
-            body: call.body,
-            waiting: Vec::new(),
-            answer: None,
-            digest,
-        });
-        state.waiting.push(call.reply);
-        self.tell(&call.shard, RouteEvent::Arrived(request)).await;
+        let effects = partition.arrive(request, call.body, call.reply, Instant::now());
+        self.carry_out(&call.shard, effects).await;
     }
 
-    async fn attempted(
-        &mut self,
-        shard: &ShardId,
-        attempt: AttemptId,
-        result: Result<EndpointAnswer, RouteFailure>,
-    ) {
-        let event = match result {
-            Ok(answer) => {
-                let status = answer.status;
-                if let Some(partition) = self.partitions.get_mut(shard) {
-                    partition.answers.insert(attempt, answer);
-                }
-                RouteEvent::Answered(attempt, status)
-            }
-            Err(failure) => RouteEvent::Failed(attempt, failure),
+    async fn attempted(&mut self, ended: AttemptResult) {
+        let AttemptResult { shard, token, attempt, result } = ended;
+        let event = match &result {
+            Ok(answer) => RouteEvent::Answered { attempt, status: answer.status, size: answer.body.len() },
+            Err(failure) => RouteEvent::Failed(attempt, *failure),
         };
-        self.tell(shard, event).await;
-        if let Some(partition) = self.partitions.get_mut(shard) {
-            partition.answers.remove(&attempt);
+        let owned = self.partitions.get_mut(&shard).filter(|owned| owned.token == token);
+        if let Some(partition) = owned {
+            if let Ok(answer) = result {
+                partition.store(attempt, answer);
+            }
+            self.tell(&shard, event).await;
+            if self.partitions.get_mut(&shard).is_some_and(|partition| partition.discard(attempt)) {
+                self.metrics.dropped_answers.with_label_values(&["late"]).inc();
+            }
+        } else if let Some(partition) = self.lost.get_mut(&(shard, token)) {
+            if let Ok(answer) = result {
+                partition.store(attempt, answer);
+            }
+            for effect in partition.router.handle(event, Instant::now()) {
+                partition.apply(effect, &self.metrics);
+            }
         }
     }
 
@@ -206,41 +214,72 @@
                 self.list_endpoints(token).await;
             }
             LedgerChange::ShardClaimed(shard, claim) if shard.starts_with("service:") => {
+                self.lose(&shard);
                 if claim.process == self.process {
-                    self.claim(shard, claim.token);
-                    self.list_endpoints(token).await;
-                } else if let Some(lost) = self.partitions.remove(&shard) {
-                    drop_partition(lost);
+                    self.claim(shard, &claim);
                 }
+                self.list_endpoints(token).await;
             }
             LedgerChange::IntentAccepted(shard, request) => {
                 self.tell(&shard, RouteEvent::IntentAccepted(request)).await;
             }
-            LedgerChange::IntentRefused(shard, request) => {
-                self.tell(&shard, RouteEvent::IntentRefused(request)).await;
+            LedgerChange::IntentRefused(shard, request) if self.partitions.contains_key(&shard) => {
+                self.check_intent(shard, request).await;
             }
             _ => {}
         }
     }
 
-    fn claim(&mut self, shard: ShardId, token: FencingToken) {
+    /// Asks the ledger why an intent has no effect.
+    async fn check_intent(&self, shard: ShardId, request: RequestId) {
+        let look_up = self.look_up(request.clone()).await;
+        let sender = self.sender.clone();
+        actix_rt::spawn(async move {
+            if let Ok(known) = look_up.await {
+                let _ = sender.send(RouterMessage::IntentChecked(shard, request, known)).await;
+            }
+        });
+    }
+
+    async fn refuse_intent(&mut self, shard: &ShardId, request: RequestId, known: Option<BodyDigest>) {
+        let digest = self.partitions.get(shard).and_then(|partition| partition.digest(&request));
+        let fault = match known {
+            None => IntentFault::Unrecorded,
+            Some(known) if digest.is_some_and(|digest| digest != known) => IntentFault::Conflict,
+            Some(_) => IntentFault::Known,
+        };
+        self.tell(shard, RouteEvent::IntentRefused(request, fault)).await;
+    }
+
+    /// Stops sending for a partition; answers of requests in flight still reach their callers.
+    fn lose(&mut self, shard: &ShardId) {
+        let Some(mut partition) = self.partitions.remove(shard) else { return };
+        log::info!(shard = &**shard, token = partition.token; "service partition lost");
+        for effect in partition.router.handle(RouteEvent::ClaimLost, Instant::now()) {
+            partition.apply(effect, &self.metrics);
+        }
+        self.lost.insert((shard.clone(), partition.token), partition);
+    }
+
+    fn claim(&mut self, shard: ShardId, claim: &ShardClaim) {
         let Some(bundle) = &self.bundle else { return };
         let name = shard.trim_start_matches("service:").rsplit_once('/').map_or("", |(name, _)| name);
         let Some(service) = bundle.service(name) else { return };
         let Some(policy) = self.registry.routings.get(service.routing.as_str()) else { return };
         let router = ServiceRouter::new(*policy, Duration::from_millis(service.timeout_ms));
-        log::info!(shard = &*shard, token = token; "service partition claimed");
-        let partition =
-            OwnedPartition { token, router, calls: FastMap::default(), answers: FastMap::default() };
-        self.partitions.insert(shard, partition);
+        log::info!(shard = &*shard, token = claim.token; "service partition claimed");
+        self.partitions.insert(shard, OwnedPartition::new(claim.token, router));
     }
 
     fn owned(&self) -> Vec<ShardId> {
         self.partitions.keys().cloned().collect()
     }
 
+    /// Tells all partitions their endpoints and teams, and opens and closes connections accordingly.
     async fn list_endpoints(&mut self, token: &CancellationToken) {
         let Some(bundle) = self.bundle.clone() else { return };
+        let teams: Vec<RouteTeam> = bundle.teams.iter().map(route_team).collect();
+        let mut used: FastSet<VmId> = FastSet::default();
         for shard in self.owned() {
             let belongs = |vm: &&EndpointVm| {
                 bundle.service(&vm.service).is_some_and(|service| vm.shard(service.partitions) == shard)
@@ -248,127 +287,109 @@
             let mut mine: Vec<EndpointVm> = self.listed.iter().filter(belongs).cloned().collect();
             for vm in &mut mine {
                 vm.leaving |= !bundle.zone_open(&vm.zone);
+                used.insert(vm.vm.clone());
                 self.open_endpoint(vm, token);
             }
+            self.tell(&shard, RouteEvent::TeamsChanged(teams.clone())).await;
             self.tell(&shard, RouteEvent::EndpointsListed(mine)).await;
         }
+        // The task of an endpoint that is dropped here ends after its last request.
+        self.endpoints.retain(|vm, _| used.contains(vm));
     }
 
     fn open_endpoint(&mut self, vm: &EndpointVm, token: &CancellationToken) {
-        if self.endpoints.contains_key(&vm.vm) {
+        if self.endpoints.get(&vm.vm).is_some_and(|(address, _)| *address == vm.address) {
             return;
         }
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
-        let client = (self.adapter.connect)(&vm.address, vm.connections as usize);
-        let token = token.child_token();
-        let endpoint = EndpointTask { client, router: self.sender.clone() };
-        actix_rt::spawn(endpoint.run(inbox, token));
-        self.endpoints.insert(vm.vm.clone(), sender);
+        let client = (self.adapter.connect)(&vm.address);
+        let endpoint = EndpointTask::new(vm.vm.clone(), client, self.sender.clone(), self.metrics.clone());
+        actix_rt::spawn(endpoint.run(inbox, token.child_token()));
+        self.endpoints.insert(vm.vm.clone(), (vm.address.clone(), sender));
     }
 
     async fn tell(&mut self, shard: &ShardId, event: RouteEvent) {
         let Some(partition) = self.partitions.get_mut(shard) else { return };
-        for effect in partition.router.handle(event, Instant::now()) {
-            self.carry_out(shard, effect).await;
-        }
+        let effects = partition.router.handle(event, Instant::now());
+        self.carry_out(shard, effects).await;
     }
 
-    async fn carry_out(&mut self, shard: &ShardId, effect: RouteEffect) {
-        let Some(partition) = self.partitions.get_mut(shard) else { return };
-        match effect {
-            RouteEffect::Announce(request) => {
-                let Some(call) = partition.calls.get(&request) else { return };
-                let record = LogRecord::Intent {
-                    request: request.clone(),
-                    digest: call.digest,
-                    shard: shard.clone(),
-                    token: partition.token,
-                    at_ms: unix_ms(),
-                };
-                self.announce(shard.clone(), request, record).await;
-            }
-            RouteEffect::Dispatch { attempt, request, vm, timeout, reason, rejected } => {
-                let Some(call) = partition.calls.get(&request) else { return };
-                self.metrics.dispatches.inc();
-                log::info!(
-                    decision = "routing", request = &*request, vm = &*vm, attempt = attempt, reason = reason,
-                    rejected:? = rejected;
-                    "request routed"
-                );
-                let message = EndpointMessage {
-                    shard: shard.clone(),
-                    attempt,
-                    request,
-                    body: call.body.clone(),
-                    timeout,
-                };
-                if let Some(endpoint) = self.endpoints.get(&vm) {
-                    let _ = endpoint.send(message).await;
-                }
-            }
-            RouteEffect::Deliver { request, attempt } => {
-                let Some(answer) = partition.answers.remove(&attempt) else { return };
-                if let Some(call) = partition.calls.get_mut(&request) {
-                    call.deliver(&FrontReply::Answer { status: answer.status, body: answer.body.clone() });
-                    call.body = Bytes::new();
-                    call.answer = Some(answer);
-                }
-            }
-            RouteEffect::Refuse(request, refusal) => {
-                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "request refused");
-                if let Some(call) = partition.calls.get_mut(&request) {
-                    call.deliver(&FrontReply::Refused(refusal));
-                    call.body = Bytes::new();
-                }
-            }
-            RouteEffect::RefuseArrival(request, refusal) => {
-                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "arrival refused");
-                if let Some(reply) = partition.calls.get_mut(&request).and_then(|call| call.waiting.pop()) {
-                    let _ = reply.send(FrontReply::Refused(refusal));
-                }
-            }
-            RouteEffect::Replay(request) => {
-                if let Some(call) = partition.calls.get_mut(&request)
-                    && let Some(answer) = call.answer.clone()
-                {
-                    call.deliver(&FrontReply::Answer { status: answer.status, body: answer.body });
+    async fn carry_out(&mut self, shard: &ShardId, effects: Vec<RouteEffect>) {
+        for effect in effects {
+            let Some(partition) = self.partitions.get_mut(shard) else { return };
+            match effect {
+                RouteEffect::Announce(request) => self.announce(shard, request).await,
+                RouteEffect::Dispatch { .. } => self.dispatch(shard, effect),
+                RouteEffect::Abandon { vm, attempt } => {
+                    let message = EndpointMessage::Abandon(shard.clone(), partition.token, attempt);
+                    if let Some((_, endpoint)) = self.endpoints.get(&vm) {
+                        let _ = endpoint.try_send(message);
+                    }
                 }
+                effect => partition.apply(effect, &self.metrics),
             }
-            RouteEffect::Forget(request) => {
-                partition.calls.remove(&request);
-            }
+        }
+    }
+
+    fn dispatch(&self, shard: &ShardId, effect: RouteEffect) {
+        let RouteEffect::Dispatch { attempt, request, vm, timeout, reason, rejected } = effect else {
+            return;
+        };
+        let Some(partition) = self.partitions.get(shard) else { return };
+        self.metrics.dispatches.inc();
+        log::info!(
+            decision = "routing", request = &*request, vm = &*vm, attempt = attempt, reason = reason,
+            rejected:? = rejected;
+            "request routed"
+        );
+        let (token, body) = (partition.token, partition.body(&request).unwrap_or_default());
+        let message = EndpointRequest { shard: shard.clone(), token, attempt, request, body, timeout };
+        let endpoint = self.endpoints.get(&vm);
+        let sent =
+            endpoint.is_some_and(|(_, endpoint)| endpoint.try_send(EndpointMessage::Send(message)).is_ok());
+        if !sent {
+            // Reported like a failed connection, so that the router chooses again.
+            let result = Err(RouteFailure::Unreachable);
+            let result = Box::new(AttemptResult { shard: shard.clone(), token, attempt, result });
+            let sender = self.sender.clone();
+            actix_rt::spawn(async move {
+                let _ = sender.send(RouterMessage::Attempted(result)).await;
+            });
         }
     }
 
     /// Appends an intent; the ledger change tells the router when it is folded.
-    async fn announce(&self, shard: ShardId, request: RequestId, record: LogRecord) {
+    async fn announce(&self, shard: &ShardId, request: RequestId) {
+        let Some(partition) = self.partitions.get(shard) else { return };
+        let Some(digest) = partition.digest(&request) else { return };
+        let record = LogRecord::Intent {
+            request: request.clone(),
+            digest,
+            shard: shard.clone(),
+            token: partition.token,
+            at_ms: unix_ms(),
+        };
         let (reply, folded) = oneshot::channel();
         let _ = self.journal.send(JournalMessage::Commit(record, reply)).await;
-        let sender = self.sender.clone();
+        let (sender, shard) = (self.sender.clone(), shard.clone());
+        let look_up = self.look_up(request.clone()).await;
         actix_rt::spawn(async move {
             if folded.await.is_err() {
-                let _ = sender.send(RouterMessage::IntentFailed(shard, request)).await;
+                // Without the record the ledger may still know the id, from an earlier owner.
+                let known = look_up.await.ok().flatten();
+                let _ = sender.send(RouterMessage::IntentChecked(shard, request, known)).await;
             }
         });
     }
 }
 
-impl CallState {
-    fn deliver(&mut self, reply: &FrontReply) {
-        for waiting in self.waiting.drain(..) {
-            // The caller may have gone away.
-            let _ = waiting.send(reply.clone());
-        }
-    }
+fn refuse_unowned(reply: oneshot::Sender<FrontReply>) {
+    let text = "this process does not own the service partition";
+    let _ = reply.send(FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NoOwner, text)));
 }
 
-/// Answers all callers of a partition that another process now owns.
-fn drop_partition(partition: OwnedPartition) {
-    let text = "the service partition moved to another process while the request was open";
-    for mut call in partition.calls.into_values() {
-        let refusal = TeamRefusal::may_have_run(RefusalReason::AnswerUnknown, text);
-        call.deliver(&FrontReply::Refused(refusal));
-    }
+fn route_team(team: &TeamPolicy) -> RouteTeam {
+    RouteTeam { team: team.id.clone(), share: team.share, max_requests: team.max_requests }
 }
 
 fn unix_ms() -> u64 {
