--- a/capacity/src/platform.rs
+++ b/capacity/src/platform.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use godwithaven::clock::unix_ms;
 use godwithaven::kernel::{BundleRecord, LogRecord, RecordGroup};
 use godwithaven::plugins::bundle_signature::{self, SigningKey};
 use godwithaven_standins::directory::ListedVm;
@@ -174,8 +175,12 @@
         let mut record =
             BundleRecord { version: 1, base: 0, text: bundle_text(shape), signatures: Vec::new() };
         bundle_signature::sign(&mut record, &signing_key());
-        let group =
-            RecordGroup { process: "operator".into(), sequence: 1, records: vec![LogRecord::Bundle(record)] };
+        let group = RecordGroup {
+            process: "operator".into(),
+            sequence: 1,
+            at_ms: unix_ms(),
+            records: vec![LogRecord::Bundle(record)],
+        };
         let body = json!({ "body": serde_json::to_string(&group)? });
         let url = format!("http://{}/streams/control/records", self.world.log.address);
         awc::Client::default().post(url).send_json(&body).await.map_err(|error| error.to_string())?;
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use godwithaven::clock::unix_ms;
 use godwithaven::kernel::{BundleRecord, LedgerChange, LedgerState, LogRecord, PluginRegistry, RecordGroup};
 use godwithaven::plugins::bundle_signature;
 use godwithaven::tasks::adapter::{AdapterEntry, LogClient};
@@ -95,7 +96,7 @@
         let number = getrandom::u64().map_err(|error| CommandFailure::failed("no random numbers", error))?;
         let process = format!("operator.{number:016x}").into();
         let records = vec![LogRecord::Bundle(record.clone())];
-        let group = RecordGroup { process, sequence: 1, records };
+        let group = RecordGroup { process, sequence: 1, at_ms: unix_ms(), records };
         // A repeated group has no effect, so an append whose reply was lost can be tried again.
         while let Err(fault) = (self.client.append)(group.clone()).await {
             self.wait_again(&fault.to_string()).await?;
--- a/src/kernel/request_memory.rs
+++ b/src/kernel/request_memory.rs
@@ -32,10 +32,10 @@
         }
     }
 
-    /// Whether a request is remembered.
+    /// Returns the digest of the body that a request was announced with.
     #[must_use]
-    pub fn knows(&self, request: &RequestId) -> bool {
-        self.intents.contains_key(request)
+    pub fn digest(&self, request: &RequestId) -> Option<BodyDigest> {
+        self.intents.get(request).map(|(digest, _)| *digest)
     }
 
     /// Returns all requests, oldest first.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`kernel`] makes the decisions, [`plugins`] holds the policies and adapters that register
 //! themselves, and [`tasks`] holds the actix-rt tasks that own sockets and state.
 
+pub mod clock;
 pub mod kernel;
 pub mod logging;
 pub mod plugins;
