--- a/src/kernel/job_explanation.rs
+++ b/src/kernel/job_explanation.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::kernel::{GangReservation, JobProgress, ShardState, WaitReason};
 use crate::prelude::*;
 
 /// Why the tasks of a job are where they are, as the owner of its shard sees it.
@@ -12,3 +13,68 @@
     /// Present reasons of waiting, with the number of workers or tasks that each applies to.
     pub reasons: Vec<(String, u32)>,
 }
+
+impl JobExplanation {
+    /// Explains a job of the shard.
+    #[must_use]
+    pub fn of(id: &JobId, state: &ShardState, gang: &GangReservation) -> Option<Self> {
+        let job = state.jobs.get(id)?;
+        let placed = job.tasks.iter().filter_map(|progress| progress.placed.as_ref());
+        let running =
+            placed.filter_map(|task| Some((task.clone(), state.tasks.get(task)?.vm.clone()))).collect();
+        let waiting = count(job.waiting.len() + job.backing_off.len());
+        Some(Self { running, waiting, reasons: reasons(job, state, gang) })
+    }
+}
+
+fn reasons(job: &JobProgress, state: &ShardState, gang: &GangReservation) -> Vec<(String, u32)> {
+    let mut reasons = Vec::new();
+    let mut add = |reason: &str, tasks: u32| reasons.push((reason.to_owned(), tasks));
+    if !job.backing_off.is_empty() {
+        add("backoff", count(job.backing_off.len()));
+    }
+    let stopping = |task: &TaskId| state.tasks.get(task).is_some_and(|placed| placed.stopping.is_some());
+    let stopping = job.tasks.iter().filter(|progress| progress.placed.as_ref().is_some_and(stopping)).count();
+    if stopping > 0 {
+        add("stopping", count(stopping));
+    }
+    let waiting = count(job.waiting.len());
+    if waiting == 0 {
+        return reasons;
+    }
+    if job.inherited {
+        add("waits_for_old_lease", waiting);
+        return reasons;
+    }
+    match state.queue.class_of(&job.spec).and_then(|(_, class)| class.blocked) {
+        Some(WaitReason::OverLimit) => add("over_limit", waiting),
+        Some(WaitReason::Reserved) => add("reserved", waiting),
+        Some(WaitReason::FitsNowhere) => {
+            add("fits_nowhere", waiting);
+            if gang.held().is_some_and(|held| held.job == job.spec.id) {
+                add("holds_reservation", waiting);
+            }
+            add_worker_reasons(job.spec.need, state, &mut add);
+        }
+        // The class was not tried yet because others come first.
+        None => add("share_used", waiting),
+    }
+    reasons
+}
+
+/// Adds the number of workers that each reason excludes.
+fn add_worker_reasons(need: ResourceVector, state: &ShardState, add: &mut impl FnMut(&str, u32)) {
+    let mut counts: FastMap<&str, u32> = FastMap::default();
+    for reason in state.fleet.iter().filter_map(|(_, worker)| worker.reject(need)) {
+        *counts.entry(reason).or_default() += 1;
+    }
+    let mut counts: Vec<(&str, u32)> = counts.into_iter().collect();
+    counts.sort_unstable();
+    for (reason, workers) in counts {
+        add(reason, workers);
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/kernel/placement_pass.rs
@@ -0,0 +1,149 @@
+use crate::kernel::{
+    ClassId, ClassKey, GangReservation, JobKind, PlacementPolicy, PluginRegistry, ShardState, SpreadCount,
+    WaitReason, WorkerState,
+};
+use crate::prelude::*;
+
+/// Classes that are tried in one call; at tens of microseconds each, a call stays far below 10 ms.
+const TRIES: u32 = 256;
+/// Tasks that are started in one call, apart from the last gang job.
+const STARTS: u32 = 256;
+
+/// One bounded round of placing waiting tasks.
+pub struct PlacementPass<'a> {
+    /// The state.
+    pub state: &'a mut ShardState,
+    /// Workers kept for a gang job.
+    pub gang: &'a mut GangReservation,
+    /// The plug-ins.
+    pub registry: &'a PluginRegistry,
+    /// The bundle in force.
+    pub bundle: &'a PolicyBundle,
+    /// The time.
+    pub now: Instant,
+}
+
+impl PlacementPass<'_> {
+    /// Places tasks and returns whether classes were left to be tried.
+    pub fn run(&mut self) -> bool {
+        self.unblock_freed();
+        let (mut tries, mut starts) = (0, 0);
+        while tries < TRIES && starts < STARTS {
+            let Some(id) = self.state.queue.next(&self.state.shares) else { return false };
+            tries += 1;
+            starts += self.try_class(id);
+        }
+        true
+    }
+
+    fn unblock_freed(&mut self) {
+        for slot in std::mem::take(&mut self.state.fleet.freed) {
+            let Some(free) = self.state.fleet.get(slot).map(WorkerState::free) else {
+                continue;
+            };
+            self.state.queue.unblock_fitting(free);
+        }
+        let kept = std::mem::take(&mut self.state.fleet.reserved_freed);
+        if kept.is_empty() {
+            return;
+        }
+        // Short work may fit into the gap.
+        for slot in kept {
+            let Some(free) = self.state.fleet.get(slot).map(WorkerState::free) else { continue };
+            self.state.queue.unblock_fitting(free);
+        }
+        if let Some(held) = self.gang.held()
+            && let Some(job) = self.state.jobs.get(&held.job)
+            && let Some((id, _)) = self.state.queue.class_of(&job.spec)
+        {
+            self.state.queue.unblock(id);
+        }
+    }
+
+    /// Tries the oldest job of a class and returns how many tasks started; sets the class aside if none did.
+    fn try_class(&mut self, id: ClassId) -> u32 {
+        let Some(class) = self.state.queue.get(id) else { return 0 };
+        let key = class.key.clone();
+        let Some(job) = class.jobs.values().next().cloned() else { return 0 };
+        let started = self.try_job(&job, &key, id);
+        match started {
+            Ok(count) => count,
+            Err(reason) => {
+                self.state.queue.block(id, reason);
+                0
+            }
+        }
+    }
+
+    fn try_job(&mut self, id: &JobId, key: &ClassKey, class: ClassId) -> Result<u32, WaitReason> {
+        let Some(job) = self.state.jobs.get(id) else { return Err(WaitReason::FitsNowhere) };
+        let waiting = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+        let Some(index) = job.waiting.first().copied() else { return Err(WaitReason::FitsNowhere) };
+        let together = if key.kind == JobKind::Gang { waiting } else { 1 };
+        if !self.state.shares.allows(&key.team, key.need.times(u64::from(together))) {
+            return Err(WaitReason::OverLimit);
+        }
+        let Some(policy) = self.registry.placement(self.bundle, key.kind) else {
+            return Err(WaitReason::FitsNowhere);
+        };
+        if key.kind == JobKind::Gang {
+            return self.try_gang(id, key, together, &policy);
+        }
+        self.try_task(id, index, key, class, &policy)
+    }
+
+    fn try_task(
+        &mut self,
+        id: &JobId,
+        index: u32,
+        key: &ClassKey,
+        class: ClassId,
+        policy: &PlacementPolicy,
+    ) -> Result<u32, WaitReason> {
+        let empty = SpreadCount::default();
+        let spread = self.state.jobs.get(id).map_or(&empty, |job| &job.spread);
+        let choice = self.state.fleet.choose(key.need, policy, spread);
+        if choice.cut && choice.slot.is_none() {
+            self.state.cut.push(class);
+        }
+        let Some(slot) = choice.slot.or_else(|| self.find_gap(id, key)) else {
+            return Err(WaitReason::FitsNowhere);
+        };
+        self.state.start(id, index, slot, policy.name, choice.rejected, self.now);
+        Ok(1)
+    }
+
+    /// Returns a reserved worker for short work.
+    fn find_gap(&self, id: &JobId, key: &ClassKey) -> Option<u32> {
+        let job = self.state.jobs.get(id).filter(|job| job.spec.kind == JobKind::Batch)?;
+        let run_time = self.state.run_times.correct(&key.team, job.spec.run_time?);
+        self.gang.backfill(self.state, key.need, run_time, self.now)
+    }
+
+    fn try_gang(
+        &mut self,
+        id: &JobId,
+        key: &ClassKey,
+        together: u32,
+        policy: &PlacementPolicy,
+    ) -> Result<u32, WaitReason> {
+        let kept = self.gang.workers_of(id, self.state);
+        let Some(slots) = self.state.fleet.choose_all(key.need, together, &kept) else {
+            let Some(spec) = self.state.jobs.get(id).map(|job| job.spec.clone()) else {
+                return Err(WaitReason::FitsNowhere);
+            };
+            let holds = self.gang.reserve(self.state, &spec, together, self.now);
+            let other = self.gang.held().is_some();
+            return Err(if holds || !other { WaitReason::FitsNowhere } else { WaitReason::Reserved });
+        };
+        let indices: Vec<u32> =
+            self.state.jobs.get(id).map(|job| job.waiting.iter().copied().collect()).unwrap_or_default();
+        for (index, slot) in indices.into_iter().zip(slots) {
+            self.state.start(id, index, slot, policy.name, Vec::new(), self.now);
+        }
+        if self.gang.held().is_some_and(|held| held.job == *id) {
+            self.gang.release(self.state);
+        }
+        Ok(together)
+    }
+}
--- /dev/null
+++ b/src/kernel/report_fold.rs
@@ -0,0 +1,297 @@
+use crate::kernel::{
+    JobKind, JobOutcome, PlacedTask, PriorityClass, ScheduleEffect, ShardState, StopReason, TaskEnd,
+    TaskEnding, TaskReport, WorkerCommand, WorkerReport,
+};
+use crate::prelude::*;
+
+/// Jobs of which tasks failed on that many workers are taken as the cause themselves.
+const BAD_JOB_WORKERS: usize = 3;
+/// Share of the workers that may be on probation at once: one in twenty.
+const PROBATION_PART: usize = 20;
+
+/// Applies what one worker says to the state of the shard.
+pub struct ReportFold<'a> {
+    /// The state.
+    pub state: &'a mut ShardState,
+    /// Name of the worker.
+    pub vm: VmId,
+    /// Number of the worker.
+    pub slot: u32,
+    /// Time of the report.
+    pub now: Instant,
+}
+
+impl ReportFold<'_> {
+    /// Applies a report.
+    pub fn apply(&mut self, report: WorkerReport) {
+        let (now, lease_end) = (self.now, self.state.timing.surely_over(self.now));
+        let mut number = 0;
+        self.state.fleet.update(self.slot, |state| {
+            state.heard = true;
+            state.last_sync = Some(now);
+            state.failed_syncs = 0;
+            state.lease_end = Some(lease_end);
+            state.report += 1;
+            number = state.report;
+        });
+        for running in &report.running {
+            self.apply_running(running, number);
+        }
+        for end in report.ended {
+            self.apply_end(end);
+        }
+        self.find_lost(number);
+    }
+
+    /// Notes that an answered sync carried starts and stops.
+    pub fn deliver(&mut self, tasks: &[TaskId]) {
+        for task in tasks {
+            let Some(placed) = self.state.tasks.get_mut(task).filter(|placed| placed.vm == self.vm) else {
+                continue;
+            };
+            placed.confirmed_at.get_or_insert(self.now);
+            if placed.stopping.is_some() {
+                placed.stop_confirmed_at.get_or_insert(self.now);
+            }
+        }
+    }
+
+    fn apply_running(&mut self, report: &TaskReport, number: u64) {
+        if !self.state.tasks.contains_key(&report.task) {
+            self.adopt(report);
+        }
+        let Some(placed) = self.state.tasks.get_mut(&report.task).filter(|placed| placed.vm == self.vm)
+        else {
+            return;
+        };
+        let first = !placed.running;
+        placed.running = true;
+        placed.report = number;
+        placed.confirmed_at.get_or_insert(self.now);
+        let saved = report.checkpointed && !placed.checkpointed;
+        placed.checkpointed |= report.checkpointed;
+        if saved {
+            let old = std::mem::replace(&mut placed.work_since, self.now);
+            if let Some(recent) = self.state.recent.get_mut(&placed.team)
+                && recent.remove(&(old, report.task.clone()))
+            {
+                recent.insert((self.now, report.task.clone()));
+            }
+        }
+        if first {
+            self.confirm_start(&report.task);
+        }
+    }
+
+    /// Counts a running task that this owner did not start; stops it if it must not run.
+    fn adopt(&mut self, report: &TaskReport) {
+        let Some((id, index, attempt)) = JobSpec::split_task_id(&report.task) else { return };
+        let Some(job) = self.state.jobs.get_mut(&id) else {
+            self.adopt_stray(report, id, index);
+            return;
+        };
+        let surplus = index >= job.spec.tasks;
+        if surplus && job.spec.kind == JobKind::Service && (index as usize) < job.tasks.len() + 1_000 {
+            let length = job.tasks.len().max(index as usize + 1);
+            job.tasks.resize_with(length, Default::default);
+        }
+        let Some(progress) = job.tasks.get_mut(index as usize) else {
+            self.adopt_stray(report, id, index);
+            return;
+        };
+        if !progress.is_last(attempt) || (progress.next == attempt + 1 && progress.end_reported) {
+            // A late report of an attempt whose end a worker reported proves nothing.
+            if progress.lapsed {
+                self.adopt_stray(report, id, index);
+            }
+            return;
+        }
+        if progress.placed.is_some() || progress.result.is_some() {
+            self.adopt_stray(report, id, index);
+            return;
+        }
+        progress.next = attempt + 1;
+        progress.end_reported = false;
+        let taken = job.waiting.remove(&index) || job.backing_off.remove(&index);
+        // A replacement that an earlier owner started stands for one of the first tasks.
+        if !taken
+            && surplus
+            && let Some(spare) = job.waiting.pop_last()
+        {
+            job.tasks[spare as usize].retired = true;
+        }
+        if job.waiting.is_empty() {
+            self.state.queue.remove(job);
+        }
+        let stop = !job.is_live();
+        let mut placed = PlacedTask::new(self.vm.clone(), &job.spec, index, self.now);
+        placed.need = report.need;
+        placed.expected_end = job.spec.run_time.map(|run_time| self.now + run_time);
+        self.state.occupy(report.task.clone(), placed);
+        if stop {
+            self.state.stop(&report.task, StopReason::JobEnded);
+        }
+    }
+
+    fn adopt_stray(&mut self, report: &TaskReport, job: JobId, index: u32) {
+        let placed = PlacedTask {
+            vm: self.vm.clone(),
+            job,
+            index,
+            team: report.team.clone(),
+            need: report.need,
+            kind: JobKind::Batch,
+            priority: PriorityClass::Urgent,
+            placed_at: self.now,
+            work_since: self.now,
+            expected_end: None,
+            confirmed_at: Some(self.now),
+            stop_confirmed_at: None,
+            stopping: None,
+            running: true,
+            report: 0,
+            checkpointed: false,
+        };
+        let task = report.task.clone();
+        self.state.effects.push(ScheduleEffect::Stopped {
+            task: task.clone(),
+            vm: self.vm.clone(),
+            reason: StopReason::Superseded.label(),
+        });
+        let stop = WorkerCommand::Stop { task: task.clone() };
+        self.state.effects.push(ScheduleEffect::Command(self.vm.clone(), stop));
+        self.state.occupy(task, PlacedTask { stopping: Some(StopReason::Superseded), ..placed });
+    }
+
+    /// Acknowledges earlier attempts and stops the task that this one replaces.
+    fn confirm_start(&mut self, task: &TaskId) {
+        let Some((id, index, _)) = JobSpec::split_task_id(task) else { return };
+        let Some(job) = self.state.jobs.get_mut(&id) else { return };
+        let Some(progress) = job.tasks.get_mut(index as usize) else { return };
+        if progress.placed.as_ref() != Some(task) {
+            return;
+        }
+        for (task, vm) in progress.unacknowledged.drain(..) {
+            self.state.effects.push(ScheduleEffect::Command(vm, WorkerCommand::Acknowledge { task }));
+        }
+        let replaced = progress.replaces.take().and_then(|old| job.tasks.get_mut(old as usize));
+        if let Some(old) = replaced.and_then(|old| old.placed.clone()) {
+            self.state.stop(&old, StopReason::Replaced);
+        }
+    }
+
+    fn apply_end(&mut self, end: TaskEnd) {
+        let Some((id, index, attempt)) = JobSpec::split_task_id(&end.task) else { return };
+        let on_this_worker = self.state.tasks.get(&end.task).is_some_and(|placed| placed.vm == self.vm);
+        let released = on_this_worker.then(|| self.state.release(&end.task)).flatten();
+        let known = self
+            .state
+            .jobs
+            .get_mut(&id)
+            .and_then(|job| job.tasks.get_mut(index as usize))
+            .filter(|progress| progress.is_last(attempt) && progress.placed.is_none())
+            .filter(|progress| progress.next != attempt + 1 || !progress.end_reported);
+        let Some(progress) = known else {
+            self.acknowledge_old(&id, index, end.task);
+            return;
+        };
+        let stray = released.as_ref().is_some_and(|placed| placed.stopping == Some(StopReason::Superseded));
+        if stray || progress.result.is_some() {
+            self.acknowledge_old(&id, index, end.task);
+            return;
+        }
+        progress.next = attempt + 1;
+        progress.end_reported = true;
+        progress.unacknowledged.push((end.task.clone(), self.vm.clone()));
+        self.count_end(&id, index, end, released.as_ref());
+        self.state.finish(&id);
+    }
+
+    /// Acknowledges an end that was applied before and that no owner needs to learn again.
+    fn acknowledge_old(&mut self, id: &JobId, index: u32, task: TaskId) {
+        let progress = self.state.jobs.get(id).and_then(|job| job.tasks.get(index as usize));
+        if progress.is_some_and(|progress| progress.unacknowledged.iter().any(|(kept, _)| *kept == task)) {
+            return;
+        }
+        let command = WorkerCommand::Acknowledge { task };
+        self.state.effects.push(ScheduleEffect::Command(self.vm.clone(), command));
+        self.state.finish(id);
+    }
+
+    fn count_end(&mut self, id: &JobId, index: u32, end: TaskEnd, released: Option<&PlacedTask>) {
+        let Some(job) = self.state.jobs.get_mut(id) else { return };
+        let Some(progress) = job.tasks.get_mut(index as usize) else { return };
+        match end.ending {
+            TaskEnding::Finished => {
+                progress.result = Some(end.result);
+                job.finished += 1;
+                let was_waiting = job.waiting.remove(&index);
+                if was_waiting && job.waiting.is_empty() {
+                    self.state.queue.remove(job);
+                }
+                if let (Some(placed), Some(declared)) = (released, job.spec.run_time) {
+                    let took = self.now.saturating_duration_since(placed.placed_at);
+                    self.state.run_times.observe(&job.spec.team, declared, took);
+                }
+                self.state.fleet.update(self.slot, |state| state.health.succeed());
+            }
+            TaskEnding::Failed => {
+                progress.failures += 1;
+                let (failures, retries) = (progress.failures, job.spec.retries);
+                let live = job.is_live();
+                if job.failed_on.len() < BAD_JOB_WORKERS {
+                    job.failed_on.insert(self.vm.clone());
+                }
+                let blames = job.failed_on.len() < BAD_JOB_WORKERS || retries == 0;
+                let team = job.spec.team.clone();
+                if blames {
+                    self.blame_worker(id, &team);
+                }
+                if live && failures > retries {
+                    self.state.end_job(id, JobOutcome::Failed(end.result));
+                } else {
+                    self.state.requeue(id, index, ShardState::backoff(failures), self.now);
+                }
+            }
+            TaskEnding::Stopped | TaskEnding::Lapsed => {
+                progress.retired |=
+                    released.is_some_and(|placed| placed.stopping == Some(StopReason::Replaced));
+                self.state.requeue(id, index, Duration::ZERO, self.now);
+            }
+        }
+    }
+
+    fn blame_worker(&mut self, job: &JobId, team: &TeamId) {
+        let bound = (self.state.fleet.len() / PROBATION_PART).max(1);
+        let may_suspend = self.state.probations.len() < bound;
+        let (now, mut until) = (self.now, None);
+        self.state.fleet.update(self.slot, |state| {
+            if state.health.fail(job, team) && may_suspend && !state.health.on_probation() {
+                until = Some(state.health.suspend(now));
+            }
+        });
+        if let Some(until) = until {
+            self.state.probations.insert((until, self.vm.clone()));
+        }
+    }
+
+    /// Takes tasks as lost that the worker must have had and does not report.
+    fn find_lost(&mut self, number: u64) {
+        let lag = self.state.timing.report_lag;
+        let Some(state) = self.state.fleet.get(self.slot) else { return };
+        let lost: Vec<TaskId> = state
+            .tasks
+            .iter()
+            .filter(|task| {
+                self.state
+                    .tasks
+                    .get(*task)
+                    .is_some_and(|placed| placed.report != number && placed.absence_counts(self.now, lag))
+            })
+            .cloned()
+            .collect();
+        for task in lost {
+            self.state.lose(&task, true, self.now);
+        }
+    }
+}
--- a/src/kernel/resource_vector.rs
+++ b/src/kernel/resource_vector.rs
@@ -65,6 +65,16 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// Returns how many times this amount fits into `room` at once; `u32::MAX` if it is zero.
+    #[must_use]
+    pub fn count_in(self, room: Self) -> u64 {
+        let times = |need: u64, room: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cores_milli, room.cores_milli)
+            .min(times(self.memory_mib, room.memory_mib))
+            .min(times(self.accelerators, room.accelerators))
+            .min(u64::from(u32::MAX))
+    }
+
     /// Whether every dimension is zero.
     #[must_use]
     pub fn is_zero(self) -> bool {
--- a/src/kernel/schedule_effect.rs
+++ b/src/kernel/schedule_effect.rs
@@ -5,6 +5,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum ScheduleEffect {
     /// Send a command to a worker, again until a sync that carried it is answered.
+    ///
+    /// A stop removes a start of the same task that waits to be sent.
     Command(VmId, WorkerCommand),
     /// Record the outcome of a job.
     End(JobId, JobOutcome),
@@ -21,4 +23,15 @@
         /// Workers that were rejected, counted by reason.
         rejected: Vec<(&'static str, u32)>,
     },
+    /// Log that a task is stopped, and why.
+    Stopped {
+        /// The task.
+        task: TaskId,
+        /// Its worker.
+        vm: VmId,
+        /// Why it is stopped.
+        reason: &'static str,
+    },
+    /// Stop syncing with a worker that left the VM list and whose lease is over.
+    Forget(VmId),
 }
--- a/src/kernel/schedule_event.rs
+++ b/src/kernel/schedule_event.rs
@@ -14,6 +14,14 @@
     JobAccepted(Arc<JobSpec>),
     /// A team cancelled a job.
     JobCancelled(JobId),
+    /// The outcome of a job is in the ledger.
+    JobEnded(JobId),
+    /// A waiting job was handed to another shard.
+    JobLeft(JobId),
+    /// An answered sync carried the starts and stops of these tasks; its report follows.
+    CommandsDelivered(VmId, Vec<TaskId>),
+    /// A start was dropped before any sync carried it, because a stop followed.
+    StartWithdrawn(VmId, TaskId),
     /// A worker accepted a sync.
     SyncAnswered(VmId, WorkerReport),
     /// A worker did not answer a sync; its commands may or may not have taken effect.
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -1,42 +1,31 @@
-use std::collections::VecDeque;
-
 use crate::kernel::{
-    JobExplanation, JobKind, JobOutcome, PlacementPolicy, PluginRegistry, ScheduleEffect, ScheduleEvent,
-    ShardSummary, TaskEnd, TaskEnding, WorkerCommand, WorkerReport, WorkerState, WorkerVm,
+    ClassKey, GangReservation, JobExplanation, JobOutcome, LeaseTiming, PlacementPass, PluginRegistry,
+    ReclaimPlanner, ReportFold, ScheduleEffect, ScheduleEvent, ShardState, ShardSummary, WorkerReport,
+    WorkerVm, ZoneDrain,
 };
 use crate::prelude::*;
 
-/// Queue, workers and running tasks of one shard.
+/// Tasks of cancelled and ended jobs that are stopped in one call.
+const STOPS: usize = 1_000;
+/// Workers whose lease is checked in one call.
+const LEASE_CHECKS: usize = 256;
+
+/// Decides where the tasks of one shard run.
 pub struct ShardScheduler {
     registry: PluginRegistry,
     bundle: Option<Arc<PolicyBundle>>,
-    workers: FastMap<VmId, WorkerState>,
-    jobs: FastMap<JobId, JobProgress>,
-    placed: FastMap<TaskId, PlacedTask>,
-    queue: VecDeque<(JobId, u32)>,
-    use_by_team: FastMap<TeamId, ResourceVector>,
-    allotments: FastMap<TeamId, ResourceVector>,
+    state: ShardState,
+    gang: GangReservation,
+    drain: ZoneDrain,
+    reclaim: ReclaimPlanner,
+    /// Workers that have not accepted this owner yet.
+    unheard: FastSet<VmId>,
     /// Until then, jobs accepted before the take-over wait for workers that were not heard.
     settled_at: Instant,
-}
-
-struct JobProgress {
-    spec: Arc<JobSpec>,
-    attempts: Vec<u32>,
-    results: Vec<Option<String>>,
-    failures: Vec<u32>,
-    running: u32,
-    cancelled: bool,
-    ended: bool,
-    inherited: bool,
-}
-
-struct PlacedTask {
-    vm: VmId,
-    job: JobId,
-    index: u32,
-    team: TeamId,
-    need: ResourceVector,
+    /// Whether calls have left work for the next [`ScheduleEvent::Tick`].
+    pub backlog: bool,
+    /// Workers examined by all searches for a worker so far.
+    pub examined: u64,
 }
 
 impl ShardScheduler {
@@ -46,295 +35,280 @@
         Self {
             registry,
             bundle: None,
-            workers: FastMap::default(),
-            jobs: FastMap::default(),
-            placed: FastMap::default(),
-            queue: VecDeque::new(),
-            use_by_team: FastMap::default(),
-            allotments: FastMap::default(),
+            state: ShardState::default(),
+            gang: GangReservation::default(),
+            drain: ZoneDrain::default(),
+            reclaim: ReclaimPlanner::default(),
+            unheard: FastSet::default(),
             settled_at,
+            backlog: false,
+            examined: 0,
         }
     }
 
+    /// Sets the bounds on leases; the default is a lease of 30 s and a report lag of 2 s.
+    #[must_use]
+    pub fn with_timing(mut self, timing: LeaseTiming) -> Self {
+        self.state.timing = timing;
+        self
+    }
+
     /// Adds a job that was accepted before this process claimed the shard.
     pub fn inherit(&mut self, spec: &Arc<JobSpec>, cancelled: bool) {
-        self.add_job(spec, true);
-        if let Some(job) = self.jobs.get_mut(&spec.id) {
-            job.cancelled |= cancelled;
+        self.state.add_job(spec, true);
+        if cancelled && let Some(job) = self.state.jobs.get_mut(&spec.id) {
+            job.cancelled = true;
         }
     }
 
     /// Handles one event and returns its effects in order.
     pub fn handle(&mut self, event: ScheduleEvent, now: Instant) -> Vec<ScheduleEffect> {
-        let mut effects = Vec::new();
         match event {
-            ScheduleEvent::BundleAdopted(bundle) => self.bundle = Some(bundle),
+            ScheduleEvent::BundleAdopted(bundle) => self.adopt_bundle(bundle),
             ScheduleEvent::WorkersListed(vms) => self.list_workers(vms),
             ScheduleEvent::AllotmentChanged(team, amount) => {
-                self.allotments.insert(team, amount);
+                self.state.shares.allot(&team, amount);
+                self.state.queue.unblock_team(&team);
+            }
+            ScheduleEvent::JobAccepted(spec) => {
+                self.state.add_job(&spec, false);
+                self.refuse_misfit(&spec);
+            }
+            ScheduleEvent::JobCancelled(job) => self.cancel(&job),
+            ScheduleEvent::JobEnded(job) | ScheduleEvent::JobLeft(job) => self.state.forget(&job),
+            ScheduleEvent::CommandsDelivered(vm, tasks) => {
+                if let Some(mut fold) = self.fold(vm, now) {
+                    fold.deliver(&tasks);
+                }
             }
-            ScheduleEvent::JobAccepted(spec) => self.add_job(&spec, false),
-            ScheduleEvent::JobCancelled(job) => self.cancel_job(&job, &mut effects),
-            ScheduleEvent::SyncAnswered(vm, report) => self.apply_report(&vm, report, now, &mut effects),
-            ScheduleEvent::SyncFailed(_) | ScheduleEvent::Tick => {}
+            ScheduleEvent::StartWithdrawn(vm, task) => self.withdraw(&vm, &task, now),
+            ScheduleEvent::SyncAnswered(vm, report) => self.apply_report(vm, report, now),
+            ScheduleEvent::SyncFailed(vm) => self.note_silence(&vm, now),
+            ScheduleEvent::Tick => self.tick(now),
         }
-        self.place_waiting(now, &mut effects);
-        effects
+        self.decide(now);
+        std::mem::take(&mut self.state.effects)
+    }
+
+    /// Whether the shard has the job and its outcome is not in the ledger.
+    #[must_use]
+    pub fn has_job(&self, id: &JobId) -> bool {
+        self.state.jobs.contains_key(id)
     }
 
     /// Explains where the tasks of a job are; `None` if the job is not in this shard.
     #[must_use]
     pub fn explain(&self, id: &JobId) -> Option<JobExplanation> {
-        let job = self.jobs.get(id)?;
-        let placed = self.placed.iter().filter(|(_, placed)| placed.job == *id);
-        let running = placed.map(|(task, placed)| (task.clone(), placed.vm.clone())).collect();
-        let waiting = self.queue.iter().filter(|(waiting, _)| waiting == id).count();
-        let mut explanation = JobExplanation {
-            running,
-            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
-            reasons: Vec::new(),
-        };
-        if let Some(bundle) = self.bundle.as_ref().filter(|_| waiting > 0) {
-            let reasons = self.workers.values().filter_map(|state| reject_worker(state, bundle, &job.spec));
-            let mut counts: FastMap<&str, u32> = FastMap::default();
-            for reason in reasons {
-                *counts.entry(reason).or_default() += 1;
-            }
-            explanation.reasons =
-                counts.into_iter().map(|(reason, count)| (reason.to_owned(), count)).collect();
-        }
-        Some(explanation)
+        JobExplanation::of(id, &self.state, &self.gang)
     }
 
     /// Summarises the shard for operators.
     #[must_use]
     pub fn summary(&self, shard: ShardId) -> ShardSummary {
-        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-        let sum = |amounts: &mut dyn Iterator<Item = ResourceVector>| {
-            amounts.fold(ResourceVector::default(), ResourceVector::plus)
-        };
-        ShardSummary {
-            shard,
-            workers: count(self.workers.len()),
-            workers_heard: count(self.workers.values().filter(|state| state.heard).count()),
-            capacity: sum(&mut self.workers.values().map(|state| state.vm.capacity)),
-            used: sum(&mut self.workers.values().map(|state| state.used)),
-            waiting: count(self.queue.len()),
-            used_by_team: self.use_by_team.iter().map(|(team, used)| (team.clone(), *used)).collect(),
-            allotments: self.allotments.iter().map(|(team, amount)| (team.clone(), *amount)).collect(),
+        ShardSummary::of(shard, &self.state)
+    }
+
+    fn adopt_bundle(&mut self, bundle: Arc<PolicyBundle>) {
+        self.state.shares.adopt(&bundle);
+        let slots: Vec<(u32, bool)> = self
+            .state
+            .fleet
+            .iter()
+            .map(|(slot, worker)| (slot, worker.zone_open, bundle.zone_open(&worker.vm.zone)))
+            .filter_map(|(slot, old, new)| (old != new).then_some((slot, new)))
+            .collect();
+        for (slot, open) in slots {
+            self.state.fleet.update(slot, |worker| worker.zone_open = open);
+            if !open {
+                self.drain.add_worker(&mut self.state, slot);
+            }
         }
+        // Another policy may place what the old one could not.
+        self.state.queue.unblock_all();
+        self.bundle = Some(bundle);
     }
 
     fn list_workers(&mut self, vms: Vec<WorkerVm>) {
+        let named: FastSet<VmId> = vms.iter().map(|vm| vm.vm.clone()).collect();
+        let gone: Vec<u32> = self
+            .state
+            .fleet
+            .iter()
+            .filter(|(_, worker)| worker.listed && !named.contains(&worker.vm.vm))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in gone {
+            self.state.fleet.update(slot, |worker| worker.listed = false);
+            if self.state.fleet.get(slot).is_some_and(|worker| worker.lease_end.is_none()) {
+                self.forget_worker(slot);
+            }
+        }
         for vm in vms {
-            match self.workers.get_mut(&vm.vm) {
-                Some(state) => state.vm = vm,
-                None => {
-                    self.workers.insert(vm.vm.clone(), WorkerState::new(vm));
-                }
+            let open = self.bundle.as_ref().is_some_and(|bundle| bundle.zone_open(&vm.zone));
+            let leaving = vm.leaving;
+            let slot = self.state.fleet.list(vm, open);
+            if let Some(worker) = self.state.fleet.get(slot).filter(|worker| !worker.heard) {
+                self.unheard.insert(worker.vm.vm.clone());
+            }
+            if leaving {
+                self.drain.add_worker(&mut self.state, slot);
             }
         }
+        self.unheard.retain(|vm| named.contains(vm));
+        self.refuse_misfits();
     }
 
-    fn add_job(&mut self, spec: &Arc<JobSpec>, inherited: bool) {
-        let count = spec.tasks as usize;
-        self.queue.extend((0..spec.tasks).map(|index| (spec.id.clone(), index)));
-        let progress = JobProgress {
-            attempts: vec![0; count],
-            results: vec![None; count],
-            failures: vec![0; count],
-            running: 0,
-            cancelled: false,
-            ended: false,
-            inherited,
-            spec: spec.clone(),
-        };
-        self.jobs.insert(spec.id.clone(), progress);
+    fn cancel(&mut self, id: &JobId) {
+        self.state.cancel(id);
+        if self.gang.held().is_some_and(|held| held.job == *id) {
+            self.gang.release(&mut self.state);
+        }
     }
 
-    fn cancel_job(&mut self, id: &JobId, effects: &mut Vec<ScheduleEffect>) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        job.cancelled = true;
-        self.queue.retain(|(waiting, _)| waiting != id);
-        for (task, placed) in self.placed.iter().filter(|(_, placed)| placed.job == *id) {
-            effects
-                .push(ScheduleEffect::Command(placed.vm.clone(), WorkerCommand::Stop { task: task.clone() }));
-        }
-        self.finish_job(id, effects);
+    fn fold(&mut self, vm: VmId, now: Instant) -> Option<ReportFold<'_>> {
+        let slot = self.state.fleet.slot(&vm)?;
+        Some(ReportFold { state: &mut self.state, vm, slot, now })
     }
 
-    fn apply_report(
-        &mut self,
-        vm: &VmId,
-        report: WorkerReport,
-        now: Instant,
-        effects: &mut Vec<ScheduleEffect>,
-    ) {
-        let Some(state) = self.workers.get_mut(vm) else { return };
-        state.heard = true;
-        state.last_sync = Some(now);
-        for running in &report.running {
-            self.adopt_task(vm, &running.task, running.need);
+    fn apply_report(&mut self, vm: VmId, report: WorkerReport, now: Instant) {
+        self.unheard.remove(&vm);
+        let armed = self.state.fleet.slot(&vm).and_then(|slot| self.state.fleet.get(slot));
+        let first = armed.is_some_and(|worker| worker.lease_end.is_none());
+        if let Some(mut fold) = self.fold(vm.clone(), now) {
+            fold.apply(report);
         }
-        for end in report.ended {
-            self.apply_end(vm, &end, effects);
-            let command = WorkerCommand::Acknowledge { task: end.task };
-            effects.push(ScheduleEffect::Command(vm.clone(), command));
+        if first {
+            self.state.lease_checks.insert((self.state.timing.surely_over(now), vm));
         }
     }
 
-    /// Counts a running task that this owner did not start itself.
-    fn adopt_task(&mut self, vm: &VmId, task: &TaskId, need: ResourceVector) {
-        if self.placed.contains_key(task) {
+    /// Notes that a sync may or may not have extended the lease and carried its commands.
+    fn note_silence(&mut self, vm: &VmId, now: Instant) {
+        let Some(slot) = self.state.fleet.slot(vm) else { return };
+        let bound = self.state.timing.surely_over(now);
+        self.state.fleet.update(slot, |worker| {
+            // Later syncs grant only the rest of the lease that the first failed one may have granted.
+            if worker.failed_syncs == 0 && worker.heard {
+                worker.lease_end = Some(bound);
+            }
+            worker.failed_syncs += 1;
+        });
+    }
+
+    /// Frees the room of a start that was never sent.
+    fn withdraw(&mut self, vm: &VmId, task: &TaskId, now: Instant) {
+        if self.state.tasks.get(task).is_none_or(|placed| placed.vm != *vm || placed.confirmed_at.is_some()) {
             return;
         }
-        let Some((job, index, attempt)) = JobSpec::split_task_id(task) else { return };
-        let Some(progress) = self.jobs.get_mut(&job) else { return };
-        progress.attempts[index as usize] = attempt;
-        progress.running += 1;
-        let team = progress.spec.team.clone();
-        self.queue.retain(|(waiting, waiting_index)| *waiting != job || *waiting_index != index);
-        self.occupy(task.clone(), PlacedTask { vm: vm.clone(), job, index, team, need });
+        let Some(placed) = self.state.release(task) else { return };
+        self.state.requeue(&placed.job, placed.index, Duration::ZERO, now);
+        self.state.finish(&placed.job);
     }
 
-    fn occupy(&mut self, task: TaskId, placed: PlacedTask) {
-        if let Some(state) = self.workers.get_mut(&placed.vm) {
-            state.used = state.used.plus(placed.need);
-            state.tasks.insert(task.clone());
+    fn tick(&mut self, now: Instant) {
+        self.state.resume_delayed(now);
+        self.state.resume_probations(now);
+        for class in std::mem::take(&mut self.state.cut) {
+            self.state.queue.unblock(class);
         }
-        let used = self.use_by_team.entry(placed.team.clone()).or_default();
-        *used = used.plus(placed.need);
-        self.placed.insert(task, placed);
+        self.check_leases(now);
+        self.gang.expire(&mut self.state, now);
+        self.drain.advance(&mut self.state, now);
+        self.reclaim.advance(&mut self.state, now);
     }
 
-    fn apply_end(&mut self, vm: &VmId, end: &TaskEnd, effects: &mut Vec<ScheduleEffect>) {
-        if !self.placed.contains_key(&end.task) {
-            self.adopt_task(vm, &end.task, ResourceVector::default());
-        }
-        let Some(placed) = self.placed.remove(&end.task) else { return };
-        if let Some(state) = self.workers.get_mut(&placed.vm) {
-            state.used = state.used.minus(placed.need);
-            state.tasks.remove(&end.task);
-        }
-        if let Some(used) = self.use_by_team.get_mut(&placed.team) {
-            *used = used.minus(placed.need);
-        }
-        let Some(job) = self.jobs.get_mut(&placed.job) else { return };
-        job.running -= 1;
-        let index = placed.index as usize;
-        match end.ending {
-            TaskEnding::Finished => job.results[index] = Some(end.result.clone()),
-            _ if job.cancelled || job.ended => {}
-            TaskEnding::Failed if job.failures[index] >= job.spec.retries => {
-                job.ended = true;
-                effects.push(ScheduleEffect::End(placed.job.clone(), JobOutcome::Failed(end.result.clone())));
-            }
-            ending => {
-                job.failures[index] += u32::from(ending == TaskEnding::Failed);
-                job.attempts[index] += 1;
-                self.queue.push_back((placed.job.clone(), placed.index));
+    /// Gives up tasks of workers whose lease is surely over.
+    fn check_leases(&mut self, now: Instant) {
+        for _ in 0..LEASE_CHECKS {
+            let due = self.state.lease_checks.first().is_some_and(|(due, _)| *due <= now);
+            let Some((_, vm)) = due.then(|| self.state.lease_checks.pop_first()).flatten() else { return };
+            let Some(slot) = self.state.fleet.slot(&vm) else { continue };
+            let Some(worker) = self.state.fleet.get(slot) else { continue };
+            let Some(end) = worker.lease_end else { continue };
+            if end > now {
+                self.state.lease_checks.insert((end, vm));
+                continue;
             }
+            self.lapse(slot, now);
         }
-        self.finish_job(&placed.job, effects);
+        self.backlog = true;
     }
 
-    fn finish_job(&mut self, id: &JobId, effects: &mut Vec<ScheduleEffect>) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.ended || job.running > 0 {
-            return;
+    fn lapse(&mut self, slot: u32, now: Instant) {
+        let Some(worker) = self.state.fleet.get(slot) else { return };
+        let listed = worker.listed;
+        for task in worker.tasks.iter().cloned().collect::<Vec<_>>() {
+            self.state.lose(&task, false, now);
         }
-        if job.cancelled {
-            job.ended = true;
-            effects.push(ScheduleEffect::End(id.clone(), JobOutcome::Cancelled));
-        } else if job.results.iter().all(Option::is_some) {
-            job.ended = true;
-            let results = job.results.iter_mut().filter_map(Option::take).collect();
-            effects.push(ScheduleEffect::End(id.clone(), JobOutcome::Finished(results)));
+        self.state.fleet.update(slot, |worker| {
+            worker.lease_end = None;
+            worker.failed_syncs = worker.failed_syncs.max(1);
+        });
+        if !listed {
+            self.forget_worker(slot);
+            self.refuse_misfits();
         }
     }
 
-    fn place_waiting(&mut self, now: Instant, effects: &mut Vec<ScheduleEffect>) {
-        let Some(bundle) = self.bundle.clone() else { return };
-        let settled = now >= self.settled_at || self.workers.values().all(|state| state.heard);
-        for _ in 0..self.queue.len() {
-            let Some((id, index)) = self.queue.pop_front() else { return };
-            let Some(job) = self.jobs.get(&id).filter(|job| !job.cancelled && !job.ended) else { continue };
-            let blocked = job.inherited && !settled;
-            if blocked || !self.place_task(&bundle, &id, index, effects) {
-                self.queue.push_back((id, index));
-            }
+    /// Forgets a worker that is not listed and holds no lease.
+    fn forget_worker(&mut self, slot: u32) {
+        let Some(worker) = self.state.fleet.remove(slot) else { return };
+        self.unheard.remove(&worker.vm.vm);
+        self.state.effects.push(ScheduleEffect::Forget(worker.vm.vm));
+    }
+
+    /// Refuses waiting jobs that no worker can hold.
+    fn refuse_misfits(&mut self) {
+        let shapes = self.state.fleet.shapes().collect::<Vec<_>>();
+        if shapes == self.state.shapes_checked {
+            return;
+        }
+        self.state.shapes_checked = shapes;
+        let misfits = |key: &ClassKey| self.state.fleet.misfit(key.need, u64::from(key.together)).is_some();
+        let jobs: Vec<JobId> = self
+            .state
+            .queue
+            .iter()
+            .filter(|(_, class)| misfits(&class.key))
+            .flat_map(|(_, class)| class.jobs.values().cloned())
+            .collect();
+        for job in jobs {
+            let Some(spec) = self.state.jobs.get(&job).map(|job| job.spec.clone()) else { continue };
+            self.refuse_misfit(&spec);
         }
     }
 
-    fn place_task(
-        &mut self,
-        bundle: &PolicyBundle,
-        id: &JobId,
-        index: u32,
-        effects: &mut Vec<ScheduleEffect>,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(id) else { return false };
-        let spec = job.spec.clone();
-        let used = self.use_by_team.get(&spec.team).copied().unwrap_or_default();
-        let allotment = self.allotments.get(&spec.team).copied().unwrap_or_default();
-        if !used.plus(spec.need).fits(allotment) {
-            return false;
+    fn refuse_misfit(&mut self, spec: &JobSpec) {
+        let key = ClassKey::of(spec);
+        if let Some(reason) = self.state.fleet.misfit(key.need, u64::from(key.together)) {
+            self.state.end_job(&spec.id, JobOutcome::Refused(reason));
         }
-        let Some(policy) = self.registry.placement(bundle, spec.kind) else { return false };
-        let (chosen, rejected) = choose_worker(self.workers.values(), bundle, &spec, &policy);
-        let Some(vm) = chosen else { return false };
-        let task = spec.task_id(index, job.attempts[index as usize]);
-        job.running += 1;
-        let run_time = spec.run_time.filter(|_| spec.kind != JobKind::Service);
-        let command =
-            WorkerCommand::Start { task: task.clone(), team: spec.team.clone(), need: spec.need, run_time };
-        effects.push(ScheduleEffect::Placed {
-            task: task.clone(),
-            team: spec.team.clone(),
-            vm: vm.clone(),
-            reason: policy.name,
-            rejected,
-        });
-        effects.push(ScheduleEffect::Command(vm.clone(), command));
-        let placed = PlacedTask { vm, job: id.clone(), index, team: spec.team.clone(), need: spec.need };
-        self.occupy(task, placed);
-        true
     }
-}
 
-/// Returns the best worker for a task and the rejected ones counted by reason.
-fn choose_worker<'a>(
-    workers: impl Iterator<Item = &'a WorkerState>,
-    bundle: &PolicyBundle,
-    spec: &JobSpec,
-    policy: &PlacementPolicy,
-) -> (Option<VmId>, Vec<(&'static str, u32)>) {
-    let mut rejected: FastMap<&'static str, u32> = FastMap::default();
-    let mut best: Option<(i64, &VmId)> = None;
-    for state in workers {
-        if let Some(reason) = reject_worker(state, bundle, spec) {
-            *rejected.entry(reason).or_default() += 1;
-            continue;
+    fn decide(&mut self, now: Instant) {
+        let heard_all = self.unheard.is_empty() && !self.state.fleet.is_empty();
+        if !self.state.held.is_empty() && (heard_all || now >= self.settled_at) {
+            self.release_held();
         }
-        let candidate = ((policy.score)(state, spec), &state.vm.vm);
-        if best.is_none_or(|best| candidate > best) {
-            best = Some(candidate);
+        self.state.drain_stops(STOPS);
+        self.state.shares.refresh(now, self.state.fleet.capacity);
+        let mut more = !self.state.stop_backlog.is_empty();
+        if let Some(bundle) = self.bundle.clone() {
+            let (state, gang, registry) = (&mut self.state, &mut self.gang, &self.registry);
+            more |= PlacementPass { state, gang, registry, bundle: &bundle, now }.run();
         }
+        self.backlog = more;
+        self.examined = self.state.fleet.examined;
     }
-    let mut rejected: Vec<_> = rejected.into_iter().collect();
-    rejected.sort_unstable();
-    (best.map(|(_, vm)| vm.clone()), rejected)
-}
 
-fn reject_worker(state: &WorkerState, bundle: &PolicyBundle, spec: &JobSpec) -> Option<&'static str> {
-    if !state.heard {
-        return Some("not_heard");
-    }
-    if state.vm.leaving {
-        return Some("leaving");
-    }
-    if !bundle.zone_open(&state.vm.zone) {
-        return Some("zone_closed");
+    fn release_held(&mut self) {
+        for id in self.state.held.clone() {
+            let Some(job) = self.state.jobs.get(&id) else { continue };
+            if job.is_live() && !job.waiting.is_empty() {
+                let spec = job.spec.clone();
+                self.refuse_misfit(&spec);
+            }
+        }
+        self.state.release_held();
     }
-    spec.need.lacking(state.free())
 }
--- /dev/null
+++ b/src/kernel/shard_state.rs
@@ -0,0 +1,315 @@
+use std::collections::{BTreeSet, VecDeque};
+
+use crate::kernel::{
+    ClassId, FleetView, JobKind, JobOutcome, JobProgress, JobSpec, LeaseTiming, PlacedTask, PriorityClass,
+    RunTimeLedger, ScheduleEffect, ShareLedger, StopReason, WaitQueue, WorkerCommand,
+};
+use crate::prelude::*;
+
+/// First wait before a failed or lost task is tried again; it doubles each time.
+const BACKOFF: Duration = Duration::from_millis(500);
+/// Doublings of the wait at most, so that it stays near half a minute.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Jobs, tasks, workers and shares of one shard, with the changes that keep them consistent.
+#[derive(Default)]
+pub struct ShardState {
+    /// The workers.
+    pub fleet: FleetView,
+    /// Use of the teams.
+    pub shares: ShareLedger,
+    /// Waiting tasks.
+    pub queue: WaitQueue,
+    /// Jobs whose outcome is not in the ledger.
+    pub jobs: FastMap<JobId, JobProgress>,
+    /// Tasks that count on a worker.
+    pub tasks: FastMap<TaskId, PlacedTask>,
+    /// Tasks that may be reclaimed, by team, least work first from the back.
+    pub recent: FastMap<TeamId, BTreeSet<(Instant, TaskId)>>,
+    /// Run times of the teams.
+    pub run_times: RunTimeLedger,
+    /// Bounds on leases.
+    pub timing: LeaseTiming,
+    /// Jobs that wait until leases of an earlier owner are over.
+    pub held: Vec<JobId>,
+    /// Tasks that back off, by time.
+    pub delayed: BTreeSet<(Instant, JobId, u32)>,
+    /// Workers on probation, by its end.
+    pub probations: BTreeSet<(Instant, VmId)>,
+    /// Workers whose lease is checked, by time.
+    pub lease_checks: BTreeSet<(Instant, VmId)>,
+    /// Classes whose last search was cut off; they are tried again with the next tick.
+    pub cut: Vec<ClassId>,
+    /// Worker shapes for which misfits were refused.
+    pub shapes_checked: Vec<(ResourceVector, u32)>,
+    /// Tasks to be stopped in slices.
+    pub stop_backlog: VecDeque<(TaskId, StopReason)>,
+    /// What is to be done.
+    pub effects: Vec<ScheduleEffect>,
+    sequence: u64,
+}
+
+impl ShardState {
+    /// Adds a job; one that is known already is left alone.
+    pub fn add_job(&mut self, spec: &Arc<JobSpec>, inherited: bool) {
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        self.sequence += 1;
+        let job = JobProgress::new(spec.clone(), self.sequence, inherited);
+        if inherited {
+            self.held.push(spec.id.clone());
+        } else {
+            self.queue.add(&job);
+        }
+        self.jobs.insert(spec.id.clone(), job);
+    }
+
+    /// Lets jobs wait for workers that were held back for leases of an earlier owner.
+    pub fn release_held(&mut self) {
+        for id in std::mem::take(&mut self.held) {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.inherited = false;
+            if job.cancelled {
+                self.cancel(&id);
+            } else if job.is_live() && !job.waiting.is_empty() {
+                self.queue.add(job);
+            }
+        }
+    }
+
+    /// Places a waiting task on a worker.
+    pub fn start(
+        &mut self,
+        id: &JobId,
+        index: u32,
+        slot: u32,
+        reason: &'static str,
+        rejected: Vec<(&'static str, u32)>,
+        now: Instant,
+    ) {
+        let Some(vm) = self.fleet.get(slot).map(|state| state.vm.vm.clone()) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(progress) = job.tasks.get_mut(index as usize) else { return };
+        let spec = job.spec.clone();
+        let task = spec.task_id(index, progress.next);
+        progress.next += 1;
+        progress.end_reported = false;
+        job.waiting.remove(&index);
+        job.backing_off.remove(&index);
+        if job.waiting.is_empty() {
+            self.queue.remove(job);
+        }
+        let run_time = spec.run_time.filter(|_| spec.kind != JobKind::Service);
+        let team = spec.team.clone();
+        let command =
+            WorkerCommand::Start { task: task.clone(), team: team.clone(), need: spec.need, run_time };
+        self.effects.push(ScheduleEffect::Placed {
+            task: task.clone(),
+            team,
+            vm: vm.clone(),
+            reason,
+            rejected,
+        });
+        self.effects.push(ScheduleEffect::Command(vm.clone(), command));
+        let expected_end = run_time.map(|run_time| now + self.run_times.correct(&spec.team, run_time));
+        self.occupy(task, PlacedTask { expected_end, ..PlacedTask::new(vm, &spec, index, now) });
+    }
+
+    /// Counts a task on its worker, against its team and for its job.
+    pub fn occupy(&mut self, task: TaskId, placed: PlacedTask) {
+        let slot = self.fleet.slot(&placed.vm);
+        if let Some(slot) = slot {
+            self.fleet.update(slot, |state| {
+                state.used = state.used.plus(placed.need);
+                state.tasks.insert(task.clone());
+            });
+        }
+        self.shares.add(&placed.team, placed.need, self.fleet.capacity);
+        if placed.priority == PriorityClass::Normal {
+            let recent = self.recent.entry(placed.team.clone()).or_default();
+            recent.insert((placed.work_since, task.clone()));
+        }
+        if let Some(job) = self.jobs.get_mut(&placed.job)
+            && let Some(progress) = job.tasks.get_mut(placed.index as usize)
+            && progress.placed.is_none()
+            && placed.stopping != Some(StopReason::Superseded)
+        {
+            progress.placed = Some(task.clone());
+            job.placed += 1;
+            if let Some(state) = slot.and_then(|slot| self.fleet.get(slot)) {
+                job.spread.add(state);
+            }
+        }
+        self.tasks.insert(task, placed);
+    }
+
+    /// Counts a task no longer; the caller is sure that it does not run.
+    pub fn release(&mut self, task: &TaskId) -> Option<PlacedTask> {
+        let placed = self.tasks.remove(task)?;
+        let slot = self.fleet.slot(&placed.vm);
+        if let Some(job) = self.jobs.get_mut(&placed.job)
+            && let Some(progress) = job.tasks.get_mut(placed.index as usize)
+            && progress.placed.as_ref() == Some(task)
+        {
+            progress.placed = None;
+            job.placed -= 1;
+            if let Some(state) = slot.and_then(|slot| self.fleet.get(slot)) {
+                job.spread.remove(state);
+            }
+        }
+        if let Some(slot) = slot {
+            self.fleet.update(slot, |state| {
+                state.used = state.used.minus(placed.need);
+                state.tasks.remove(task);
+            });
+        }
+        if let Some(recent) = self.recent.get_mut(&placed.team) {
+            recent.remove(&(placed.work_since, task.clone()));
+        }
+        self.shares.remove(&placed.team, placed.need, self.fleet.capacity);
+        self.queue.unblock_team(&placed.team);
+        Some(placed)
+    }
+
+    /// Takes a task as ended without a report: it vanished from its worker, or the lease of the worker is over.
+    ///
+    /// With `backs_off`, the task waits longer each time before it is placed again.
+    pub fn lose(&mut self, task: &TaskId, backs_off: bool, now: Instant) {
+        let Some(placed) = self.release(task) else { return };
+        // The start may still wait to be sent.
+        let stop = WorkerCommand::Stop { task: task.clone() };
+        self.effects.push(ScheduleEffect::Command(placed.vm, stop));
+        let Some(job) = self.jobs.get_mut(&placed.job) else { return };
+        let Some(progress) = job.tasks.get_mut(placed.index as usize) else { return };
+        progress.retired |= placed.stopping == Some(StopReason::Replaced);
+        let delay = if placed.stopping.is_some() || !backs_off {
+            Duration::ZERO
+        } else {
+            progress.losses += 1;
+            Self::backoff(progress.losses)
+        };
+        if placed.stopping != Some(StopReason::Superseded) {
+            progress.lapsed = true;
+            self.requeue(&placed.job, placed.index, delay, now);
+        }
+        self.finish(&placed.job);
+    }
+
+    /// Lets a task wait again, after `delay`; one that finished or was replaced does not.
+    pub fn requeue(&mut self, id: &JobId, index: u32, delay: Duration, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_live()) else { return };
+        let Some(progress) = job.tasks.get(index as usize) else { return };
+        if progress.retired || progress.result.is_some() || progress.placed.is_some() {
+            return;
+        }
+        if !delay.is_zero() {
+            job.backing_off.insert(index);
+            self.delayed.insert((now + delay, id.clone(), index));
+            return;
+        }
+        job.backing_off.remove(&index);
+        job.waiting.insert(index);
+        if !job.inherited {
+            self.queue.add(job);
+        }
+    }
+
+    /// Lets tasks wait again whose backoff is over.
+    pub fn resume_delayed(&mut self, now: Instant) {
+        while self.delayed.first().is_some_and(|(due, ..)| *due <= now) {
+            let Some((_, job, index)) = self.delayed.pop_first() else { return };
+            self.requeue(&job, index, Duration::ZERO, now);
+        }
+    }
+
+    /// Lets workers be tried again whose probation is over.
+    pub fn resume_probations(&mut self, now: Instant) {
+        while self.probations.first().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, vm)) = self.probations.pop_first() else { return };
+            if let Some(slot) = self.fleet.slot(&vm) {
+                self.fleet.update(slot, |worker| worker.health.resume());
+            }
+        }
+    }
+
+    /// Returns how long a task waits after its `count`-th failure or loss.
+    #[must_use]
+    pub fn backoff(count: u32) -> Duration {
+        BACKOFF * 2u32.pow(count.saturating_sub(1).min(MAX_DOUBLINGS))
+    }
+
+    /// Asks the worker of a task to stop it; the task counts until its end is confirmed.
+    pub fn stop(&mut self, task: &TaskId, reason: StopReason) {
+        let Some(placed) = self.tasks.get_mut(task) else { return };
+        if placed.stopping.is_some_and(|stopping| stopping == reason) {
+            return;
+        }
+        let first = placed.stopping.replace(reason).is_none();
+        let vm = placed.vm.clone();
+        if first {
+            let reason = reason.label();
+            self.effects.push(ScheduleEffect::Stopped { task: task.clone(), vm: vm.clone(), reason });
+            self.effects.push(ScheduleEffect::Command(vm, WorkerCommand::Stop { task: task.clone() }));
+        }
+    }
+
+    /// Stops up to `limit` tasks of the backlog.
+    pub fn drain_stops(&mut self, limit: usize) {
+        for _ in 0..limit.min(self.stop_backlog.len()) {
+            if let Some((task, reason)) = self.stop_backlog.pop_front() {
+                self.stop(&task, reason);
+            }
+        }
+    }
+
+    /// Cancels a job: nothing of it starts any more, what runs is stopped.
+    pub fn cancel(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else { return };
+        job.cancelled = true;
+        // Tasks that an earlier owner started may still be found.
+        if !job.inherited {
+            self.clear_waiting(id);
+            self.finish(id);
+        }
+    }
+
+    /// Decides the outcome of a job and stops what still runs of it.
+    pub fn end_job(&mut self, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else { return };
+        job.ended = true;
+        self.clear_waiting(id);
+        self.effects.push(ScheduleEffect::End(id.clone(), outcome));
+    }
+
+    /// Decides the outcome of a job if all its tasks are done.
+    pub fn finish(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.ended || job.inherited && job.cancelled || job.placed > 0 {
+            return;
+        }
+        if job.cancelled {
+            self.end_job(id, JobOutcome::Cancelled);
+        } else if job.finished >= job.spec.tasks {
+            let results = job.tasks.iter_mut().filter_map(|progress| progress.result.take()).collect();
+            self.end_job(id, JobOutcome::Finished(results));
+        }
+    }
+
+    /// Forgets a job whose outcome is in the ledger; its ended tasks need not be repeated any more.
+    pub fn forget(&mut self, id: &JobId) {
+        self.clear_waiting(id);
+        let Some(job) = self.jobs.remove(id) else { return };
+        for (task, vm) in job.tasks.into_iter().flat_map(|progress| progress.unacknowledged) {
+            self.effects.push(ScheduleEffect::Command(vm, WorkerCommand::Acknowledge { task }));
+        }
+    }
+
+    fn clear_waiting(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        self.queue.remove(job);
+        job.waiting.clear();
+        let placed = job.tasks.iter().filter_map(|progress| progress.placed.clone());
+        self.stop_backlog.extend(placed.map(|task| (task, StopReason::JobEnded)));
+    }
+}
--- a/src/kernel/shard_summary.rs
+++ b/src/kernel/shard_summary.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::kernel::ShardState;
 use crate::prelude::*;
 
 /// A shard as its owner sees it, for operators.
@@ -22,3 +23,25 @@
     /// Allotment of each team.
     pub allotments: Vec<(TeamId, ResourceVector)>,
 }
+
+impl ShardSummary {
+    /// Summarises the state of a shard.
+    #[must_use]
+    pub fn of(shard: ShardId, state: &ShardState) -> Self {
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        let workers = || state.fleet.iter().map(|(_, worker)| worker).filter(|worker| worker.listed);
+        let used = workers().fold(ResourceVector::default(), |sum, worker| sum.plus(worker.used));
+        let capacity = workers().fold(ResourceVector::default(), |sum, worker| sum.plus(worker.vm.capacity));
+        let waiting = state.jobs.values().map(|job| job.waiting.len() + job.backing_off.len()).sum();
+        Self {
+            shard,
+            workers: count(workers().count()),
+            workers_heard: count(workers().filter(|worker| worker.heard).count()),
+            capacity,
+            used,
+            waiting: count(waiting),
+            used_by_team: state.shares.iter().map(|(team, used, _)| (team.clone(), used)).collect(),
+            allotments: state.shares.iter().map(|(team, _, allotment)| (team.clone(), allotment)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/kernel/wait_queue.rs
@@ -0,0 +1,237 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::kernel::{JobKind, JobProgress, PriorityClass, ShareLedger};
+use crate::prelude::*;
+
+/// Number of a class of waiting tasks.
+pub type ClassId = u64;
+
+/// Tasks with the same key fit on the same workers, under the same limits and into the same gaps.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ClassKey {
+    /// The team.
+    pub team: TeamId,
+    /// The kind of job.
+    pub kind: JobKind,
+    /// The priority.
+    pub priority: PriorityClass,
+    /// What each task needs.
+    pub need: ResourceVector,
+    /// Tasks that must start together; 1 if the kind is not `gang`.
+    pub together: u32,
+    /// Binary digits of the declared run time in seconds, as short work may use the gaps of a reservation.
+    pub length: u32,
+}
+
+impl ClassKey {
+    /// Returns the class of the waiting tasks of a job.
+    #[must_use]
+    pub fn of(spec: &JobSpec) -> Self {
+        Self {
+            team: spec.team.clone(),
+            kind: spec.kind,
+            priority: spec.priority,
+            need: spec.need,
+            together: if spec.kind == JobKind::Gang { spec.tasks } else { 1 },
+            length: spec
+                .run_time
+                .map_or(u32::MAX, |run_time| run_time.as_secs().checked_ilog2().map_or(0, |log| log + 1)),
+        }
+    }
+}
+
+/// Why no task of a class can be placed until something changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum WaitReason {
+    /// No worker has room.
+    #[display("fits_nowhere")]
+    FitsNowhere,
+    /// The allotment of the team is used up.
+    #[display("over_limit")]
+    OverLimit,
+    /// Another gang job holds the reservation.
+    #[display("reserved")]
+    Reserved,
+}
+
+/// Jobs whose waiting tasks are alike, in the order of submission.
+#[derive(Clone, Debug)]
+pub struct WaitClass {
+    /// What they have in common.
+    pub key: ClassKey,
+    /// Jobs by order of submission.
+    pub jobs: BTreeMap<u64, JobId>,
+    /// Why the class waits; `None` if it is to be tried.
+    pub blocked: Option<WaitReason>,
+}
+
+/// Waiting jobs of a shard, by team and class.
+#[derive(Clone, Debug, Default)]
+pub struct WaitQueue {
+    classes: FastMap<ClassId, WaitClass>,
+    by_key: FastMap<ClassKey, ClassId>,
+    /// Classes to be tried, by team, in order.
+    ready: FastMap<TeamId, BTreeSet<(PriorityClass, u64, ClassId)>>,
+    /// Classes that no worker has room for, by cores of one task.
+    unfit: BTreeSet<(u64, ClassId)>,
+    /// Classes over the allotment of their team.
+    limited: FastMap<TeamId, BTreeSet<ClassId>>,
+    /// Classes that wait for the reservation of another job.
+    reserved: FastSet<ClassId>,
+    next: ClassId,
+}
+
+impl WaitQueue {
+    /// Adds a job with waiting tasks; one that is there already stays.
+    pub fn add(&mut self, job: &JobProgress) {
+        let key = ClassKey::of(&job.spec);
+        let id = *self.by_key.entry(key.clone()).or_insert_with(|| {
+            self.next += 1;
+            self.classes.insert(self.next, WaitClass { key, jobs: BTreeMap::new(), blocked: None });
+            self.next
+        });
+        self.change_jobs(id, |jobs| {
+            jobs.insert(job.sequence, job.spec.id.clone());
+        });
+    }
+
+    /// Takes a job out.
+    pub fn remove(&mut self, job: &JobProgress) {
+        let Some(id) = self.by_key.get(&ClassKey::of(&job.spec)).copied() else { return };
+        self.change_jobs(id, |jobs| {
+            jobs.remove(&job.sequence);
+        });
+    }
+
+    /// Returns the class to try next: urgent ones first, then the team with the lowest share, then the oldest.
+    #[must_use]
+    pub fn next(&self, shares: &ShareLedger) -> Option<ClassId> {
+        let heads = self.ready.iter().filter_map(|(team, classes)| Some((team, classes.first()?)));
+        let best = heads.min_by(|(team, head), (other_team, other)| {
+            let by_share = || shares.score(team).total_cmp(&shares.score(other_team));
+            head.0.cmp(&other.0).then_with(by_share).then(head.1.cmp(&other.1))
+        });
+        best.map(|(_, head)| head.2)
+    }
+
+    /// Returns a class.
+    #[must_use]
+    pub fn get(&self, id: ClassId) -> Option<&WaitClass> {
+        self.classes.get(&id)
+    }
+
+    /// Returns the class of a job.
+    #[must_use]
+    pub fn class_of(&self, spec: &JobSpec) -> Option<(ClassId, &WaitClass)> {
+        let id = *self.by_key.get(&ClassKey::of(spec))?;
+        Some((id, self.classes.get(&id)?))
+    }
+
+    /// Returns all classes.
+    pub fn iter(&self) -> impl Iterator<Item = (ClassId, &WaitClass)> {
+        self.classes.iter().map(|(id, class)| (*id, class))
+    }
+
+    /// Returns the classes that no worker has room for.
+    pub fn unfit(&self) -> impl Iterator<Item = (ClassId, &WaitClass)> {
+        self.unfit.iter().filter_map(|(_, id)| Some((*id, self.classes.get(id)?)))
+    }
+
+    /// Sets a class aside until [`Self::unblock`].
+    pub fn block(&mut self, id: ClassId, reason: WaitReason) {
+        let Some(class) = self.classes.get_mut(&id) else { return };
+        if let Some((priority, sequence)) = head(class)
+            && let Some(ready) = self.ready.get_mut(&class.key.team)
+        {
+            ready.remove(&(priority, sequence, id));
+        }
+        class.blocked = Some(reason);
+        match reason {
+            WaitReason::FitsNowhere => {
+                self.unfit.insert((class.key.need.cores_milli, id));
+            }
+            WaitReason::OverLimit => {
+                self.limited.entry(class.key.team.clone()).or_default().insert(id);
+            }
+            WaitReason::Reserved => {
+                self.reserved.insert(id);
+            }
+        }
+    }
+
+    /// Lets a class be tried again.
+    pub fn unblock(&mut self, id: ClassId) {
+        let Some(class) = self.classes.get_mut(&id) else { return };
+        if class.blocked.take().is_none() {
+            return;
+        }
+        self.unfit.remove(&(class.key.need.cores_milli, id));
+        self.reserved.remove(&id);
+        if let Some(limited) = self.limited.get_mut(&class.key.team) {
+            limited.remove(&id);
+        }
+        if let Some((priority, sequence)) = head(class) {
+            self.ready.entry(class.key.team.clone()).or_default().insert((priority, sequence, id));
+        }
+    }
+
+    /// Lets the classes be tried again that need at most `free` per task.
+    pub fn unblock_fitting(&mut self, free: ResourceVector) {
+        let range = self.unfit.range(..=(free.cores_milli, ClassId::MAX));
+        let fits = |id: &ClassId| self.classes.get(id).is_some_and(|class| class.key.need.fits(free));
+        let found: Vec<ClassId> = range.map(|(_, id)| *id).filter(fits).collect();
+        for id in found {
+            self.unblock(id);
+        }
+    }
+
+    /// Lets the classes of a team be tried again that were over its allotment.
+    pub fn unblock_team(&mut self, team: &TeamId) {
+        for id in self.limited.remove(team).unwrap_or_default() {
+            self.unblock(id);
+        }
+    }
+
+    /// Lets the classes be tried again that waited for the reservation of another job.
+    pub fn unblock_reserved(&mut self) {
+        for id in std::mem::take(&mut self.reserved) {
+            self.unblock(id);
+        }
+    }
+
+    /// Lets all classes be tried again.
+    pub fn unblock_all(&mut self) {
+        for id in self.classes.keys().copied().collect::<Vec<_>>() {
+            self.unblock(id);
+        }
+    }
+
+    fn change_jobs(&mut self, id: ClassId, change: impl FnOnce(&mut BTreeMap<u64, JobId>)) {
+        let Some(class) = self.classes.get_mut(&id) else { return };
+        let before = head(class);
+        change(&mut class.jobs);
+        let after = head(class);
+        if before != after && class.blocked.is_none() {
+            let ready = self.ready.entry(class.key.team.clone()).or_default();
+            if let Some((priority, sequence)) = before {
+                ready.remove(&(priority, sequence, id));
+            }
+            if let Some((priority, sequence)) = after {
+                ready.insert((priority, sequence, id));
+            }
+            if ready.is_empty() {
+                self.ready.remove(&class.key.team);
+            }
+        }
+        if after.is_none() {
+            self.unblock(id);
+            if let Some(class) = self.classes.remove(&id) {
+                self.by_key.remove(&class.key);
+            }
+        }
+    }
+}
+
+fn head(class: &WaitClass) -> Option<(PriorityClass, u64)> {
+    class.jobs.first_key_value().map(|(sequence, _)| (class.key.priority, *sequence))
+}
--- a/src/plugins/placement_batch_pack.rs
+++ b/src/plugins/placement_batch_pack.rs
@@ -1,15 +1,17 @@
-use crate::kernel::{JobKind, PlacementPolicy, PluginEntry, WorkerState};
-use crate::prelude::*;
+use crate::kernel::{JobKind, PlacementCandidate, PlacementPolicy, PluginEntry};
 
 inventory::submit!(PluginEntry::Placement(PlacementPolicy {
     name: "batch_pack",
     kind: JobKind::Batch,
+    spread: false,
     score
 }));
 
-fn score(state: &WorkerState, spec: &JobSpec) -> i64 {
+/// More than the rest of any worker.
+const WASTE: i64 = 10_000;
+
+fn score(candidate: &PlacementCandidate) -> i64 {
     // Work without accelerators goes to accelerator VMs last, so that it does not fragment them.
-    let rest = state.free().minus(spec.need);
-    let waste = if spec.need.accelerators == 0 { state.vm.capacity.accelerators } else { 0 };
-    -i64::try_from(rest.cores_milli + waste * 1_000_000).unwrap_or(i64::MAX)
+    let waste = if candidate.wastes_accelerators() { WASTE } else { 0 };
+    -candidate.rest() - waste
 }
--- a/src/plugins/placement_gang_reserve.rs
+++ b/src/plugins/placement_gang_reserve.rs
@@ -1,14 +1,16 @@
-use crate::kernel::{JobKind, PlacementPolicy, PluginEntry, WorkerState};
-use crate::prelude::*;
+use crate::kernel::{JobKind, PlacementCandidate, PlacementPolicy, PluginEntry};
 
 inventory::submit!(PluginEntry::Placement(PlacementPolicy {
     name: "gang_reserve",
     kind: JobKind::Gang,
+    spread: false,
     score
 }));
 
-fn score(state: &WorkerState, spec: &JobSpec) -> i64 {
-    let rest = state.free().minus(spec.need);
-    let waste = if spec.need.accelerators == 0 { state.vm.capacity.accelerators } else { rest.accelerators };
-    -i64::try_from(rest.cores_milli + waste * 1_000_000).unwrap_or(i64::MAX)
+/// More than the rest of any worker.
+const WASTE: i64 = 10_000;
+
+fn score(candidate: &PlacementCandidate) -> i64 {
+    let waste = if candidate.wastes_accelerators() { WASTE } else { 0 };
+    -candidate.rest() - waste
 }
--- a/src/plugins/placement_service_spread.rs
+++ b/src/plugins/placement_service_spread.rs
@@ -1,14 +1,19 @@
-use crate::kernel::{JobKind, PlacementPolicy, PluginEntry, WorkerState};
-use crate::prelude::*;
+use crate::kernel::{JobKind, PlacementCandidate, PlacementPolicy, PluginEntry};
 
 inventory::submit!(PluginEntry::Placement(PlacementPolicy {
     name: "service_spread",
     kind: JobKind::Service,
+    spread: true,
     score
 }));
 
-fn score(state: &WorkerState, spec: &JobSpec) -> i64 {
-    let mates = state.tasks.iter().filter(|task| task.starts_with(&*spec.id)).count();
-    let free = i64::try_from(state.free().cores_milli).unwrap_or(i64::MAX / 2);
-    free - i64::try_from(mates).unwrap_or(0) * 1_000_000_000
+/// More than the rest of any worker.
+const STEP: i64 = 10_000;
+
+fn score(candidate: &PlacementCandidate) -> i64 {
+    let (state, spread) = (candidate.state, candidate.spread);
+    let on_worker = i64::from(spread.on_worker(state)) * STEP * 100;
+    let in_rack = i64::from(spread.in_rack(state)) * STEP;
+    let waste = if candidate.wastes_accelerators() { STEP / 2 } else { 0 };
+    candidate.rest() - on_worker - in_rack - waste
 }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{LedgerState, PluginEntry, PluginRegistry};
+use crate::kernel::{LeaseTiming, LedgerState, PluginEntry, PluginRegistry};
 use crate::plugins::bundle_signature;
 use crate::prelude::*;
 use crate::settings::{EntrySettings, SettingFault};
@@ -25,7 +25,7 @@
 use crate::tasks::scheduler::{SchedulerMessage, SchedulerTask};
 use crate::tasks::worker::{SyncTiming, WorkerMessage, WorkerTask};
 
-/// Extra time after the lease of an earlier owner, for clock rate error and report lag.
+/// Extra time after a lease for messages on their way; the clock rate error comes on top.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 
 /// A running entry process.
@@ -193,9 +193,9 @@
         journal: mpsc::Sender<JournalMessage>,
         worker: mpsc::Sender<WorkerMessage>,
     ) -> SchedulerTask {
-        let settle_time = self.settings.lease + self.settings.lease / 100 + LEASE_MARGIN;
+        let timing = LeaseTiming { lease: self.settings.lease, report_lag: LEASE_MARGIN };
         let (process, registry) = (self.process.clone(), self.registry.clone());
-        SchedulerTask::new(process, registry, settle_time, journal, worker, self.metrics.clone())
+        SchedulerTask::new(process, registry, timing, journal, worker, self.metrics.clone())
     }
 
     fn worker(&self, scheduler: mpsc::Sender<SchedulerMessage>) -> WorkerTask {
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -4,7 +4,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::{
-    JobExplanation, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
+    JobExplanation, LeaseTiming, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
     ShardSummary, WorkerReport, WorkerVm,
 };
 use crate::prelude::*;
@@ -37,8 +37,12 @@
     Changed(LedgerChange),
     /// The VM list was read.
     Listed(Vec<WorkerVm>),
-    /// A worker accepted a sync under the token.
-    Synced(ShardId, FencingToken, VmId, WorkerReport),
+    /// A worker accepted a sync under the token that carried starts and stops of the tasks.
+    Synced(ShardId, FencingToken, VmId, Vec<TaskId>, WorkerReport),
+    /// A start was dropped before a sync carried it, because a stop followed.
+    Withdrawn(ShardId, FencingToken, VmId, TaskId),
+    /// A worker of the shard has accepted a newer token.
+    Fenced(ShardId, FencingToken),
     /// A worker did not answer a sync.
     Silent(ShardId, FencingToken, VmId),
     /// Asks why the tasks of a job are where they are; `None` if no owned shard has the job.
@@ -57,7 +61,7 @@
 pub struct SchedulerTask {
     process: ProcessId,
     registry: PluginRegistry,
-    settle_time: Duration,
+    timing: LeaseTiming,
     shards: FastMap<ShardId, OwnedShard>,
     workers: Vec<WorkerVm>,
     bundle: Option<Arc<PolicyBundle>>,
@@ -67,12 +71,12 @@
 }
 
 impl SchedulerTask {
-    /// Returns the task; leases granted by earlier owners end within `settle_time`.
+    /// Returns the task; `timing` bounds the leases of all owners.
     #[must_use]
     pub fn new(
         process: ProcessId,
         registry: PluginRegistry,
-        settle_time: Duration,
+        timing: LeaseTiming,
         journal: mpsc::Sender<JournalMessage>,
         worker: mpsc::Sender<WorkerMessage>,
         metrics: EntryMetrics,
@@ -81,7 +85,7 @@
         Self {
             process,
             registry,
-            settle_time,
+            timing,
             shards,
             workers: Vec::new(),
             bundle: None,
@@ -99,6 +103,7 @@
                 () = token.cancelled() => return,
                 Some(message) = inbox.recv() => self.handle(message).await,
                 _ = tick.tick() => self.tell_all(&ScheduleEvent::Tick).await,
+                () = std::future::ready(()), if self.has_backlog() => self.work_off().await,
             }
         }
     }
@@ -111,10 +116,17 @@
                 self.workers = workers;
                 self.list_workers().await;
             }
-            SchedulerMessage::Synced(shard, token, vm, report) => {
-                if self.shards.get(&shard).is_some_and(|owned| owned.token == token) {
-                    self.tell(&shard, ScheduleEvent::SyncAnswered(vm, report)).await;
+            SchedulerMessage::Synced(shard, token, vm, tasks, report) if self.owns(&shard, token) => {
+                if !tasks.is_empty() {
+                    self.tell(&shard, ScheduleEvent::CommandsDelivered(vm.clone(), tasks)).await;
                 }
+                self.tell(&shard, ScheduleEvent::SyncAnswered(vm, report)).await;
+            }
+            SchedulerMessage::Withdrawn(shard, token, vm, task) if self.owns(&shard, token) => {
+                self.tell(&shard, ScheduleEvent::StartWithdrawn(vm, task)).await;
+            }
+            SchedulerMessage::Fenced(shard, token) if self.owns(&shard, token) => {
+                self.lose(&shard).await;
             }
             SchedulerMessage::Explain(job, reply) => {
                 let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
@@ -125,16 +137,46 @@
                     self.shards.iter().map(|(shard, owned)| owned.scheduler.summary(shard.clone()));
                 let _ = reply.send(summaries.collect());
             }
-            SchedulerMessage::Silent(shard, token, vm) => {
-                if self.shards.get(&shard).is_some_and(|owned| owned.token == token) {
-                    self.tell(&shard, ScheduleEvent::SyncFailed(vm)).await;
-                }
+            SchedulerMessage::Silent(shard, token, vm) if self.owns(&shard, token) => {
+                self.tell(&shard, ScheduleEvent::SyncFailed(vm)).await;
             }
+            // What workers said to an earlier claim of this process is settled by their next sync.
+            SchedulerMessage::Synced(..)
+            | SchedulerMessage::Withdrawn(..)
+            | SchedulerMessage::Fenced(..)
+            | SchedulerMessage::Silent(..) => {}
+        }
+    }
+
+    fn owns(&self, shard: &ShardId, token: FencingToken) -> bool {
+        self.shards.get(shard).is_some_and(|owned| owned.token == token)
+    }
+
+    /// Stops all decisions and syncs for a shard that another process owns now.
+    async fn lose(&mut self, shard: &ShardId) {
+        if self.shards.remove(shard).is_some() {
+            log::info!(shard = &**shard; "shard lost");
+            let _ = self.worker.send(WorkerMessage::Disown(shard.clone())).await;
+        }
+    }
+
+    fn has_backlog(&self) -> bool {
+        self.shards.values().any(|owned| owned.scheduler.backlog)
+    }
+
+    /// Continues the work that the last calls left in order to stay short.
+    async fn work_off(&mut self) {
+        let shards = self.shards.iter().filter(|(_, owned)| owned.scheduler.backlog);
+        for shard in shards.map(|(shard, _)| shard.clone()).collect::<Vec<ShardId>>() {
+            self.tell(&shard, ScheduleEvent::Tick).await;
         }
+        // Messages that arrived meanwhile come first.
+        tokio::task::yield_now().await;
     }
 
     async fn claim(&mut self, claimed: ClaimedShard) {
-        let mut scheduler = ShardScheduler::new(self.registry.clone(), Instant::now() + self.settle_time);
+        let settled_at = self.timing.surely_over(Instant::now());
+        let mut scheduler = ShardScheduler::new(self.registry.clone(), settled_at).with_timing(self.timing);
         for (spec, cancelled) in claimed.jobs {
             scheduler.inherit(&spec, cancelled);
         }
@@ -158,15 +200,19 @@
                 self.tell_all(&ScheduleEvent::BundleAdopted(bundle)).await;
                 self.list_workers().await;
             }
-            LedgerChange::ShardClaimed(shard, claim)
-                if claim.process != self.process && self.shards.remove(&shard).is_some() =>
-            {
-                log::info!(shard = &*shard, owner = &*claim.process; "shard lost");
-                let _ = self.worker.send(WorkerMessage::Disown(shard)).await;
+            LedgerChange::ShardClaimed(shard, claim) if claim.process != self.process => {
+                self.lose(&shard).await;
+            }
+            LedgerChange::JobAccepted(spec, shard) => {
+                self.tell(&shard, ScheduleEvent::JobAccepted(spec)).await;
             }
-            LedgerChange::JobAccepted(spec, shard) | LedgerChange::JobMoved(spec, shard) => {
+            LedgerChange::JobMoved(spec, shard) => {
+                self.tell_holder(&spec.id, ScheduleEvent::JobLeft(spec.id.clone())).await;
                 self.tell(&shard, ScheduleEvent::JobAccepted(spec)).await;
             }
+            LedgerChange::JobEnded(job, _) => {
+                self.tell_holder(&job, ScheduleEvent::JobEnded(job.clone())).await;
+            }
             LedgerChange::JobCancelled(job, shard) => {
                 self.tell(&shard, ScheduleEvent::JobCancelled(job)).await;
             }
@@ -204,6 +250,14 @@
         }
     }
 
+    /// Tells the shard that has the job, if this process owns it.
+    async fn tell_holder(&mut self, job: &JobId, event: ScheduleEvent) {
+        let holder = self.shards.iter().find(|(_, owned)| owned.scheduler.has_job(job));
+        if let Some(shard) = holder.map(|(shard, _)| shard.clone()) {
+            self.tell(&shard, event).await;
+        }
+    }
+
     async fn tell_all(&mut self, event: &ScheduleEvent) {
         let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
         for shard in shards {
@@ -218,7 +272,7 @@
         let effects = owned.scheduler.handle(event, started);
         self.observe(started.elapsed(), &effects);
         for effect in effects {
-            self.carry_out(token, effect).await;
+            self.carry_out(shard, token, effect).await;
         }
     }
 
@@ -230,11 +284,20 @@
         }
     }
 
-    async fn carry_out(&self, token: FencingToken, effect: ScheduleEffect) {
+    async fn carry_out(&mut self, shard: &ShardId, token: FencingToken, effect: ScheduleEffect) {
         match effect {
             ScheduleEffect::Command(vm, command) => {
                 let _ = self.worker.send(WorkerMessage::Command(vm, command)).await;
             }
+            ScheduleEffect::Forget(vm) => {
+                if let Some(owned) = self.shards.get_mut(shard) {
+                    owned.listed.remove(&vm);
+                }
+                let _ = self.worker.send(WorkerMessage::Forget(vm)).await;
+            }
+            ScheduleEffect::Stopped { task, vm, reason } => {
+                log::info!(decision = "stop", task = &*task, vm = &*vm, reason = reason; "task stopped");
+            }
             ScheduleEffect::End(job, outcome) => {
                 log::info!(job = &*job, outcome:% = outcome; "job ended");
                 self.metrics.jobs_ended.with_label_values(&[outcome.label()]).inc();
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -27,7 +27,9 @@
     },
     /// Stops syncing with all workers of a shard.
     Disown(ShardId),
-    /// Sends a command with the next sync.
+    /// Stops syncing with a worker.
+    Forget(VmId),
+    /// Sends a command with the next sync; a stop removes a start of the same task that was not sent.
     Command(VmId, WorkerCommand),
 }
 
@@ -90,6 +92,8 @@
                     timing: self.timing,
                     scheduler: self.scheduler.clone(),
                     pending: Vec::new(),
+                    withdrawn: Vec::new(),
+                    granted_until: None,
                     metrics: self.metrics.clone(),
                 };
                 actix_rt::spawn(sync.run(inbox, child.clone()));
@@ -104,6 +108,11 @@
                 }
                 owned.shard != shard
             }),
+            WorkerMessage::Forget(vm) => {
+                if let Some(owned) = self.workers.remove(&vm) {
+                    owned.token.cancel();
+                }
+            }
             WorkerMessage::Command(vm, command) => {
                 if let Some(owned) = self.workers.get(&vm) {
                     let _ = owned.commands.send(command).await;
@@ -113,6 +122,13 @@
     }
 }
 
+/// A command that no answered sync has carried yet.
+struct PendingCommand {
+    command: WorkerCommand,
+    /// Whether a sync carried it; the worker may have seen it.
+    sent: bool,
+}
+
 struct SyncLoop {
     vm: VmId,
     shard: ShardId,
@@ -120,7 +136,10 @@
     client: WorkerClient,
     timing: SyncTiming,
     scheduler: mpsc::Sender<SchedulerMessage>,
-    pending: Vec<WorkerCommand>,
+    pending: Vec<PendingCommand>,
+    withdrawn: Vec<TaskId>,
+    /// End of the lease that the first of the failed syncs may have granted.
+    granted_until: Option<Instant>,
     metrics: EntryMetrics,
 }
 
@@ -129,53 +148,131 @@
         let mut wait = Duration::ZERO;
         loop {
             tokio::select! {
+                biased;
                 () = token.cancelled() => return,
                 received = inbox.recv() => match received {
-                    Some(command) => self.pending.push(command),
+                    Some(command) => self.take(command),
                     None => return,
                 },
                 () = tokio::time::sleep(wait) => {}
             }
             while let Ok(command) = inbox.try_recv() {
-                self.pending.push(command);
+                self.take(command);
             }
-            if !self.sync().await {
+            // A command of a shard that was lost meanwhile must not go out.
+            if token.is_cancelled() || !self.sync(&mut inbox).await {
                 return;
             }
             wait = self.timing.interval;
         }
     }
 
+    /// Queues a command; a stop takes the place of a start that did not surely reach the worker.
+    fn take(&mut self, command: WorkerCommand) {
+        if let WorkerCommand::Stop { task } = &command {
+            let started = |pending: &PendingCommand| matches!(pending.command, WorkerCommand::Start { .. });
+            let unsent = self
+                .pending
+                .iter()
+                .any(|pending| pending.command.task() == task && started(pending) && !pending.sent);
+            self.pending.retain(|pending| pending.command.task() != task);
+            if unsent {
+                self.withdrawn.push(task.clone());
+                return;
+            }
+        }
+        self.pending.push(PendingCommand { command, sent: false });
+    }
+
     /// Syncs once; returns whether this process may still own the worker.
-    async fn sync(&mut self) -> bool {
+    async fn sync(&mut self, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
         let request = SyncRequest {
             vm: self.vm.clone(),
             token: self.fencing,
-            lease: self.timing.lease,
-            commands: self.pending.clone(),
+            lease: self.grant(),
+            commands: self.pending.iter().map(|pending| pending.command.clone()).collect(),
+        };
+        for pending in &mut self.pending {
+            pending.sent = true;
+        }
+        let commands = request.commands.clone();
+        let mut answer = (self.client)(request);
+        let result = loop {
+            tokio::select! {
+                result = &mut answer => break result,
+                Some(command) = inbox.recv() => self.take(command),
+            }
         };
         let (shard, vm) = (self.shard.clone(), self.vm.clone());
-        let message = match (self.client)(request).await {
+        let message = match result {
             SyncResult::Report(report) => {
-                self.pending.clear();
                 self.count("answered");
-                SchedulerMessage::Synced(shard, self.fencing, vm, report)
+                self.granted_until = None;
+                self.pending.retain(|pending| !pending.sent);
+                SchedulerMessage::Synced(shard, self.fencing, vm, delivered(commands), report)
             }
             SyncResult::Unknown(fault) => {
                 self.count("unknown");
                 log::warn!(vm = &*self.vm, fault = fault.as_str(); "worker sync failed");
+                let lease = self.timing.lease;
+                self.granted_until.get_or_insert_with(|| Instant::now() + lease);
                 SchedulerMessage::Silent(shard, self.fencing, vm)
             }
             SyncResult::Fenced(newer) => {
                 self.count("fenced");
                 log::info!(vm = &*self.vm, token = self.fencing, newer = newer; "worker has a newer owner");
+                let message = SchedulerMessage::Fenced(shard, self.fencing);
+                self.send(message, inbox).await;
                 return false;
             }
         };
-        self.scheduler.send(message).await.is_ok()
+        self.send(message, inbox).await && self.report_withdrawn(inbox).await
+    }
+
+    /// Returns the lease of the next sync. After a failed sync it is only the rest of what that one may have
+    /// granted, so that the end of the lease of a worker that hears but is not heard can be known.
+    fn grant(&self) -> Duration {
+        self.granted_until.map_or(self.timing.lease, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    async fn report_withdrawn(&mut self, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
+        while let Some(task) = self.withdrawn.pop() {
+            let message =
+                SchedulerMessage::Withdrawn(self.shard.clone(), self.fencing, self.vm.clone(), task);
+            if !self.send(message, inbox).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Sends to the scheduler and takes commands meanwhile, as the scheduler may be waiting to send one.
+    async fn send(&mut self, message: SchedulerMessage, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
+        let scheduler = self.scheduler.clone();
+        loop {
+            tokio::select! {
+                permit = scheduler.reserve() => {
+                    let Ok(permit) = permit else { return false };
+                    permit.send(message);
+                    return true;
+                }
+                Some(command) = inbox.recv() => self.take(command),
+            }
+        }
     }
 
     fn count(&self, result: &str) {
         self.metrics.syncs.with_label_values(&[result]).inc();
     }
 }
+
+/// Returns the tasks whose starts or stops a sync carried.
+fn delivered(commands: Vec<WorkerCommand>) -> Vec<TaskId> {
+    commands
+        .into_iter()
+        .filter_map(|command| match command {
+            WorkerCommand::Start { task, .. } | WorkerCommand::Stop { task } => Some(task),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/tests/placement_failures.rs
@@ -0,0 +1,280 @@
+//! Guards against tasks that run twice, get lost or count too little when workers, replies or owners fail.
+
+mod fixture_placement;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+
+use fixture_placement::{TIMING, batch, bundle, outcomes, service, shard, starts, stops, unheard_shard};
+use godwithaven::kernel::{
+    JobOutcome, ResourceVector, ScheduleEffect, ScheduleEvent, TaskEnding, WorkerCommand, WorkerReport,
+};
+
+/// Guards against a second start while a silent worker may still run the task.
+#[gtest]
+fn tasks_of_a_silent_worker_wait_for_the_end_of_its_lease() {
+    // Arrange
+    let mut shard = shard(3);
+    shard.accept(batch("blue/load", 1, 4_000));
+    shard.run(Duration::from_secs(1));
+    let vm = shard.workers_of("blue/load").remove(0);
+    shard.silent.push(vm.clone());
+    let lease_over = TIMING.surely_over(shard.now + Duration::from_millis(500));
+
+    // Act
+    let early = shard.effects.len();
+    while shard.now + Duration::from_millis(500) < lease_over {
+        shard.run(Duration::from_millis(500));
+    }
+    let before = starts(&shard.effects[early..]);
+    shard.run(Duration::from_secs(3));
+    let after = starts(&shard.effects[early..]);
+
+    // Assert
+    expect_that!(before, is_empty());
+    expect_that!(after.len(), eq(1));
+    expect_that!(after[0].0, not(eq(&vm)));
+    expect_that!(after[0].1, eq("blue/load#0@1"));
+}
+
+/// Guards against taking a worker off the VM list as proof that its tasks ended.
+#[gtest]
+fn tasks_of_a_vanished_worker_wait_for_the_end_of_its_lease() {
+    // Arrange
+    let mut shard = shard(2);
+    shard.accept(batch("blue/load", 1, 4_000));
+    shard.run(Duration::from_secs(1));
+    let vm = shard.workers_of("blue/load").remove(0);
+    let rest = shard.workers.iter().filter(|listed| *listed.vm != *vm).cloned().collect();
+    shard.silent.push(vm.clone());
+
+    // Act
+    let mut effects = shard.tell(ScheduleEvent::WorkersListed(rest));
+    effects.extend(shard.tell(ScheduleEvent::SyncFailed(vm.as_str().into())));
+    shard.now += TIMING.lease;
+    effects.extend(shard.tell(ScheduleEvent::Tick));
+    shard.now += Duration::from_millis(2_400);
+    let other = if vm == "w0" { "w1" } else { "w0" };
+    shard.sync(other);
+    let later = shard.tell(ScheduleEvent::Tick);
+
+    // Assert
+    expect_that!(starts(&effects), is_empty());
+    expect_that!(starts(&later).len(), eq(1));
+    expect_that!(later, contains(eq(&ScheduleEffect::Forget(vm.as_str().into()))));
+}
+
+/// Guards against taking a lost reply as proof that the start was lost.
+#[gtest]
+fn a_start_whose_sync_failed_still_counts() {
+    // Arrange
+    let mut shard = shard(1);
+    let started = starts(&shard.accept(batch("blue/load", 1, 60_000)));
+
+    // Act
+    shard.tell(ScheduleEvent::SyncFailed("w0".into()));
+    let lacking = shard.tell(ScheduleEvent::SyncAnswered("w0".into(), WorkerReport::default()));
+    let second = shard.accept(batch("blue/more", 1, 60_000));
+
+    // Assert
+    expect_that!(started.len(), eq(1));
+    expect_that!(starts(&lacking), is_empty());
+    expect_that!(starts(&second), is_empty());
+    expect_that!(shard.scheduler.summary("r1/0".into()).used.cores_milli, eq(60_000));
+}
+
+/// Guards against tasks that are counted forever after their worker restarted.
+#[gtest]
+fn a_delivered_start_that_is_not_reported_is_lost() {
+    // Arrange
+    let mut shard = shard(1);
+    shard.accept(batch("blue/load", 1, 60_000));
+    shard.run(Duration::from_secs(5));
+
+    // Act
+    shard.running.clear();
+    let from = shard.effects.len();
+    shard.run(Duration::from_secs(2));
+
+    // Assert
+    let started = starts(&shard.effects[from..]);
+    expect_that!(started, elements_are![eq(&("w0".to_owned(), "blue/load#0@1".to_owned()))]);
+}
+
+/// Guards against repeated and late reports that end or restart a task again.
+#[gtest]
+fn repeated_and_late_ends_change_nothing() {
+    // Arrange
+    let mut shard = shard(1);
+    shard.accept(batch("blue/load", 2, 1_000));
+    shard.run(Duration::from_secs(1));
+    shard.end("blue/load#0@0", TaskEnding::Failed);
+    let late = shard.report("w0");
+    shard.run(Duration::from_secs(2));
+    let from = shard.effects.len();
+
+    // Act
+    for _ in 0..3 {
+        shard.tell(ScheduleEvent::SyncAnswered("w0".into(), late.clone()));
+    }
+
+    // Assert
+    expect_that!(starts(&shard.effects[from..]), is_empty());
+    expect_that!(stops(&shard.effects[from..]), is_empty());
+    expect_that!(shard.outcome("blue/load"), none());
+    expect_that!(shard.running.len(), eq(2));
+}
+
+/// Guards against losing a finished result when this process dies before the outcome is in the log.
+#[gtest]
+fn a_finished_task_is_acknowledged_after_the_outcome_was_folded() {
+    // Arrange
+    let mut shard = shard(1);
+    shard.accept(batch("blue/load", 2, 1_000));
+    shard.run(Duration::from_secs(1));
+    let acknowledged = |effects: &[ScheduleEffect]| {
+        let is_one = |effect: &&ScheduleEffect| {
+            matches!(effect, ScheduleEffect::Command(_, WorkerCommand::Acknowledge { .. }))
+        };
+        effects.iter().filter(is_one).count()
+    };
+
+    // Act
+    shard.end("blue/load#0@0", TaskEnding::Finished);
+    shard.run(Duration::from_secs(5));
+    shard.end("blue/load#1@0", TaskEnding::Finished);
+    shard.run(Duration::from_secs(5));
+    let before = acknowledged(&shard.effects);
+    let folded = shard.tell(ScheduleEvent::JobEnded("blue/load".into()));
+
+    // Assert
+    let results = ["blue/load#0@0", "blue/load#1@0"].map(|task| format!("result of {task}"));
+    expect_that!(outcomes(&shard.effects, "blue/load"), eq(&vec![JobOutcome::Finished(results.into())]));
+    expect_that!(before, eq(0));
+    expect_that!(acknowledged(&folded), eq(2));
+}
+
+/// Guards against a queued start that goes out after its zone was closed.
+#[gtest]
+fn closing_a_zone_takes_back_starts_that_were_not_sent() {
+    // Arrange
+    let mut shard = shard(1);
+    let started = starts(&shard.accept(batch("blue/load", 1, 1_000)));
+
+    // Act
+    let closed = shard.tell(ScheduleEvent::BundleAdopted(bundle(&["a"])));
+    let stopped = stops(&closed);
+    let task = started[0].1.as_str();
+    let withdrawn = shard.tell(ScheduleEvent::StartWithdrawn("w0".into(), task.into()));
+
+    // Assert
+    expect_that!(stopped, elements_are![eq(task)]);
+    expect_that!(starts(&withdrawn), is_empty());
+    expect_that!(shard.scheduler.summary("r1/0".into()).used, eq(ResourceVector::default()));
+    expect_that!(shard.reasons("blue/load"), contains(eq(&("zone_closed".to_owned(), 1))));
+}
+
+/// Guards against counting a stopping task as gone.
+#[gtest]
+fn stopping_tasks_count_until_their_end_is_confirmed() {
+    // Arrange
+    let mut shard = shard(1);
+    shard.accept(batch("blue/load", 1, 60_000));
+    shard.run(Duration::from_secs(1));
+
+    // Act
+    let cancelled = shard.tell(ScheduleEvent::JobCancelled("blue/load".into()));
+    let too_early = shard.accept(batch("red/next", 1, 60_000));
+    shard.run(Duration::from_secs(1));
+
+    // Assert
+    expect_that!(stops(&cancelled).len(), eq(1));
+    expect_that!(starts(&too_early), is_empty());
+    expect_that!(shard.outcome("blue/load"), some(eq(&JobOutcome::Cancelled)));
+    expect_that!(shard.workers_of("red/next").len(), eq(1));
+}
+
+/// Guards against a new owner that starts tasks again which still run on workers it has not heard.
+#[gtest]
+fn inherited_jobs_wait_for_all_workers_or_the_old_lease() {
+    // Arrange
+    let settled_at = Instant::now() + Duration::from_secs(32);
+    let mut shard = unheard_shard(2, settled_at);
+    let spec = std::sync::Arc::new(service("blue/web", 2, 1_000));
+    shard.scheduler.inherit(&spec, false);
+    shard.running.push(("w1".into(), "blue/web#1@3".into(), "blue".into(), spec.need));
+
+    // Act
+    shard.sync("w0");
+    let waits = shard.reasons("blue/web");
+    let early = starts(&shard.effects);
+    shard.sync("w1");
+    shard.run(Duration::from_secs(1));
+
+    // Assert
+    expect_that!(early, is_empty());
+    expect_that!(waits, elements_are![eq(&("waits_for_old_lease".to_owned(), 2))]);
+    let tasks: Vec<&str> = shard.running.iter().map(|(_, task, ..)| task.as_str()).collect();
+    expect_that!(tasks, unordered_elements_are![eq(&"blue/web#0@0"), eq(&"blue/web#1@3")]);
+}
+
+/// Guards against a team that gets past its allotment while tasks start.
+#[gtest]
+fn starting_tasks_count_against_the_allotment() {
+    // Arrange
+    let mut shard = shard(3);
+    let amount = ResourceVector::new(2_000, 1 << 20, 0);
+    shard.tell(ScheduleEvent::AllotmentChanged("blue".into(), amount));
+
+    // Act
+    let effects = shard.accept(batch("blue/load", 3, 1_000));
+
+    // Assert
+    expect_that!(starts(&effects).len(), eq(2));
+    expect_that!(shard.reasons("blue/load"), elements_are![eq(&("over_limit".to_owned(), 1))]);
+}
+
+/// Guards against one bad worker that eats the retries of many jobs, and one bad job that blames many workers.
+#[gtest]
+fn failures_of_several_jobs_put_a_worker_on_probation() {
+    // Arrange
+    let mut shard = shard(40);
+    for (number, team) in ["blue", "red", "green"].into_iter().enumerate() {
+        shard.accept(batch(&format!("{team}/load{number}"), 1, 1_000));
+    }
+    shard.run(Duration::from_secs(1));
+    let vm = shard.workers_of("blue/load0").remove(0);
+    let on_it: Vec<String> =
+        shard.running.iter().filter(|(on, ..)| *on == vm).map(|(_, task, ..)| task.clone()).collect();
+
+    // Act
+    for task in &on_it {
+        shard.end(task, TaskEnding::Failed);
+    }
+    shard.run(Duration::from_secs(2));
+
+    // Assert
+    expect_that!(on_it.len(), eq(3));
+    expect_that!(shard.running.len(), eq(3));
+    expect_that!(shard.running.iter().filter(|(on, ..)| *on == vm).count(), eq(0));
+}
+
+/// Guards against an outcome without the reason of the last failure.
+#[gtest]
+fn a_job_fails_with_its_last_reason_after_its_retries() {
+    // Arrange
+    let mut shard = shard(2);
+    shard.accept(batch("blue/load", 1, 1_000));
+
+    // Act
+    for attempt in 0..2 {
+        shard.run(Duration::from_secs(2));
+        shard.end(&format!("blue/load#0@{attempt}"), TaskEnding::Failed);
+    }
+    shard.run(Duration::from_secs(2));
+
+    // Assert
+    let outcome = JobOutcome::Failed("result of blue/load#0@1".into());
+    expect_that!(outcomes(&shard.effects, "blue/load"), elements_are![eq(&outcome)]);
+}
