Read the VM list conditionally

Cause: the capacity measurement showed 212 bytes/s for each listed VM, 1.7 MB/s at 8,000 VMs, because the whole list was read every second.

Change: the directory adapter keeps one connection and sends the tag of the list that it knows; the platform answers 304 while nothing changed. Whole reads remain where the platform gives no tag.

Changes of single VMs still cost a whole read each.

--- a/src/plugins/directory_http.rs
+++ b/src/plugins/directory_http.rs
@@ -1,15 +1,18 @@
 //! Reads the VM list over HTTP/1.1.
 
+use std::rc::Rc;
+
+use actix_http::StatusCode;
+use actix_http::header::{ETAG, IF_NONE_MATCH};
 use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
 use serde::Deserialize;
 
 use crate::kernel::{EndpointVm, WorkerVm};
 use crate::plugins::http;
 use crate::prelude::*;
-use crate::tasks::adapter::{AdapterEntry, DirectoryAdapter, EntryVm, VmList};
+use crate::tasks::adapter::{AdapterEntry, DirectoryAdapter, DirectoryClient, EntryVm, TaggedList, VmList};
 
-inventory::submit!(AdapterEntry::Directory(DirectoryAdapter { name: "directory_http", fetch }));
+inventory::submit!(AdapterEntry::Directory(DirectoryAdapter { name: "directory_http", connect }));
 
 /// Longest wait for the list.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -44,16 +47,29 @@
     connections: u32,
 }
 
-fn fetch(address: &str) -> LocalBoxFuture<'static, Result<VmList, String>> {
+fn connect(address: &str) -> DirectoryClient {
+    let client = http::client(1, TIMEOUT);
     let url = format!("http://{address}/vms");
-    async move {
-        let client = http::client(1, TIMEOUT);
-        let mut response = client.get(url).send().await.map_err(|error| error.to_string())?;
-        let reply =
-            response.json::<ListReply>().limit(LIST_LIMIT).await.map_err(|error| error.to_string())?;
-        Ok(sort_vms(reply))
+    Rc::new(move |tag| fetch(client.clone(), url.clone(), tag).boxed_local())
+}
+
+/// Reads the list unless its tag is still `known`; at 8,000 VMs it has about 1.7 MB.
+async fn fetch(
+    client: awc::Client,
+    url: String,
+    known: Option<String>,
+) -> Result<Option<TaggedList>, String> {
+    let mut request = client.get(url);
+    if let Some(known) = known {
+        request = request.insert_header((IF_NONE_MATCH, known));
+    }
+    let mut response = request.send().await.map_err(|error| error.to_string())?;
+    if response.status() == StatusCode::NOT_MODIFIED {
+        return Ok(None);
     }
-    .boxed_local()
+    let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+    let reply = response.json::<ListReply>().limit(LIST_LIMIT).await.map_err(|error| error.to_string())?;
+    Ok(Some(TaggedList { list: sort_vms(reply), tag }))
 }
 
 fn sort_vms(reply: ListReply) -> VmList {
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -78,13 +78,28 @@
     pub endpoints: Vec<EndpointVm>,
 }
 
+/// A VM list with the tag under which it can be read conditionally.
+#[derive(Clone, Debug, Default)]
+pub struct TaggedList {
+    /// The list.
+    pub list: VmList,
+    /// Opaque tag of this state of the list, if the platform gives one.
+    pub tag: Option<String>,
+}
+
+/// Result of a conditional read: nothing if the list is still the one of the tag, or one line for the log.
+pub type ListFuture = LocalBoxFuture<'static, Result<Option<TaggedList>, String>>;
+
+/// A connection to the VM list; takes the tag of the list that is known.
+pub type DirectoryClient = Rc<dyn Fn(Option<String>) -> ListFuture>;
+
 /// Speaks to a VM list.
 #[derive(Clone, Copy)]
 pub struct DirectoryAdapter {
     /// Name in the settings.
     pub name: &'static str,
-    /// Fetches the list from the address; the error is one line for the log.
-    pub fetch: fn(address: &str) -> LocalBoxFuture<'static, Result<VmList, String>>,
+    /// Returns a client for the address.
+    pub connect: fn(address: &str) -> DirectoryClient,
 }
 
 /// What a worker sync carries.
--- a/src/tasks/directory.rs
+++ b/src/tasks/directory.rs
@@ -29,9 +29,15 @@
 impl DirectoryTask {
     /// Polls until the token is cancelled.
     pub async fn run(self, token: CancellationToken) {
+        let client = (self.adapter.connect)(&self.address);
+        let mut tag = None;
         loop {
-            match (self.adapter.fetch)(&self.address).await {
-                Ok(list) => self.publish(list).await,
+            match client(tag.clone()).await {
+                Ok(Some(read)) => {
+                    tag = read.tag;
+                    self.publish(read.list).await;
+                }
+                Ok(None) => {}
                 Err(fault) => {
                     log::warn!(fault = fault.as_str(); "VM list not read, the last one stays in use");
                 }
--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -101,10 +101,10 @@
 
     /// Returns all zones of the bundle and of the VM list.
     pub async fn zones(&self) -> Option<Value> {
-        let listed = (self.directory.fetch)(&self.directory_address).await;
+        let listed = (self.directory.connect)(&self.directory_address)(None).await;
         let fault = listed.as_ref().err().cloned();
         let mut vms: BTreeMap<ZoneId, ZoneVms> = BTreeMap::new();
-        let list = listed.unwrap_or_default();
+        let list = listed.ok().flatten().unwrap_or_default().list;
         for worker in &list.workers {
             let zone = vms.entry(worker.zone.clone()).or_default();
             zone.workers += 1;
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use actix_http::{Request, Response, StatusCode};
+use actix_http::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -48,7 +49,7 @@
 pub struct DirectoryStandin {
     /// Its address.
     pub address: SocketAddr,
-    list: watch::Sender<Vec<ListedVm>>,
+    list: watch::Sender<(u64, Vec<ListedVm>)>,
 }
 
 impl DirectoryStandin {
@@ -59,7 +60,7 @@
     /// Returns the error of the socket.
     pub async fn start(address: &str, token: CancellationToken) -> std::io::Result<Self> {
         let (listener, address) = server::bind(address).await?;
-        let (list, seen) = watch::channel(Vec::new());
+        let (list, seen) = watch::channel((0, Vec::new()));
         actix_rt::spawn(server::serve(listener, token, move |request| {
             std::future::ready(answer(&seen, &request))
         }));
@@ -68,14 +69,25 @@
 
     /// Changes the list; a test that wants lag calls this late.
     pub fn change(&self, change: impl FnOnce(&mut Vec<ListedVm>)) {
-        self.list.send_modify(change);
+        self.list.send_modify(|(version, list)| {
+            *version += 1;
+            change(list);
+        });
     }
 }
 
-fn answer(list: &watch::Receiver<Vec<ListedVm>>, request: &Request) -> Response<Bytes> {
+fn answer(list: &watch::Receiver<(u64, Vec<ListedVm>)>, request: &Request) -> Response<Bytes> {
     if request.path() != "/vms" {
         return server::json(StatusCode::NOT_FOUND, &json!({ "error": "no such list" }));
     }
-    let vms = list.borrow().clone();
-    server::json(StatusCode::OK, &json!({ "vms": vms }))
+    let (version, vms) = list.borrow().clone();
+    let tag = format!("\"{version}\"");
+    if request.headers().get(IF_NONE_MATCH).is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return Response::with_body(StatusCode::NOT_MODIFIED, Bytes::new());
+    }
+    let mut response = server::json(StatusCode::OK, &json!({ "vms": vms }));
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    response
 }
