--- a/tests/fixture_replay/mod.rs
+++ b/tests/fixture_replay/mod.rs
@@ -4,6 +4,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
+pub mod load;
+
 use std::collections::BTreeMap;
 
 use godwithaven::kernel::{
@@ -114,6 +116,13 @@
     failures: u32,
 }
 
+impl ReplayJob {
+    /// Returns the number of tasks that did not finish yet.
+    pub fn unfinished(&self) -> u64 {
+        self.results.iter().filter(|result| result.is_none()).count() as u64
+    }
+}
+
 /// One replay: workers, jobs, the decider, and the promises that it broke.
 pub struct ReplayRun {
     /// Logical time.
@@ -138,8 +147,6 @@
     pub effects: u64,
     /// Number of start commands.
     pub starts: u64,
-    /// Whether starts are checked against allotments; the first-fit baseline has none.
-    pub check_allotments: bool,
     decide: Decide,
     index: FastMap<VmId, usize>,
     /// Assigned attempts by task.
@@ -220,7 +227,6 @@
         events: 0,
         effects: 0,
         starts: 0,
-        check_allotments: true,
         decide,
         index,
         live: FastMap::default(),
@@ -663,7 +669,7 @@
         let used = self.used_by_team.entry(team.clone()).or_default();
         *used = used.plus(need);
         let allotment = self.allotments.get(team).copied().unwrap_or_default();
-        if self.check_allotments && !used.fits(allotment) {
+        if !used.fits(allotment) {
             self.faults.push(format!("P4: {team} has {used} of {allotment} with {task}"));
         }
         let attempts = self.live.entry((job_id, position)).or_default();
--- /dev/null
+++ b/tests/scheduler_replay.rs
@@ -0,0 +1,70 @@
+//! Compares placement with plain first fit on the same seeded arrivals, on the logical clock.
+//!
+//! `GODWITHAVEN_LONG_TESTS=1` replays 25,000 tasks; `-- --nocapture` prints the figures.
+
+mod fixture_replay;
+
+use fixture_replay::load::{LoadFigures, LoadShape, first_fit_decider, replay};
+use fixture_replay::{kernel_decider, new_scheduler};
+use godwithaven::prelude::*;
+use googletest::prelude::*;
+
+/// Set to replay the large size.
+const LONG_TESTS: &str = "GODWITHAVEN_LONG_TESTS";
+
+/// Replays one load through first fit and through the kernel.
+fn compare(trouble: bool) -> (LoadFigures, LoadFigures) {
+    let (workers, tasks) = if std::env::var_os(LONG_TESTS).is_some() { (790, 25_000) } else { (40, 1_250) };
+    let shape = LoadShape { workers, tasks, seed: 1, trouble };
+    let now = Instant::now();
+    let first_fit = replay(shape, first_fit_decider(), now);
+    let kernel = replay(shape, kernel_decider(new_scheduler(now)), now);
+    print_figures("first fit", shape, &first_fit);
+    print_figures("kernel", shape, &kernel);
+    (first_fit, kernel)
+}
+
+fn print_figures(name: &str, shape: LoadShape, figures: &LoadFigures) {
+    println!("{name}, {shape:?}");
+    for (kind, median, late, count) in &figures.waits {
+        println!(
+            "  wait {kind}: median {:.1} s, p99 {:.1} s, {count} tasks",
+            median.as_secs_f64(),
+            late.as_secs_f64()
+        );
+    }
+    println!("  used: cores {:.4}, accelerators {:.4}", figures.used.0, figures.used.1);
+    println!("  distance from share: largest {:.5}, mean {:.5}", figures.distance.0, figures.distance.1);
+    println!(
+        "  lost work {:.0} s, jobs finished {}, otherwise ended {}",
+        figures.lost_work.as_secs_f64(),
+        figures.ended.0,
+        figures.ended.1
+    );
+    println!("  events {}, effects {}, starts {}", figures.counts.0, figures.counts.1, figures.counts.2);
+    println!("  broken promises {}: {:?}", figures.faults.len(), figures.faults.first());
+}
+
+fn check(trouble: bool) {
+    let (first_fit, kernel) = compare(trouble);
+
+    let urgent = kernel.waits.iter().find(|(kind, ..)| *kind == "urgent").map(|(_, _, late, _)| *late);
+    expect_that!(kernel.faults, is_empty());
+    expect_that!(urgent, some(lt(Duration::from_millis(8_500))));
+    expect_that!(kernel.distance.0, le(first_fit.distance.0 / 4.0));
+    expect_that!(kernel.distance.1, le(first_fit.distance.1 / 4.0));
+    expect_that!(kernel.used.0, ge(first_fit.used.0));
+    expect_that!(kernel.used.1, ge(first_fit.used.1));
+}
+
+/// Guards against unfair, slow or wasteful placement under contention.
+#[gtest]
+fn placement_beats_first_fit() {
+    check(false);
+}
+
+/// Guards against the same while a zone is out, run times are wrong and workers fail everything.
+#[gtest]
+fn placement_beats_first_fit_in_trouble() {
+    check(true);
+}
