Remember jobs that end before the first step of the ledger clock

Cause: over real sockets, jobs that ended early had no outcome: their end was stamped with ledger time 0, and the first step of the clock to the present made them older than an hour.

Change: the ledger clock starts with the first group that gives a time. The log stand-in can open a second address with faults of its own.

With a log that needs 5 s, 3 of 3 jobs are accepted.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -204,7 +204,7 @@
     let mut record = BundleRecord { version, base: version - 1, text, signatures: Vec::new() };
     bundle_signature::sign(&mut record, &signing_key());
     let process = format!("operator.{version}").into();
-    let group = RecordGroup { process, sequence: 1, records: vec![LogRecord::Bundle(record)] };
+    let group = RecordGroup { process, sequence: 1, at_ms: 0, records: vec![LogRecord::Bundle(record)] };
     let body = json!({ "body": serde_json::to_string(&group)? });
     let url = format!("http://{}/streams/control/records", world.log.address);
     awc::Client::default().post(url).send_json(&body).await.map_err(|error| error.to_string())?;
--- a/src/kernel/process_table.rs
+++ b/src/kernel/process_table.rs
@@ -44,6 +44,10 @@
             return false;
         }
         *mark = ProcessMark { sequence, at_ms, offset };
+        if self.now_ms == 0 {
+            // What is folded before the first step would count as very old after it.
+            self.now_ms = at_ms;
+        }
         true
     }
 
--- a/standins/src/logservice.rs
+++ b/standins/src/logservice.rs
@@ -54,6 +54,7 @@
     pub address: SocketAddr,
     faults: watch::Sender<LogFaults>,
     inbox: mpsc::Sender<LogMessage>,
+    appended: watch::Receiver<u64>,
 }
 
 #[derive(Clone)]
@@ -71,19 +72,37 @@
     ///
     /// Returns the error of the socket.
     pub async fn start(address: &str, token: CancellationToken) -> std::io::Result<Self> {
-        let (listener, address) = server::bind(address).await?;
-        let (faults, faults_seen) = watch::channel(LogFaults::default());
         let (appended, appended_seen) = watch::channel(0);
         let (inbox, messages) = mpsc::channel(1_024);
         actix_rt::spawn(keep_streams(messages, appended, token.clone()));
+        Self::open(address, inbox, appended_seen, token).await
+    }
+
+    /// Opens another address of the same log with faults of its own, for a process that alone is cut off.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn open_door(&self, token: CancellationToken) -> std::io::Result<Self> {
+        Self::open("127.0.0.1:0", self.inbox.clone(), self.appended.clone(), token).await
+    }
+
+    async fn open(
+        address: &str,
+        inbox: mpsc::Sender<LogMessage>,
+        appended: watch::Receiver<u64>,
+        token: CancellationToken,
+    ) -> std::io::Result<Self> {
+        let (listener, address) = server::bind(address).await?;
+        let (faults, faults_seen) = watch::channel(LogFaults::default());
         let handler = LogHandler {
             faults: faults_seen,
             inbox: inbox.clone(),
-            appended: appended_seen,
+            appended: appended.clone(),
             token: token.clone(),
         };
         actix_rt::spawn(server::serve(listener, token, move |request| handler.clone().answer(request)));
-        Ok(Self { address, faults, inbox })
+        Ok(Self { address, faults, inbox, appended })
     }
 
     /// Switches faults on and off.
--- /dev/null
+++ b/tests/coordination_faults.rs
@@ -0,0 +1,304 @@
+//! Guards against lost, doubled and falsely refused work when the log, entry processes or links fail.
+
+mod fixture;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use awc::Client;
+use fixture::BLUE_KEY;
+use godwithaven::tasks::entry::EntryProcess;
+use godwithaven_standins::invariant::{self, BrokenPromises};
+use godwithaven_standins::logservice::LogFaults;
+use godwithaven_standins::world::StandinWorld;
+use googletest::prelude::*;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+const DOWN: LogFaults = LogFaults { down: true, delay: Duration::ZERO, lose_append_replies: false };
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Returns the stand-ins and as many ready entry processes as there are zones.
+async fn start_all(token: &CancellationToken) -> (StandinWorld, Vec<EntryProcess>) {
+    let mut world = fixture::start_world(token).await;
+    for team in ["blue", "red"] {
+        world.facts.limits.insert(team.into(), [64_000, 262_144, 16]);
+    }
+    let entries = start_entries(&world, "entry").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    for entry in &entries {
+        fixture::wait_ready(entry).await;
+    }
+    (world, entries)
+}
+
+async fn start_entries(world: &StandinWorld, name: &str) -> Vec<EntryProcess> {
+    let mut entries = Vec::new();
+    for zone in ZONES {
+        entries.push(fixture::start_entry(world, &format!("{name}-{zone}"), zone).await);
+    }
+    entries
+}
+
+/// Submits a job and waits longer than the process may need.
+async fn submit(entry: &EntryProcess, name: &str, tasks: u32) -> (u16, Value) {
+    let url = format!("http://{}/v1/jobs", entry.listen);
+    let request = Client::default().post(url).timeout(Duration::from_secs(30));
+    let job = fixture::batch_job("blue", name, tasks);
+    let mut response = request.insert_header(("x-team-key", BLUE_KEY)).send_json(&job).await.unwrap();
+    (response.status().as_u16(), response.json().await.unwrap())
+}
+
+/// Submits jobs in turn and returns the names of those that were accepted, with the refusals by code.
+async fn submit_many(
+    entries: &[EntryProcess],
+    name: &str,
+    count: usize,
+) -> (Vec<String>, BTreeMap<String, usize>) {
+    let (mut accepted, mut refused) = (Vec::new(), BTreeMap::new());
+    for index in 0..count {
+        let job = format!("{name}-{index}");
+        let (status, body) = submit(&entries[index % entries.len()], &job, 3).await;
+        if status == 202 {
+            accepted.push(format!("blue/{job}"));
+        } else {
+            let code = format!("{} {}", body["code"].as_str().unwrap(), body["run"].as_str().unwrap());
+            *refused.entry(code).or_default() += 1;
+        }
+    }
+    (accepted, refused)
+}
+
+/// Waits for jobs and returns how many finished.
+async fn count_finished(entry: &EntryProcess, jobs: &[String]) -> usize {
+    let mut finished = 0;
+    for job in jobs {
+        let state = fixture::wait_job(entry, BLUE_KEY, job).await;
+        finished += usize::from(state["outcome"]["finished"].is_array());
+    }
+    finished
+}
+
+async fn broken(world: &StandinWorld) -> BrokenPromises {
+    invariant::check(&world.workers.records().await, &world.facts)
+}
+
+/// Returns the body of a page of the operators' interface.
+async fn operator_page(entry: &EntryProcess, page: &str) -> String {
+    let url = format!("http://{}{page}", entry.operator_listen);
+    let body = Client::default().get(url).send().await.unwrap().body().await.unwrap();
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+async fn pause(seconds: u64) {
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_outage_of_the_log_refuses_new_jobs_and_keeps_old_ones() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+    let (before, _) = submit_many(&entries, "before", 6).await;
+
+    // Act: the first job waits in the open group and is withdrawn, the second is refused at once.
+    world.log.set_faults(DOWN);
+    let (withdrawn, refusal) = submit(&entries[0], "withdrawn", 1).await;
+    let (at_once, _) = submit(&entries[0], "at-once", 1).await;
+    world.log.set_faults(LogFaults::default());
+    pause(3).await;
+    let (after, refused) = submit_many(&entries, "after", 6).await;
+    let finished = count_finished(&entries[1], &before).await + count_finished(&entries[1], &after).await;
+    let unknown = fixture::wait_job(&entries[2], BLUE_KEY, "blue/at-once").await;
+    let withdrawn_state = fixture::wait_job(&entries[2], BLUE_KEY, "blue/withdrawn").await;
+
+    // Assert
+    expect_that!((withdrawn, at_once), eq((503, 503)));
+    expect_that!(unknown["code"].as_str(), some(eq("not_found")));
+    // The append may have started before the outage was known; only `not_run` promises that it did not.
+    let never = withdrawn_state["code"].as_str() == Some("not_found");
+    expect_true!(never || refusal["run"].as_str() == Some("may_have_run"));
+    expect_that!(refused.len(), eq(0));
+    expect_that!(finished, eq(12));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn lost_replies_of_the_log_accept_every_job_once() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+
+    // Act
+    world.log.set_faults(LogFaults { lose_append_replies: true, ..LogFaults::default() });
+    let (accepted, _) = submit_many(&entries, "lost", 9).await;
+    let finished = count_finished(&entries[0], &accepted).await;
+
+    // Assert
+    expect_that!((accepted.len(), finished), eq((9, 9)));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_log_that_needs_five_seconds_stops_nothing() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+
+    // Act
+    world.log.set_faults(LogFaults { delay: Duration::from_secs(5), ..LogFaults::default() });
+    pause(8).await;
+    let (accepted, refused) = submit_many(&entries, "slow", 3).await;
+    let finished = count_finished(&entries[0], &accepted).await;
+
+    // Assert
+    expect_that!(refused, eq(&BTreeMap::new()));
+    expect_that!(finished, eq(3));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_process_that_starts_after_records_were_dropped_loads_a_snapshot() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, mut entries) = start_all(&token).await;
+    let (jobs, _) = submit_many(&entries, "old", 6).await;
+    count_finished(&entries[0], &jobs).await;
+
+    // Act: everything is dropped, the owner of the first shard writes a snapshot, then all are replaced.
+    let next = world.log.read_all("control").await.last().map_or(0, |(offset, _)| offset + 1);
+    world.log.trim("control", next).await;
+    let fresh = start_entries(&world, "fresh").await;
+    fixture::wait_ready(&fresh[0]).await;
+    for entry in entries.drain(..) {
+        entry.stop().await;
+    }
+    let kept = count_finished(&fresh[0], &jobs).await;
+    let (new, _) = submit_many(&fresh, "new", 6).await;
+    let finished = count_finished(&fresh[1], &new).await;
+
+    // Assert
+    expect_that!((kept, finished), eq((6, 6)));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn killed_owners_lose_no_job() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, mut entries) = start_all(&token).await;
+    let (mut jobs, _) = submit_many(&entries, "before", 9).await;
+
+    // Act: two of three are killed, one after the other.
+    for round in 0..2 {
+        let victim = entries.remove(0);
+        world.unlist(victim.process.split('.').next().unwrap());
+        victim.kill();
+        let (accepted, _) = submit_many(&entries, &format!("round-{round}"), 6).await;
+        jobs.extend(accepted);
+    }
+    let finished = count_finished(&entries[0], &jobs).await;
+
+    // Assert
+    expect_that!((jobs.len(), finished), eq((21, 21)));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn replacing_all_processes_one_after_another_refuses_nothing() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, mut entries) = start_all(&token).await;
+    let mut jobs = Vec::new();
+
+    // Act
+    for zone in ZONES {
+        let fresh = fixture::start_entry(&world, &format!("fresh-{zone}"), zone).await;
+        fixture::wait_ready(&fresh).await;
+        let old = entries.remove(0);
+        entries.push(fresh);
+        let vm = old.process.split('.').next().unwrap().to_owned();
+        let name = format!("during-{zone}");
+        let ((), (accepted, refused)) = tokio::join!(old.stop(), submit_many(&entries, &name, 12));
+        world.unlist(&vm);
+        expect_that!(refused, eq(&BTreeMap::new()));
+        jobs.extend(accepted);
+    }
+    let finished = count_finished(&entries[0], &jobs).await;
+
+    // Assert
+    expect_that!((jobs.len(), finished), eq((36, 36)));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn replacing_all_processes_at_once_loses_no_job() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+    let (jobs, _) = submit_many(&entries, "before", 9).await;
+
+    // Act
+    for entry in entries {
+        world.unlist(entry.process.split('.').next().unwrap());
+        entry.kill();
+    }
+    let fresh = start_entries(&world, "fresh").await;
+    for entry in &fresh {
+        fixture::wait_ready(entry).await;
+    }
+    let finished = count_finished(&fresh[0], &jobs).await;
+
+    // Assert
+    expect_that!((jobs.len(), finished), eq((9, 9)));
+    expect_that!(broken(&world).await, eq(BrokenPromises::default()));
+    token.cancel();
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_process_without_the_log_runs_on_the_bundle_of_its_peers() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+    let door = world.log.open_door(token.child_token()).await.unwrap();
+    door.set_faults(DOWN);
+    let mut settings = fixture::settings(&world, "late", "a");
+    settings.log = door.address.to_string();
+
+    // Act
+    let late = EntryProcess::start(settings).await.unwrap();
+    let (_, first) = submit(&late, "first", 1).await;
+    world.list_entry("late", "a", &late.peer_listen.to_string());
+    pause(4).await;
+    let (_, second) = submit(&late, "second", 1).await;
+    let ready = operator_page(&late, "/readyz").await;
+    for vm in ["late", "entry-a", "entry-b", "entry-c"] {
+        world.unlist(vm);
+    }
+    entries.into_iter().for_each(EntryProcess::kill);
+    world.list_entry("gone", "a", "127.0.0.1:1");
+    pause(9).await;
+    let (_, third) = submit(&late, "third", 1).await;
+
+    // Assert: no bundle, then the bundle of the peers, then nobody left who could vouch for it.
+    let read = |body: &Value| format!("{} {}", body["code"].as_str().unwrap(), body["run"].as_str().unwrap());
+    expect_that!(read(&first), eq("no_configuration not_run"));
+    expect_that!(read(&second), eq("log_unavailable not_run"));
+    expect_that!(ready, eq("no configuration\n"));
+    expect_that!(read(&third), eq("no_configuration not_run"));
+    token.cancel();
+}
