--- a/src/kernel/request_memory.rs
+++ b/src/kernel/request_memory.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Returns the digest of the body that a request was announced with.
+    #[must_use]
+    pub fn digest(&self, request: &RequestId) -> Option<BodyDigest> {
+        self.intents.get(request).map(|(digest, _)| *digest)
+    }
+
     /// Returns all requests, oldest first.
     pub fn iter(&self) -> impl Iterator<Item = (&RequestId, BodyDigest, u64)> {
         self.order.iter().filter_map(|(at_ms, request)| {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 
 use log::kv::{Error, Key, Value, VisitSource};
 
-use crate::prelude::*;
+use crate::clock::unix_ms;
 use crate::settings::LogFormat;
 
 /// Starts logging for the whole program; later calls change nothing.
@@ -22,10 +22,6 @@
     let _ = dispatch.apply();
 }
 
-fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis()
-}
-
 /// Returns a record as `key=value` pairs.
 #[must_use]
 pub fn pairs_line(record: &log::Record<'_>) -> String {
@@ -46,7 +42,7 @@
 #[must_use]
 pub fn json_line(record: &log::Record<'_>) -> String {
     let mut object = serde_json::Map::new();
-    object.insert("time_ms".into(), u64::try_from(unix_ms()).unwrap_or(u64::MAX).into());
+    object.insert("time_ms".into(), unix_ms().into());
     object.insert("level".into(), record.level().as_str().to_lowercase().into());
     object.insert("message".into(), record.args().to_string().into());
     let mut visitor = PairVisitor(|key: &str, value: &str| {
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{LeaveStage, LedgerState, PluginEntry, PluginRegistry};
+use crate::kernel::{LeaseTiming, LeaveStage, LedgerState, PluginEntry, PluginRegistry};
 use crate::plugins::bundle_signature;
 use crate::prelude::*;
 use crate::settings::{EntrySettings, SettingFault};
@@ -20,13 +20,14 @@
 use crate::tasks::journal::{JournalMessage, JournalTask};
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::operator::OperatorService;
+use crate::tasks::operator_view::OperatorView;
 use crate::tasks::outbox::JournalOutputs;
 use crate::tasks::peer::{self, PeerMessage, PeerOutputs, PeerService, PeerTask};
 use crate::tasks::router::{RouterMessage, RouterTask};
 use crate::tasks::scheduler::{SchedulerMessage, SchedulerTask};
 use crate::tasks::worker::{SyncTiming, WorkerMessage, WorkerTask};
 
-/// Extra time after the lease of an earlier owner, for clock rate error and report lag.
+/// Extra time after a lease for messages on their way; the clock rate error comes on top.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 
 /// Longest wait for each step of a hand-over.
@@ -214,9 +215,13 @@
         let service = OperatorService {
             process: self.process,
             metrics: self.metrics,
-            journal: journal_sender,
-            scheduler: scheduler_sender,
-            router: router_sender,
+            view: OperatorView {
+                journal: journal_sender,
+                scheduler: scheduler_sender,
+                router: router_sender,
+                directory: self.adapters.directory,
+                directory_address: self.settings.directory.clone(),
+            },
             stopping: self.stopping.clone(),
         };
         actix_rt::spawn(service.serve(operator, self.token.clone()));
@@ -237,9 +242,9 @@
         journal: mpsc::Sender<JournalMessage>,
         worker: mpsc::Sender<WorkerMessage>,
     ) -> SchedulerTask {
-        let settle_time = self.settings.lease + self.settings.lease / 100 + LEASE_MARGIN;
+        let timing = LeaseTiming { lease: self.settings.lease, report_lag: LEASE_MARGIN };
         let (process, registry) = (self.process.clone(), self.registry.clone());
-        SchedulerTask::new(process, registry, settle_time, journal, worker, self.metrics.clone())
+        SchedulerTask::new(process, registry, timing, journal, worker, self.metrics.clone())
     }
 
     fn worker(&self, scheduler: mpsc::Sender<SchedulerMessage>) -> WorkerTask {
--- a/src/tasks/journal.rs
+++ b/src/tasks/journal.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::unix_ms;
 use crate::kernel::{
     BundleRecord, GroupCommit, LedgerChange, LedgerState, RecordGroup, RetryBackoff, SnapshotCollector,
     SnapshotSchedule,
@@ -361,8 +362,3 @@
 fn random() -> u64 {
     getrandom::u64().unwrap_or_default()
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -9,10 +9,13 @@
 pub mod journal;
 pub mod metrics;
 pub mod operator;
+pub mod operator_view;
 pub mod outbox;
+pub mod partition;
 pub mod peer;
 pub mod publisher;
 pub mod router;
+pub mod router_message;
 pub mod scheduler;
 pub mod worker;
 
--- a/tests/fixture_replay/mod.rs
+++ b/tests/fixture_replay/mod.rs
@@ -595,7 +595,9 @@
             match effect {
                 ScheduleEffect::Command(vm, command) => self.record_command(&vm, command, &mut gangs),
                 ScheduleEffect::End(job, outcome) => self.record_end(&job, outcome),
-                ScheduleEffect::Placed { .. } => {}
+                ScheduleEffect::Placed { .. }
+                | ScheduleEffect::Stopped { .. }
+                | ScheduleEffect::Forget(_) => {}
             }
         }
         for id in gangs {
