Move allotment to the shards whose jobs need it

Cause: allotments were divided evenly and never moved, so a team that worked in one shard used a fraction of its limit.

Change: AllotmentTrade plans who gives how much to whom from allotments and open jobs in the ledger, so all processes plan the same and nothing has to be gossiped. AllotmentEscrow sets the amount aside, the scheduler confirms that nothing uses it, then the transfer is appended. The fold accepts a transfer only from the owner of the giving shard, not only under its token: the owner that set the amount aside may not be the present one.

Sums stay equal to the limit in 100 random histories of up to 79 records.

--- /dev/null
+++ b/src/kernel/allotment_escrow.rs
@@ -0,0 +1,100 @@
+use crate::kernel::{AllotmentTrade, LedgerState, ShardHolding, ShardSummary};
+use crate::prelude::*;
+
+/// Time between two transfers of one team out of one shard.
+const SPACING: Duration = Duration::from_secs(2);
+/// Most transfers that a process starts at once.
+const MAX_TRADES: usize = 20;
+
+/// Allotment that this process gives away: it stops using an amount before it appends the transfer.
+#[derive(Debug, Default)]
+pub struct AllotmentEscrow {
+    pending: FastMap<(ShardId, TeamId), ResourceVector>,
+    given: FastMap<(ShardId, TeamId), Instant>,
+}
+
+impl AllotmentEscrow {
+    /// Returns the part of an allotment that is not promised to another shard.
+    #[must_use]
+    pub fn usable(&self, shard: &ShardId, team: &TeamId, held: ResourceVector) -> ResourceVector {
+        let pending = self.pending.get(&(shard.clone(), team.clone())).copied().unwrap_or_default();
+        held.minus(pending)
+    }
+
+    /// Sets aside what the owned shards should give away, as far as nothing uses it.
+    ///
+    /// Demand and allotments come from the ledger, so all processes plan the same trades and none gives twice.
+    pub fn propose(
+        &mut self,
+        ledger: &LedgerState,
+        process: &ProcessId,
+        used: &[ShardSummary],
+        now: Instant,
+    ) -> Vec<AllotmentTrade> {
+        let Some(bundle) = &ledger.bundle else { return Vec::new() };
+        let shards = ledger.worker_shards();
+        let mut trades = Vec::new();
+        for team in &bundle.teams {
+            let holding = |shard: &ShardId| ShardHolding {
+                shard: shard.clone(),
+                held: ledger.allotments.get(shard, &team.id),
+                demand: ledger.jobs.demand(shard, &team.id),
+            };
+            let holdings: Vec<ShardHolding> = shards.iter().map(holding).collect();
+            trades.extend(AllotmentTrade::plan(&team.id, &holdings));
+        }
+        trades.retain(|trade| ledger.claims.get(&trade.from).is_some_and(|claim| claim.process == *process));
+        trades.retain_mut(|trade| self.set_aside(ledger, trade, used, now));
+        trades
+    }
+
+    /// Returns whether the summary shows that the amount set aside is not in use.
+    #[must_use]
+    pub fn confirm(&self, ledger: &LedgerState, trade: &AllotmentTrade, used: &[ShardSummary]) -> bool {
+        let usable = self.usable(&trade.from, &trade.team, ledger.allotments.get(&trade.from, &trade.team));
+        use_of(used, trade).is_some_and(|used| used.fits(usable))
+    }
+
+    /// Ends a transfer that was folded or will never be appended.
+    pub fn settle(&mut self, shard: &ShardId, team: &TeamId, amount: ResourceVector) {
+        let key = (shard.clone(), team.clone());
+        let Some(pending) = self.pending.get_mut(&key) else { return };
+        *pending = pending.minus(amount);
+        if pending.is_zero() {
+            self.pending.remove(&key);
+        }
+    }
+
+    fn set_aside(
+        &mut self,
+        ledger: &LedgerState,
+        trade: &mut AllotmentTrade,
+        used: &[ShardSummary],
+        now: Instant,
+    ) -> bool {
+        let key = (trade.from.clone(), trade.team.clone());
+        let recent = self.given.get(&key).is_some_and(|given| {
+            // Several trades of one plan start together.
+            *given != now && now.saturating_duration_since(*given) < SPACING
+        });
+        let Some(used) = use_of(used, trade).filter(|_| !recent && self.pending.len() < MAX_TRADES) else {
+            return false;
+        };
+        let usable = self.usable(&trade.from, &trade.team, ledger.allotments.get(&trade.from, &trade.team));
+        trade.amount = trade.amount.min(usable.minus(used));
+        if trade.amount.is_zero() {
+            return false;
+        }
+        self.given.insert(key.clone(), now);
+        let pending = self.pending.entry(key).or_default();
+        *pending = pending.plus(trade.amount);
+        true
+    }
+}
+
+/// Returns what the team of a trade uses in the giving shard; `None` if the shard is not in the summaries.
+fn use_of(summaries: &[ShardSummary], trade: &AllotmentTrade) -> Option<ResourceVector> {
+    let summary = summaries.iter().find(|summary| summary.shard == trade.from)?;
+    let used = summary.used_by_team.iter().find(|(team, _)| *team == trade.team);
+    Some(used.map_or_else(ResourceVector::default, |(_, used)| *used))
+}
--- a/src/kernel/job_table.rs
+++ b/src/kernel/job_table.rs
@@ -8,12 +8,12 @@
 /// Most ended jobs that are remembered; 54,000 jobs a day are 2,250 an hour, and peaks are higher.
 const MAX_ENDED: usize = 20_000;
 
-/// Accepted jobs, and how many tasks each team has open in each shard.
+/// Accepted jobs, and the open tasks of each team in each shard.
 #[derive(Debug, Default)]
 pub struct JobTable {
     jobs: FastMap<JobId, JobState>,
     ended: VecDeque<(u64, JobId)>,
-    open_tasks: FastMap<(ShardId, TeamId), u64>,
+    open: FastMap<(ShardId, TeamId), (u64, ResourceVector)>,
 }
 
 impl JobTable {
@@ -49,7 +49,14 @@
     /// Returns how many tasks of jobs without an outcome a team has in a shard.
     #[must_use]
     pub fn open_tasks(&self, shard: &ShardId, team: &TeamId) -> u64 {
-        self.open_tasks.get(&(shard.clone(), team.clone())).copied().unwrap_or_default()
+        self.open.get(&(shard.clone(), team.clone())).map_or(0, |(tasks, _)| *tasks)
+    }
+
+    /// Returns what all tasks of jobs without an outcome need for a team in a shard.
+    #[must_use]
+    pub fn demand(&self, shard: &ShardId, team: &TeamId) -> ResourceVector {
+        let open = self.open.get(&(shard.clone(), team.clone()));
+        open.map_or_else(ResourceVector::default, |(_, demand)| *demand)
     }
 
     /// Returns the ended jobs with the ledger time of their end, oldest first.
@@ -108,10 +115,15 @@
     fn count(&mut self, state: &JobState, added: bool) {
         let key = (state.shard.clone(), state.spec.team.clone());
         let tasks = u64::from(state.spec.tasks);
-        let open = self.open_tasks.entry(key.clone()).or_default();
-        *open = if added { *open + tasks } else { open.saturating_sub(tasks) };
-        if *open == 0 {
-            self.open_tasks.remove(&key);
+        let need = state.spec.need.times(tasks);
+        let (count, demand) = self.open.entry(key.clone()).or_default();
+        (*count, *demand) = if added {
+            (*count + tasks, demand.plus(need))
+        } else {
+            (count.saturating_sub(tasks), demand.minus(need))
+        };
+        if *count == 0 {
+            self.open.remove(&key);
         }
     }
 }
--- a/src/kernel/ledger_state.rs
+++ b/src/kernel/ledger_state.rs
@@ -193,7 +193,9 @@
             }
             LogRecord::Move { job, to, token } => self.apply_move(job, to, *token, changes),
             LogRecord::Transfer { team, from, to, amount, token } => {
-                if self.token(from) == *token {
+                // The author set the amount aside; another owner did not.
+                let owned = self.claims.get(from).is_some_and(|claim| claim.process == *author);
+                if owned && self.token(from) == *token {
                     changes.extend(self.allotments.transfer(team, from, to, *amount));
                 }
             }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,7 +3,9 @@
 //! Nothing here knows a socket, a clock, a random source or a message encoding.
 
 mod admission_check;
+mod allotment_escrow;
 mod allotment_table;
+mod allotment_trade;
 mod answer_memory;
 mod bundle_codec;
 mod endpoint_pool;
@@ -60,7 +62,6 @@
 pub mod shard_assignment;
 pub mod shard_choice;
 mod shard_claim;
-mod shard_need;
 mod shard_scheduler;
 mod shard_state;
 mod shard_summary;
@@ -80,7 +81,9 @@
 mod zone_drain;
 
 pub use admission_check::AdmissionCheck;
+pub use allotment_escrow::AllotmentEscrow;
 pub use allotment_table::AllotmentTable;
+pub use allotment_trade::{AllotmentTrade, ShardHolding};
 pub use answer_memory::AnswerMemory;
 pub use bundle_codec::BundleCodec;
 pub use endpoint_pool::{EndpointChoice, EndpointPool};
@@ -136,7 +139,6 @@
 pub use service_router::ServiceRouter;
 pub use service_times::ServiceTimes;
 pub use shard_claim::ShardClaim;
-pub use shard_need::ShardNeed;
 pub use shard_scheduler::ShardScheduler;
 pub use shard_state::ShardState;
 pub use shard_summary::ShardSummary;
--- a/src/kernel/peer_beat.rs
+++ b/src/kernel/peer_beat.rs
@@ -1,4 +1,3 @@
-use crate::kernel::ShardNeed;
 use crate::prelude::*;
 
 /// What an entry process tells the others with each heartbeat.
@@ -20,6 +19,4 @@
     pub heard: Vec<(ProcessId, Duration)>,
     /// Free capacity of its worker shards.
     pub free: Vec<(ShardId, ResourceVector)>,
-    /// Idle and wanted allotment in its worker shards.
-    pub needs: Vec<ShardNeed>,
 }
--- a/src/proto/peer.rs
+++ b/src/proto/peer.rs
@@ -22,9 +22,6 @@
     /// Free capacity of the worker shards that the sender owns.
     #[prost(message, repeated, tag = "8")]
     pub free: ::prost::alloc::vec::Vec<ShardAmount>,
-    /// Allotment that teams want in these shards, and what is idle.
-    #[prost(message, repeated, tag = "9")]
-    pub needs: ::prost::alloc::vec::Vec<TeamNeed>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeardPeer {
@@ -49,17 +46,6 @@
     #[prost(message, optional, tag = "2")]
     pub amount: ::core::option::Option<Amount>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TeamNeed {
-    #[prost(string, tag = "1")]
-    pub shard: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub team: ::prost::alloc::string::String,
-    #[prost(message, optional, tag = "3")]
-    pub idle: ::core::option::Option<Amount>,
-    #[prost(message, optional, tag = "4")]
-    pub wanted: ::core::option::Option<Amount>,
-}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HeartbeatRequest {
     #[prost(message, optional, tag = "1")]
--- a/src/tasks/heartbeat.rs
+++ b/src/tasks/heartbeat.rs
@@ -3,10 +3,10 @@
 use tokio::sync::mpsc;
 use tonic::transport::Channel;
 
-use crate::kernel::{BundleRecord, PeerBeat, ShardNeed, ShardSummary};
+use crate::kernel::{BundleRecord, PeerBeat, ShardSummary};
 use crate::prelude::*;
 use crate::proto::peer::peer_client::PeerClient;
-use crate::proto::peer::{Amount, Beat, HeardPeer, HeartbeatRequest, ShardAmount, TeamNeed};
+use crate::proto::peer::{Amount, Beat, HeardPeer, HeartbeatRequest, ShardAmount};
 use crate::tasks::peer::PeerMessage;
 
 /// Longest wait for a connection or the answer to a heartbeat.
@@ -39,12 +39,6 @@
         shard: shard.to_string(),
         amount: Some(encode_amount(*amount)),
     };
-    let need = |need: &ShardNeed| TeamNeed {
-        shard: need.shard.to_string(),
-        team: need.team.to_string(),
-        idle: Some(encode_amount(need.idle)),
-        wanted: Some(encode_amount(need.wanted)),
-    };
     Beat {
         process: beat.process.to_string(),
         vm: beat.vm.to_string(),
@@ -54,7 +48,6 @@
         ready: beat.ready,
         heard: beat.heard.iter().map(heard).collect(),
         free: beat.free.iter().map(free).collect(),
-        needs: beat.needs.iter().map(need).collect(),
     }
 }
 
@@ -64,12 +57,6 @@
     let beat = beat.filter(|beat| !beat.process.is_empty())?;
     let heard = |heard: HeardPeer| (heard.process.into(), Duration::from_millis(heard.age_ms));
     let free = |free: ShardAmount| (free.shard.into(), decode_amount(free.amount));
-    let need = |need: TeamNeed| ShardNeed {
-        shard: need.shard.into(),
-        team: need.team.into(),
-        idle: decode_amount(need.idle),
-        wanted: decode_amount(need.wanted),
-    };
     Some(PeerBeat {
         process: beat.process.into(),
         vm: beat.vm.into(),
@@ -79,7 +66,6 @@
         ready: beat.ready,
         heard: beat.heard.into_iter().map(heard).collect(),
         free: beat.free.into_iter().map(free).collect(),
-        needs: beat.needs.into_iter().map(need).collect(),
     })
 }
 
--- a/src/tasks/journal.rs
+++ b/src/tasks/journal.rs
@@ -19,6 +19,7 @@
 use crate::tasks::outbox::JournalOutputs;
 use crate::tasks::peer::PeerMessage;
 use crate::tasks::publisher::LedgerPublisher;
+use crate::tasks::transfer::TransferPipe;
 
 /// Longest wait of one read for new records, and the time after which another read starts beside a slow one.
 const READ_WAIT: Duration = Duration::from_secs(1);
@@ -76,6 +77,7 @@
     /// Set while the log does not hold the next group.
     search: Option<SnapshotCollector>,
     snapshots: SnapshotSchedule,
+    transfers: TransferPipe,
     publisher: LedgerPublisher,
     last_read: Option<Instant>,
     read_started: Instant,
@@ -108,6 +110,7 @@
             flushes: Vec::new(),
             search: None,
             snapshots: SnapshotSchedule::default(),
+            transfers: TransferPipe::default(),
             last_read: None,
             read_started: Instant::now(),
             read_backoff: backoff,
@@ -186,6 +189,11 @@
         if let Some(before) = before {
             self.withdraw(before);
         }
+        if self.available() {
+            for record in self.transfers.tick(&mut self.publisher, &self.ledger, &self.process, now) {
+                self.commit.push(record, None, now);
+            }
+        }
         let first = self.ledger.worker_shards().into_iter().min();
         let owner = first.and_then(|shard| self.ledger.claims.get(&shard)).map(|claim| &claim.process);
         if owner == Some(&self.process) && self.available() && self.snapshots.due(self.ledger.next, now) {
@@ -281,6 +289,9 @@
         let changes = self.ledger.restore(covers, items);
         let unknown: CommitReply = Arc::new([]);
         let sequence = self.ledger.processes.sequence(&self.process);
+        if let Some(group) = self.commit.retry().filter(|group| group.sequence <= sequence).cloned() {
+            self.settle(&group);
+        }
         self.finish_commit(sequence, &unknown);
         for change in changes {
             self.publisher.publish(&self.ledger, &change);
@@ -295,6 +306,7 @@
             }
         }
         if group.process == self.process {
+            self.settle(group);
             self.finish_commit(group.sequence, &changes);
         }
         for change in changes.iter() {
@@ -302,6 +314,15 @@
         }
     }
 
+    /// Ends the transfers of an own group before their effect is published.
+    fn settle(&mut self, group: &RecordGroup) {
+        for record in &group.records {
+            if let LogRecord::Transfer { team, from, amount, .. } = record {
+                self.publisher.escrow.settle(from, team, *amount);
+            }
+        }
+    }
+
     fn finish_commit(&mut self, sequence: GroupSequence, changes: &CommitReply) {
         for ticket in self.commit.folded(sequence) {
             if let Some(reply) = self.replies.remove(&ticket) {
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -17,6 +17,7 @@
 pub mod router;
 pub mod router_message;
 pub mod scheduler;
+pub mod transfer;
 pub mod worker;
 
 /// Messages that a task's channel holds before senders wait.
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -186,7 +186,6 @@
             ready: self.view.ready(),
             heard: self.view.heard(now),
             free: heartbeat::free_capacity(&self.summaries),
-            needs: Vec::new(),
         }
     }
 
--- a/src/tasks/publisher.rs
+++ b/src/tasks/publisher.rs
@@ -1,6 +1,6 @@
 //! Tells the other tasks what changed in the ledger.
 
-use crate::kernel::{AllotmentTable, BundleRecord, LedgerChange, LedgerState};
+use crate::kernel::{AllotmentEscrow, AllotmentTable, BundleRecord, LedgerChange, LedgerState};
 use crate::prelude::*;
 use crate::tasks::outbox::{JournalOutbox, JournalOutputs};
 use crate::tasks::peer::PeerMessage;
@@ -16,6 +16,8 @@
 pub struct LedgerPublisher {
     /// Messages that wait for the other tasks.
     pub outbox: JournalOutbox,
+    /// Allotment that is promised to other shards.
+    pub escrow: AllotmentEscrow,
     process: ProcessId,
     ahead: Option<AheadBundle>,
 }
@@ -23,8 +25,9 @@
 impl LedgerPublisher {
     /// Returns a publisher with nothing to say.
     #[must_use]
-    pub const fn new(process: ProcessId, outputs: JournalOutputs) -> Self {
-        Self { outbox: JournalOutbox::new(outputs), process, ahead: None }
+    pub fn new(process: ProcessId, outputs: JournalOutputs) -> Self {
+        let escrow = AllotmentEscrow::default();
+        Self { outbox: JournalOutbox::new(outputs), escrow, process, ahead: None }
     }
 
     /// Runs on a newer bundle of a peer until the ledger has it; limits that it lowers hold at once.
@@ -67,6 +70,12 @@
         }
     }
 
+    /// Tells the other tasks what may be used of an allotment now.
+    pub fn publish_allotment(&mut self, ledger: &LedgerState, shard: &ShardId, team: &TeamId) {
+        let held = ledger.allotments.get(shard, team);
+        self.publish(ledger, &LedgerChange::AllotmentChanged(shard.clone(), team.clone(), held));
+    }
+
     fn publish_bundle(&mut self, ledger: &LedgerState, bundle: &Arc<PolicyBundle>) {
         // A bundle from a peer may be newer than the one that the ledger reached.
         if self.ahead.as_ref().is_some_and(|ahead| ahead.bundle.version > bundle.version) {
@@ -96,7 +105,7 @@
     /// Returns the part of an allotment that may be used.
     fn usable(&self, shard: &ShardId, team: &TeamId, amount: ResourceVector) -> ResourceVector {
         let bound = self.ahead.as_ref().map(|ahead| ahead.allotments.get(shard, team));
-        bound.map_or(amount, |bound| bound.min(amount))
+        self.escrow.usable(shard, team, bound.map_or(amount, |bound| bound.min(amount)))
     }
 
     fn claimed_shard(&self, ledger: &LedgerState, shard: &ShardId, token: FencingToken) -> ClaimedShard {
--- /dev/null
+++ b/src/tasks/transfer.rs
@@ -0,0 +1,60 @@
+//! Moves allotment out of owned shards: sets it aside, has the scheduler confirm, appends the transfer.
+
+use tokio::sync::oneshot;
+
+use crate::kernel::{AllotmentTrade, LedgerState, ShardSummary};
+use crate::prelude::*;
+use crate::tasks::publisher::LedgerPublisher;
+use crate::tasks::scheduler::SchedulerMessage;
+
+/// Transfers on their way, one round at a time.
+#[derive(Default)]
+pub struct TransferPipe {
+    trades: Vec<AllotmentTrade>,
+    summaries: Option<oneshot::Receiver<Vec<ShardSummary>>>,
+}
+
+impl TransferPipe {
+    /// Takes the answer of the scheduler, returns the confirmed transfers and asks for the next answer.
+    ///
+    /// The scheduler hears the lowered amount before the question, so its answer shows all that it placed under
+    /// the amount before.
+    pub fn tick(
+        &mut self,
+        publisher: &mut LedgerPublisher,
+        ledger: &LedgerState,
+        process: &ProcessId,
+        now: Instant,
+    ) -> Vec<LogRecord> {
+        let mut records = Vec::new();
+        if let Some(answer) = &mut self.summaries {
+            let summaries = match answer.try_recv() {
+                Ok(summaries) => summaries,
+                Err(oneshot::error::TryRecvError::Empty) => return records,
+                Err(oneshot::error::TryRecvError::Closed) => Vec::new(),
+            };
+            for trade in std::mem::take(&mut self.trades) {
+                if publisher.escrow.confirm(ledger, &trade, &summaries) {
+                    records.push(transfer(trade, ledger));
+                } else {
+                    publisher.escrow.settle(&trade.from, &trade.team, trade.amount);
+                    publisher.publish_allotment(ledger, &trade.from, &trade.team);
+                }
+            }
+            self.trades = publisher.escrow.propose(ledger, process, &summaries, now);
+        }
+        for trade in &self.trades {
+            publisher.publish_allotment(ledger, &trade.from, &trade.team);
+        }
+        let (reply, answer) = oneshot::channel();
+        publisher.outbox.scheduler(SchedulerMessage::Summarise(reply));
+        self.summaries = Some(answer);
+        records
+    }
+}
+
+fn transfer(trade: AllotmentTrade, ledger: &LedgerState) -> LogRecord {
+    let AllotmentTrade { team, from, to, amount } = trade;
+    let token = ledger.token(&from);
+    LogRecord::Transfer { team, from, to, amount, token }
+}
--- /dev/null
+++ b/tests/ledger_allotments.rs
@@ -0,0 +1,228 @@
+//! Guards against teams above their limit, and against limits that lie idle while work waits.
+
+mod fixture;
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use godwithaven::kernel::id::{ProcessId, ShardId, TeamId};
+use godwithaven::kernel::{
+    AllotmentEscrow, AllotmentTrade, JobKind, JobOutcome, JobSpec, LedgerState, LogRecord, PluginRegistry,
+    PriorityClass, RecordGroup, ResourceVector, ShardHolding, ShardSummary,
+};
+use godwithaven::plugins::bundle_signature;
+use googletest::prelude::*;
+use proptest::prelude::{Strategy, any, prop};
+use proptest::test_runner::{Config, TestRunner};
+
+/// Returns a ledger whose bundle has the number of worker shards and the limit in cores for `blue`.
+fn ledger(shards: usize, cores: u64) -> LedgerState {
+    let codec = bundle_signature::codec(PluginRegistry::collect(), vec![fixture::public_key()], 1);
+    let mut ledger = LedgerState::new(codec);
+    fold(&mut ledger, "operator", vec![bundle(1, shards, cores)]);
+    ledger
+}
+
+fn bundle(version: u64, shards: usize, cores: u64) -> LogRecord {
+    let text = fixture::bundle_text(version, version - 1)
+        .replace("shards_per_region = 2", &format!("shards_per_region = {shards}"))
+        .replace("cores_milli = 64000", &format!("cores_milli = {}", cores * 1_000));
+    LogRecord::Bundle(fixture::signed(version, version - 1, text))
+}
+
+fn fold(ledger: &mut LedgerState, process: &str, records: Vec<LogRecord>) {
+    let sequence = ledger.processes.sequence(process) + 1;
+    let group = RecordGroup { process: process.into(), sequence, at_ms: 0, records };
+    ledger.fold(ledger.next, &group);
+}
+
+fn sum(ledger: &LedgerState, team: &str) -> ResourceVector {
+    let mine = ledger.allotments.iter().filter(|((_, held_by), _)| &**held_by == team);
+    mine.fold(ResourceVector::default(), |sum, (_, amount)| sum.plus(*amount))
+}
+
+#[gtest]
+fn allotments_add_up_to_the_limit_whatever_is_appended() {
+    // Arrange: claims, transfers with right, wrong and old tokens, and bundles with other limits and shard counts.
+    let step = (0..10_u8, 0..4_usize, 0..4_usize, 0..30_000_u64, any::<bool>(), 0..3_usize);
+    let steps = prop::collection::vec(step, 1..80);
+    let mut runner = TestRunner::new(Config { cases: 100, failure_persistence: None, ..Config::default() });
+
+    // Act and assert
+    let result = runner.run(&steps.no_shrink(), |steps| {
+        let (mut ledger, mut limit, mut version) = (ledger(4, 64), 64, 1);
+        for (kind, from, to, amount, stale, author) in steps {
+            let (from, to): (ShardId, ShardId) = (format!("r1/{from}").into(), format!("r1/{to}").into());
+            let process = format!("p{author}");
+            let token = ledger.token(&from).saturating_sub(u64::from(stale));
+            let record = match kind {
+                0 => {
+                    version += 1;
+                    limit = amount % 97 + 1;
+                    bundle(version, usize::try_from(amount % 5).unwrap() + 1, limit)
+                }
+                1..3 => LogRecord::Claim { shard: from, process: process.as_str().into(), over: token },
+                _ => {
+                    let amount = ResourceVector::new(amount, amount / 7, u64::from(kind) / 9);
+                    LogRecord::Transfer { team: "blue".into(), from, to, amount, token }
+                }
+            };
+            fold(&mut ledger, &process, vec![record]);
+            proptest::prop_assert_eq!(sum(&ledger, "blue"), ResourceVector::new(limit * 1_000, 262_144, 16));
+            proptest::prop_assert_eq!(sum(&ledger, "red").memory_mib, 262_144);
+        }
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+}
+
+#[gtest]
+fn a_transfer_counts_only_from_the_owner_under_its_token() {
+    // Arrange
+    let mut ledger = ledger(2, 64);
+    let claim =
+        |process: &str, over| LogRecord::Claim { shard: "r1/0".into(), process: process.into(), over };
+    fold(&mut ledger, "a", vec![claim("a", 0)]);
+    fold(&mut ledger, "b", vec![claim("b", 2)]);
+    let transfer = |token| LogRecord::Transfer {
+        team: "blue".into(),
+        from: "r1/0".into(),
+        to: "r1/1".into(),
+        amount: ResourceVector::new(1_000, 0, 0),
+        token,
+    };
+
+    // Act: the old owner under both tokens, then the owner.
+    fold(&mut ledger, "a", vec![transfer(2), transfer(3)]);
+    let after_old = ledger.allotments.get(&"r1/0".into(), &"blue".into()).cores_milli;
+    fold(&mut ledger, "b", vec![transfer(3)]);
+
+    // Assert
+    expect_that!(after_old, eq(32_000));
+    expect_that!(ledger.allotments.get(&"r1/0".into(), &"blue".into()).cores_milli, eq(31_000));
+}
+
+#[gtest]
+fn a_plan_closes_gaps_and_ignores_small_ones() {
+    // Arrange
+    let plan = |parts: &[(u64, u64)]| -> Vec<(ShardId, ShardId, u64)> {
+        let holding = |(index, (held, demand)): (usize, &(u64, u64))| ShardHolding {
+            shard: format!("r1/{index}").into(),
+            held: ResourceVector::new(*held, 0, 0),
+            demand: ResourceVector::new(*demand, 0, 0),
+        };
+        let holdings: Vec<ShardHolding> = parts.iter().enumerate().map(holding).collect();
+        let trades = AllotmentTrade::plan(&"blue".into(), &holdings).into_iter();
+        trades.map(|trade| (trade.from, trade.to, trade.amount.cores_milli)).collect()
+    };
+
+    // Act
+    let covered = plan(&[(100, 10), (100, 150), (100, 0)]);
+    let contested = plan(&[(150, 1_000), (150, 1_000), (0, 1_000)]);
+    let nearly_fair = plan(&[(110, 1_000), (110, 1_000), (80, 1_000)]);
+
+    // Assert
+    expect_that!(covered, eq(&vec![("r1/2".into(), "r1/1".into(), 50)]));
+    expect_that!(contested.iter().map(|(_, _, amount)| amount).sum::<u64>(), eq(100));
+    expect_that!(nearly_fair, is_empty());
+}
+
+/// One run: unused limit while tasks wait, in core-seconds, and task starts that waited, in task-seconds.
+struct StuckLimit {
+    idle: u64,
+    delayed: u64,
+    transfers: usize,
+}
+
+/// A team with 512 cores over 16 shards floods one shard after another with 10 s tasks, on a logical clock.
+fn flood(trading: bool) -> StuckLimit {
+    let mut ledger = ledger(16, 512);
+    let shards = ledger.worker_shards();
+    let (owner, team): (ProcessId, TeamId) = ("a".into(), "blue".into());
+    let claims =
+        shards.iter().map(|shard| LogRecord::Claim { shard: shard.clone(), process: owner.clone(), over: 0 });
+    fold(&mut ledger, "a", claims.collect());
+    let (mut escrow, start) = (AllotmentEscrow::default(), Instant::now());
+    let mut running: Vec<VecDeque<u64>> = vec![VecDeque::new(); shards.len()];
+    let mut waiting = vec![0_u64; shards.len()];
+    let mut result = StuckLimit { idle: 0, delayed: 0, transfers: 0 };
+    for second in 0..600_u64 {
+        // 40 tasks of one core a second fill 400 of 512 cores; the shard they go to changes every minute.
+        let busy = usize::try_from(second / 60 * 7 % 16).unwrap();
+        let job = submit(second, &shards[busy]);
+        fold(&mut ledger, "a", vec![job]);
+        waiting[busy] += 40;
+        let mut records = Vec::new();
+        if second >= 14 {
+            let outcome = JobOutcome::Finished(Vec::new());
+            let token = ledger.token(&shards[busy]);
+            records.push(LogRecord::Outcome { job: format!("blue/{}", second - 14).into(), token, outcome });
+        }
+        let mut idle = 0;
+        for (index, shard) in shards.iter().enumerate() {
+            running[index].retain(|end| *end > second);
+            let usable = escrow.usable(shard, &team, ledger.allotments.get(shard, &team)).cores_milli / 1_000;
+            let free = usable.saturating_sub(running[index].len() as u64);
+            let started = free.min(waiting[index]);
+            running[index].extend((0..started).map(|_| second + 10));
+            waiting[index] -= started;
+            idle += free - started;
+        }
+        let delayed: u64 = waiting.iter().sum();
+        result.delayed += delayed;
+        result.idle += idle.min(delayed);
+        if trading {
+            let used: Vec<ShardSummary> = shards.iter().zip(&running).map(summary).collect();
+            let now = start + Duration::from_secs(second);
+            for trade in escrow.propose(&ledger, &owner, &used, now) {
+                result.transfers += 1;
+                escrow.settle(&trade.from, &team, trade.amount);
+                let AllotmentTrade { team, from, to, amount } = trade;
+                let token = ledger.token(&from);
+                records.push(LogRecord::Transfer { team, from, to, amount, token });
+            }
+        }
+        fold(&mut ledger, "a", records);
+    }
+    result
+}
+
+fn summary((shard, running): (&ShardId, &VecDeque<u64>)) -> ShardSummary {
+    let used = ResourceVector::new(running.len() as u64 * 1_000, 0, 0);
+    ShardSummary {
+        shard: shard.clone(),
+        used_by_team: vec![("blue".into(), used)],
+        ..ShardSummary::default()
+    }
+}
+
+fn submit(second: u64, shard: &ShardId) -> LogRecord {
+    let spec = JobSpec {
+        id: format!("blue/{second}").into(),
+        team: "blue".into(),
+        queue: "main".into(),
+        kind: JobKind::Batch,
+        priority: PriorityClass::Normal,
+        tasks: 40,
+        need: ResourceVector::new(1_000, 0, 0),
+        run_time: None,
+        retries: 0,
+    };
+    LogRecord::Submit { spec, shard: shard.clone() }
+}
+
+#[gtest]
+fn transfers_follow_the_work_of_a_team() {
+    // Act
+    let (still, trading) = (flood(false), flood(true));
+    println!("without transfers: {} idle core-s, {} delayed task-s", still.idle, still.delayed);
+    println!(
+        "with transfers: {} idle core-s, {} delayed task-s, {} transfers",
+        trading.idle, trading.delayed, trading.transfers
+    );
+
+    // Assert
+    expect_that!(trading.delayed * 20, le(still.delayed));
+    expect_that!(trading.idle * 10, le(still.idle));
+    expect_that!(trading.transfers, le(600));
+}
