--- a/src/bin/entry.rs
+++ b/src/bin/entry.rs
@@ -3,9 +3,8 @@
 use std::process::ExitCode;
 
 use godwithaven::logging;
-use godwithaven::settings::{ENTRY_SETTINGS, EntrySettings};
+use godwithaven::settings::{self, EntrySettings, SettingFault, SettingsCall};
 use godwithaven::tasks::entry::EntryProcess;
-use rustc_hash::FxHashMap;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that cannot be used.
@@ -13,16 +12,23 @@
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
-    let flags = match parse_flags(std::env::args().skip(1)) {
-        Ok(Some(flags)) => flags,
-        Ok(None) => return ExitCode::SUCCESS,
-        Err(text) => return fail(&text),
+    let flags = match SettingsCall::parse(std::env::args().skip(1)) {
+        Ok(SettingsCall::Start(flags)) => flags,
+        Ok(SettingsCall::Help) => {
+            print!("{}", settings::help());
+            return ExitCode::SUCCESS;
+        }
+        Ok(SettingsCall::Version) => {
+            println!("godwithaven-entry {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        Err(fault) => return fail(fault),
     };
     let settings =
         EntrySettings::read(|flag| flags.get(flag).cloned(), |variable| std::env::var(variable).ok());
     let settings = match settings {
         Ok(settings) => settings,
-        Err(fault) => return fail(&format!("{:?}", miette::Report::new(fault))),
+        Err(fault) => return fail(fault),
     };
     logging::start(settings.log_format, log::LevelFilter::Info);
     match EntryProcess::start(settings).await {
@@ -31,40 +37,7 @@
             entry.stop().await;
             ExitCode::SUCCESS
         }
-        Err(fault) => fail(&format!("{:?}", miette::Report::new(fault))),
-    }
-}
-
-/// Returns the flags, or nothing if only help or the version was asked for.
-fn parse_flags(mut args: impl Iterator<Item = String>) -> Result<Option<FxHashMap<String, String>>, String> {
-    let mut flags = FxHashMap::default();
-    while let Some(arg) = args.next() {
-        match arg.as_str() {
-            "--help" | "-h" => {
-                print_help();
-                return Ok(None);
-            }
-            "--version" => {
-                println!("godwithaven-entry {}", env!("CARGO_PKG_VERSION"));
-                return Ok(None);
-            }
-            _ => {}
-        }
-        let name = arg.strip_prefix("--").ok_or_else(|| format!("unexpected argument {arg:?}"))?;
-        if !ENTRY_SETTINGS.iter().any(|entry| entry.flag == name) {
-            return Err(format!("unknown flag {arg:?}; see --help"));
-        }
-        let value = args.next().ok_or_else(|| format!("{arg} needs a value"))?;
-        flags.insert(name.to_owned(), value);
-    }
-    Ok(Some(flags))
-}
-
-fn print_help() {
-    println!("godwithaven-entry: admits, routes and places work on an entry VM\n");
-    for entry in ENTRY_SETTINGS {
-        let default = entry.default.map(|default| format!(" [default {default}]")).unwrap_or_default();
-        println!("  --{} VALUE  ({}) {}{default}", entry.flag, entry.variable, entry.help);
+        Err(fault) => fail(fault),
     }
 }
 
@@ -80,7 +53,7 @@
     }
 }
 
-fn fail(text: &str) -> ExitCode {
-    eprintln!("{text}");
+fn fail(fault: SettingFault) -> ExitCode {
+    eprintln!("{:?}", miette::Report::new(fault));
     ExitCode::from(BAD_SETTINGS)
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,19 @@
 //! Settings of an entry process, from flags and environment variables.
 
+mod log_format;
+mod setting_entry;
+mod setting_fault;
+mod setting_reader;
+mod settings_call;
+
 use std::net::SocketAddr;
 
+pub use log_format::LogFormat;
+pub use setting_entry::SettingEntry;
+pub use setting_fault::SettingFault;
+use setting_reader::SettingReader;
+pub use settings_call::SettingsCall;
+
 use crate::prelude::*;
 
 /// Settings of an entry process.
@@ -35,29 +47,6 @@
     pub log_format: LogFormat,
 }
 
-/// Form of log lines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LogFormat {
-    /// `key=value` pairs.
-    #[default]
-    Pairs,
-    /// One JSON object a line.
-    Json,
-}
-
-/// One setting: flag, environment variable, default and help text.
-#[derive(Clone, Copy, Debug)]
-pub struct SettingEntry {
-    /// Flag without dashes.
-    pub flag: &'static str,
-    /// Environment variable.
-    pub variable: &'static str,
-    /// Default; `None` if the setting must be given.
-    pub default: Option<&'static str>,
-    /// What it means, with its unit.
-    pub help: &'static str,
-}
-
 const fn entry(
     flag: &'static str,
     variable: &'static str,
@@ -109,13 +98,18 @@
     entry("log-format", "GODWITHAVEN_LOG_FORMAT", Some("pairs"), "form of log lines, pairs or json"),
 ];
 
-/// A setting that cannot be used.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error, miette::Diagnostic)]
-#[display("{text}")]
-#[diagnostic(code(godwithaven::settings), help("each flag --NAME has a variable; flags win over variables"))]
-pub struct SettingFault {
-    /// What is wrong, in one sentence.
-    pub text: String,
+/// Returns the help text of the daemon.
+#[must_use]
+pub fn help() -> String {
+    let line = |entry: &SettingEntry| {
+        let default = entry.default.map(|default| format!(" [default {default}]")).unwrap_or_default();
+        format!("  --{} VALUE\n      {}{default} [{}]\n", entry.flag, entry.help, entry.variable)
+    };
+    let lines: String = ENTRY_SETTINGS.iter().map(line).collect();
+    format!(
+        "godwithaven-entry: admits, routes and places work on an entry VM\n\n{lines}  --help\n  --version\n\n\
+         Each flag has the variable in brackets; flags win. Exit code 2: settings that cannot be used.\n"
+    )
 }
 
 impl EntrySettings {
@@ -123,68 +117,44 @@
     ///
     /// # Errors
     ///
-    /// Returns the first setting that is missing or cannot be used.
+    /// Returns one fault that names all settings that are missing or cannot be used.
     pub fn read(
         flag: impl Fn(&str) -> Option<String>,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, SettingFault> {
-        let value = |name: &str| -> Result<String, SettingFault> {
-            let entry = ENTRY_SETTINGS.iter().find(|entry| entry.flag == name);
-            let Some(entry) = entry else { return Err(fault(format!("setting {name:?} does not exist"))) };
-            let given =
-                flag(name).or_else(|| variable(entry.variable)).or_else(|| entry.default.map(str::to_owned));
-            given.ok_or_else(|| fault(format!("--{name} or {} is missing: {}", entry.variable, entry.help)))
-        };
+        let mut reader = SettingReader::new(flag, variable);
         let settings = Self {
-            vm: value("vm")?.into(),
-            zone: value("zone")?.into(),
-            listen: parse("listen", &value("listen")?)?,
-            peer_listen: parse("peer-listen", &value("peer-listen")?)?,
-            operator_listen: parse("operator-listen", &value("operator-listen")?)?,
-            log: parse::<SocketAddr>("log", &value("log")?)?.to_string(),
-            directory: parse::<SocketAddr>("directory", &value("directory")?)?.to_string(),
-            signers: value("signers")?.split(',').map(str::to_owned).collect(),
-            approvals: parse("approvals", &value("approvals")?)?,
-            commit_window: milliseconds("commit-window-ms", &value("commit-window-ms")?)?,
-            sync_interval: milliseconds("sync-interval-ms", &value("sync-interval-ms")?)?,
-            lease: milliseconds("lease-ms", &value("lease-ms")?)?,
-            log_format: log_format(&value("log-format")?)?,
+            vm: reader.name("vm"),
+            zone: reader.name("zone"),
+            listen: reader.address("listen"),
+            peer_listen: reader.address("peer-listen"),
+            operator_listen: reader.address("operator-listen"),
+            log: reader.address("log").to_string(),
+            directory: reader.address("directory").to_string(),
+            signers: reader.public_keys("signers"),
+            approvals: reader.parse("approvals", 1, |text| text.parse().ok().filter(|&count| count > 0)),
+            commit_window: reader.milliseconds("commit-window-ms", 0),
+            sync_interval: reader.milliseconds("sync-interval-ms", 1),
+            lease: reader.milliseconds("lease-ms", 1),
+            log_format: reader.parse("log-format", LogFormat::Pairs, LogFormat::parse),
         };
-        settings.check()?;
-        Ok(settings)
+        let mut faults = reader.faults;
+        if faults.is_empty() {
+            faults = settings.conflicts();
+        }
+        if faults.is_empty() { Ok(settings) } else { Err(SettingFault { text: faults.join("\n") }) }
     }
 
-    fn check(&self) -> Result<(), SettingFault> {
+    /// Returns settings that do not go together.
+    fn conflicts(&self) -> Vec<String> {
+        let mut faults = Vec::new();
         if self.lease < self.sync_interval * 3 {
-            return Err(fault("--lease-ms must be at least three times --sync-interval-ms".into()));
-        }
-        if self.approvals == 0 || self.approvals > self.signers.len() {
-            return Err(fault("--approvals must be between 1 and the number of signers".into()));
+            faults.push("--lease-ms must be at least three times --sync-interval-ms".to_owned());
         }
-        let valid = |signer: &String| hex::decode(signer).is_ok_and(|bytes| bytes.len() == 32);
-        match self.signers.iter().find(|signer| !valid(signer)) {
-            Some(signer) => Err(fault(format!("--signers: {signer:?} is not 64 hexadecimal digits"))),
-            None => Ok(()),
+        if self.approvals > self.signers.len() {
+            let text = format!("--approvals is {}, but --signers has {}", self.approvals, self.signers.len());
+            faults.push(text);
         }
-    }
-}
-
-fn fault(text: String) -> SettingFault {
-    SettingFault { text }
-}
-
-fn parse<T: std::str::FromStr>(name: &str, value: &str) -> Result<T, SettingFault> {
-    value.parse().map_err(|_| fault(format!("--{name}: {value:?} cannot be used")))
-}
-
-fn milliseconds(name: &str, value: &str) -> Result<Duration, SettingFault> {
-    parse(name, value).map(Duration::from_millis)
-}
-
-fn log_format(value: &str) -> Result<LogFormat, SettingFault> {
-    match value {
-        "pairs" => Ok(LogFormat::Pairs),
-        "json" => Ok(LogFormat::Json),
-        _ => Err(fault(format!("--log-format: {value:?} is neither pairs nor json"))),
+        faults
     }
 }
