--- a/capacity/src/budget.rs
+++ b/capacity/src/budget.rs
@@ -166,7 +166,12 @@
 }
 
 fn group_bytes(records: Vec<LogRecord>) -> usize {
-    let group = RecordGroup { process: "entry-1.0123456789abcdef".into(), sequence: 1_000, records };
+    let group = RecordGroup {
+        process: "entry-1.0123456789abcdef".into(),
+        sequence: 1_000,
+        at_ms: 1_796_380_914_657,
+        records,
+    };
     serde_json::to_string(&group).map_or(0, |text| text.len())
 }
 
--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -162,7 +162,7 @@
     /// Explains the stage of a request; null if neither the ledger nor this process knows it.
     pub async fn explain_request(&self, request: RequestId) -> Option<Value> {
         let key = request.clone();
-        let announced = self.ledger(move |ledger| ledger.intents.knows(&key)).await?;
+        let announced = self.ledger(move |ledger| ledger.intents.digest(&key).is_some()).await?;
         let stage = ask(&self.router, |reply| RouterMessage::Explain(request.clone(), reply)).await?;
         if stage.is_none() && !announced {
             return Some(Value::Null);
