--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod flags;
 mod key;
+mod log_tail;
 mod operators;
 mod publish;
 mod summary;
--- a/src/plugins/front_http.rs
+++ b/src/plugins/front_http.rs
@@ -95,7 +95,7 @@
     match (request.method().clone(), parts.as_slice()) {
         (Method::POST, ["v1", "jobs"]) => decode_submit(request).await,
         (Method::GET, ["v1", "jobs", team, name]) => {
-            let wait = query_ms(request, "wait_ms").unwrap_or_default();
+            let wait = query_ms(request, "wait_ms")?;
             let job = format!("{team}/{name}").into();
             Ok(FrontRequest::Inspect { key: key(request), job, wait: wait.min(MAX_WAIT) })
         }
@@ -175,11 +175,14 @@
     header(request, "x-team-key").map(|key| Sha256::digest(key.as_bytes()).into())
 }
 
-fn query_ms(request: &Request, name: &str) -> Option<Duration> {
-    let query = request.uri().query()?;
-    let (_, value) =
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?;
-    value.parse().ok().map(Duration::from_millis)
+/// Returns a number of milliseconds from the query, 0 if it is not there.
+fn query_ms(request: &Request, name: &str) -> Result<Duration, TeamRefusal> {
+    let pairs = request.uri().query().unwrap_or_default().split('&');
+    let Some((_, value)) = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name) else {
+        return Ok(Duration::ZERO);
+    };
+    let number = value.parse().map_err(|_| bad_request(format!("{name} is not a whole number")))?;
+    Ok(Duration::from_millis(number))
 }
 
 fn encode(reply: FrontReply) -> Response<Bytes> {
