Relay the explanation of a job from the owner of its shard

Cause: a process could explain only the jobs of its own shards, so an operator had to know which process to ask.

Conclusion: `explain job` works against any entry process.

--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -202,14 +202,18 @@
         };
         let peers = PeerTask::new(self.process.clone(), self.settings.vm.clone(), peer_outputs);
         actix_rt::spawn(peers.run(peer_inbox, self.token.clone()));
-        let service = PeerService { peer: peer_sender.clone(), gate: gate_sender.clone() };
+        let service = PeerService {
+            peer: peer_sender.clone(),
+            gate: gate_sender.clone(),
+            scheduler: scheduler_sender.clone(),
+        };
         actix_rt::spawn(peer::serve(peer, service, self.token.clone()));
         let directory = DirectoryTask {
             adapter: self.adapters.directory,
             address: self.settings.directory.clone(),
             scheduler: scheduler_sender.clone(),
             router: router_sender.clone(),
-            peer: peer_sender,
+            peer: peer_sender.clone(),
         };
         actix_rt::spawn(directory.run(self.token.clone()));
         let service = OperatorService {
@@ -219,6 +223,7 @@
                 journal: journal_sender,
                 scheduler: scheduler_sender,
                 router: router_sender,
+                peer: peer_sender,
                 directory: self.adapters.directory,
                 directory_address: self.settings.directory.clone(),
             },
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -13,6 +13,7 @@
 pub mod outbox;
 pub mod partition;
 pub mod peer;
+pub mod peer_explain;
 pub mod publisher;
 pub mod router;
 pub mod router_message;
--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -9,6 +9,8 @@
 use crate::prelude::*;
 use crate::tasks::adapter::DirectoryAdapter;
 use crate::tasks::journal::JournalMessage;
+use crate::tasks::peer::PeerMessage;
+use crate::tasks::peer_explain::RelayedQuestion;
 use crate::tasks::router::RouterMessage;
 use crate::tasks::scheduler::SchedulerMessage;
 
@@ -21,6 +23,8 @@
     pub scheduler: mpsc::Sender<SchedulerMessage>,
     /// The router task.
     pub router: mpsc::Sender<RouterMessage>,
+    /// The peer task.
+    pub peer: mpsc::Sender<PeerMessage>,
     /// Reads the VM list.
     pub directory: DirectoryAdapter,
     /// Address of the VM list.
@@ -152,13 +156,26 @@
             Some((state.clone(), owner))
         });
         let Some((state, owner)) = found.await? else { return Some(Value::Null) };
-        let tasks = ask(&self.scheduler, |reply| SchedulerMessage::Explain(job.clone(), reply)).await?;
+        let here = ask(&self.scheduler, |reply| SchedulerMessage::Explain(job.clone(), reply)).await?;
+        let tasks = match (here, &owner) {
+            (None, Some(owner)) if state.outcome.is_none() => {
+                self.ask_owner(owner.clone(), job.clone()).await
+            }
+            (here, _) => serde_json::to_value(here).unwrap_or_default(),
+        };
         Some(json!({
             "job": &*job, "state": job_state(&state), "shard": &*state.shard, "owner": owner.as_deref(),
             "outcome": state.outcome, "spec": state.spec, "tasks": tasks,
         }))
     }
 
+    /// Returns the explanation of another process; null if it does not answer in time.
+    async fn ask_owner(&self, owner: ProcessId, job: JobId) -> Value {
+        let question = |reply| PeerMessage::Explain(RelayedQuestion { owner, job, reply });
+        let explanation = ask(&self.peer, question).await;
+        explanation.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or_default()
+    }
+
     /// Explains the stage of a request; null if neither the ledger nor this process knows it.
     pub async fn explain_request(&self, request: RequestId) -> Option<Value> {
         let key = request.clone();
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -23,6 +23,7 @@
 use crate::tasks::gate::GateMessage;
 use crate::tasks::heartbeat;
 use crate::tasks::journal::JournalMessage;
+use crate::tasks::peer_explain::{self, RelayedQuestion};
 use crate::tasks::router::RoutedCall;
 use crate::tasks::scheduler::SchedulerMessage;
 
@@ -63,6 +64,8 @@
     Leave(LeaveStage, oneshot::Sender<()>),
     /// Hands a request to the owner of its partition.
     Forward(Box<ForwardedCall>),
+    /// Asks the owner of a shard about a job.
+    Explain(RelayedQuestion),
 }
 
 /// State of the peer task.
@@ -167,6 +170,7 @@
                 self.send_heartbeats();
             }
             PeerMessage::Forward(forwarded) => self.forward(*forwarded),
+            PeerMessage::Explain(question) => peer_explain::relay(self.client(&question.owner), question),
         }
     }
 
@@ -248,14 +252,18 @@
     }
 
     fn forward(&self, forwarded: ForwardedCall) {
-        let client = self.vm_by_process.get(&forwarded.owner).and_then(|vm| self.clients.get(vm));
-        let Some((_, client)) = client else {
+        let Some(client) = self.client(&forwarded.owner) else {
             let text = "the owner of the service partition cannot be reached";
             let refusal = TeamRefusal::not_run(RefusalReason::NoOwner, text);
             let _ = forwarded.call.reply.send(FrontReply::Refused(refusal));
             return;
         };
-        actix_rt::spawn(forward_call(client.clone(), forwarded));
+        actix_rt::spawn(forward_call(client, forwarded));
+    }
+
+    fn client(&self, process: &ProcessId) -> Option<PeerClient<Channel>> {
+        let (_, client) = self.clients.get(self.vm_by_process.get(process)?)?;
+        Some(client.clone())
     }
 }
 
@@ -301,6 +309,8 @@
     pub peer: mpsc::Sender<PeerMessage>,
     /// The gate task.
     pub gate: mpsc::Sender<GateMessage>,
+    /// The scheduler task.
+    pub scheduler: mpsc::Sender<SchedulerMessage>,
 }
 
 #[tonic::async_trait]
@@ -325,8 +335,8 @@
         Ok(Response::new(encode_reply(reply)))
     }
 
-    async fn explain(&self, _request: Request<ExplainRequest>) -> Result<Response<ExplainReply>, Status> {
-        Err(Status::unimplemented("explain"))
+    async fn explain(&self, request: Request<ExplainRequest>) -> Result<Response<ExplainReply>, Status> {
+        peer_explain::answer(&self.scheduler, request.into_inner()).await
     }
 }
 
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -108,3 +108,43 @@
     entry.stop().await;
     token.cancel();
 }
+
+#[gtest]
+#[actix_rt::test]
+async fn any_process_explains_a_job_of_another_one() {
+    // Arrange
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let entries = [
+        fixture::start_entry(&world, "entry-1", "a").await,
+        fixture::start_entry(&world, "entry-2", "b").await,
+    ];
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    for entry in &entries {
+        fixture::wait_ready(entry).await;
+    }
+    let mut job = fixture::batch_job("blue", "load", 3);
+    job["run_ms"] = 60_000.into();
+    fixture::submit(&entries[0], BLUE_KEY, &job).await;
+
+    // Act: the owner is one of both, so one of the answers is relayed.
+    let mut running = Vec::new();
+    for entry in &entries {
+        let mut page = json(entry, "/v1/explain/job/blue/load").await;
+        for _ in 0..100 {
+            if page["tasks"]["running"].as_array().is_some_and(|tasks| tasks.len() == 3) {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            page = json(entry, "/v1/explain/job/blue/load").await;
+        }
+        running.push(page["tasks"]["running"].as_array().map(Vec::len));
+    }
+
+    // Assert
+    expect_that!(running, elements_are![some(eq(&3)), some(eq(&3))]);
+    for entry in entries {
+        entry.stop().await;
+    }
+    token.cancel();
+}
