--- a/capacity/src/platform.rs
+++ b/capacity/src/platform.rs
@@ -190,7 +190,7 @@
     async fn wait_ready(&self) -> StepResult<()> {
         let deadline = tokio::time::Instant::now() + READY_TIME;
         while tokio::time::Instant::now() < deadline {
-            if self.call("ready").await {
+            if self.call(&awc::Client::default(), 0, "ready").await {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -198,10 +198,10 @@
         Err("the entry process did not get ready".into())
     }
 
-    /// Sends an idempotent request to the first process; returns whether an answer came.
-    pub async fn call(&self, id: &str) -> bool {
-        let url = format!("http://{}/v1/services/planner/requests", self.entries[0].listen);
-        let request = awc::Client::default()
+    /// Sends an idempotent request to a process; returns whether an answer came.
+    pub async fn call(&self, client: &awc::Client, entry: usize, id: &str) -> bool {
+        let url = format!("http://{}/v1/services/planner/requests", self.entries[entry].listen);
+        let request = client
             .post(url)
             .insert_header(("x-team", "team-0"))
             .insert_header(("x-team-key", TEAM_KEY))
--- a/capacity/src/scenario.rs
+++ b/capacity/src/scenario.rs
@@ -10,6 +10,8 @@
 
 /// Wait before a measurement, so that start-up work is over.
 const SETTLE: Duration = Duration::from_secs(4);
+/// Requests that are sent to each process, one after another, to measure a forward.
+const HOP_REQUESTS: usize = 300;
 /// Run time of the tasks of measured jobs, in milliseconds.
 const TASK_MS: u64 = 500;
 
@@ -82,6 +84,7 @@
         for &rate in &self.requests {
             points.extend(self.measure_requests(rate).await?);
         }
+        points.extend(measure_hop().await?);
         for &jobs in &self.waiting {
             points.extend(self.measure_waiting(jobs).await?);
         }
@@ -177,6 +180,27 @@
     }
 }
 
+/// Measures requests at the owner of the service and at the other of two processes.
+async fn measure_hop() -> StepResult<Vec<MeasuredPoint>> {
+    let platform =
+        CapacityPlatform::start(&PlatformShape { processes: 2, ..PlatformShape::default() }).await?;
+    tokio::time::sleep(SETTLE).await;
+    let client = awc::Client::default();
+    let mut points = Vec::new();
+    for entry in 0..2 {
+        let mut waits = Histogram::<u64>::new(3)?;
+        for number in 0..HOP_REQUESTS {
+            let started = Instant::now();
+            platform.call(&client, entry, &format!("hop-{entry}-{number}")).await;
+            waits.record(u64::try_from(started.elapsed().as_micros())?)?;
+        }
+        let median = usize::try_from(waits.value_at_quantile(0.5))?;
+        points.push(point("request_by_process", entry, "answer_p50_us", as_float(median)));
+    }
+    platform.stop();
+    Ok(points)
+}
+
 /// Runs the load and returns what the first process spent until the window and the load are over.
 async fn window(
     platform: &CapacityPlatform,
@@ -243,6 +267,7 @@
 }
 
 async fn send_requests(platform: &CapacityPlatform, rate: usize, length: Duration) {
+    let client = awc::Client::default();
     let mut tick = tokio::time::interval(Duration::from_millis(50));
     let end = Instant::now() + length;
     let mut sent = 0;
@@ -250,7 +275,7 @@
         tick.tick().await;
         let ids: Vec<String> = (sent..sent + rate / 20).map(|index| format!("q{rate}-{index}")).collect();
         sent += ids.len();
-        join_all(ids.iter().map(|id| platform.call(id))).await;
+        join_all(ids.iter().map(|id| platform.call(&client, 0, id))).await;
     }
 }
 
