Let owners without the log yield their shards

Cause: an owner that alone is cut off from the log stays alive by its heartbeats, so nobody claims its shards, but it never sees new jobs in them.

Change: a process that has not read the log for 10 s while a peer has says so in its heartbeats, and those that read the log claim its shards. Nobody yields when nobody can read.

Figures (logical clock): before, the shards of such an owner stayed with it for as long as it was cut off; now they are claimed after 10 to 14 s and do not move again.

--- a/src/kernel/peer_beat.rs
+++ b/src/kernel/peer_beat.rs
@@ -13,6 +13,8 @@
     pub log_age: Option<Duration>,
     /// Whether it hands its shards over and takes no new ones.
     pub leaving: bool,
+    /// Whether others may claim its shards although it is alive, because it cannot read the log.
+    pub yielding: bool,
     /// Whether it has folded the log up to the present.
     pub ready: bool,
     /// Other processes and how long ago they were heard.
--- a/src/kernel/peer_view.rs
+++ b/src/kernel/peer_view.rs
@@ -11,6 +11,8 @@
 const SETTLED_AFTER: Duration = Duration::from_secs(5);
 /// Time between two shards that a process hands over while it stays.
 const HAND_OVER_SPACING: Duration = Duration::from_secs(1);
+/// A process that has not read the log for this long yields its shards if a peer has read it.
+const YIELD_AFTER: Duration = Duration::from_secs(10);
 /// Time between two signs of life in the log.
 const SIGN_SPACING: Duration = Duration::from_secs(1);
 /// Most claims in one tick.
@@ -42,6 +44,7 @@
     handed_over: Option<Instant>,
     shown: Option<Instant>,
     read: Option<Instant>,
+    own_read: Instant,
     /// Version of the bundle in force in this process.
     pub version: BundleVersion,
     /// How far this process is on its way out.
@@ -59,6 +62,7 @@
     answered: Option<(Instant, bool)>,
     ready_since: Option<Instant>,
     leaving: bool,
+    yielding: bool,
 }
 
 impl PeerView {
@@ -77,6 +81,7 @@
             handed_over: None,
             shown: None,
             read: None,
+            own_read: now,
             version: 0,
             stage: LeaveStage::Staying,
         }
@@ -93,6 +98,7 @@
         state.heard = Some(now);
         state.alive = Some(now);
         state.leaving = beat.leaving;
+        state.yielding = beat.yielding;
         state.ready_since = beat.ready.then(|| state.ready_since.unwrap_or(now));
         if let Some(asked) = asked {
             // A peer with a newer bundle vouches for nothing until this process has that bundle, too.
@@ -134,6 +140,7 @@
     /// Notes a read of the log that was started at `started` and reached its end if `caught_up`.
     pub fn note_read(&mut self, started: Instant, caught_up: bool) {
         self.read = self.read.max(Some(started));
+        self.own_read = self.own_read.max(started);
         if caught_up && self.resumed.is_some_and(|resumed| started >= resumed) {
             self.resumed = None;
         }
@@ -165,6 +172,13 @@
         self.current_until(now).is_some_and(|until| now < until)
     }
 
+    /// Whether this process should leave its shards to those that read the log; it would not see new jobs.
+    #[must_use]
+    pub fn is_yielding(&self, now: Instant) -> bool {
+        let cut_off = now.saturating_duration_since(self.own_read) >= YIELD_AFTER;
+        cut_off && self.log_age(now).is_some_and(|age| age < CURRENT_FOR)
+    }
+
     /// Returns the records that this process should append now: claims, and signs of life for those that it does
     /// not hear. Call it every 250 ms.
     pub fn wanted_records(&mut self, shards: &[ShardId], now: Instant) -> Vec<LogRecord> {
@@ -197,11 +211,11 @@
     #[must_use]
     pub fn live(&self, now: Instant) -> Vec<ProcessId> {
         let able = |(process, state): &(&ProcessId, &PeerState)| {
-            state.ready_since.is_some() && !state.leaving && self.is_alive(process, now)
+            state.ready_since.is_some() && !state.leaving && !state.yielding && self.is_alive(process, now)
         };
         let mut live: Vec<ProcessId> =
             self.peers.iter().filter(able).map(|(process, _)| process.clone()).collect();
-        if self.ready() && self.stage == LeaveStage::Staying {
+        if self.ready() && self.stage == LeaveStage::Staying && !self.is_yielding(now) {
             live.push(self.process.clone());
         }
         live.sort_unstable();
@@ -238,6 +252,10 @@
             || alive.is_some_and(|alive| now.saturating_duration_since(alive) < SUSPECT_AFTER)
     }
 
+    fn keeps(&self, process: &ProcessId, now: Instant) -> bool {
+        self.is_alive(process, now) && !self.peers.get(process).is_some_and(|state| state.yielding)
+    }
+
     fn owns(&self, shard: &str) -> bool {
         self.claims.get(shard).is_some_and(|claim| claim.process == self.process)
     }
@@ -266,7 +284,7 @@
         let mut records = Vec::new();
         for shard in shards {
             let present = self.claims.get(shard);
-            let kept = present.is_some_and(|claim| self.is_alive(&claim.process, now));
+            let kept = present.is_some_and(|claim| self.keeps(&claim.process, now));
             let over = present.map_or(0, |claim| claim.token);
             // A refused claim is tried again only once another claim was folded.
             if kept || owners.get(shard) != Some(&self.process) || self.asked.get(shard) == Some(&over) {
--- a/src/proto/peer.rs
+++ b/src/proto/peer.rs
@@ -22,6 +22,9 @@
     /// Free capacity of the worker shards that the sender owns.
     #[prost(message, repeated, tag = "8")]
     pub free: ::prost::alloc::vec::Vec<ShardAmount>,
+    /// Whether others may claim the sender's shards, because it cannot read the log while a peer can.
+    #[prost(bool, tag = "9")]
+    pub yielding: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeardPeer {
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -183,6 +183,7 @@
             version: self.view.version,
             log_age: self.view.log_age(now),
             leaving: self.view.stage != LeaveStage::Staying,
+            yielding: self.view.is_yielding(now),
             ready: self.view.ready(),
             heard: self.view.heard(now),
             free: heartbeat::free_capacity(&self.summaries),
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -173,6 +173,22 @@
     expect_that!(time, le(7 * SECOND));
 }
 
+#[gtest]
+fn an_owner_without_the_log_yields_its_shards_to_those_that_read_it() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+
+    // Act
+    cluster.members[0].log = false;
+    let time = run_until(&mut cluster, |cluster| !cluster.owned().contains_key("entry-0.1"));
+    let claims = cluster.transcript.len();
+    cluster.run(60 * SECOND);
+
+    // Assert
+    expect_that!(time, all!(ge(10 * SECOND), le(14 * SECOND)));
+    expect_that!(cluster.transcript.len(), eq(claims));
+}
+
 #[gtest]
 fn an_outage_of_the_log_stops_nobody_who_hears_everybody() {
     // Arrange
