--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,9 @@
 //! [`kernel`] makes the decisions, [`plugins`] holds the policies and adapters that register
 //! themselves, and [`tasks`] holds the actix-rt tasks that own sockets and state.
 
+/// Registers plug-ins; re-exported so that other crates register theirs with the same version.
+pub use inventory;
+
 pub mod clock;
 pub mod kernel;
 pub mod logging;
