--- a/cli/src/summary.rs
+++ b/cli/src/summary.rs
@@ -24,7 +24,7 @@
     } else {
         let row = |(entry, page): &(String, Result<Value, String>)| match page {
             Ok(page) => {
-                let ready = page["obstacle"].as_str().unwrap_or("yes").to_owned();
+                let ready = if page["ready"] == true { "yes" } else { "no" }.to_owned();
                 let names = ["bundle_version", "log_next", "shards_owned", "open_jobs"];
                 let mut row = vec![entry.clone(), cell(&page["process"]), ready];
                 row.extend(names.iter().map(|name| cell(&page[*name])));
@@ -33,6 +33,11 @@
             Err(fault) => vec![entry.clone(), fault.clone(), "no".into()],
         };
         let rows: Vec<Vec<String>> = pages.iter().map(row).collect();
+        for (entry, page) in &pages {
+            if let Some(obstacle) = page.as_ref().ok().and_then(|page| page["obstacle"].as_str()) {
+                eprintln!("{entry}: {obstacle}");
+            }
+        }
         table::print(&["ENTRY", "PROCESS", "READY", "BUNDLE", "LOG", "SHARDS", "OPEN JOBS"], &rows);
     }
     if failed { Err(CommandFailure::Printed) } else { Ok(()) }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -223,6 +223,7 @@
                 journal: journal_sender,
                 scheduler: scheduler_sender,
                 router: router_sender,
+                gate: gate_sender.clone(),
                 peer: peer_sender,
                 directory: self.adapters.directory,
                 directory_address: self.settings.directory.clone(),
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -30,6 +30,8 @@
     CurrentUntil(Instant),
     /// Free capacity of the worker shards, as far as it is known.
     Free(Vec<(ShardId, ResourceVector)>),
+    /// Asks why requests with a key are refused at present; `None` if they are not.
+    Obstacle(oneshot::Sender<Option<TeamRefusal>>),
 }
 
 /// State of the gate task.
@@ -101,6 +103,9 @@
             }
             GateMessage::Changed(change) => self.change(change),
             GateMessage::CurrentUntil(until) => self.current_until = Some(until),
+            GateMessage::Obstacle(reply) => {
+                let _ = reply.send(self.obstacle());
+            }
             GateMessage::Free(free) => self.free = free.into_iter().collect(),
         }
     }
@@ -127,16 +132,25 @@
     }
 
     fn refuse(&self, request: &FrontRequest) -> Option<TeamRefusal> {
-        let Some(bundle) = &self.bundle else {
-            let text = "no configuration is in force yet";
-            return Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
-        };
-        let current = self.current_until.is_some_and(|until| Instant::now() < until);
-        if request.key().is_some() && !current {
-            let text = "the configuration may be out of date: neither the log nor enough peers answer";
-            return Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
+        let obstacle = self.obstacle();
+        match &self.bundle {
+            Some(bundle) if obstacle.is_none() || request.key().is_none() => {
+                self.registry.admissions.iter().find_map(|check| (check.check)(request, bundle))
+            }
+            _ => obstacle,
+        }
+    }
+
+    /// Returns why no request with a key can be admitted.
+    fn obstacle(&self) -> Option<TeamRefusal> {
+        let refuse = |text| Some(TeamRefusal::not_run(RefusalReason::NoConfiguration, text));
+        if self.bundle.is_none() {
+            return refuse("no configuration is in force yet");
+        }
+        if self.current_until.is_some_and(|until| Instant::now() < until) {
+            return None;
         }
-        self.registry.admissions.iter().find_map(|check| (check.check)(request, bundle))
+        refuse("the configuration may be out of date: neither the log nor enough peers answer")
     }
 
     async fn admit(&mut self, request: FrontRequest, reply: oneshot::Sender<FrontReply>) {
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -66,12 +66,16 @@
     }
 
     /// Returns why the process takes no requests.
-    async fn obstacle(&self) -> Option<&'static str> {
+    async fn obstacle(&self) -> Option<String> {
         if self.stopping.is_cancelled() {
-            return Some("stopping");
+            return Some("stopping".to_owned());
         }
-        let adopted = self.view.ledger(|ledger| ledger.bundle.is_some()).await;
-        (adopted != Some(true)).then_some("no configuration")
+        // A process that has only the bundle of its peers cannot accept jobs until it has folded the log.
+        let folded = self.view.ledger(|ledger| ledger.bundle.is_some()).await;
+        if folded != Some(true) {
+            return Some("no configuration".to_owned());
+        }
+        self.view.obstacle().await.unwrap_or_else(|| Some("stopping".to_owned()))
     }
 
     async fn status(&self) -> Option<Value> {
--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -8,6 +8,7 @@
 use crate::kernel::{JobState, LedgerState, ShardSummary};
 use crate::prelude::*;
 use crate::tasks::adapter::DirectoryAdapter;
+use crate::tasks::gate::GateMessage;
 use crate::tasks::journal::JournalMessage;
 use crate::tasks::peer::PeerMessage;
 use crate::tasks::peer_explain::RelayedQuestion;
@@ -23,6 +24,8 @@
     pub scheduler: mpsc::Sender<SchedulerMessage>,
     /// The router task.
     pub router: mpsc::Sender<RouterMessage>,
+    /// The gate task.
+    pub gate: mpsc::Sender<GateMessage>,
     /// The peer task.
     pub peer: mpsc::Sender<PeerMessage>,
     /// Reads the VM list.
@@ -62,6 +65,12 @@
         ask(&self.journal, question).await
     }
 
+    /// Returns why callers with a key are refused; the inner value is nothing if they are admitted.
+    pub async fn obstacle(&self) -> Option<Option<String>> {
+        let refusal = ask(&self.gate, GateMessage::Obstacle).await?;
+        Some(refusal.map(|refusal| refusal.message))
+    }
+
     /// Returns the bundle in force as published.
     pub async fn bundle(&self) -> Option<Value> {
         self.ledger(|ledger| serde_json::to_value(&ledger.published).unwrap_or_default()).await
