--- a/src/kernel/fleet_view.rs
+++ b/src/kernel/fleet_view.rs
@@ -1,12 +1,18 @@
 use std::collections::BTreeMap;
 
-use crate::kernel::{FreeIndex, PlacementCandidate, PlacementPolicy, SpreadCount, WorkerState, WorkerVm};
+use crate::kernel::{
+    FreeIndex, PlacementCandidate, PlacementPolicy, SearchStep, SpreadCount, WorkerState, WorkerVm,
+};
 use crate::prelude::*;
 
 /// Workers with room that are compared in one zone before the best of them is taken.
 const COMPARED: u32 = 8;
-/// Workers examined in one zone in one search; more may be left when most of a cell has no room.
-const EXAMINED: u32 = 64;
+/// Workers without room that are examined in one cell before the next, roomier one is tried.
+const MISSES: u32 = 8;
+/// Workers examined in one zone in one search.
+const EXAMINED: u32 = 256;
+/// Workers examined to place all tasks of a job.
+const EXAMINED_FOR_ALL: u64 = 4_096;
 
 /// Capacity, use and health of the workers of a shard, indexed.
 #[derive(Clone, Debug, Default)]
@@ -132,17 +138,22 @@
         let mut best = None;
         let turn = usize::try_from(self.examined).unwrap_or(0);
         for zone in zones {
-            let (mut compared, mut examined) = (0, 0);
+            let (mut compared, mut examined, mut misses) = (0, 0, 0);
             self.index.search(zone, need, policy.spread, turn, |slot| {
                 if compared >= COMPARED || examined >= EXAMINED {
                     choice.cut = true;
-                    return false;
+                    return SearchStep::Stop;
                 }
                 examined += 1;
-                let Some(state) = self.get(slot) else { return true };
+                let Some(state) = self.get(slot) else { return SearchStep::Next };
                 if let Some(reason) = state.reject(need) {
                     count_reason(&mut choice.rejected, reason);
-                    return true;
+                    misses += 1;
+                    if misses % MISSES == 0 {
+                        choice.cut = true;
+                        return SearchStep::NextCell;
+                    }
+                    return SearchStep::Next;
                 }
                 compared += 1;
                 let candidate = PlacementCandidate { state, need, spread };
@@ -150,7 +161,7 @@
                 if best.is_none_or(|(highest, _)| score > highest) {
                     best = Some((score, slot));
                 }
-                true
+                SearchStep::Next
             });
             self.examined += u64::from(examined);
             if policy.spread && best.is_some() {
@@ -168,15 +179,19 @@
         let wanted = tasks as usize;
         let mut take = |slot: u32| {
             examined += 1;
-            let Some(state) = self.get(slot) else { return true };
+            let Some(state) = self.get(slot) else { return SearchStep::Next };
             let mut free = state.free();
             while need.fits(free) && chosen.len() < wanted && !need.is_zero() {
                 chosen.push(slot);
                 free = free.minus(need);
             }
-            chosen.len() < wanted && examined < u64::from(EXAMINED) * 64
+            if chosen.len() < wanted && examined < EXAMINED_FOR_ALL {
+                SearchStep::Next
+            } else {
+                SearchStep::Stop
+            }
         };
-        extra.iter().all(|slot| take(*slot));
+        extra.iter().all(|slot| take(*slot) == SearchStep::Next);
         for zone in 0..u32::try_from(self.zones.len()).unwrap_or(u32::MAX) {
             self.index.search(zone, need, true, 0, &mut take);
         }
--- a/src/kernel/free_index.rs
+++ b/src/kernel/free_index.rs
@@ -7,6 +7,17 @@
 /// Cores and memory are powers of two, so the number of cells does not grow with the number of workers.
 type CellKey = (u32, bool, u64, u8, u8);
 
+/// How a search goes on after a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SearchStep {
+    /// With the next worker.
+    Next,
+    /// With the next cell.
+    NextCell,
+    /// Not at all.
+    Stop,
+}
+
 /// Workers on which tasks may start, by zone and free capacity.
 #[derive(Clone, Debug, Default)]
 pub struct FreeIndex {
@@ -58,7 +69,7 @@
         self.cells.range(low..=high).rev().flat_map(|(_, cell)| cell.iter().copied())
     }
 
-    /// Calls `visit` for the workers of a zone that may have room, until it returns false.
+    /// Calls `visit` for the workers of a zone that may have room.
     ///
     /// Workers without accelerators come first; then the fullest ones, or the emptiest if `loose`. `turn` moves
     /// the start within each cell, so that repeated bounded searches reach different workers.
@@ -68,7 +79,7 @@
         need: ResourceVector,
         loose: bool,
         turn: usize,
-        mut visit: impl FnMut(u32) -> bool,
+        mut visit: impl FnMut(u32) -> SearchStep,
     ) {
         let (cores, memory) = (magnitude(need.cores_milli), magnitude(need.memory_mib));
         for accelerated in [false, true] {
@@ -83,8 +94,12 @@
                     continue;
                 }
                 let start = turn % cell.len();
-                if !cell[start..].iter().chain(&cell[..start]).all(|slot| visit(*slot)) {
-                    return;
+                for slot in cell[start..].iter().chain(&cell[..start]) {
+                    match visit(*slot) {
+                        SearchStep::Next => {}
+                        SearchStep::NextCell => break,
+                        SearchStep::Stop => return,
+                    }
                 }
             }
         }
--- a/src/kernel/gang_reservation.rs
+++ b/src/kernel/gang_reservation.rs
@@ -120,9 +120,9 @@
     }
 }
 
+/// Whether a worker is kept and could start tasks; one that was listed anew is like any other worker.
 fn usable(state: &ShardState, slot: u32) -> bool {
-    let obstacle = state.fleet.get(slot).and_then(WorkerState::obstacle);
-    obstacle.is_none_or(|obstacle| obstacle == "reserved") && state.fleet.get(slot).is_some()
+    state.fleet.get(slot).and_then(WorkerState::obstacle) == Some("reserved")
 }
 
 /// Returns when the worker is expected to be empty, how many tasks then fit, and its number.
--- a/src/kernel/id.rs
+++ b/src/kernel/id.rs
@@ -14,6 +14,8 @@
 pub type JobId = Arc<str>;
 /// Name of one attempt of a task, `team/name#index@attempt`.
 pub type TaskId = Arc<str>;
+/// Number of an attempt of a task; a later owner of a shard starts with higher ones.
+pub type AttemptNumber = u64;
 /// Name of a team.
 pub type TeamId = Arc<str>;
 /// Name of a submission queue.
--- a/src/kernel/job_progress.rs
+++ b/src/kernel/job_progress.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use crate::kernel::SpreadCount;
+use crate::kernel::{JobOutcome, SpreadCount};
 use crate::prelude::*;
 
 /// What is known of a job without a recorded outcome.
@@ -24,6 +24,10 @@
     pub cancelled: bool,
     /// Whether its outcome was decided.
     pub ended: bool,
+    /// The decided outcome, until the last task has ended.
+    pub outcome: Option<JobOutcome>,
+    /// Replacements of an earlier owner that were found before the job was settled.
+    pub surplus: u32,
     /// Whether it was accepted before this process claimed the shard.
     pub inherited: bool,
     /// Tasks that back off after a failure or a loss.
@@ -35,8 +39,8 @@
 /// What is known of one task of a job.
 #[derive(Clone, Debug, Default)]
 pub struct TaskProgress {
-    /// Number of the next attempt.
-    pub next: u32,
+    /// The highest attempt that was started or reported.
+    pub last: Option<AttemptNumber>,
     /// The attempt that counts on a worker.
     pub placed: Option<TaskId>,
     /// Whether a worker reported the end of the last attempt.
@@ -58,10 +62,16 @@
 }
 
 impl TaskProgress {
-    /// Whether the attempt is the last one that was started, or a later one that an earlier owner started.
+    /// Whether no later attempt than this one is known.
     #[must_use]
-    pub const fn is_last(&self, attempt: u32) -> bool {
-        attempt.saturating_add(1) >= self.next
+    pub fn is_last(&self, attempt: AttemptNumber) -> bool {
+        self.last.is_none_or(|last| attempt >= last)
+    }
+
+    /// Whether a worker reported the end of this attempt, and it is the last one.
+    #[must_use]
+    pub fn has_ended(&self, attempt: AttemptNumber) -> bool {
+        self.end_reported && self.last == Some(attempt)
     }
 }
 
@@ -78,6 +88,8 @@
             spread: SpreadCount::default(),
             cancelled: false,
             ended: false,
+            outcome: None,
+            surplus: 0,
             inherited,
             backing_off: BTreeSet::new(),
             failed_on: FastSet::default(),
--- a/src/kernel/job_spec.rs
+++ b/src/kernel/job_spec.rs
@@ -32,13 +32,13 @@
 impl JobSpec {
     /// Returns the name of one attempt of one task.
     #[must_use]
-    pub fn task_id(&self, index: u32, attempt: u32) -> TaskId {
+    pub fn task_id(&self, index: u32, attempt: AttemptNumber) -> TaskId {
         format!("{}#{index}@{attempt}", self.id).into()
     }
 
     /// Splits a task name into job, index and attempt.
     #[must_use]
-    pub fn split_task_id(task: &str) -> Option<(JobId, u32, u32)> {
+    pub fn split_task_id(task: &str) -> Option<(JobId, u32, AttemptNumber)> {
         let (job, rest) = task.rsplit_once('#')?;
         let (index, attempt) = rest.split_once('@')?;
         Some((job.into(), index.parse().ok()?, attempt.parse().ok()?))
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -64,7 +64,7 @@
 pub use endpoint_summary::EndpointSummary;
 pub use endpoint_vm::EndpointVm;
 pub use fleet_view::{FleetView, WorkerChoice};
-pub use free_index::FreeIndex;
+pub use free_index::{FreeIndex, SearchStep};
 pub use front_reply::FrontReply;
 pub use front_request::FrontRequest;
 pub use gang_reservation::{GangReservation, HeldWorkers};
--- a/src/kernel/placement_pass.rs
+++ b/src/kernel/placement_pass.rs
@@ -26,31 +26,39 @@
 impl PlacementPass<'_> {
     /// Places tasks and returns whether classes were left to be tried.
     pub fn run(&mut self) -> bool {
-        self.unblock_freed();
+        let cut = self.unblock_freed();
         let (mut tries, mut starts) = (0, 0);
         while tries < TRIES && starts < STARTS {
-            let Some(id) = self.state.queue.next(&self.state.shares) else { return false };
+            let Some(id) = self.state.queue.next(&self.state.shares) else { break };
             tries += 1;
             starts += self.try_class(id);
         }
-        true
+        if starts > 0 {
+            // What the started tasks left may have room for classes that were left out.
+            self.state.fleet.freed.extend(&cut);
+        } else if !cut.is_empty() {
+            self.state.sweep = Some(0);
+        }
+        tries >= TRIES || starts >= STARTS || starts > 0 && !cut.is_empty()
     }
 
-    fn unblock_freed(&mut self) {
+    /// Lets classes be tried again that may fit now; returns the workers for which some were left out.
+    fn unblock_freed(&mut self) -> Vec<u32> {
+        let mut cut = Vec::new();
         for slot in std::mem::take(&mut self.state.fleet.freed) {
-            let Some(free) = self.state.fleet.get(slot).map(WorkerState::free) else {
-                continue;
-            };
-            self.state.queue.unblock_fitting(free);
+            let Some(free) = self.state.fleet.get(slot).map(WorkerState::free) else { continue };
+            if self.state.queue.unblock_fitting(free, &self.state.shares) {
+                cut.push(slot);
+            }
         }
         let kept = std::mem::take(&mut self.state.fleet.reserved_freed);
         if kept.is_empty() {
-            return;
+            return cut;
         }
         // Short work may fit into the gap.
         for slot in kept {
             let Some(free) = self.state.fleet.get(slot).map(WorkerState::free) else { continue };
-            self.state.queue.unblock_fitting(free);
+            self.state.queue.unblock_fitting(free, &self.state.shares);
         }
         if let Some(held) = self.gang.held()
             && let Some(job) = self.state.jobs.get(&held.job)
@@ -58,6 +66,7 @@
         {
             self.state.queue.unblock(id);
         }
+        cut
     }
 
     /// Tries the oldest job of a class and returns how many tasks started; sets the class aside if none did.
--- a/src/kernel/report_fold.rs
+++ b/src/kernel/report_fold.rs
@@ -99,7 +99,7 @@
             self.adopt_stray(report, id, index);
             return;
         };
-        if !progress.is_last(attempt) || (progress.next == attempt + 1 && progress.end_reported) {
+        if !progress.is_last(attempt) || progress.has_ended(attempt) {
             // A late report of an attempt whose end a worker reported proves nothing.
             if progress.lapsed {
                 self.adopt_stray(report, id, index);
@@ -110,14 +110,17 @@
             self.adopt_stray(report, id, index);
             return;
         }
-        progress.next = attempt + 1;
+        progress.last = Some(attempt);
         progress.end_reported = false;
-        let taken = job.waiting.remove(&index) || job.backing_off.remove(&index);
+        let taken = job.waiting.remove(&index);
+        job.backing_off.remove(&index);
+        if taken && job.inherited {
+            self.state.shares.resolve(&job.spec.team, job.spec.need);
+        }
         // A replacement that an earlier owner started stands for one of the first tasks.
-        if !taken
-            && surplus
-            && let Some(spare) = job.waiting.pop_last()
-        {
+        if surplus && job.inherited {
+            job.surplus += 1;
+        } else if surplus && let Some(spare) = job.waiting.pop_last() {
             job.tasks[spare as usize].retired = true;
         }
         if job.waiting.is_empty() {
@@ -190,7 +193,7 @@
             .get_mut(&id)
             .and_then(|job| job.tasks.get_mut(index as usize))
             .filter(|progress| progress.is_last(attempt) && progress.placed.is_none())
-            .filter(|progress| progress.next != attempt + 1 || !progress.end_reported);
+            .filter(|progress| !progress.has_ended(attempt));
         let Some(progress) = known else {
             self.acknowledge_old(&id, index, end.task);
             return;
@@ -200,7 +203,7 @@
             self.acknowledge_old(&id, index, end.task);
             return;
         }
-        progress.next = attempt + 1;
+        progress.last = Some(attempt);
         progress.end_reported = true;
         progress.unacknowledged.push((end.task.clone(), self.vm.clone()));
         self.count_end(&id, index, end, released.as_ref());
@@ -226,7 +229,9 @@
                 progress.result = Some(end.result);
                 job.finished += 1;
                 let was_waiting = job.waiting.remove(&index);
-                if was_waiting && job.waiting.is_empty() {
+                if was_waiting && job.inherited {
+                    self.state.shares.resolve(&job.spec.team, job.spec.need);
+                } else if was_waiting && job.waiting.is_empty() {
                     self.state.queue.remove(job);
                 }
                 if let (Some(placed), Some(declared)) = (released, job.spec.run_time) {
--- a/src/kernel/schedule_event.rs
+++ b/src/kernel/schedule_event.rs
@@ -8,6 +8,8 @@
     BundleAdopted(Arc<PolicyBundle>),
     /// The present workers of the shard; workers that are missing are gone.
     WorkersListed(Vec<WorkerVm>),
+    /// Workers that left the VM list less than a lease ago; tasks of an earlier owner may still run there.
+    WorkersVanished(Vec<VmId>),
     /// The allotment of a team in the shard changed.
     AllotmentChanged(TeamId, ResourceVector),
     /// A job of the shard was accepted.
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -20,6 +20,8 @@
     reclaim: ReclaimPlanner,
     /// Workers that have not accepted this owner yet.
     unheard: FastSet<VmId>,
+    /// Workers that had left the VM list shortly before the shard was claimed.
+    vanished: FastSet<VmId>,
     /// Until then, jobs accepted before the take-over wait for workers that were not heard.
     settled_at: Instant,
     /// Whether calls have left work for the next [`ScheduleEvent::Tick`].
@@ -40,6 +42,7 @@
             drain: ZoneDrain::default(),
             reclaim: ReclaimPlanner::default(),
             unheard: FastSet::default(),
+            vanished: FastSet::default(),
             settled_at,
             backlog: false,
             examined: 0,
@@ -53,6 +56,16 @@
         self
     }
 
+    /// Sets the lowest number of attempts that this owner starts.
+    ///
+    /// It must be above those of earlier owners: a name that is used twice would let the end of one attempt,
+    /// reported late by a worker that was silent, pass for the end of the other.
+    #[must_use]
+    pub const fn with_first_attempt(mut self, first_attempt: AttemptNumber) -> Self {
+        self.state.first_attempt = first_attempt;
+        self
+    }
+
     /// Adds a job that was accepted before this process claimed the shard.
     pub fn inherit(&mut self, spec: &Arc<JobSpec>, cancelled: bool) {
         self.state.add_job(spec, true);
@@ -66,6 +79,7 @@
         match event {
             ScheduleEvent::BundleAdopted(bundle) => self.adopt_bundle(bundle),
             ScheduleEvent::WorkersListed(vms) => self.list_workers(vms),
+            ScheduleEvent::WorkersVanished(vms) => self.vanished.extend(vms),
             ScheduleEvent::AllotmentChanged(team, amount) => {
                 self.state.shares.allot(&team, amount);
                 self.state.queue.unblock_team(&team);
@@ -154,7 +168,12 @@
                 self.drain.add_worker(&mut self.state, slot);
             }
         }
-        self.unheard.retain(|vm| named.contains(vm));
+        // A worker that leaves the list before it is heard may still run tasks of an earlier owner.
+        let (unheard, vanished) =
+            std::mem::take(&mut self.unheard).into_iter().partition(|vm| named.contains(vm));
+        self.unheard = unheard;
+        let vanished: FastSet<VmId> = vanished;
+        self.vanished.extend(vanished);
         self.refuse_misfits();
     }
 
@@ -171,9 +190,11 @@
     }
 
     fn apply_report(&mut self, vm: VmId, report: WorkerReport, now: Instant) {
+        // A report of a worker that was forgotten meanwhile settles nothing.
+        let known = self.state.fleet.slot(&vm).and_then(|slot| self.state.fleet.get(slot));
+        let Some(first) = known.map(|worker| worker.lease_end.is_none()) else { return };
         self.unheard.remove(&vm);
-        let armed = self.state.fleet.slot(&vm).and_then(|slot| self.state.fleet.get(slot));
-        let first = armed.is_some_and(|worker| worker.lease_end.is_none());
+        self.vanished.remove(&vm);
         if let Some(mut fold) = self.fold(vm.clone(), now) {
             fold.apply(report);
         }
@@ -186,6 +207,12 @@
     fn note_silence(&mut self, vm: &VmId, now: Instant) {
         let Some(slot) = self.state.fleet.slot(vm) else { return };
         let bound = self.state.timing.surely_over(now);
+        let first =
+            self.state.fleet.get(slot).is_some_and(|worker| !worker.heard && worker.failed_syncs == 0);
+        if first && !self.state.held.is_empty() {
+            // The sync may have extended the lease of tasks that an earlier owner started.
+            self.settled_at = self.settled_at.max(bound);
+        }
         self.state.fleet.update(slot, |worker| {
             // Later syncs grant only the rest of the lease that the first failed one may have granted.
             if worker.failed_syncs == 0 && worker.heard {
@@ -211,6 +238,7 @@
         for class in std::mem::take(&mut self.state.cut) {
             self.state.queue.unblock(class);
         }
+        self.state.sweep = self.state.sweep.and_then(|from| self.state.queue.unblock_next(from));
         self.check_leases(now);
         self.gang.expire(&mut self.state, now);
         self.drain.advance(&mut self.state, now);
@@ -253,7 +281,6 @@
     /// Forgets a worker that is not listed and holds no lease.
     fn forget_worker(&mut self, slot: u32) {
         let Some(worker) = self.state.fleet.remove(slot) else { return };
-        self.unheard.remove(&worker.vm.vm);
         self.state.effects.push(ScheduleEffect::Forget(worker.vm.vm));
     }
 
@@ -286,7 +313,7 @@
     }
 
     fn decide(&mut self, now: Instant) {
-        let heard_all = self.unheard.is_empty() && !self.state.fleet.is_empty();
+        let heard_all = self.unheard.is_empty() && self.vanished.is_empty() && !self.state.fleet.is_empty();
         if !self.state.held.is_empty() && (heard_all || now >= self.settled_at) {
             self.release_held();
         }
@@ -310,5 +337,6 @@
             }
         }
         self.state.release_held();
+        self.vanished.clear();
     }
 }
--- a/src/kernel/shard_state.rs
+++ b/src/kernel/shard_state.rs
@@ -20,14 +20,16 @@
     pub shares: ShareLedger,
     /// Waiting tasks.
     pub queue: WaitQueue,
-    /// Jobs whose outcome is not in the ledger.
-    pub jobs: FastMap<JobId, JobProgress>,
-    /// Tasks that count on a worker.
-    pub tasks: FastMap<TaskId, PlacedTask>,
+    /// Jobs whose outcome is not in the ledger; boxed, so that a growing table moves little.
+    pub jobs: FastMap<JobId, Box<JobProgress>>,
+    /// Tasks that count on a worker; boxed for the same reason.
+    pub tasks: FastMap<TaskId, Box<PlacedTask>>,
     /// Tasks that may be reclaimed, by team, least work first from the back.
     pub recent: FastMap<TeamId, BTreeSet<(Instant, TaskId)>>,
     /// Run times of the teams.
     pub run_times: RunTimeLedger,
+    /// Lowest attempt that this owner starts, above all those of earlier owners.
+    pub first_attempt: AttemptNumber,
     /// Bounds on leases.
     pub timing: LeaseTiming,
     /// Jobs that wait until leases of an earlier owner are over.
@@ -40,10 +42,12 @@
     pub lease_checks: BTreeSet<(Instant, VmId)>,
     /// Classes whose last search was cut off; they are tried again with the next tick.
     pub cut: Vec<ClassId>,
+    /// Where ticks go on to try classes again that a bounded search may have left out.
+    pub sweep: Option<ClassId>,
     /// Worker shapes for which misfits were refused.
     pub shapes_checked: Vec<(ResourceVector, u32)>,
-    /// Tasks to be stopped in slices.
-    pub stop_backlog: VecDeque<(TaskId, StopReason)>,
+    /// Jobs whose tasks are stopped in slices, with the index of the next task.
+    pub stop_backlog: VecDeque<(JobId, usize)>,
     /// What is to be done.
     pub effects: Vec<ScheduleEffect>,
     sequence: u64,
@@ -56,9 +60,10 @@
             return;
         }
         self.sequence += 1;
-        let job = JobProgress::new(spec.clone(), self.sequence, inherited);
+        let job = Box::new(JobProgress::new(spec.clone(), self.sequence, inherited));
         if inherited {
             self.held.push(spec.id.clone());
+            self.shares.expect(&spec.team, spec.need.times(u64::from(spec.tasks)));
         } else {
             self.queue.add(&job);
         }
@@ -67,12 +72,20 @@
 
     /// Lets jobs wait for workers that were held back for leases of an earlier owner.
     pub fn release_held(&mut self) {
+        self.shares.settle();
         for id in std::mem::take(&mut self.held) {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.inherited = false;
-            if job.cancelled {
-                self.cancel(&id);
-            } else if job.is_live() && !job.waiting.is_empty() {
+            // Replacements that an earlier owner started stand for some of the first tasks.
+            for _ in 0..std::mem::take(&mut job.surplus) {
+                if let Some(spare) = job.waiting.pop_last() {
+                    job.tasks[spare as usize].retired = true;
+                }
+            }
+            if !job.is_live() {
+                self.clear_waiting(&id);
+                self.finish(&id);
+            } else if !job.waiting.is_empty() {
                 self.queue.add(job);
             }
         }
@@ -92,8 +105,9 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(progress) = job.tasks.get_mut(index as usize) else { return };
         let spec = job.spec.clone();
-        let task = spec.task_id(index, progress.next);
-        progress.next += 1;
+        let attempt = progress.last.map_or(0, |last| last + 1).max(self.first_attempt);
+        let task = spec.task_id(index, attempt);
+        progress.last = Some(attempt);
         progress.end_reported = false;
         job.waiting.remove(&index);
         job.backing_off.remove(&index);
@@ -141,12 +155,12 @@
                 job.spread.add(state);
             }
         }
-        self.tasks.insert(task, placed);
+        self.tasks.insert(task, Box::new(placed));
     }
 
     /// Counts a task no longer; the caller is sure that it does not run.
     pub fn release(&mut self, task: &TaskId) -> Option<PlacedTask> {
-        let placed = self.tasks.remove(task)?;
+        let placed = *self.tasks.remove(task)?;
         let slot = self.fleet.slot(&placed.vm);
         if let Some(job) = self.jobs.get_mut(&placed.job)
             && let Some(progress) = job.tasks.get_mut(placed.index as usize)
@@ -209,9 +223,11 @@
             return;
         }
         job.backing_off.remove(&index);
-        job.waiting.insert(index);
+        let added = job.waiting.insert(index);
         if !job.inherited {
             self.queue.add(job);
+        } else if added {
+            self.shares.expect(&job.spec.team, job.spec.need);
         }
     }
 
@@ -254,11 +270,25 @@
         }
     }
 
-    /// Stops up to `limit` tasks of the backlog.
+    /// Looks at up to `limit` tasks of the backlog and stops those that are placed.
     pub fn drain_stops(&mut self, limit: usize) {
-        for _ in 0..limit.min(self.stop_backlog.len()) {
-            if let Some((task, reason)) = self.stop_backlog.pop_front() {
-                self.stop(&task, reason);
+        let mut left = limit;
+        while let Some((id, from)) = self.stop_backlog.pop_front() {
+            let tasks = self.jobs.get(&id).map_or(&[][..], |job| &job.tasks);
+            let slice = tasks.iter().skip(from).take(left);
+            let placed: Vec<TaskId> = slice.filter_map(|progress| progress.placed.clone()).collect();
+            let next = from + left;
+            if next < tasks.len() {
+                self.stop_backlog.push_front((id, next));
+                left = 0;
+            } else {
+                left -= tasks.len().saturating_sub(from);
+            }
+            for task in placed {
+                self.stop(&task, StopReason::JobEnded);
+            }
+            if left == 0 {
+                return;
             }
         }
     }
@@ -275,24 +305,33 @@
     }
 
     /// Decides the outcome of a job and stops what still runs of it.
+    ///
+    /// The outcome is recorded after the last task has ended, so that an owner that takes over knows of all jobs
+    /// with running tasks.
     pub fn end_job(&mut self, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else { return };
         job.ended = true;
+        job.outcome = Some(outcome);
         self.clear_waiting(id);
-        self.effects.push(ScheduleEffect::End(id.clone(), outcome));
+        self.finish(id);
     }
 
-    /// Decides the outcome of a job if all its tasks are done.
+    /// Records the outcome of a job if all its tasks are done.
     pub fn finish(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.ended || job.inherited && job.cancelled || job.placed > 0 {
+        if job.inherited && !job.is_live() || job.placed > 0 {
             return;
         }
-        if job.cancelled {
-            self.end_job(id, JobOutcome::Cancelled);
-        } else if job.finished >= job.spec.tasks {
+        if !job.ended && job.cancelled {
+            job.outcome = Some(JobOutcome::Cancelled);
+        } else if !job.ended && job.finished >= job.spec.tasks {
             let results = job.tasks.iter_mut().filter_map(|progress| progress.result.take()).collect();
-            self.end_job(id, JobOutcome::Finished(results));
+            job.outcome = Some(JobOutcome::Finished(results));
+        }
+        if let Some(outcome) = job.outcome.take() {
+            job.ended = true;
+            self.clear_waiting(id);
+            self.effects.push(ScheduleEffect::End(id.clone(), outcome));
         }
     }
 
@@ -309,7 +348,8 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         self.queue.remove(job);
         job.waiting.clear();
-        let placed = job.tasks.iter().filter_map(|progress| progress.placed.clone());
-        self.stop_backlog.extend(placed.map(|task| (task, StopReason::JobEnded)));
+        if job.placed > 0 {
+            self.stop_backlog.push_back((id.clone(), 0));
+        }
     }
 }
--- a/src/kernel/share_ledger.rs
+++ b/src/kernel/share_ledger.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug)]
 struct TeamUse {
     used: ResourceVector,
+    /// What tasks of an earlier owner may use on workers that were not heard yet.
+    expected: ResourceVector,
     allotment: ResourceVector,
     weight: f64,
     average: f64,
@@ -26,7 +28,7 @@
 impl Default for TeamUse {
     fn default() -> Self {
         let zero = ResourceVector::default();
-        Self { used: zero, allotment: zero, weight: 1.0, average: 0.0, score: 0.0 }
+        Self { used: zero, expected: zero, allotment: zero, weight: 1.0, average: 0.0, score: 0.0 }
     }
 }
 
@@ -58,16 +60,40 @@
         team.rate(total);
     }
 
+    /// Counts an amount that tasks of an earlier owner may use.
+    pub fn expect(&mut self, team: &TeamId, amount: ResourceVector) {
+        let team = self.teams.entry(team.clone()).or_default();
+        team.expected = team.expected.plus(amount);
+    }
+
+    /// Counts an expected amount no longer, as it was found or has ended.
+    pub fn resolve(&mut self, team: &TeamId, amount: ResourceVector) {
+        let team = self.teams.entry(team.clone()).or_default();
+        team.expected = team.expected.minus(amount);
+    }
+
+    /// Counts no expected amounts any more.
+    pub fn settle(&mut self) {
+        for team in self.teams.values_mut() {
+            team.expected = ResourceVector::default();
+        }
+    }
+
     /// Whether the team may use that much more.
     #[must_use]
     pub fn allows(&self, team: &TeamId, amount: ResourceVector) -> bool {
-        self.teams.get(team).is_some_and(|team| team.used.plus(amount).fits(team.allotment))
+        self.teams
+            .get(team)
+            .is_some_and(|team| team.used.plus(team.expected).plus(amount).fits(team.allotment))
     }
 
     /// Returns how much more the team may use.
     #[must_use]
     pub fn room(&self, team: &str) -> ResourceVector {
-        self.teams.get(team).map(|team| team.allotment.minus(team.used)).unwrap_or_default()
+        self.teams
+            .get(team)
+            .map(|team| team.allotment.minus(team.used.plus(team.expected)))
+            .unwrap_or_default()
     }
 
     /// Returns what counts against a team.
--- a/src/kernel/wait_queue.rs
+++ b/src/kernel/wait_queue.rs
@@ -3,6 +3,11 @@
 use crate::kernel::{JobKind, JobProgress, PriorityClass, ShareLedger};
 use crate::prelude::*;
 
+/// Classes that are tried again for one worker that gained room.
+const OFFERS: usize = 64;
+/// Classes of one team and priority that are compared with the room of one worker.
+const LOOKS: usize = 64;
+
 /// Number of a class of waiting tasks.
 pub type ClassId = u64;
 
@@ -73,7 +78,7 @@
     /// Classes to be tried, by team, in order.
     ready: FastMap<TeamId, BTreeSet<(PriorityClass, u64, ClassId)>>,
     /// Classes that no worker has room for, by cores of one task.
-    unfit: BTreeSet<(u64, ClassId)>,
+    unfit: BTreeMap<(PriorityClass, TeamId), BTreeSet<(u64, ClassId)>>,
     /// Classes over the allotment of their team.
     limited: FastMap<TeamId, BTreeSet<ClassId>>,
     /// Classes that wait for the reservation of another job.
@@ -132,9 +137,10 @@
         self.classes.iter().map(|(id, class)| (*id, class))
     }
 
-    /// Returns the classes that no worker has room for.
+    /// Returns the classes that no worker has room for, urgent ones first.
     pub fn unfit(&self) -> impl Iterator<Item = (ClassId, &WaitClass)> {
-        self.unfit.iter().filter_map(|(_, id)| Some((*id, self.classes.get(id)?)))
+        let classes = self.unfit.values().flatten();
+        classes.filter_map(|(_, id)| Some((*id, self.classes.get(id)?)))
     }
 
     /// Sets a class aside until [`Self::unblock`].
@@ -148,7 +154,8 @@
         class.blocked = Some(reason);
         match reason {
             WaitReason::FitsNowhere => {
-                self.unfit.insert((class.key.need.cores_milli, id));
+                let same = self.unfit.entry((class.key.priority, class.key.team.clone())).or_default();
+                same.insert((class.key.need.cores_milli, id));
             }
             WaitReason::OverLimit => {
                 self.limited.entry(class.key.team.clone()).or_default().insert(id);
@@ -165,7 +172,13 @@
         if class.blocked.take().is_none() {
             return;
         }
-        self.unfit.remove(&(class.key.need.cores_milli, id));
+        let owner = (class.key.priority, class.key.team.clone());
+        if let Some(same) = self.unfit.get_mut(&owner) {
+            same.remove(&(class.key.need.cores_milli, id));
+            if same.is_empty() {
+                self.unfit.remove(&owner);
+            }
+        }
         self.reserved.remove(&id);
         if let Some(limited) = self.limited.get_mut(&class.key.team) {
             limited.remove(&id);
@@ -175,14 +188,48 @@
         }
     }
 
-    /// Lets the classes be tried again that need at most `free` per task.
-    pub fn unblock_fitting(&mut self, free: ResourceVector) {
-        let range = self.unfit.range(..=(free.cores_milli, ClassId::MAX));
-        let fits = |id: &ClassId| self.classes.get(id).is_some_and(|class| class.key.need.fits(free));
-        let found: Vec<ClassId> = range.map(|(_, id)| *id).filter(fits).collect();
+    /// Lets the classes be tried again that may take `free`: urgent ones first, then by share, large ones first.
+    ///
+    /// Returns whether classes were left out to bound the work.
+    pub fn unblock_fitting(&mut self, free: ResourceVector, shares: &ShareLedger) -> bool {
+        let mut owners: Vec<&(PriorityClass, TeamId)> = self.unfit.keys().collect();
+        owners.sort_by(|(priority, team), (other_priority, other)| {
+            let by_share = || shares.score(team).total_cmp(&shares.score(other));
+            priority.cmp(other_priority).then_with(by_share)
+        });
+        let (mut found, mut cut): (Vec<ClassId>, bool) = (Vec::new(), false);
+        for owner in owners {
+            let Some(same) = self.unfit.get(owner) else { continue };
+            if found.len() >= OFFERS {
+                cut = true;
+                break;
+            }
+            let range = same.range(..=(free.cores_milli, ClassId::MAX)).rev();
+            for (looked, (_, id)) in range.enumerate() {
+                if looked >= LOOKS || found.len() >= OFFERS {
+                    cut = true;
+                    break;
+                }
+                if self.classes.get(id).is_some_and(|class| class.key.need.fits(free)) {
+                    found.push(*id);
+                }
+            }
+        }
         for id in found {
             self.unblock(id);
         }
+        cut
+    }
+
+    /// Lets the next classes after `from` be tried again; returns where to go on, `None` at the end.
+    pub fn unblock_next(&mut self, from: ClassId) -> Option<ClassId> {
+        let mut ids: Vec<ClassId> = self.unfit().map(|(id, _)| id).filter(|id| *id > from).collect();
+        ids.sort_unstable();
+        ids.truncate(OFFERS);
+        for id in &ids {
+            self.unblock(*id);
+        }
+        ids.last().copied()
     }
 
     /// Lets the classes of a team be tried again that were over its allotment.
--- a/src/kernel/zone_drain.rs
+++ b/src/kernel/zone_drain.rs
@@ -100,6 +100,11 @@
             self.due.insert((now + ENDS_SOON, task));
             return;
         }
+        if state.jobs.get(&placed.job).is_some_and(|job| job.inherited) {
+            // Other tasks of the job may still be found, so no replacement can be chosen yet.
+            self.due.insert((now + ENDS_SOON, task));
+            return;
+        }
         self.budget -= 1;
         let placed = placed.clone();
         if placed.kind == JobKind::Service {
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -15,6 +15,9 @@
 /// Time between ticks of the schedulers.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Attempts of one task under one claim are numbered with this many bits, below those of the token.
+const ATTEMPT_BITS: u32 = 16;
+
 /// A shard that this process has just claimed, with what the ledger knows of it.
 pub struct ClaimedShard {
     /// The shard.
@@ -64,6 +67,8 @@
     timing: LeaseTiming,
     shards: FastMap<ShardId, OwnedShard>,
     workers: Vec<WorkerVm>,
+    /// Workers that left the VM list, with the end of any lease that they may hold.
+    vanished: Vec<(Instant, WorkerVm)>,
     bundle: Option<Arc<PolicyBundle>>,
     journal: mpsc::Sender<JournalMessage>,
     worker: mpsc::Sender<WorkerMessage>,
@@ -88,6 +93,7 @@
             timing,
             shards,
             workers: Vec::new(),
+            vanished: Vec::new(),
             bundle: None,
             journal,
             worker,
@@ -113,6 +119,7 @@
             SchedulerMessage::Claimed(claimed) => self.claim(*claimed).await,
             SchedulerMessage::Changed(change) => self.change(change).await,
             SchedulerMessage::Listed(workers) => {
+                self.note_vanished(&workers);
                 self.workers = workers;
                 self.list_workers().await;
             }
@@ -148,6 +155,16 @@
         }
     }
 
+    /// Remembers workers that left the VM list while tasks may still run on them.
+    fn note_vanished(&mut self, workers: &[WorkerVm]) {
+        let now = Instant::now();
+        let named: FastSet<&VmId> = workers.iter().map(|vm| &vm.vm).collect();
+        let over = self.timing.surely_over(now);
+        let gone = self.workers.iter().filter(|vm| !named.contains(&vm.vm));
+        self.vanished.extend(gone.map(|vm| (over, vm.clone())));
+        self.vanished.retain(|(over, vm)| *over > now && !named.contains(&vm.vm));
+    }
+
     fn owns(&self, shard: &ShardId, token: FencingToken) -> bool {
         self.shards.get(shard).is_some_and(|owned| owned.token == token)
     }
@@ -176,7 +193,9 @@
 
     async fn claim(&mut self, claimed: ClaimedShard) {
         let settled_at = self.timing.surely_over(Instant::now());
-        let mut scheduler = ShardScheduler::new(self.registry.clone(), settled_at).with_timing(self.timing);
+        let mut scheduler = ShardScheduler::new(self.registry.clone(), settled_at)
+            .with_timing(self.timing)
+            .with_first_attempt(claimed.token << ATTEMPT_BITS);
         for (spec, cancelled) in claimed.jobs {
             scheduler.inherit(&spec, cancelled);
         }
@@ -190,6 +209,12 @@
             self.tell(&claimed.shard, ScheduleEvent::BundleAdopted(bundle)).await;
         }
         log::info!(shard = &*claimed.shard, token = claimed.token; "shard claimed");
+        if let Some(bundle) = self.bundle.clone() {
+            let mine =
+                self.vanished.iter().filter(|(_, vm)| vm.shard(bundle.shards_per_region) == claimed.shard);
+            let mine = mine.map(|(_, vm)| vm.vm.clone()).collect();
+            self.tell(&claimed.shard, ScheduleEvent::WorkersVanished(mine)).await;
+        }
         self.list_workers().await;
     }
 
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -219,6 +219,84 @@
     expect_that!(tasks, unordered_elements_are![eq(&"blue/web#0@0"), eq(&"blue/web#1@3")]);
 }
 
+/// Guards against one owner that takes the late end of an earlier owner's attempt for the end of its own.
+#[gtest]
+fn attempts_of_two_owners_have_different_names() {
+    // Arrange
+    let mut shard = unheard_shard(1, Instant::now() + Duration::from_secs(32));
+    shard.scheduler = std::mem::replace(&mut shard.scheduler, unheard_shard(0, Instant::now()).scheduler)
+        .with_first_attempt(7 << 16);
+    shard.sync("w0");
+
+    // Act
+    let started = starts(&shard.accept(batch("blue/load", 1, 1_000)));
+
+    // Assert
+    expect_that!(started[0].1, eq("blue/load#0@458752"));
+}
+
+/// Guards against starting inherited tasks again that run on a worker which the VM list lost meanwhile.
+#[gtest]
+fn inherited_jobs_wait_for_workers_that_left_the_list() {
+    // Arrange
+    let settled_at = Instant::now() + Duration::from_secs(32);
+    let mut shard = unheard_shard(2, settled_at);
+    shard.scheduler.inherit(&std::sync::Arc::new(service("blue/web", 1, 1_000)), false);
+    shard.workers.truncate(1);
+    let listed = shard.workers.clone();
+
+    // Act
+    shard.tell(ScheduleEvent::WorkersListed(listed));
+    shard.run(Duration::from_secs(30));
+    let early = shard.running.len();
+    shard.run(Duration::from_secs(3));
+
+    // Assert
+    expect_that!(early, eq(0));
+    expect_that!(shard.running.len(), eq(1));
+}
+
+/// Guards against a new owner that starts work over a limit which tasks it has not found yet use up.
+#[gtest]
+fn tasks_that_were_not_found_yet_count_against_the_allotment() {
+    // Arrange
+    let settled_at = Instant::now() + Duration::from_secs(32);
+    let mut shard = unheard_shard(2, settled_at);
+    let amount = ResourceVector::new(3_000, 1 << 20, 0);
+    shard.tell(ScheduleEvent::AllotmentChanged("blue".into(), amount));
+    shard.scheduler.inherit(&std::sync::Arc::new(service("blue/web", 2, 1_000)), false);
+    shard.sync("w0");
+
+    // Act
+    let over = starts(&shard.accept(batch("blue/large", 1, 2_000)));
+    let within = starts(&shard.accept(batch("blue/small", 1, 1_000)));
+
+    // Assert
+    expect_that!(over, is_empty());
+    expect_that!(within.len(), eq(1));
+}
+
+/// Guards against an outcome in the ledger while tasks of the job still run, which a new owner would not count.
+#[gtest]
+fn the_outcome_of_a_failed_job_waits_for_its_other_tasks() {
+    // Arrange
+    let mut shard = shard(1);
+    let mut spec = batch("blue/load", 2, 1_000);
+    spec.retries = 0;
+    shard.accept(spec);
+    shard.run(Duration::from_secs(1));
+
+    // Act
+    shard.end("blue/load#0@0", TaskEnding::Failed);
+    shard.sync("w0");
+    let at_once = shard.outcome("blue/load");
+    shard.run(Duration::from_secs(1));
+
+    // Assert
+    expect_that!(at_once, none());
+    expect_that!(shard.outcome("blue/load"), some(matches_pattern!(JobOutcome::Failed(_))));
+}
+
 /// Guards against a team that gets past its allotment while tasks start.
 #[gtest]
 fn starting_tasks_count_against_the_allotment() {
