--- a/src/kernel/job_progress.rs
+++ b/src/kernel/job_progress.rs
@@ -30,6 +30,8 @@
     pub surplus: u32,
     /// Whether it was accepted before this process claimed the shard.
     pub inherited: bool,
+    /// Lowest attempt that this owner starts.
+    pub first_attempt: AttemptNumber,
     /// Tasks that back off after a failure or a loss.
     pub backing_off: BTreeSet<u32>,
     /// Workers on which tasks of the job failed, as far as they are counted.
@@ -91,6 +93,7 @@
             outcome: None,
             surplus: 0,
             inherited,
+            first_attempt: 0,
             backing_off: BTreeSet::new(),
             failed_on: FastSet::default(),
             spec,
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -22,6 +22,8 @@
     unheard: FastSet<VmId>,
     /// Workers that had left the VM list shortly before the shard was claimed.
     vanished: FastSet<VmId>,
+    /// No task starts after this time; not bounded if `None`.
+    current_until: Option<Instant>,
     /// Until then, jobs accepted before the take-over wait for workers that were not heard.
     settled_at: Instant,
     /// Whether calls have left work for the next [`ScheduleEvent::Tick`].
@@ -43,6 +45,7 @@
             reclaim: ReclaimPlanner::default(),
             unheard: FastSet::default(),
             vanished: FastSet::default(),
+            current_until: None,
             settled_at,
             backlog: false,
             examined: 0,
@@ -98,6 +101,7 @@
             ScheduleEvent::StartWithdrawn(vm, task) => self.withdraw(&vm, &task, now),
             ScheduleEvent::SyncAnswered(vm, report) => self.apply_report(vm, report, now),
             ScheduleEvent::SyncFailed(vm) => self.note_silence(&vm, now),
+            ScheduleEvent::CurrentUntil(until) => self.current_until = Some(until),
             ScheduleEvent::Tick => self.tick(now),
         }
         self.decide(now);
@@ -320,7 +324,8 @@
         self.state.drain_stops(STOPS);
         self.state.shares.refresh(now, self.state.fleet.capacity);
         let mut more = !self.state.stop_backlog.is_empty();
-        if let Some(bundle) = self.bundle.clone() {
+        let current = self.current_until.is_none_or(|until| now < until);
+        if let Some(bundle) = self.bundle.clone().filter(|_| current) {
             let (state, gang, registry) = (&mut self.state, &mut self.gang, &self.registry);
             more |= PlacementPass { state, gang, registry, bundle: &bundle, now }.run();
         }
--- a/src/kernel/shard_state.rs
+++ b/src/kernel/shard_state.rs
@@ -60,8 +60,9 @@
             return;
         }
         self.sequence += 1;
-        let job = Box::new(JobProgress::new(spec.clone(), self.sequence, inherited));
+        let mut job = Box::new(JobProgress::new(spec.clone(), self.sequence, inherited));
         if inherited {
+            job.first_attempt = self.first_attempt;
             self.held.push(spec.id.clone());
             self.shares.expect(&spec.team, spec.need.times(u64::from(spec.tasks)));
         } else {
@@ -105,7 +106,7 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(progress) = job.tasks.get_mut(index as usize) else { return };
         let spec = job.spec.clone();
-        let attempt = progress.last.map_or(0, |last| last + 1).max(self.first_attempt);
+        let attempt = progress.last.map_or(0, |last| last + 1).max(job.first_attempt);
         let task = spec.task_id(index, attempt);
         progress.last = Some(attempt);
         progress.end_reported = false;
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -5,12 +5,20 @@
 pub mod endpoint;
 pub mod entry;
 pub mod gate;
+pub mod heartbeat;
 pub mod journal;
 pub mod metrics;
 pub mod operator;
+pub mod operator_view;
+pub mod outbox;
+pub mod partition;
 pub mod peer;
+pub mod peer_explain;
+pub mod publisher;
 pub mod router;
+pub mod router_message;
 pub mod scheduler;
+pub mod transfer;
 pub mod worker;
 
 /// Messages that a task's channel holds before senders wait.
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -48,6 +48,8 @@
     Fenced(ShardId, FencingToken),
     /// A worker did not answer a sync.
     Silent(ShardId, FencingToken, VmId),
+    /// This process is current until the time; no task starts after it.
+    CurrentUntil(Instant),
     /// Asks why the tasks of a job are where they are; `None` if no owned shard has the job.
     Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
     /// Asks for summaries of all owned shards.
@@ -70,6 +72,7 @@
     /// Workers that left the VM list, with the end of any lease that they may hold.
     vanished: Vec<(Instant, WorkerVm)>,
     bundle: Option<Arc<PolicyBundle>>,
+    current_until: Option<Instant>,
     journal: mpsc::Sender<JournalMessage>,
     worker: mpsc::Sender<WorkerMessage>,
     metrics: EntryMetrics,
@@ -95,6 +98,7 @@
             workers: Vec::new(),
             vanished: Vec::new(),
             bundle: None,
+            current_until: None,
             journal,
             worker,
             metrics,
@@ -135,6 +139,10 @@
             SchedulerMessage::Fenced(shard, token) if self.owns(&shard, token) => {
                 self.lose(&shard).await;
             }
+            SchedulerMessage::CurrentUntil(until) => {
+                self.current_until = Some(until);
+                self.tell_all(&ScheduleEvent::CurrentUntil(until)).await;
+            }
             SchedulerMessage::Explain(job, reply) => {
                 let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
                 let _ = reply.send(explanation);
@@ -201,6 +209,9 @@
         }
         let owned = OwnedShard { token: claimed.token, scheduler, listed: FastSet::default() };
         self.shards.insert(claimed.shard.clone(), owned);
+        if let Some(until) = self.current_until {
+            self.tell(&claimed.shard, ScheduleEvent::CurrentUntil(until)).await;
+        }
         for (team, amount) in claimed.allotments {
             self.tell(&claimed.shard, ScheduleEvent::AllotmentChanged(team, amount)).await;
         }
