--- a/tests/fixture_replay/load.rs
+++ b/tests/fixture_replay/load.rs
@@ -262,7 +262,7 @@
 }
 
 /// Tasks by index and attempt that start together.
-type WaitingUnit = (Arc<JobSpec>, Vec<(u32, u32)>);
+type WaitingUnit = (Arc<JobSpec>, Vec<(u32, u64)>);
 /// A job with the results and the number of failures of its tasks.
 type JobRecord = (Arc<JobSpec>, Vec<Option<String>>, u32);
 
