Re-route forwarded requests and test faults over sockets

Cause: a request that was forwarded to a dead owner failed at once; a graceful stop cut requests that other processes had forwarded; an answer above 4 MB could not be forwarded; the health answer was dropped without a content type, which held all slots for 30 s after a claim.

Change: forwarding moves to tasks/forward.rs. A connection that was never opened, or an owner that says no_owner, leads to the next owner; a lost one only for idempotent requests, else may_have_run. A stopping process finishes its open requests before it hands the service partitions over.

--- a/src/kernel/route_event.rs
+++ b/src/kernel/route_event.rs
@@ -99,6 +99,8 @@
         /// Its answer, `None` if there was none.
         health: Option<EndpointHealth>,
     },
+    /// The process is stopping: open requests are finished, new ones belong to the next owner.
+    Closing,
     /// Another process owns the partition now.
     ClaimLost,
     /// Time passed.
--- a/src/kernel/service_router.rs
+++ b/src/kernel/service_router.rs
@@ -24,6 +24,7 @@
     budget: RetryBudget,
     times: ServiceTimes,
     next_attempt: AttemptId,
+    closing: bool,
     lost: bool,
 }
 
@@ -47,6 +48,7 @@
             budget: RetryBudget::new(),
             times: ServiceTimes::default(),
             next_attempt: 1,
+            closing: false,
             lost: false,
         }
     }
@@ -66,6 +68,7 @@
             }
             RouteEvent::Failed(attempt, failure) => self.fail(attempt, failure, now, &mut effects),
             RouteEvent::Probed { vm, sent, health } => self.probe(&vm, sent, health, now, &mut effects),
+            RouteEvent::Closing => self.closing = true,
             RouteEvent::ClaimLost => self.lose_claim(now, &mut effects),
             RouteEvent::Tick => self.tick(now, &mut effects),
         }
@@ -141,7 +144,7 @@
 
     /// Returns why a request is refused on arrival.
     fn obstacle(&self, request: &RouteRequest, now: Instant) -> Option<TeamRefusal> {
-        if self.lost {
+        if self.lost || self.closing {
             return Some(owner_changed());
         }
         let slots = self.endpoints.slots();
--- a/src/plugins/endpoint_http.rs
+++ b/src/plugins/endpoint_http.rs
@@ -84,7 +84,9 @@
 async fn probe(url: String) -> Option<EndpointHealth> {
     let client = http::client(1, PROBE_TIMEOUT);
     let mut response = client.get(url).force_close().send().await.ok()?;
-    let health: HealthBody = timeout(PROBE_TIMEOUT, response.json()).await.ok()?.ok()?;
+    // The content type is not looked at: endpoints differ in what they send.
+    let body = timeout(PROBE_TIMEOUT, response.body()).await.ok()?.ok()?;
+    let health: HealthBody = serde_json::from_slice(&body).ok()?;
     Some(EndpointHealth { busy: health.busy, leaving: health.leaving })
 }
 
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -30,6 +30,10 @@
 /// Extra time after a lease for messages on their way; the clock rate error comes on top.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest wait for requests that other entry processes forwarded; endpoints may take 30 s.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(35);
+/// Time for the last replies to reach other entry processes before the sockets close.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
 /// Longest wait for each step of a hand-over.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -48,6 +52,8 @@
     front: JoinHandle<()>,
     peer: mpsc::Sender<PeerMessage>,
     journal: mpsc::Sender<JournalMessage>,
+    router: mpsc::Sender<RouterMessage>,
+    closed: CancellationToken,
 }
 
 impl EntryProcess {
@@ -68,7 +74,9 @@
         let process: ProcessId = format!("{}.{:016x}", settings.vm, incarnation()?).into();
         let token = CancellationToken::new();
         let stopping = token.child_token();
+        let closed = token.child_token();
         let start = TaskStart {
+            closed: closed.clone(),
             process: process.clone(),
             registry: PluginRegistry::collect(),
             adapters: AdapterSet::select()?,
@@ -81,7 +89,7 @@
         let (peer, peer_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let shared =
             SharedInboxes { journal: (journal.clone(), journal_inbox), peer: (peer.clone(), peer_inbox) };
-        let front = start.spawn_all(listener, peer_listener, operator_listener, shared);
+        let (front, router) = start.spawn_all(listener, peer_listener, operator_listener, shared);
         log::info!(process = &*process, listen:% = address; "entry process started");
         Ok(Self {
             process,
@@ -93,6 +101,8 @@
             front,
             peer,
             journal,
+            router,
+            closed,
         })
     }
 
@@ -103,7 +113,15 @@
         self.leave(LeaveStage::Workers).await;
         // The front end failed only if it panicked; the other tasks end either way.
         let _ = (&mut self.front).await;
+        let (reply, drained) = oneshot::channel();
+        let _ = self.router.send(RouterMessage::Drain(reply)).await;
+        if tokio::time::timeout(DRAIN_TIMEOUT, drained).await.is_err() {
+            log::warn!(process = &*self.process; "requests of other entry processes are still open");
+        }
         self.leave(LeaveStage::All).await;
+        // Requests that were taken before this moment are refused as not run, not cut off.
+        self.closed.cancel();
+        tokio::time::sleep(CLOSE_TIME).await;
         let (reply, flushed) = oneshot::channel();
         let _ = self.journal.send(JournalMessage::Flush(reply)).await;
         let _ = tokio::time::timeout(LEAVE_TIMEOUT, flushed).await;
@@ -161,18 +179,19 @@
     metrics: EntryMetrics,
     token: CancellationToken,
     stopping: CancellationToken,
+    closed: CancellationToken,
     settings: EntrySettings,
 }
 
 impl TaskStart {
-    /// Spawns all tasks and returns the handle of the front end.
+    /// Spawns all tasks and returns the handle of the front end and the sender to the router.
     fn spawn_all(
         self,
         front: TcpListener,
         peer: TcpListener,
         operator: TcpListener,
         shared: SharedInboxes,
-    ) -> JoinHandle<()> {
+    ) -> (JoinHandle<()>, mpsc::Sender<RouterMessage>) {
         let (journal_sender, journal_inbox) = shared.journal;
         let (peer_sender, peer_inbox) = shared.peer;
         let (scheduler_sender, scheduler_inbox) = mpsc::channel(CHANNEL_CAPACITY);
@@ -206,6 +225,7 @@
             peer: peer_sender.clone(),
             gate: gate_sender.clone(),
             scheduler: scheduler_sender.clone(),
+            closed: self.closed.clone(),
         };
         actix_rt::spawn(peer::serve(peer, service, self.token.clone()));
         let directory = DirectoryTask {
@@ -222,7 +242,7 @@
             view: OperatorView {
                 journal: journal_sender,
                 scheduler: scheduler_sender,
-                router: router_sender,
+                router: router_sender.clone(),
                 peer: peer_sender,
                 directory: self.adapters.directory,
                 directory_address: self.settings.directory.clone(),
@@ -231,7 +251,7 @@
         };
         actix_rt::spawn(service.serve(operator, self.token.clone()));
         let context = FrontContext { listener: front, gate: gate_sender, token: self.stopping };
-        actix_rt::spawn((self.adapters.front.serve)(context))
+        (actix_rt::spawn((self.adapters.front.serve)(context)), router_sender)
     }
 
     fn journal(&self, outputs: JournalOutputs) -> JournalTask {
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -4,6 +4,7 @@
 pub mod directory;
 pub mod endpoint;
 pub mod entry;
+pub mod forward;
 pub mod gate;
 pub mod heartbeat;
 pub mod journal;
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -8,10 +8,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use crate::kernel::{
-    BundleRecord, FrontReply, LeaveStage, LedgerChange, PeerBeat, PeerView, RefusalReason, RunState,
-    ShardSummary, TeamRefusal,
-};
+use crate::kernel::{BundleRecord, FrontReply, LeaveStage, LedgerChange, PeerBeat, PeerView, ShardSummary};
 use crate::prelude::*;
 use crate::proto::peer::peer_client::PeerClient;
 use crate::proto::peer::peer_server::{Peer, PeerServer};
@@ -20,6 +17,7 @@
     Refusal, forward_reply,
 };
 use crate::tasks::adapter::EntryVm;
+use crate::tasks::forward::{ReroutedCall, forward_call, unreachable_owner};
 use crate::tasks::gate::GateMessage;
 use crate::tasks::heartbeat;
 use crate::tasks::journal::JournalMessage;
@@ -31,10 +29,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between looks at who is alive; a killed owner is replaced at most this much later than it is suspected.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest wait for the answer to a forwarded request beyond its deadline.
-const FORWARD_GRACE: Duration = Duration::from_secs(2);
-/// Deadline of forwarded requests that name none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest wait for the other side of a connection to show that it is there.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest reply in bytes: an answer of an endpoint and its frame.
+const REPLY_LIMIT: usize = 17 << 20;
 
 /// A request for a partition that another process owns.
 pub struct ForwardedCall {
@@ -64,6 +62,8 @@
     Leave(LeaveStage, oneshot::Sender<()>),
     /// Hands a request to the owner of its partition.
     Forward(Box<ForwardedCall>),
+    /// Hands a request to the owner of its partition after an attempt at the last owner.
+    Reroute(Box<ReroutedCall>),
     /// Asks the owner of a shard about a job.
     Explain(RelayedQuestion),
 }
@@ -80,6 +80,7 @@
     leaving: Option<oneshot::Sender<()>>,
     clients: FastMap<VmId, (String, PeerClient<Channel>)>,
     vm_by_process: FastMap<ProcessId, VmId>,
+    owners: FastMap<ShardId, ProcessId>,
     outputs: PeerOutputs,
 }
 
@@ -111,6 +112,7 @@
             leaving: None,
             clients: FastMap::default(),
             vm_by_process: FastMap::default(),
+            owners: FastMap::default(),
             outputs,
         }
     }
@@ -142,6 +144,7 @@
                 self.bundle = Some(bundle);
             }
             PeerMessage::Changed(LedgerChange::ShardClaimed(shard, claim)) => {
+                self.owners.insert(shard.clone(), claim.process.clone());
                 self.view.note_claim(shard, claim, now);
             }
             PeerMessage::Changed(LedgerChange::GroupFolded(process, _)) => {
@@ -169,7 +172,10 @@
                 self.leaving = Some(reply);
                 self.send_heartbeats();
             }
-            PeerMessage::Forward(forwarded) => self.forward(*forwarded),
+            PeerMessage::Forward(forwarded) => {
+                self.forward(&forwarded.owner, ReroutedCall::new(forwarded.call, now));
+            }
+            PeerMessage::Reroute(rerouted) => self.reroute(*rerouted),
             PeerMessage::Explain(question) => peer_explain::relay(self.client(&question.owner), question),
         }
     }
@@ -203,8 +209,14 @@
             let same = self.clients.get(&entry.vm).is_some_and(|(address, _)| *address == entry.address);
             let Ok(endpoint) = Endpoint::from_shared(format!("http://{}", entry.address)) else { continue };
             if !same {
-                let channel = endpoint.connect_timeout(heartbeat::TIMEOUT).connect_lazy();
-                self.clients.insert(entry.vm, (entry.address, PeerClient::new(channel)));
+                // A silent connection ends within 3 s, so that its requests are resolved.
+                let channel = endpoint
+                    .connect_timeout(heartbeat::TIMEOUT)
+                    .http2_keep_alive_interval(HEARTBEAT_INTERVAL)
+                    .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+                    .connect_lazy();
+                let client = PeerClient::new(channel).max_decoding_message_size(REPLY_LIMIT);
+                self.clients.insert(entry.vm, (entry.address, client));
             }
         }
     }
@@ -251,14 +263,22 @@
         let _ = self.outputs.gate.try_send(GateMessage::Free(free));
     }
 
-    fn forward(&self, forwarded: ForwardedCall) {
-        let Some(client) = self.client(&forwarded.owner) else {
-            let text = "the owner of the service partition cannot be reached";
-            let refusal = TeamRefusal::not_run(RefusalReason::NoOwner, text);
-            let _ = forwarded.call.reply.send(FrontReply::Refused(refusal));
-            return;
-        };
-        actix_rt::spawn(forward_call(client, forwarded));
+    fn forward(&self, owner: &ProcessId, rerouted: ReroutedCall) {
+        actix_rt::spawn(forward_call(self.client(owner), rerouted, self.outputs.peer.clone()));
+    }
+
+    fn reroute(&self, mut rerouted: ReroutedCall) {
+        match self.owners.get(&rerouted.call.shard) {
+            Some(owner) if *owner == self.process => {
+                rerouted.call.deadline = Some(rerouted.deadline.saturating_duration_since(Instant::now()));
+                let gate = self.outputs.gate.clone();
+                actix_rt::spawn(async move {
+                    let _ = gate.send(GateMessage::Forwarded(Box::new(rerouted.call))).await;
+                });
+            }
+            Some(owner) => self.forward(owner, rerouted),
+            None => rerouted.end(unreachable_owner()),
+        }
     }
 
     fn client(&self, process: &ProcessId) -> Option<PeerClient<Channel>> {
@@ -267,33 +287,6 @@
     }
 }
 
-async fn forward_call(mut client: PeerClient<Channel>, forwarded: ForwardedCall) {
-    let call = forwarded.call;
-    let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let request = ForwardRequest {
-        shard: call.shard.to_string(),
-        team: call.team.to_string(),
-        request: call.request.to_string(),
-        zone: call.zone.to_string(),
-        idempotent: call.idempotent,
-        deadline_ms: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
-        body: call.body.to_vec(),
-    };
-    let result = tokio::time::timeout(deadline + FORWARD_GRACE, client.forward(request)).await;
-    let reply = match result {
-        Ok(Ok(reply)) => decode_reply(reply.into_inner()),
-        Ok(Err(status)) => {
-            let text = format!("the owner of the service partition failed: {}", status.code());
-            FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::ConnectionLost, text))
-        }
-        Err(_) => {
-            let text = "the owner of the service partition did not answer in time";
-            FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::Timeout, text))
-        }
-    };
-    let _ = call.reply.send(reply);
-}
-
 /// Serves the interface for other entry processes until the token is cancelled.
 pub async fn serve(listener: TcpListener, service: PeerService, token: CancellationToken) {
     let incoming = TcpListenerStream::new(listener);
@@ -311,6 +304,8 @@
     pub gate: mpsc::Sender<GateMessage>,
     /// The scheduler task.
     pub scheduler: mpsc::Sender<SchedulerMessage>,
+    /// Cancelled once the process takes no forwarded requests any more.
+    pub closed: CancellationToken,
 }
 
 #[tonic::async_trait]
@@ -328,6 +323,9 @@
 
     async fn forward(&self, request: Request<ForwardRequest>) -> Result<Response<ForwardReply>, Status> {
         let request = request.into_inner();
+        if self.closed.is_cancelled() {
+            return Ok(Response::new(encode_reply(unreachable_owner())));
+        }
         let (reply, answer) = oneshot::channel();
         let call = decode_call(request, reply);
         let _ = self.gate.send(GateMessage::Forwarded(Box::new(call))).await;
@@ -372,28 +370,3 @@
     };
     ForwardReply { reply: Some(reply) }
 }
-
-fn decode_reply(reply: ForwardReply) -> FrontReply {
-    match reply.reply {
-        Some(forward_reply::Reply::Answer(answer)) => FrontReply::Answer {
-            status: u16::try_from(answer.status).unwrap_or(502),
-            body: Bytes::from(answer.body),
-        },
-        Some(forward_reply::Reply::Refusal(refusal)) => FrontReply::Refused(decode_refusal(refusal)),
-        None => {
-            let text = "the owner of the service partition sent an empty reply";
-            FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::AnswerUnknown, text))
-        }
-    }
-}
-
-fn decode_refusal(refusal: Refusal) -> TeamRefusal {
-    let named = |text: String| serde_json::Value::String(text);
-    TeamRefusal {
-        code: serde_json::from_value(named(refusal.code)).unwrap_or(RefusalReason::AnswerUnknown),
-        message: refusal.message,
-        // An unknown word must never turn into a false `not_run`.
-        run: serde_json::from_value(named(refusal.run)).unwrap_or(RunState::MayHaveRun),
-        retry_after: (refusal.retry_after_ms > 0).then(|| Duration::from_millis(refusal.retry_after_ms)),
-    }
-}
--- a/src/tasks/router.rs
+++ b/src/tasks/router.rs
@@ -103,7 +103,12 @@
             RouterMessage::IntentChecked(shard, request, known) => {
                 self.refuse_intent(&shard, request, known).await;
             }
-            RouterMessage::Drain(reply) => self.draining.push(reply),
+            RouterMessage::Drain(reply) => {
+                for shard in self.owned() {
+                    self.tell(&shard, RouteEvent::Closing).await;
+                }
+                self.draining.push(reply);
+            }
         }
     }
 
@@ -117,7 +122,6 @@
         }
         let now = Instant::now();
         for partition in self.lost.values_mut() {
-            // Only deadlines of requests in flight are left to handle.
             for effect in partition.router.handle(RouteEvent::Tick, now) {
                 partition.apply(effect, &self.metrics);
             }
@@ -125,7 +129,6 @@
         self.lost.retain(|_, partition| !partition.is_idle());
         if self.lost.is_empty() && self.partitions.values().all(OwnedPartition::is_idle) {
             for reply in self.draining.drain(..) {
-                // The process may have stopped waiting.
                 let _ = reply.send(());
             }
         }
@@ -133,7 +136,10 @@
 
     /// Looks the id of a non-idempotent request up in the ledger, unless the router knows it.
     async fn call(&mut self, call: RoutedCall) {
-        let Some(partition) = self.partitions.get(&call.shard) else {
+        let owned = self.partitions.get(&call.shard);
+        let Some(partition) =
+            owned.filter(|owned| self.draining.is_empty() || owned.router.knows(&call.request))
+        else {
             refuse_unowned(call.reply);
             return;
         };
@@ -294,7 +300,6 @@
             self.tell(&shard, RouteEvent::TeamsChanged(teams.clone())).await;
             self.tell(&shard, RouteEvent::EndpointsListed(mine)).await;
         }
-        // The task of an endpoint that is dropped here ends after its last request.
         self.endpoints.retain(|vm, _| used.contains(vm));
     }
 
--- a/src/tasks/router_message.rs
+++ b/src/tasks/router_message.rs
@@ -97,6 +97,6 @@
     Summarise(oneshot::Sender<Vec<(ShardId, Vec<EndpointSummary>)>>),
     /// Asks for the present stage of a request; `None` if no owned partition knows it.
     Explain(RequestId, oneshot::Sender<Option<String>>),
-    /// Asks to be told once no request is open in any partition.
+    /// Asks to take no new requests, and to be told once none is open in any partition.
     Drain(oneshot::Sender<()>),
 }
