--- a/tests/coordination_faults.rs
+++ b/tests/coordination_faults.rs
@@ -2,98 +2,23 @@
 
 mod fixture;
 
+#[path = "fixture/faults.rs"]
+mod faults;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use awc::Client;
+use faults::{
+    DOWN, ZONES, broken, count_finished, operator_page, pause, start_all, start_entries, submit, submit_many,
+};
 use fixture::BLUE_KEY;
 use godwithaven::tasks::entry::EntryProcess;
-use godwithaven_standins::invariant::{self, BrokenPromises};
+use godwithaven_standins::invariant::BrokenPromises;
 use godwithaven_standins::logservice::LogFaults;
-use godwithaven_standins::world::StandinWorld;
 use googletest::prelude::*;
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
-const DOWN: LogFaults = LogFaults { down: true, delay: Duration::ZERO, lose_append_replies: false };
-const ZONES: [&str; 3] = ["a", "b", "c"];
-
-/// Returns the stand-ins and as many ready entry processes as there are zones.
-async fn start_all(token: &CancellationToken) -> (StandinWorld, Vec<EntryProcess>) {
-    let mut world = fixture::start_world(token).await;
-    for team in ["blue", "red"] {
-        world.facts.limits.insert(team.into(), [64_000, 262_144, 16]);
-    }
-    let entries = start_entries(&world, "entry").await;
-    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
-    for entry in &entries {
-        fixture::wait_ready(entry).await;
-    }
-    (world, entries)
-}
-
-async fn start_entries(world: &StandinWorld, name: &str) -> Vec<EntryProcess> {
-    let mut entries = Vec::new();
-    for zone in ZONES {
-        entries.push(fixture::start_entry(world, &format!("{name}-{zone}"), zone).await);
-    }
-    entries
-}
-
-/// Submits a job and waits longer than the process may need.
-async fn submit(entry: &EntryProcess, name: &str, tasks: u32) -> (u16, Value) {
-    let url = format!("http://{}/v1/jobs", entry.listen);
-    let request = Client::default().post(url).timeout(Duration::from_secs(30));
-    let job = fixture::batch_job("blue", name, tasks);
-    let mut response = request.insert_header(("x-team-key", BLUE_KEY)).send_json(&job).await.unwrap();
-    (response.status().as_u16(), response.json().await.unwrap())
-}
-
-/// Submits jobs in turn and returns the names of those that were accepted, with the refusals by code.
-async fn submit_many(
-    entries: &[EntryProcess],
-    name: &str,
-    count: usize,
-) -> (Vec<String>, BTreeMap<String, usize>) {
-    let (mut accepted, mut refused) = (Vec::new(), BTreeMap::new());
-    for index in 0..count {
-        let job = format!("{name}-{index}");
-        let (status, body) = submit(&entries[index % entries.len()], &job, 3).await;
-        if status == 202 {
-            accepted.push(format!("blue/{job}"));
-        } else {
-            let code = format!("{} {}", body["code"].as_str().unwrap(), body["run"].as_str().unwrap());
-            *refused.entry(code).or_default() += 1;
-        }
-    }
-    (accepted, refused)
-}
-
-/// Waits for jobs and returns how many finished.
-async fn count_finished(entry: &EntryProcess, jobs: &[String]) -> usize {
-    let mut finished = 0;
-    for job in jobs {
-        let state = fixture::wait_job(entry, BLUE_KEY, job).await;
-        finished += usize::from(state["outcome"]["finished"].is_array());
-    }
-    finished
-}
-
-async fn broken(world: &StandinWorld) -> BrokenPromises {
-    invariant::check(&world.workers.records().await, &world.facts)
-}
-
-/// Returns the body of a page of the operators' interface.
-async fn operator_page(entry: &EntryProcess, page: &str) -> String {
-    let url = format!("http://{}{page}", entry.operator_listen);
-    let body = Client::default().get(url).send().await.unwrap().body().await.unwrap();
-    String::from_utf8_lossy(&body).into_owned()
-}
-
-async fn pause(seconds: u64) {
-    tokio::time::sleep(Duration::from_secs(seconds)).await;
-}
-
 #[gtest]
 #[actix_rt::test]
 async fn an_outage_of_the_log_refuses_new_jobs_and_keeps_old_ones() {
