Let the replayed link behave as the sync loop of a worker does

Cause: the replay sent a start again after a stop had followed it, granted whole leases after failed syncs and reused attempt names after a change of owner, which the sync loop and the scheduler task no longer do.

Change: the fixture withdraws unsent starts and tells the scheduler, says which commands an answered sync carried, grants only the rest of a lease after a failed sync and numbers attempts by owner. All checks are as strict as before.

--- a/tests/fixture_replay/mod.rs
+++ b/tests/fixture_replay/mod.rs
@@ -89,6 +89,10 @@
     /// What is assigned: starting, running and not stopped.
     assigned: ResourceVector,
     commands: Vec<WorkerCommand>,
+    /// Leading commands that some sync carried.
+    sent: usize,
+    /// End of the lease that the first of the failed syncs granted.
+    granted_until: Option<Instant>,
     in_flight: Option<PendingSync>,
     next_sync: Instant,
     last_answer: Option<WorkerReport>,
@@ -261,12 +265,42 @@
         used: ResourceVector::default(),
         assigned: ResourceVector::default(),
         commands: Vec::new(),
+        sent: 0,
+        granted_until: None,
         in_flight: None,
         next_sync: now,
         last_answer: None,
     }
 }
 
+impl ReplayWorker {
+    /// Drops the starts of a failed sync that a stop followed meanwhile.
+    fn drop_stopped_starts(&mut self) {
+        let stops = self.commands.iter().filter_map(|command| match command {
+            WorkerCommand::Stop { task } => Some(task.clone()),
+            _ => None,
+        });
+        let stops: FastSet<TaskId> = stops.collect();
+        let stopped = |command: &WorkerCommand| matches!(command, WorkerCommand::Start { task, .. } if stops.contains(task));
+        self.sent -= self.commands[..self.sent].iter().filter(|command| stopped(command)).count();
+        self.commands.retain(|command| !stopped(command));
+    }
+
+    /// Drops the start of a task that no sync in flight carries; returns whether no sync ever carried it.
+    fn withdraw(&mut self, task: &TaskId) -> bool {
+        let flying = self.in_flight.as_ref().map_or(0, |sync| sync.carried);
+        let is_start = |command: &WorkerCommand| matches!(command, WorkerCommand::Start { task: start, .. } if start == task);
+        let Some(place) = self.commands.iter().skip(flying).position(is_start) else { return false };
+        let place = place + flying;
+        self.commands.remove(place);
+        if place < self.sent {
+            self.sent -= 1;
+            return false;
+        }
+        place >= flying
+    }
+}
+
 impl ReplayRun {
     /// Tells the decider the allotments, the bundle and the VM list.
     fn announce(&mut self) {
@@ -368,13 +402,16 @@
 
     /// Replaces the owner of the shard: commands that were not sent are gone, and jobs without outcome are inherited.
     pub fn replace_owner(&mut self) {
-        let mut scheduler = new_scheduler(self.now + LEASE + LEASE / 100 + Duration::from_secs(2));
+        let settled_at = self.now + LEASE + LEASE / 100 + Duration::from_secs(2);
+        // The number of events stands for the token of the claim: it is above that of the last owner.
+        let mut scheduler = new_scheduler(settled_at).with_first_attempt(self.events << 16);
         for job in self.jobs.values().filter(|job| job.outcomes.is_empty()) {
             scheduler.inherit(&job.spec, job.cancelled);
         }
         for worker in &mut self.workers {
             (worker.in_flight, worker.next_sync, worker.last_answer) = (None, self.now, None);
             worker.commands.clear();
+            (worker.sent, worker.granted_until) = (0, None);
         }
         let running: FastSet<TaskId> =
             self.workers.iter().flat_map(|worker| worker.running.keys().cloned()).collect();
@@ -509,20 +546,31 @@
         let worker = &mut self.workers[index];
         let Some(sync) = worker.in_flight.take() else { return };
         let vm = worker.vm.vm.clone();
-        let event = match sync.report {
-            Some(report) => {
-                worker.commands.drain(..sync.carried);
-                worker.last_answer = Some(report.clone());
-                ScheduleEvent::SyncAnswered(vm, report)
-            }
-            None => ScheduleEvent::SyncFailed(vm),
+        let Some(report) = sync.report else {
+            worker.sent = sync.carried;
+            worker.drop_stopped_starts();
+            worker.granted_until.get_or_insert(self.now + LEASE);
+            self.tell(ScheduleEvent::SyncFailed(vm));
+            return;
         };
-        self.tell(event);
+        (worker.sent, worker.granted_until) = (0, None);
+        let delivered = worker.commands.drain(..sync.carried).filter_map(|command| match command {
+            WorkerCommand::Start { task, .. } | WorkerCommand::Stop { task } => Some(task),
+            _ => None,
+        });
+        let delivered: Vec<TaskId> = delivered.collect();
+        worker.last_answer = Some(report.clone());
+        if !delivered.is_empty() {
+            self.tell(ScheduleEvent::CommandsDelivered(vm.clone(), delivered));
+        }
+        self.tell(ScheduleEvent::SyncAnswered(vm, report));
     }
 
     /// Carries out the pending commands as the worker does and returns its report.
     fn carry_out(&mut self, index: usize) -> WorkerReport {
-        self.workers[index].lease_end = Some(self.now + LEASE);
+        // A sync after a failed one grants only the rest of the lease, as the worker task does.
+        let until = self.workers[index].granted_until.unwrap_or(self.now + LEASE);
+        self.workers[index].lease_end = Some(until.max(self.now));
         for command in self.workers[index].commands.clone() {
             match command {
                 WorkerCommand::Start { task, team, need, .. } => self.start_task(index, &task, team, need),
@@ -594,7 +642,7 @@
             percent: 100,
             checkpointed: false,
         };
-        let fails = worker.fails || attempt < u64::from(job.failing);
+        let fails = worker.fails || (attempt & 0xffff) < u64::from(job.failing);
         worker.running.insert(task.clone(), running);
         if fails {
             self.end_task(index, task, TaskEnding::Failed);
@@ -643,6 +691,12 @@
             }
             _ => {}
         }
+        if let WorkerCommand::Stop { task } = &command
+            && self.workers[index].withdraw(task)
+        {
+            self.tell(ScheduleEvent::StartWithdrawn(vm.clone(), task.clone()));
+            return;
+        }
         self.workers[index].commands.push(command);
     }
 
