--- a/tests/fixture_replay/load.rs
+++ b/tests/fixture_replay/load.rs
@@ -192,6 +192,8 @@
 }
 
 /// Returns median, 99th percentile and count by kind; a task that never started waited until the end.
+///
+/// Replacements of service tasks are left out; the task that they replace has its own wait.
 fn waits(run: &ReplayRun) -> Vec<(&'static str, Duration, Duration, usize)> {
     let mut waits: [(&str, Vec<Duration>); 4] =
         [("service", vec![]), ("batch", vec![]), ("gang", vec![]), ("urgent", vec![])];
@@ -203,7 +205,7 @@
             (_, JobKind::Gang) => 2,
         };
         let wait = |started: &Option<Instant>| started.unwrap_or(run.now).duration_since(job.submitted);
-        waits[kind].1.extend(job.started.iter().map(wait));
+        waits[kind].1.extend(job.started.iter().take(job.spec.tasks as usize).map(wait));
     }
     let figures = waits.into_iter().filter(|(_, waits)| !waits.is_empty()).map(|(kind, mut waits)| {
         waits.sort_unstable();
--- /dev/null
+++ b/tests/scheduler_counts.rs
@@ -0,0 +1,104 @@
+//! Bounds the work of placement by counts, which are the same on every machine.
+
+mod fixture_replay;
+
+use fixture_replay::load::{TEAMS, load_bundle, load_workers};
+use fixture_replay::{job_spec, new_scheduler};
+use godwithaven::kernel::{
+    JobKind, ScheduleEffect, ScheduleEvent, ShardScheduler, TaskEnd, TaskEnding, WorkerCommand, WorkerReport,
+};
+use godwithaven::prelude::*;
+use googletest::prelude::*;
+
+const DECISIONS: u32 = 1_000;
+
+/// Returns a scheduler whose workers have all been heard.
+fn heard_fleet(workers: usize, now: Instant) -> ShardScheduler {
+    let (vms, mut scheduler) = (load_workers(workers), new_scheduler(now));
+    let bundle = load_bundle(&vms);
+    let names: Vec<VmId> = vms.iter().map(|vm| vm.vm.clone()).collect();
+    for team in &bundle.teams {
+        scheduler.handle(ScheduleEvent::AllotmentChanged(team.id.clone(), team.limit), now);
+    }
+    scheduler.handle(ScheduleEvent::BundleAdopted(Arc::new(bundle)), now);
+    scheduler.handle(ScheduleEvent::WorkersListed(vms), now);
+    for vm in names {
+        scheduler.handle(ScheduleEvent::SyncAnswered(vm, WorkerReport::default()), now);
+    }
+    scheduler
+}
+
+/// Submits a job of one task and returns the start commands and the number of all effects.
+fn submit(
+    scheduler: &mut ShardScheduler,
+    number: u32,
+    need: ResourceVector,
+    now: Instant,
+) -> (Vec<(VmId, TaskId)>, usize) {
+    let team = format!("team{:02}", number % u32::try_from(TEAMS).unwrap_or(1));
+    let mut spec = job_spec(&team, &format!("j{number}"), JobKind::Batch, 1, need);
+    spec.run_time = Some(Duration::from_secs(600));
+    let effects = scheduler.handle(ScheduleEvent::JobAccepted(Arc::new(spec)), now);
+    (starts(&effects), effects.len())
+}
+
+fn starts(effects: &[ScheduleEffect]) -> Vec<(VmId, TaskId)> {
+    let start = |effect: &ScheduleEffect| match effect {
+        ScheduleEffect::Command(vm, WorkerCommand::Start { task, .. }) => Some((vm.clone(), task.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+/// Returns workers examined and effects for `DECISIONS` jobs that fit.
+fn count_fitting(workers: usize) -> (u64, usize) {
+    let now = Instant::now();
+    let mut scheduler = heard_fleet(workers, now);
+    let (before, need) = (scheduler.examined, ResourceVector::new(4_000, 8_192, 0));
+    let effects = (0..DECISIONS).map(|number| submit(&mut scheduler, number, need, now).1).sum();
+    (scheduler.examined - before, effects)
+}
+
+/// Returns workers examined and tasks started for `DECISIONS` ends on a full fleet with as many waiting jobs.
+fn count_contended(workers: usize) -> (u64, usize) {
+    let now = Instant::now();
+    let mut scheduler = heard_fleet(workers, now);
+    let (need, count) = (ResourceVector::new(64_000, 262_144, 0), u32::try_from(workers).unwrap_or(0));
+    let mut running = std::collections::VecDeque::new();
+    for number in 0..count + DECISIONS {
+        running.extend(submit(&mut scheduler, number, need, now).0);
+    }
+    let (before, mut started) = (scheduler.examined, 0);
+    for _ in 0..DECISIONS {
+        let Some((vm, task)) = running.pop_front() else { break };
+        let end = TaskEnd { task, ending: TaskEnding::Finished, result: String::new() };
+        let report = WorkerReport { running: Vec::new(), ended: vec![end] };
+        let new = starts(&scheduler.handle(ScheduleEvent::SyncAnswered(vm, report), now));
+        started += new.len();
+        running.extend(new);
+    }
+    (scheduler.examined - before, started)
+}
+
+/// Guards the target that the cost of a decision grows less than 2x from 790 to 7,900 workers.
+#[gtest]
+fn examined_workers_grow_less_than_twice_with_ten_times_the_fleet() {
+    let (small, _) = count_fitting(790);
+    let (large, effects) = count_fitting(7_900);
+    println!("fitting: {small} and {large} workers examined in {DECISIONS} decisions, {effects} effects");
+
+    expect_that!(large, lt(2 * small));
+    // One start command and one log line for each decision.
+    expect_that!(effects, eq(2 * DECISIONS as usize));
+}
+
+/// Guards the same target when the fleet is full and jobs wait; each end must let one job start.
+#[gtest]
+fn examined_workers_grow_less_than_twice_on_a_full_fleet() {
+    let (small, few) = count_contended(790);
+    let (large, many) = count_contended(7_900);
+    println!("contended: {small} and {large} workers examined for {few} and {many} starts");
+
+    expect_that!(large, lt(2 * small));
+    expect_that!([few, many], eq([DECISIONS as usize; 2]));
+}
--- a/tests/scheduler_replay.rs
+++ b/tests/scheduler_replay.rs
@@ -35,6 +35,7 @@
     }
     println!("  used: cores {:.4}, accelerators {:.4}", figures.used.0, figures.used.1);
     println!("  distance from share: largest {:.5}, mean {:.5}", figures.distance.0, figures.distance.1);
+    println!("  drift from share: largest {:.5}, mean {:.5}", figures.drift.0, figures.drift.1);
     println!(
         "  lost work {:.0} s, jobs finished {}, otherwise ended {}",
         figures.lost_work.as_secs_f64(),
