--- a/tests/fixture_replay/mod.rs
+++ b/tests/fixture_replay/mod.rs
@@ -119,7 +119,7 @@
     /// Outcomes that were recorded.
     pub outcomes: Vec<JobOutcome>,
     /// Number of the last commanded attempt of each task plus 1; 0 if none.
-    commanded: Vec<u32>,
+    commanded: Vec<u64>,
     saved: Vec<Duration>,
     /// Results of all attempts of each task that finished.
     results: Vec<Vec<String>>,
@@ -417,7 +417,9 @@
 
     /// Replaces the owner of the shard: commands that were not sent and outcomes that were not recorded are gone.
     pub fn replace_owner(&mut self) {
-        let mut scheduler = new_scheduler(self.now + LEASE + LEASE / 100 + Duration::from_secs(2));
+        let settled_at = self.now + LEASE + LEASE / 100 + Duration::from_secs(2);
+        // The number of events stands for the token of the claim: it is above that of the last owner.
+        let mut scheduler = new_scheduler(settled_at).with_first_attempt(self.events << 16);
         for (_, id) in std::mem::take(&mut self.ledger) {
             self.jobs.entry(id).and_modify(|job| job.outcomes.clear());
         }
@@ -685,7 +687,7 @@
             percent: 100,
             checkpointed: false,
         };
-        let fails = worker.fails || attempt < job.failing;
+        let fails = worker.fails || (attempt & 0xffff) < u64::from(job.failing);
         worker.running.insert(task.clone(), running);
         if fails {
             self.end_task(index, task, TaskEnding::Failed);
