--- a/src/kernel/shard_assignment.rs
+++ b/src/kernel/shard_assignment.rs
@@ -6,7 +6,7 @@
 /// Returns the process that should own each shard.
 ///
 /// Rendezvous hashing with bounded load: no process gets more than 5/4 of the mean of worker shards, nor of
-/// service partitions. Plain hashing gave one of 9 processes twice the mean of 64 shards.
+/// service partitions; plain hashing bounds no process.
 #[must_use]
 pub fn divide(shards: &[ShardId], processes: &[ProcessId]) -> FastMap<ShardId, ProcessId> {
     let mut owners = FastMap::default();
