--- a/cli/tests/shell_page/mod.rs
+++ b/cli/tests/shell_page/mod.rs
@@ -142,6 +142,10 @@
     if word.starts_with("worker-") {
         return "WORKER".to_owned();
     }
+    // Attempts of a job that was accepted before its shard was claimed are numbered from the token of the claim.
+    if let Some((task, attempt)) = word.split_once('@') {
+        return format!("{task}@ATTEMPT{}", attempt.trim_start_matches(|digit: char| digit.is_ascii_digit()));
+    }
     if counters && word.parse::<f64>().is_ok() {
         return "NUMBER".to_owned();
     }
