Submit jobs to shards whose workers can hold them

Cause: the shard of a new job was chosen by hash and free capacity of two shards only. Where accelerators are in few racks, a job could land in a shard without any, and its owner refused it as fitting no VM.

Change: the gate counts the worker capacities of each shard from the VM list and chooses among shards that hold a task, or all tasks of a gang job.

Conclusion: only jobs that no shard can hold are refused. Moving waiting jobs between shards is still not built.

--- a/src/tasks/directory.rs
+++ b/src/tasks/directory.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::tasks::adapter::{DirectoryAdapter, VmList};
+use crate::tasks::gate::GateMessage;
 use crate::tasks::peer::PeerMessage;
 use crate::tasks::router::RouterMessage;
 use crate::tasks::scheduler::SchedulerMessage;
@@ -20,6 +21,8 @@
     pub address: String,
     /// The scheduler task.
     pub scheduler: mpsc::Sender<SchedulerMessage>,
+    /// The gate task.
+    pub gate: mpsc::Sender<GateMessage>,
     /// The router task.
     pub router: mpsc::Sender<RouterMessage>,
     /// The peer task.
@@ -51,6 +54,7 @@
 
     async fn publish(&self, list: VmList) {
         let _ = self.peer.send(PeerMessage::Listed(list.entries)).await;
+        let _ = self.gate.send(GateMessage::Listed(list.workers.clone())).await;
         let _ = self.scheduler.send(SchedulerMessage::Listed(list.workers)).await;
         let _ = self.router.send(RouterMessage::Listed(list.endpoints)).await;
     }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -231,6 +231,7 @@
         let directory = DirectoryTask {
             adapter: self.adapters.directory,
             address: self.settings.directory.clone(),
+            gate: gate_sender.clone(),
             scheduler: scheduler_sender.clone(),
             router: router_sender.clone(),
             peer: peer_sender.clone(),
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::{
     FrontReply, FrontRequest, JobOutcome, LedgerChange, PluginRegistry, RefusalReason, ShardClaim,
-    TeamRefusal, rendezvous, shard_choice,
+    ShardShapes, TeamRefusal, WorkerVm, rendezvous, shard_choice,
 };
 use crate::prelude::*;
 use crate::tasks::journal::JournalMessage;
@@ -30,6 +30,8 @@
     CurrentUntil(Instant),
     /// Free capacity of the worker shards, as far as it is known.
     Free(Vec<(ShardId, ResourceVector)>),
+    /// The VM list was read.
+    Listed(Vec<WorkerVm>),
     /// Asks why requests with a key are refused at present; `None` if they are not.
     Obstacle(oneshot::Sender<Option<TeamRefusal>>),
 }
@@ -42,6 +44,8 @@
     bundle: Option<Arc<PolicyBundle>>,
     current_until: Option<Instant>,
     free: FastMap<ShardId, ResourceVector>,
+    workers: Vec<WorkerVm>,
+    shapes: ShardShapes,
     claims: FastMap<ShardId, ShardClaim>,
     watchers: FastMap<JobId, Vec<oneshot::Sender<JobOutcome>>>,
     journal: mpsc::Sender<JournalMessage>,
@@ -69,6 +73,8 @@
             bundle: None,
             current_until: None,
             free: FastMap::default(),
+            workers: Vec::new(),
+            shapes: ShardShapes::default(),
             claims: FastMap::default(),
             watchers: FastMap::default(),
             journal,
@@ -107,6 +113,10 @@
                 let _ = reply.send(self.obstacle());
             }
             GateMessage::Free(free) => self.free = free.into_iter().collect(),
+            GateMessage::Listed(workers) => {
+                self.workers = workers;
+                self.count_shapes();
+            }
         }
     }
 
@@ -115,6 +125,7 @@
             LedgerChange::BundleAdopted(bundle) => {
                 log::info!(version = bundle.version; "bundle in force");
                 self.bundle = Some(bundle);
+                self.count_shapes();
             }
             LedgerChange::BundleRefused(version, reason) => {
                 log::warn!(version = version, reason = reason.as_str(); "bundle refused");
@@ -208,7 +219,16 @@
         let shards = self.bundle.as_ref()?.shards();
         let workers: Vec<ShardId> =
             shards.into_iter().filter(|shard| !shard.starts_with("service:")).collect();
-        shard_choice::choose(spec, &workers, |shard| self.free.get(shard).copied())
+        let fitting: Vec<ShardId> =
+            workers.iter().filter(|shard| self.shapes.hold(shard, spec)).cloned().collect();
+        // Where none fits, the owner of any shard refuses the job with the reason.
+        let candidates = if fitting.is_empty() { &workers } else { &fitting };
+        shard_choice::choose(spec, candidates, |shard| self.free.get(shard).copied())
+    }
+
+    fn count_shapes(&mut self) {
+        let Some(bundle) = &self.bundle else { return };
+        self.shapes = ShardShapes::new(&self.workers, bundle.shards_per_region);
     }
 
     fn cancel(&self, job: JobId, reply: oneshot::Sender<FrontReply>) {
