Place nothing on workers without fencing before old leases have ended

Cause: the worker adapter could say that workers do not refuse old tokens, but nothing read the flag, so a new owner placed at once beside an earlier one.

Change: LeaseTiming carries the flag, and a scheduler without fencing waits until all leases of earlier owners have ended.

Conclusion: the smallest assumption about workers is now checked in code.

--- a/src/kernel/lease_timing.rs
+++ b/src/kernel/lease_timing.rs
@@ -7,11 +7,14 @@
     pub lease: Duration,
     /// Longest time between the moment a report describes and its arrival, request time included.
     pub report_lag: Duration,
+    /// Whether workers refuse tokens older than the highest that they have seen. If not, an owner places nothing
+    /// until all leases of earlier owners have ended.
+    pub fences: bool,
 }
 
 impl Default for LeaseTiming {
     fn default() -> Self {
-        Self { lease: Duration::from_secs(30), report_lag: Duration::from_secs(2) }
+        Self { lease: Duration::from_secs(30), report_lag: Duration::from_secs(2), fences: true }
     }
 }
 
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -325,7 +325,8 @@
         self.state.shares.refresh(now, self.state.fleet.capacity);
         let mut more = !self.state.stop_backlog.is_empty();
         let current = self.current_until.is_none_or(|until| now < until);
-        if let Some(bundle) = self.bundle.clone().filter(|_| current) {
+        let fenced = self.state.timing.fences || now >= self.settled_at;
+        if let Some(bundle) = self.bundle.clone().filter(|_| current && fenced) {
             let (state, gang, registry) = (&mut self.state, &mut self.gang, &self.registry);
             more |= PlacementPass { state, gang, registry, bundle: &bundle, now }.run();
         }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -269,7 +269,11 @@
         journal: mpsc::Sender<JournalMessage>,
         worker: mpsc::Sender<WorkerMessage>,
     ) -> SchedulerTask {
-        let timing = LeaseTiming { lease: self.settings.lease, report_lag: LEASE_MARGIN };
+        let timing = LeaseTiming {
+            lease: self.settings.lease,
+            report_lag: LEASE_MARGIN,
+            fences: self.adapters.worker.fences,
+        };
         let (process, registry) = (self.process.clone(), self.registry.clone());
         SchedulerTask::new(process, registry, timing, journal, worker, self.metrics.clone())
     }
--- a/tests/fixture_placement/mod.rs
+++ b/tests/fixture_placement/mod.rs
@@ -13,7 +13,7 @@
 
 /// Lease and report lag of the tests.
 pub const TIMING: LeaseTiming =
-    LeaseTiming { lease: Duration::from_secs(30), report_lag: Duration::from_secs(2) };
+    LeaseTiming { lease: Duration::from_secs(30), report_lag: Duration::from_secs(2), fences: true };
 /// What a worker of the tests holds.
 pub const WORKER: ResourceVector = ResourceVector::new(64_000, 262_144, 0);
 
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -8,7 +8,8 @@
 
 use fixture_placement::{TIMING, batch, bundle, outcomes, service, shard, starts, stops, unheard_shard};
 use godwithaven::kernel::{
-    JobOutcome, ResourceVector, ScheduleEffect, ScheduleEvent, TaskEnding, WorkerCommand, WorkerReport,
+    JobOutcome, LeaseTiming, ResourceVector, ScheduleEffect, ScheduleEvent, TaskEnding, WorkerCommand,
+    WorkerReport,
 };
 
 /// Guards against a second start while a silent worker may still run the task.
@@ -219,6 +220,27 @@
     expect_that!(tasks, unordered_elements_are![eq(&"blue/web#0@0"), eq(&"blue/web#1@3")]);
 }
 
+/// Guards against two owners that both place on workers which accept any token.
+#[gtest]
+fn without_fencing_nothing_is_placed_before_the_old_lease_ended() {
+    // Arrange
+    let settled_at = Instant::now() + Duration::from_secs(32);
+    let mut shard = unheard_shard(1, settled_at);
+    shard.scheduler = std::mem::replace(&mut shard.scheduler, unheard_shard(0, settled_at).scheduler)
+        .with_timing(LeaseTiming { fences: false, ..TIMING });
+    shard.tell(ScheduleEvent::JobAccepted(std::sync::Arc::new(service("blue/web", 1, 1_000))));
+
+    // Act
+    shard.sync("w0");
+    shard.run(Duration::from_secs(20));
+    let early = starts(&shard.effects);
+    shard.run(Duration::from_secs(15));
+
+    // Assert
+    expect_that!(early, is_empty());
+    expect_that!(starts(&shard.effects).len(), eq(1));
+}
+
 /// Guards against one owner that takes the late end of an earlier owner's attempt for the end of its own.
 #[gtest]
 fn attempts_of_two_owners_have_different_names() {
