--- a/capacity/src/budget.rs
+++ b/capacity/src/budget.rs
@@ -109,7 +109,7 @@
         },
         BudgetLine {
             part: "VM list",
-            mechanism: "`tasks::directory`, whole list every 1 s",
+            mechanism: "`tasks::directory`, conditional read every 1 s, nothing changed",
             cpu: list_cpu * LISTED,
             bytes: per_unit("listed_vms", "directory_bytes_per_s") * LISTED,
             memory: per_unit("listed_vms", "resident_bytes") * LISTED,
