Split the replay fixture and share the arrangement of fault tests

Change: what workers do and what is checked of decisions are modules of their own; a function starts the platform without answer faults.

Conclusion: the files read by one job each.

--- /dev/null
+++ b/tests/fixture_replay/checks.rs
@@ -0,0 +1,142 @@
+//! Checks of what the scheduler decides in a replay.
+
+use super::*;
+
+impl ReplayRun {
+    /// Hands one event to the decider, and checks and records its effects.
+    pub fn tell(&mut self, event: ScheduleEvent) {
+        let effects = (self.decide)(event, self.now);
+        self.events += 1;
+        self.effects += effects.len() as u64;
+        let mut gangs = FastSet::default();
+        for effect in effects {
+            match effect {
+                ScheduleEffect::Command(vm, command) => self.record_command(&vm, command, &mut gangs),
+                ScheduleEffect::End(job, outcome) => self.record_end(&job, outcome),
+                ScheduleEffect::Forget(vm) => {
+                    if let Some(index) = self.index.get(&vm) {
+                        self.disown(*index);
+                    }
+                }
+                ScheduleEffect::Placed { .. } | ScheduleEffect::Stopped { .. } => {}
+            }
+        }
+        for id in gangs {
+            let commanded = &self.jobs[&id].commanded;
+            let count = commanded.iter().filter(|attempts| **attempts > 0).count();
+            if count < commanded.len() {
+                self.faults.push(format!("gang {id} starts {count} of {} tasks", commanded.len()));
+            }
+        }
+    }
+
+    pub(super) fn record_command(&mut self, vm: &VmId, command: WorkerCommand, gangs: &mut FastSet<JobId>) {
+        let Some(&index) = self.index.get(vm) else {
+            self.faults.push(format!("command for unknown worker {vm}"));
+            return;
+        };
+        match &command {
+            WorkerCommand::Start { task, team, need, .. } => {
+                self.starts += 1;
+                self.record_start(index, task, team, *need, gangs);
+            }
+            WorkerCommand::Stop { task } => {
+                let task = task.clone();
+                if self.replace_start(index, &task) {
+                    return;
+                }
+            }
+            _ => {}
+        }
+        if self.workers[index].owned {
+            self.workers[index].commands.push((command, false));
+        }
+    }
+
+    /// Lets a stop take the place of pending commands; returns whether it takes back a start that was not sent.
+    pub(super) fn replace_start(&mut self, index: usize, task: &TaskId) -> bool {
+        let worker = &mut self.workers[index];
+        let unsent = |(command, sent): &(WorkerCommand, bool)| {
+            !sent && matches!(command, WorkerCommand::Start { task: start, .. } if start == task)
+        };
+        let withdrawn = worker.commands.iter().any(unsent);
+        worker.commands.retain(|(command, _)| command.task() != task);
+        if withdrawn {
+            worker.withdrawn.push(task.clone());
+        }
+        if !worker.running.contains_key(task)
+            && let Some((job, position, _)) = JobSpec::split_task_id(task)
+        {
+            self.forget_task(&(job, position), task);
+        }
+        withdrawn
+    }
+
+    pub(super) fn record_start(
+        &mut self,
+        index: usize,
+        task: &TaskId,
+        team: &TeamId,
+        need: ResourceVector,
+        gangs: &mut FastSet<JobId>,
+    ) {
+        let split = JobSpec::split_task_id(task);
+        let Some((job_id, position, attempt)) = split.filter(|(job, ..)| self.jobs.contains_key(job)) else {
+            self.faults.push(format!("start of unknown task {task}"));
+            return;
+        };
+        let worker = &mut self.workers[index];
+        if !self.bundle.zone_open(&worker.vm.zone) {
+            self.faults.push(format!("P5: {task} is placed in closed zone {}", worker.vm.zone));
+        }
+        let Some(job) = self.jobs.get_mut(&job_id) else { return };
+        job.extend_to(position);
+        if !job.outcomes.is_empty() || job.reported[position as usize] {
+            self.faults.push(format!("{task} is placed although it ended"));
+        }
+        job.commanded[position as usize] = attempt + 1;
+        if job.spec.kind == JobKind::Gang {
+            gangs.insert(job_id.clone());
+        }
+        if worker.vm.leaving || !worker.owned {
+            self.faults.push(format!("P9: {task} is placed on leaving or forgotten {}", worker.vm.vm));
+        }
+        worker.assigned = worker.assigned.plus(need);
+        if !worker.assigned.fits(worker.vm.capacity) {
+            self.faults.push(format!("P1: {} is assigned {} by {task}", worker.vm.vm, worker.assigned));
+        }
+        let used = self.used_by_team.entry(team.clone()).or_default();
+        *used = used.plus(need);
+        let allotment = self.allotments.get(team).copied().unwrap_or_default();
+        if !used.fits(allotment) {
+            self.faults.push(format!("P4: {team} has {used} of {allotment} with {task}"));
+        }
+        let attempts = self.live.entry((job_id, position)).or_default();
+        if let Some((other, ..)) = attempts.first() {
+            self.faults.push(format!("P2: {task} is placed while {other} is assigned"));
+        }
+        attempts.push((task.clone(), index, need));
+    }
+
+    pub(super) fn record_end(&mut self, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            self.faults.push(format!("outcome of unknown job {id}"));
+            return;
+        };
+        let untrue = match &outcome {
+            JobOutcome::Finished(results) => {
+                let known = job.results.iter().zip(results).filter(|(known, result)| known.contains(result));
+                results.len() != job.spec.tasks as usize || known.count() != results.len()
+            }
+            JobOutcome::Failed(_) => job.failures <= job.spec.retries,
+            JobOutcome::Cancelled => !job.cancelled,
+            JobOutcome::Refused(_) => job.commanded.iter().any(|attempts| *attempts > 0),
+        };
+        job.outcomes.push(outcome);
+        self.ledger.push_back((self.now + self.log_lag, id.clone()));
+        let outcomes = &job.outcomes;
+        if untrue || outcomes.len() > 1 {
+            self.faults.push(format!("P12: outcomes of {id} are {outcomes:?}"));
+        }
+    }
+}
--- a/tests/requests_faults.rs
+++ b/tests/requests_faults.rs
@@ -170,6 +170,16 @@
     EndpointFaults { answer, one_in, work_time: Duration::from_millis(20), ..EndpointFaults::default() }
 }
 
+/// Starts three entry processes and endpoints without answer faults.
+async fn start_steady(token: &CancellationToken) -> (StandinWorld, Vec<EntryProcess>) {
+    let world = fixture::start_world(token).await;
+    let entries = start_three(&world).await;
+    for endpoint in world.endpoints.values() {
+        endpoint.set_faults(faults(AnswerFault::None, 1)).await;
+    }
+    (world, entries)
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn answers_stay_whole_and_single_while_endpoints_and_connections_fail() {
@@ -212,12 +222,8 @@
 async fn answers_stay_whole_and_single_while_the_owner_is_killed() {
     // Arrange
     let token = CancellationToken::new();
-    let world = fixture::start_world(&token).await;
-    let mut entries = start_three(&world).await;
+    let (world, mut entries) = start_steady(&token).await;
     let (sender, receiver) = watch::channel(addresses(&entries));
-    for endpoint in world.endpoints.values() {
-        endpoint.set_faults(faults(AnswerFault::None, 1)).await;
-    }
 
     // Act
     let running = actix_rt::spawn(run_callers(receiver, 2));
@@ -249,12 +255,8 @@
 async fn a_graceful_stop_of_each_process_in_turn_interrupts_no_request() {
     // Arrange
     let token = CancellationToken::new();
-    let world = fixture::start_world(&token).await;
-    let mut entries = start_three(&world).await;
+    let (world, mut entries) = start_steady(&token).await;
     let (sender, receiver) = watch::channel(addresses(&entries));
-    for endpoint in world.endpoints.values() {
-        endpoint.set_faults(faults(AnswerFault::None, 1)).await;
-    }
 
     // Act
     let running = actix_rt::spawn(run_callers(receiver, 3));
