Read the log before saying that a job does not exist

Cause: a process that had not yet folded the record of an accepted job answered `not_found` with `not_run` to a read of that job.

The gate asks it before `not_found`; if the log cannot be read the answer is `log_unavailable` with `may_have_run`. A new test delays the log of one process by 2 s and then takes it down.

Conclusion: the flaky test had found a false refusal; its check and its wait are unchanged.

--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -315,22 +315,35 @@
     }
 }
 
+/// Returns the state of a job; one that is not known here is looked up in what the log holds now.
 async fn read_job(journal: &mpsc::Sender<JournalMessage>, job: JobId) -> FrontReply {
+    if let Some(state) = query_job(journal, &job).await {
+        return state;
+    }
+    let (reply, caught_up) = oneshot::channel();
+    let _ = journal.send(JournalMessage::CatchUp(reply)).await;
+    if !matches!(tokio::time::timeout(COMMIT_TIMEOUT, caught_up).await, Ok(Ok(()))) {
+        let text = "the log cannot be read; the job may exist";
+        return FrontReply::Refused(TeamRefusal::may_have_run(RefusalReason::LogUnavailable, text));
+    }
+    query_job(journal, &job).await.unwrap_or_else(|| {
+        let text = format!("job {job:?} does not exist");
+        FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NotFound, text))
+    })
+}
+
+async fn query_job(journal: &mpsc::Sender<JournalMessage>, job: &JobId) -> Option<FrontReply> {
     let (sender, state) = oneshot::channel();
     let key = job.clone();
     let query = JournalMessage::Query(Box::new(move |ledger| {
         let _ = sender.send(ledger.jobs.get(&key).cloned());
     }));
     let _ = journal.send(query).await;
-    if let Ok(Some(state)) = state.await {
-        FrontReply::State {
-            spec: Box::new(state.spec),
-            shard: state.shard,
-            cancelled: state.cancelled,
-            outcome: state.outcome,
-        }
-    } else {
-        let text = format!("job {job:?} does not exist");
-        FrontReply::Refused(TeamRefusal::not_run(RefusalReason::NotFound, text))
-    }
+    let state = state.await.ok().flatten()?;
+    Some(FrontReply::State {
+        spec: Box::new(state.spec),
+        shard: state.shard,
+        cancelled: state.cancelled,
+        outcome: state.outcome,
+    })
 }
--- a/src/tasks/journal.rs
+++ b/src/tasks/journal.rs
@@ -19,6 +19,7 @@
 use crate::tasks::outbox::JournalOutputs;
 use crate::tasks::peer::PeerMessage;
 use crate::tasks::publisher::LedgerPublisher;
+use crate::tasks::read_barrier::ReadBarrier;
 use crate::tasks::transfer::TransferPipe;
 
 /// Longest wait of one read for new records, and the time after which another read starts beside a slow one.
@@ -57,6 +58,8 @@
     Adopt(BundleRecord),
     /// Number of live entry processes.
     Peers(usize),
+    /// Replies once everything that the log holds now is folded; dropped without a reply if it cannot be read.
+    CatchUp(oneshot::Sender<()>),
     /// Replies once all records were appended and folded.
     Flush(oneshot::Sender<()>),
 }
@@ -78,6 +81,7 @@
     replies: FastMap<CommitTicket, oneshot::Sender<CommitReply>>,
     tickets: CommitTicket,
     flushes: Vec<oneshot::Sender<()>>,
+    barrier: ReadBarrier,
     /// Set while the log does not hold the next group.
     search: Option<SnapshotCollector>,
     snapshots: SnapshotSchedule,
@@ -112,6 +116,7 @@
             replies: FastMap::default(),
             tickets: 0,
             flushes: Vec::new(),
+            barrier: ReadBarrier::default(),
             search: None,
             snapshots: SnapshotSchedule::default(),
             transfers: TransferPipe::default(),
@@ -133,6 +138,10 @@
             if append.is_none() {
                 append = self.start_append();
             }
+            // One read beside the one that waits for records; a slow log is read often enough anyway.
+            if reads.len() < 2 && self.barrier.needs_read(self.read_started) {
+                reads.push(self.start_read(Duration::ZERO, Duration::ZERO));
+            }
             let due = self.commit.due();
             tokio::select! {
                 () = token.cancelled() => break,
@@ -179,6 +188,11 @@
                 let count = u32::try_from(count).unwrap_or(u32::MAX);
                 self.commit.spacing = self.spacing.max(SPACING_PER_PROCESS.saturating_mul(count));
             }
+            JournalMessage::CatchUp(reply) => {
+                if self.available() {
+                    self.barrier.add(Instant::now(), reply);
+                }
+            }
             JournalMessage::Flush(reply) => {
                 self.flushes.push(reply);
                 self.finish_flushes();
@@ -193,6 +207,9 @@
         if let Some(before) = before {
             self.withdraw(before);
         }
+        if !self.available() {
+            self.barrier.fail();
+        }
         if self.available() {
             for record in self.transfers.tick(&mut self.publisher, &self.ledger, &self.process, now) {
                 self.commit.push(record, None, now);
@@ -261,6 +278,9 @@
             self.search_page(page, caught_up);
         } else if read.from <= self.ledger.next {
             self.fold_page(page);
+            if caught_up {
+                self.barrier.release(read.started);
+            }
             self.publisher.outbox.peer(PeerMessage::LogRead(read.started, caught_up));
         }
         Duration::ZERO
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod peer_explain;
 pub mod publisher;
+pub mod read_barrier;
 pub mod router;
 pub mod router_message;
 pub mod scheduler;
--- a/tests/coordination_faults.rs
+++ b/tests/coordination_faults.rs
@@ -88,6 +88,38 @@
     token.cancel();
 }
 
+/// Guards against a false `not_found` from a process that has not read the record of an accepted job yet.
+#[gtest]
+#[actix_rt::test]
+async fn a_process_that_reads_the_log_late_finds_an_accepted_job() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (world, entries) = start_all(&token).await;
+    let door = world.log.open_door(token.child_token()).await.unwrap();
+    let mut settings = fixture::settings(&world, "late", "a");
+    settings.log = door.address.to_string();
+    let late = EntryProcess::start(settings).await.unwrap();
+    world.list_entry("late", "a", &late.peer_listen.to_string());
+    fixture::wait_ready(&late).await;
+
+    // Act
+    door.set_faults(LogFaults { delay: Duration::from_secs(2), ..LogFaults::default() });
+    pause(2).await;
+    let (accepted, _) = submit_many(&entries, "job", 1).await;
+    let state = fixture::wait_job(&late, BLUE_KEY, &accepted[0]).await;
+    let unknown = fixture::wait_job(&late, BLUE_KEY, "blue/never").await;
+    door.set_faults(DOWN);
+    pause(10).await;
+    let unread = fixture::wait_job(&late, BLUE_KEY, "blue/never").await;
+
+    // Assert: what is not in the log is said only after reading it.
+    expect_that!(state["outcome"]["finished"].is_array(), eq(true), "{state}");
+    expect_that!(unknown["code"].as_str(), some(eq("not_found")));
+    expect_that!(unread["code"].as_str(), some(eq("log_unavailable")));
+    expect_that!(unread["run"].as_str(), some(eq("may_have_run")));
+    token.cancel();
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_process_that_starts_after_records_were_dropped_loads_a_snapshot() {
