Keep started jobs and ends that are not recorded

Gang red/j22 had run and was refused after three workers vanished. Cause: the check for jobs that fit no worker looked only at what waits.

2. green/j42#0 was placed although its end was told to an owner that was replaced. Trace: the worker that kept the end was cut off from the new owner past the longest lease, and the job had further tasks, so the log held no outcome. No owner can know such an end; running the task again is what the lease rule allows. Such ends are now kept until the outcome is recorded.

The two new tests fail without the change to the kernel.

--- a/src/kernel/job_progress.rs
+++ b/src/kernel/job_progress.rs
@@ -106,6 +106,12 @@
         !self.cancelled && !self.ended
     }
 
+    /// Whether an attempt of one of its tasks is known.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        self.tasks.iter().any(|progress| progress.last.is_some())
+    }
+
     /// Whether the job runs all its tasks or none.
     #[must_use]
     pub fn is_gang(&self) -> bool {
--- a/src/kernel/report_fold.rs
+++ b/src/kernel/report_fold.rs
@@ -199,10 +199,20 @@
             return;
         };
         let stray = released.as_ref().is_some_and(|placed| placed.stopping == Some(StopReason::Superseded));
-        if stray || progress.result.is_some() {
+        if stray {
             self.acknowledge_old(&id, index, end.task);
             return;
         }
+        // A later attempt that also finished keeps its end until the outcome is recorded: the worker of the other
+        // one may not answer a new owner, which would then place the task again.
+        if progress.result.is_some() {
+            let end = (end.task, self.vm.clone());
+            if !progress.unacknowledged.contains(&end) {
+                progress.unacknowledged.push(end);
+            }
+            self.state.finish(&id);
+            return;
+        }
         progress.last = Some(attempt);
         progress.end_reported = true;
         progress.unacknowledged.push((end.task.clone(), self.vm.clone()));
--- /dev/null
+++ b/tests/placement_records.rs
@@ -0,0 +1,70 @@
+//! Guards against outcomes and acknowledgements that deny what ran.
+
+mod fixture_placement;
+
+use std::time::Duration;
+
+use fixture_placement::{gang, shard, unheard_shard};
+use godwithaven::kernel::{ScheduleEffect, ScheduleEvent, TaskEnd, TaskEnding, WorkerCommand, WorkerReport};
+use googletest::prelude::*;
+
+/// Returns the report of a worker on which one attempt finished.
+fn finished(task: &str) -> WorkerReport {
+    let end = TaskEnd { task: task.into(), ending: TaskEnding::Finished, result: task.to_owned() };
+    WorkerReport { running: Vec::new(), ended: vec![end] }
+}
+
+/// Guards against a refusal, which says that a job can never run, of a gang that has started.
+#[gtest]
+fn a_started_gang_waits_for_vanished_workers() {
+    // Arrange
+    let mut shard = shard(3);
+    shard.accept(gang("blue/gang", 3, 60_000));
+    shard.run(Duration::from_secs(2));
+    let started = shard.workers_of("blue/gang").len();
+
+    // Act: one worker dies and leaves the list, later it is listed again.
+    shard.running.retain(|(vm, ..)| vm != "w2");
+    shard.silent.push("w2".to_owned());
+    let all = shard.workers.clone();
+    shard.workers.pop();
+    shard.tell(ScheduleEvent::WorkersListed(shard.workers.clone()));
+    shard.run(Duration::from_secs(60));
+    let meanwhile = shard.outcome("blue/gang");
+    shard.silent.clear();
+    shard.workers = all;
+    shard.tell(ScheduleEvent::WorkersListed(shard.workers.clone()));
+    shard.run(Duration::from_secs(60));
+
+    // Assert
+    expect_that!((started, meanwhile), eq(&(3, None)));
+    expect_that!(shard.workers_of("blue/gang").len(), eq(3));
+}
+
+/// Guards against a task that runs again because the only kept report of its end is on a worker that is cut off.
+#[gtest]
+fn each_end_of_a_finished_task_is_kept_until_the_outcome_is_recorded() {
+    // Arrange: two attempts of one task finished, as the first one's worker was not reachable for a while.
+    let now = std::time::Instant::now();
+    let mut shard = unheard_shard(2, now + Duration::from_secs(30));
+    let job = std::sync::Arc::new(fixture_placement::batch("blue/load", 2, 1_000));
+    shard.scheduler.inherit(&job, false);
+
+    // Act
+    shard.tell(ScheduleEvent::SyncAnswered("w0".into(), finished("blue/load#0@1")));
+    shard.tell(ScheduleEvent::SyncAnswered("w1".into(), finished("blue/load#0@2")));
+    let early = acknowledged(&shard.effects);
+    let recorded = shard.tell(ScheduleEvent::JobEnded("blue/load".into()));
+
+    // Assert
+    expect_that!(early, is_empty());
+    expect_that!(acknowledged(&recorded), unordered_elements_are![eq("blue/load#0@1"), eq("blue/load#0@2")]);
+}
+
+fn acknowledged(effects: &[ScheduleEffect]) -> Vec<String> {
+    let task = |effect: &ScheduleEffect| match effect {
+        ScheduleEffect::Command(_, WorkerCommand::Acknowledge { task }) => Some(task.to_string()),
+        _ => None,
+    };
+    effects.iter().filter_map(task).collect()
+}
