Count worker leases from the worker's own stamp

A worker counted its lease from the moment it read a sync.

Every answer now carries a stamp: incarnation and monotonic time of the worker. The next sync echoes it, and the worker counts the lease from the stamped time. It rejects starts under a stamp that is missing, of another incarnation, or older than the lease; the owner keeps rejected starts for the next stamp. The first sync of an owner has no stamp and starts nothing.

A sync loop echoes a stamp only after the scheduler has handled its answer. Otherwise an answer that waits in the scheduler's queue while a tick gives up the worker's tasks would let the loop extend their lease.

A sync ends after the report lag (2 s) instead of the client's 5 s, and an answer that this process reads later than that counts as none. The kernel allows for reports that are 2 s old; older answers arrived after it had ended the lease.

Adapters say whether their workers stamp. Without stamps an owner waits as without fencing, and the lease shrinks after a failed sync as before.

The test of broken worker reports has a stamp in its sound text, because an answer without one is no answer.

--- a/src/plugins/worker_http.rs
+++ b/src/plugins/worker_http.rs
@@ -8,11 +8,18 @@
 use crate::kernel::{TaskEnd, TaskEnding, TaskReport, WorkerCommand, WorkerReport};
 use crate::plugins::http;
 use crate::prelude::*;
-use crate::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult, WorkerAdapter, WorkerClient};
+use crate::tasks::adapter::{
+    AdapterEntry, SyncAnswer, SyncRequest, SyncResult, WorkerAdapter, WorkerClient, WorkerStamp,
+};
 
-inventory::submit!(AdapterEntry::Worker(WorkerAdapter { name: "worker_http", fences: true, connect }));
+inventory::submit!(AdapterEntry::Worker(WorkerAdapter {
+    name: "worker_http",
+    fences: true,
+    stamps: true,
+    connect
+}));
 
-/// Longest wait for a worker.
+/// Longest wait for a worker; the sync loop gives up earlier and drops the connection.
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest report in bytes.
 const REPORT_LIMIT: usize = 16 << 20;
@@ -21,6 +28,8 @@
 struct SyncBody<'a> {
     token: FencingToken,
     lease_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stamp: Option<&'a str>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     commands: Vec<CommandBody<'a>>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -54,6 +63,9 @@
 #[derive(Deserialize)]
 struct SyncReply {
     token: FencingToken,
+    stamp: Option<WorkerStamp>,
+    #[serde(default)]
+    rejected: Vec<TaskId>,
     #[serde(default)]
     running: Vec<RunningBody>,
     #[serde(default)]
@@ -97,6 +109,7 @@
     let body = SyncBody {
         token: request.token,
         lease_ms: milliseconds(request.lease),
+        stamp: request.stamp.as_deref(),
         commands: request.commands.iter().filter_map(encode).collect(),
         acknowledge: acknowledge.collect(),
     };
@@ -110,6 +123,7 @@
     }
     match response.json::<SyncReply>().limit(REPORT_LIMIT).await {
         Ok(reply) if status == 409 => SyncResult::Fenced(reply.token),
+        Ok(reply) if reply.stamp.is_none() => SyncResult::Unknown("the answer has no stamp".into()),
         Ok(reply) => SyncResult::Report(decode(reply)),
         Err(error) => SyncResult::Unknown(error.to_string()),
     }
@@ -132,7 +146,7 @@
     })
 }
 
-fn decode(reply: SyncReply) -> WorkerReport {
+fn decode(reply: SyncReply) -> SyncAnswer {
     let running = reply.running.into_iter().map(|body| TaskReport {
         task: body.task,
         team: body.team,
@@ -145,7 +159,8 @@
         ending: body.end,
         result: body.result,
     });
-    WorkerReport { running: running.collect(), ended: ended.collect() }
+    let report = WorkerReport { running: running.collect(), ended: ended.collect() };
+    SyncAnswer { report, stamp: reply.stamp, rejected: reply.rejected }
 }
 
 fn milliseconds(duration: Duration) -> u64 {
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -102,6 +102,10 @@
     pub connect: fn(address: &str) -> DirectoryClient,
 }
 
+/// What a worker says of itself and of the time when it answered a sync: its incarnation and its own monotonic
+/// time. Only the worker reads it.
+pub type WorkerStamp = Arc<str>;
+
 /// What a worker sync carries.
 #[derive(Clone, Debug)]
 pub struct SyncRequest {
@@ -109,17 +113,30 @@
     pub vm: VmId,
     /// Token of the owner of its shard.
     pub token: FencingToken,
-    /// How long the worker may run its tasks from now on.
+    /// How long the worker may run its tasks from the stamped time on.
     pub lease: Duration,
+    /// Stamp of an earlier answer; without one the sync extends no lease and starts nothing.
+    pub stamp: Option<WorkerStamp>,
     /// Commands since the last answered sync.
     pub commands: Vec<WorkerCommand>,
 }
 
+/// Answer of a worker to an accepted sync.
+#[derive(Clone, Debug, Default)]
+pub struct SyncAnswer {
+    /// What runs and what ended.
+    pub report: WorkerReport,
+    /// Stamp for the next sync; `None` only from adapters without stamps.
+    pub stamp: Option<WorkerStamp>,
+    /// Tasks that the worker did not start because the lease of the sync was over.
+    pub rejected: Vec<TaskId>,
+}
+
 /// Result of a worker sync.
 #[derive(Clone, Debug)]
 pub enum SyncResult {
     /// The worker accepted the sync.
-    Report(WorkerReport),
+    Report(SyncAnswer),
     /// The worker knows a newer owner.
     Fenced(FencingToken),
     /// No answer; the commands may have taken effect.
@@ -136,6 +153,13 @@
     pub name: &'static str,
     /// Whether workers refuse tokens older than the highest that they have seen.
     pub fences: bool,
+    /// Whether workers stamp their answers and count leases from the stamped time.
+    ///
+    /// Without stamps a lease counts from the time when the worker reads the sync, which may be long after it was
+    /// sent. A new owner then places nothing until all earlier leases have ended, as without fencing, and a
+    /// failed sync is followed by shorter leases. A worker that reads a sync later than the report lag after the
+    /// owner gave it up can still run a task that was placed elsewhere.
+    pub stamps: bool,
     /// Returns a client for the address of a worker.
     pub connect: fn(address: &str) -> WorkerClient,
 }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -272,14 +272,18 @@
         let timing = LeaseTiming {
             lease: self.settings.lease,
             report_lag: LEASE_MARGIN,
-            fences: self.adapters.worker.fences,
+            fences: self.adapters.worker.fences && self.adapters.worker.stamps,
         };
         let (process, registry) = (self.process.clone(), self.registry.clone());
         SchedulerTask::new(process, registry, timing, journal, worker, self.metrics.clone())
     }
 
     fn worker(&self, scheduler: mpsc::Sender<SchedulerMessage>) -> WorkerTask {
-        let timing = SyncTiming { interval: self.settings.sync_interval, lease: self.settings.lease };
+        let timing = SyncTiming {
+            interval: self.settings.sync_interval,
+            lease: self.settings.lease,
+            answer_within: LEASE_MARGIN,
+        };
         WorkerTask::new(self.adapters.worker, timing, scheduler, self.metrics.clone())
     }
 
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -5,12 +5,12 @@
 
 use crate::kernel::{
     JobExplanation, LeaseTiming, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
-    ShardSummary, WorkerReport, WorkerVm,
+    ShardSummary, WorkerVm,
 };
 use crate::prelude::*;
 use crate::tasks::journal::JournalMessage;
 use crate::tasks::metrics::EntryMetrics;
-use crate::tasks::worker::WorkerMessage;
+use crate::tasks::worker::{AnsweredSync, WorkerMessage};
 
 /// Time between ticks of the schedulers.
 const TICK: Duration = Duration::from_millis(500);
@@ -40,8 +40,8 @@
     Changed(LedgerChange),
     /// The VM list was read.
     Listed(Vec<WorkerVm>),
-    /// A worker accepted a sync under the token that carried starts and stops of the tasks.
-    Synced(ShardId, FencingToken, VmId, Vec<TaskId>, WorkerReport),
+    /// A worker accepted a sync.
+    Synced(Box<AnsweredSync>),
     /// A start was dropped before a sync carried it, because a stop followed.
     Withdrawn(ShardId, FencingToken, VmId, TaskId),
     /// A worker of the shard has accepted a newer token.
@@ -127,7 +127,11 @@
                 self.workers = workers;
                 self.list_workers().await;
             }
-            SchedulerMessage::Synced(shard, token, vm, tasks, report) if self.owns(&shard, token) => {
+            SchedulerMessage::Synced(sync) if self.owns(&sync.shard, sync.token) => {
+                let AnsweredSync { shard, vm, tasks, report, stamp, .. } = *sync;
+                if let Some(stamp) = stamp {
+                    let _ = self.worker.send(WorkerMessage::Renew(vm.clone(), stamp)).await;
+                }
                 if !tasks.is_empty() {
                     self.tell(&shard, ScheduleEvent::CommandsDelivered(vm.clone(), tasks)).await;
                 }
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -3,9 +3,9 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::WorkerCommand;
+use crate::kernel::{WorkerCommand, WorkerReport};
 use crate::prelude::*;
-use crate::tasks::adapter::{SyncRequest, SyncResult, WorkerAdapter, WorkerClient};
+use crate::tasks::adapter::{SyncAnswer, SyncRequest, SyncResult, WorkerAdapter, WorkerClient, WorkerStamp};
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::scheduler::SchedulerMessage;
 
@@ -31,6 +31,37 @@
     Forget(VmId),
     /// Sends a command with the next sync; a stop removes a start of the same task that was not sent.
     Command(VmId, WorkerCommand),
+    /// Lets the next syncs extend the lease from the stamp: the scheduler has handled the answer that carried it.
+    ///
+    /// Stops of tasks that the scheduler gave up before reach the sync loop earlier on the same way. So no sync
+    /// extends the lease of such a task or starts it under a newer stamp, however late the answer was handled.
+    Renew(VmId, HeldStamp),
+}
+
+/// A stamp with the time when its answer arrived here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldStamp {
+    /// The stamp.
+    pub stamp: WorkerStamp,
+    /// When the answer arrived.
+    pub at: Instant,
+}
+
+/// A sync that a worker has answered in time.
+#[derive(Clone, Debug)]
+pub struct AnsweredSync {
+    /// Shard of the worker.
+    pub shard: ShardId,
+    /// Token of the sync.
+    pub token: FencingToken,
+    /// The worker.
+    pub vm: VmId,
+    /// Tasks whose starts and stops the sync carried and the worker did not reject.
+    pub tasks: Vec<TaskId>,
+    /// The report of the worker.
+    pub report: WorkerReport,
+    /// Stamp of the answer, if the adapter has stamps.
+    pub stamp: Option<HeldStamp>,
 }
 
 /// How workers are synced.
@@ -40,11 +71,19 @@
     pub interval: Duration,
     /// Lease that each sync grants.
     pub lease: Duration,
+    /// Longest time from sending a sync to its answer; the kernel counts on reports that are no older.
+    pub answer_within: Duration,
+}
+
+/// What a sync loop is told.
+enum LoopMessage {
+    Command(WorkerCommand),
+    Renew(HeldStamp),
 }
 
 struct OwnedWorker {
     shard: ShardId,
-    commands: mpsc::Sender<WorkerCommand>,
+    commands: mpsc::Sender<LoopMessage>,
     token: CancellationToken,
 }
 
@@ -89,6 +128,9 @@
                     shard: shard.clone(),
                     fencing,
                     client: (self.adapter.connect)(&address),
+                    stamps: self.adapter.stamps,
+                    stamp: None,
+                    renewed: false,
                     timing: self.timing,
                     scheduler: self.scheduler.clone(),
                     pending: Vec::new(),
@@ -113,11 +155,14 @@
                     owned.token.cancel();
                 }
             }
-            WorkerMessage::Command(vm, command) => {
-                if let Some(owned) = self.workers.get(&vm) {
-                    let _ = owned.commands.send(command).await;
-                }
-            }
+            WorkerMessage::Command(vm, command) => self.tell(&vm, LoopMessage::Command(command)).await,
+            WorkerMessage::Renew(vm, stamp) => self.tell(&vm, LoopMessage::Renew(stamp)).await,
+        }
+    }
+
+    async fn tell(&self, vm: &VmId, message: LoopMessage) {
+        if let Some(owned) = self.workers.get(vm) {
+            let _ = owned.commands.send(message).await;
         }
     }
 }
@@ -127,6 +172,14 @@
     command: WorkerCommand,
     /// Whether a sync carried it; the worker may have seen it.
     sent: bool,
+    /// Whether the last sync carried it.
+    carried: bool,
+}
+
+impl PendingCommand {
+    const fn is_start(&self) -> bool {
+        matches!(self.command, WorkerCommand::Start { .. })
+    }
 }
 
 struct SyncLoop {
@@ -134,82 +187,102 @@
     shard: ShardId,
     fencing: FencingToken,
     client: WorkerClient,
+    /// Whether the worker stamps its answers.
+    stamps: bool,
+    /// Newest stamp whose answer the scheduler has handled.
+    stamp: Option<HeldStamp>,
+    /// Whether the worker waits for its first sync with a valid stamp.
+    renewed: bool,
     timing: SyncTiming,
     scheduler: mpsc::Sender<SchedulerMessage>,
     pending: Vec<PendingCommand>,
     withdrawn: Vec<TaskId>,
-    /// End of the lease that the first of the failed syncs may have granted.
+    /// End of the lease that the first of the failed syncs may have granted to a worker without stamps.
     granted_until: Option<Instant>,
     metrics: EntryMetrics,
 }
 
 impl SyncLoop {
-    async fn run(mut self, mut inbox: mpsc::Receiver<WorkerCommand>, token: CancellationToken) {
-        let mut wait = Duration::ZERO;
+    async fn run(mut self, mut inbox: mpsc::Receiver<LoopMessage>, token: CancellationToken) {
+        let mut due = tokio::time::Instant::now();
         loop {
             tokio::select! {
                 biased;
                 () = token.cancelled() => return,
                 received = inbox.recv() => match received {
-                    Some(command) => self.take(command),
+                    Some(message) => {
+                        let command = matches!(message, LoopMessage::Command(_));
+                        self.take(message);
+                        if !command && !self.renewed {
+                            continue;
+                        }
+                    }
                     None => return,
                 },
-                () = tokio::time::sleep(wait) => {}
+                () = tokio::time::sleep_until(due) => {}
             }
-            while let Ok(command) = inbox.try_recv() {
-                self.take(command);
+            while let Ok(message) = inbox.try_recv() {
+                self.take(message);
             }
+            self.renewed = false;
             // A command of a shard that was lost meanwhile must not go out.
             if token.is_cancelled() || !self.sync(&mut inbox).await {
                 return;
             }
-            wait = self.timing.interval;
+            let wait = if self.renewed { Duration::ZERO } else { self.timing.interval };
+            due = tokio::time::Instant::now() + wait;
+        }
+    }
+
+    fn take(&mut self, message: LoopMessage) {
+        match message {
+            LoopMessage::Command(command) => self.queue(command),
+            LoopMessage::Renew(stamp) => {
+                let first = self.valid_stamp().is_none();
+                self.stamp = Some(stamp);
+                self.renewed |= first && self.valid_stamp().is_some();
+            }
         }
     }
 
     /// Queues a command; a stop takes the place of a start that did not surely reach the worker.
-    fn take(&mut self, command: WorkerCommand) {
+    fn queue(&mut self, command: WorkerCommand) {
         if let WorkerCommand::Stop { task } = &command {
-            let started = |pending: &PendingCommand| matches!(pending.command, WorkerCommand::Start { .. });
             let unsent = self
                 .pending
                 .iter()
-                .any(|pending| pending.command.task() == task && started(pending) && !pending.sent);
+                .any(|pending| pending.command.task() == task && pending.is_start() && !pending.sent);
             self.pending.retain(|pending| pending.command.task() != task);
             if unsent {
                 self.withdrawn.push(task.clone());
                 return;
             }
         }
-        self.pending.push(PendingCommand { command, sent: false });
+        self.pending.push(PendingCommand { command, sent: false, carried: false });
+    }
+
+    /// Returns the stamp unless a lease counted from it is over here already.
+    fn valid_stamp(&self) -> Option<&HeldStamp> {
+        self.stamp.as_ref().filter(|held| held.at.elapsed() < self.timing.lease)
     }
 
     /// Syncs once; returns whether this process may still own the worker.
-    async fn sync(&mut self, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
-        let request = SyncRequest {
-            vm: self.vm.clone(),
-            token: self.fencing,
-            lease: self.grant(),
-            commands: self.pending.iter().map(|pending| pending.command.clone()).collect(),
-        };
-        for pending in &mut self.pending {
-            pending.sent = true;
-        }
+    async fn sync(&mut self, inbox: &mut mpsc::Receiver<LoopMessage>) -> bool {
+        let request = self.request();
         let commands = request.commands.clone();
-        let mut answer = (self.client)(request);
-        let result = loop {
-            tokio::select! {
-                result = &mut answer => break result,
-                Some(command) = inbox.recv() => self.take(command),
-            }
-        };
+        let result = self.exchange(request, inbox).await;
         let (shard, vm) = (self.shard.clone(), self.vm.clone());
         let message = match result {
-            SyncResult::Report(report) => {
+            SyncResult::Report(answer) => {
                 self.count("answered");
                 self.granted_until = None;
-                self.pending.retain(|pending| !pending.sent);
-                SchedulerMessage::Synced(shard, self.fencing, vm, delivered(commands), report)
+                let SyncAnswer { report, stamp, rejected } = answer;
+                let refused = |command: &WorkerCommand| rejected.contains(command.task());
+                self.pending.retain(|pending| !pending.carried || refused(&pending.command));
+                let tasks = delivered(commands.into_iter().filter(|command| !refused(command)));
+                let stamp = stamp.map(|stamp| HeldStamp { stamp, at: Instant::now() });
+                let token = self.fencing;
+                SchedulerMessage::Synced(Box::new(AnsweredSync { shard, token, vm, tasks, report, stamp }))
             }
             SyncResult::Unknown(fault) => {
                 self.count("unknown");
@@ -229,13 +302,51 @@
         self.send(message, inbox).await && self.report_withdrawn(inbox).await
     }
 
-    /// Returns the lease of the next sync. After a failed sync it is only the rest of what that one may have
-    /// granted, so that the end of the lease of a worker that hears but is not heard can be known.
+    /// Returns the next sync and marks what it carries. Without a valid stamp it starts nothing.
+    fn request(&mut self) -> SyncRequest {
+        let stamp = self.valid_stamp().map(|held| held.stamp.clone());
+        let starts = stamp.is_some() || !self.stamps;
+        for pending in &mut self.pending {
+            pending.carried = starts || !pending.is_start();
+            pending.sent |= pending.carried;
+        }
+        let carried = self.pending.iter().filter(|pending| pending.carried);
+        let commands = carried.map(|pending| pending.command.clone()).collect();
+        let lease = if starts { self.grant() } else { Duration::ZERO };
+        SyncRequest { vm: self.vm.clone(), token: self.fencing, lease, stamp, commands }
+    }
+
+    /// Sends a sync and takes messages until it is answered or the time for the answer is over.
+    async fn exchange(
+        &mut self,
+        request: SyncRequest,
+        inbox: &mut mpsc::Receiver<LoopMessage>,
+    ) -> SyncResult {
+        let (sent_at, within) = (Instant::now(), self.timing.answer_within);
+        let mut answer = (self.client)(request);
+        let result = loop {
+            tokio::select! {
+                result = &mut answer => break result,
+                () = tokio::time::sleep_until((sent_at + within).into()) => break SyncResult::Unknown("no answer in time".into()),
+                Some(message) = inbox.recv() => self.take(message),
+            }
+        };
+        match result {
+            // This process may have been paused while the answer waited in its socket.
+            SyncResult::Report(_) if sent_at.elapsed() > within => SyncResult::Unknown("late answer".into()),
+            result => result,
+        }
+    }
+
+    /// Returns the lease of the next sync. A stamped lease ends at the same time however often it is granted. A
+    /// worker without stamps gets only the rest of what a failed sync may have granted, so that the end of the
+    /// lease of one that hears but is not heard can be known.
     fn grant(&self) -> Duration {
-        self.granted_until.map_or(self.timing.lease, |until| until.saturating_duration_since(Instant::now()))
+        let until = self.granted_until.filter(|_| !self.stamps);
+        until.map_or(self.timing.lease, |until| until.saturating_duration_since(Instant::now()))
     }
 
-    async fn report_withdrawn(&mut self, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
+    async fn report_withdrawn(&mut self, inbox: &mut mpsc::Receiver<LoopMessage>) -> bool {
         while let Some(task) = self.withdrawn.pop() {
             let message =
                 SchedulerMessage::Withdrawn(self.shard.clone(), self.fencing, self.vm.clone(), task);
@@ -247,7 +358,7 @@
     }
 
     /// Sends to the scheduler and takes commands meanwhile, as the scheduler may be waiting to send one.
-    async fn send(&mut self, message: SchedulerMessage, inbox: &mut mpsc::Receiver<WorkerCommand>) -> bool {
+    async fn send(&mut self, message: SchedulerMessage, inbox: &mut mpsc::Receiver<LoopMessage>) -> bool {
         let scheduler = self.scheduler.clone();
         loop {
             tokio::select! {
@@ -256,7 +367,7 @@
                     permit.send(message);
                     return true;
                 }
-                Some(command) = inbox.recv() => self.take(command),
+                Some(received) = inbox.recv() => self.take(received),
             }
         }
     }
@@ -267,9 +378,8 @@
 }
 
 /// Returns the tasks whose starts or stops a sync carried.
-fn delivered(commands: Vec<WorkerCommand>) -> Vec<TaskId> {
+fn delivered(commands: impl Iterator<Item = WorkerCommand>) -> Vec<TaskId> {
     commands
-        .into_iter()
         .filter_map(|command| match command {
             WorkerCommand::Start { task, .. } | WorkerCommand::Stop { task } => Some(task),
             _ => None,
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -19,6 +19,7 @@
 
 /// Faults of one worker that a test switches on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "the faults are independent of each other")]
 pub struct WorkerFaults {
     /// Syncs are not answered and have no effect.
     pub silent: bool,
@@ -26,12 +27,15 @@
     pub lose_replies: bool,
     /// Every task fails at its start.
     pub fail_tasks: bool,
+    /// Syncs wait in the buffer of the worker's socket; leases still end.
+    pub paused: bool,
 }
 
 #[derive(Deserialize)]
 struct SyncBody {
     token: u64,
     lease_ms: u64,
+    stamp: Option<String>,
     #[serde(default)]
     commands: Vec<CommandBody>,
     #[serde(default)]
@@ -61,8 +65,10 @@
     },
 }
 
+type SyncReply = oneshot::Sender<(StatusCode, Value)>;
+
 enum WorkerMessage {
-    Sync(String, SyncBody, oneshot::Sender<(StatusCode, Value)>),
+    Sync(String, SyncBody, SyncReply),
     Faults(String, WorkerFaults),
     Records(oneshot::Sender<Vec<WorkRecord>>),
     Running(oneshot::Sender<Vec<(String, String)>>),
@@ -78,14 +84,19 @@
     throttle: u32,
 }
 
-#[derive(Default)]
 struct FakeWorker {
+    /// Names this life of the worker in stamps.
+    incarnation: u64,
+    /// Zero of the worker's monotonic clock.
+    origin: Instant,
     token: u64,
     lease_end: Option<Instant>,
     running: FxHashMap<String, RunningTask>,
     ended: FxHashMap<String, (&'static str, String)>,
     known: FxHashSet<String>,
     faults: WorkerFaults,
+    /// Syncs that arrived while the worker was paused, oldest first.
+    buffered: Vec<(SyncBody, SyncReply)>,
 }
 
 /// A running server of workers.
@@ -161,14 +172,15 @@
             }
             Some(message) = messages.recv() => match message {
                 WorkerMessage::Sync(vm, sync, reply) => {
-                    let worker = workers.entry(vm.clone()).or_default();
-                    if !worker.faults.silent {
-                        let result = worker.sync(&vm, sync, &mut records);
-                        let lost = (StatusCode::INTERNAL_SERVER_ERROR, json!({ "error": "reply lost" }));
-                        let _ = reply.send(if worker.faults.lose_replies { lost } else { result });
-                    }
+                    let worker = workers.entry(vm.clone()).or_insert_with(|| FakeWorker::new(1));
+                    worker.buffered.push((sync, reply));
+                    worker.read_syncs(&vm, &mut records);
+                }
+                WorkerMessage::Faults(vm, faults) => {
+                    let worker = workers.entry(vm.clone()).or_insert_with(|| FakeWorker::new(1));
+                    worker.faults = faults;
+                    worker.read_syncs(&vm, &mut records);
                 }
-                WorkerMessage::Faults(vm, faults) => workers.entry(vm).or_default().faults = faults,
                 WorkerMessage::Records(reply) => {
                     let _ = reply.send(records.clone());
                 }
@@ -184,6 +196,31 @@
 }
 
 impl FakeWorker {
+    fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            origin: Instant::now(),
+            token: 0,
+            lease_end: None,
+            running: FxHashMap::default(),
+            ended: FxHashMap::default(),
+            known: FxHashSet::default(),
+            faults: WorkerFaults::default(),
+            buffered: Vec::new(),
+        }
+    }
+
+    fn stamp(&self) -> String {
+        format!("{}-{}", self.incarnation, self.origin.elapsed().as_micros())
+    }
+
+    /// Returns the time of a stamp of this incarnation.
+    fn stamped_at(&self, stamp: &str) -> Option<Instant> {
+        let (incarnation, micros) = stamp.split_once('-')?;
+        let own = incarnation.parse() == Ok(self.incarnation);
+        Some(self.origin + Duration::from_micros(micros.parse().ok()?)).filter(|_| own)
+    }
+
     fn advance(&mut self, vm: &str, records: &mut Vec<WorkRecord>) {
         let now = Instant::now();
         if self.lease_end.is_some_and(|end| end <= now) {
@@ -215,20 +252,45 @@
         }
     }
 
+    fn read_syncs(&mut self, vm: &str, records: &mut Vec<WorkRecord>) {
+        if self.faults.paused {
+            return;
+        }
+        for (sync, reply) in std::mem::take(&mut self.buffered) {
+            if self.faults.silent {
+                continue;
+            }
+            let result = self.sync(vm, sync, records);
+            let lost = (StatusCode::INTERNAL_SERVER_ERROR, json!({ "error": "reply lost" }));
+            // The sender may have stopped waiting.
+            let _ = reply.send(if self.faults.lose_replies { lost } else { result });
+        }
+    }
+
     fn sync(&mut self, vm: &str, sync: SyncBody, records: &mut Vec<WorkRecord>) -> (StatusCode, Value) {
         if sync.token < self.token {
             return (StatusCode::CONFLICT, json!({ "token": self.token }));
         }
         self.advance(vm, records);
         self.token = sync.token;
-        self.lease_end = Some(Instant::now() + Duration::from_millis(sync.lease_ms));
+        // The request may have waited in the socket, so the lease counts from the stamped time.
+        let stamped = sync.stamp.as_deref().and_then(|stamp| self.stamped_at(stamp));
+        let granted = stamped.map(|at| at + Duration::from_millis(sync.lease_ms));
+        let holds = granted.is_some_and(|end| end > Instant::now());
+        self.lease_end = self.lease_end.max(granted);
+        let mut rejected = Vec::new();
         for task in &sync.acknowledge {
             self.ended.remove(task);
         }
         for command in sync.commands {
-            self.carry_out(vm, command, records);
+            match command {
+                CommandBody::Start { task, .. } if !holds && !self.known.contains(&task) => {
+                    rejected.push(task);
+                }
+                command => self.carry_out(vm, command, records),
+            }
         }
-        (StatusCode::OK, self.report())
+        (StatusCode::OK, self.report(&rejected))
     }
 
     fn carry_out(&mut self, vm: &str, command: CommandBody, records: &mut Vec<WorkRecord>) {
@@ -269,7 +331,7 @@
         }
     }
 
-    fn report(&self) -> Value {
+    fn report(&self, rejected: &[String]) -> Value {
         let running = self.running.iter().map(|(task, running)| {
             json!({
                 "task": task,
@@ -288,6 +350,8 @@
             .map(|(task, (end, result))| json!({ "task": task, "end": end, "result": result }));
         json!({
             "token": self.token,
+            "stamp": self.stamp(),
+            "rejected": rejected,
             "running": running.collect::<Vec<Value>>(),
             "ended": ended.collect::<Vec<Value>>(),
         })
--- a/tests/callers_decoders.rs
+++ b/tests/callers_decoders.rs
@@ -12,7 +12,7 @@
 use godwithaven::proto::peer::{
     ExplainRequest, ForwardReply, ForwardRequest, HeartbeatReply, HeartbeatRequest,
 };
-use godwithaven::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult};
+use godwithaven::tasks::adapter::{AdapterEntry, SyncAnswer, SyncRequest, SyncResult};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, Strategy, any, prop};
 use proptest::strategy::ValueTree;
@@ -143,13 +143,18 @@
 async fn broken_worker_reports_are_no_reports() {
     // Arrange
     let token = CancellationToken::new();
-    let sound = r#"{"token":7,"running":[{"task":"blue/j#0@0","team":"blue","cores_milli":1000,"memory_mib":10,"accelerators":0,"used_cores_milli":5,"used_memory_mib":6,"checkpointed":true}],"ended":[{"task":"blue/j#1@0","end":"finished","result":"r"}]}"#;
+    let sound = r#"{"token":7,"stamp":"1-5","running":[{"task":"blue/j#0@0","team":"blue","cores_milli":1000,"memory_mib":10,"accelerators":0,"used_cores_milli":5,"used_memory_mib":6,"checkpointed":true}],"ended":[{"task":"blue/j#1@0","end":"finished","result":"r"}]}"#;
     let mut texts = vec![sound.to_owned()];
     texts.extend(edits(sound, 200));
     let address = serve_texts(texts, token.child_token()).await;
     let client = (AdapterEntry::find(AdapterEntry::worker).unwrap().connect)(&address);
-    let request =
-        || SyncRequest { vm: "w".into(), token: 7, lease: Duration::from_secs(1), commands: Vec::new() };
+    let request = || SyncRequest {
+        vm: "w".into(),
+        token: 7,
+        lease: Duration::from_secs(1),
+        stamp: None,
+        commands: Vec::new(),
+    };
 
     // Act
     let first = client(request()).await;
@@ -159,7 +164,7 @@
     }
 
     // Assert
-    let SyncResult::Report(report) = first else { panic!("{first:?}") };
+    let SyncResult::Report(SyncAnswer { report, .. }) = first else { panic!("{first:?}") };
     expect_that!((&*report.running[0].task, report.running[0].used.cores_milli), eq(("blue/j#0@0", 5)));
     expect_that!(report.ended[0].result, eq("r"));
     expect_that!(unknown, gt(100));
--- a/tests/coordination_pause.rs
+++ b/tests/coordination_pause.rs
@@ -2,11 +2,13 @@
 
 mod fixture;
 
+use std::collections::BTreeSet;
 use std::process::{Child, Command};
 use std::time::Duration;
 
 use fixture::BLUE_KEY;
-use godwithaven_standins::invariant::{self, BrokenPromises};
+use godwithaven_standins::invariant::{self, BrokenPromises, WorkEvent};
+use godwithaven_standins::worker::WorkerFaults;
 use googletest::prelude::*;
 use tokio_util::sync::CancellationToken;
 
@@ -90,3 +92,50 @@
     entry.stop().await;
     token.cancel();
 }
+
+/// Guards against starts that a worker reads from its socket after its owner gave it up.
+#[gtest]
+#[actix_rt::test]
+async fn a_worker_paused_past_its_lease_runs_no_buffered_start() {
+    // Arrange: packing sends later jobs to the workers that have tasks already.
+    let token = CancellationToken::new();
+    let mut world = fixture::start_world(&token).await;
+    world.facts.limits.insert("blue".into(), [64_000, 262_144, 16]);
+    let entry = fixture::start_entry(&world, "entry-1", "a").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    fixture::wait_ready(&entry).await;
+    let mut paused = Vec::new();
+    for index in 0..12 {
+        // Act: the busy workers pause, are given starts, and read them after their leases have ended.
+        if index == 6 {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let busy: BTreeSet<String> =
+                world.workers.running().await.into_iter().map(|(vm, _)| vm).collect();
+            for vm in busy {
+                world.workers.set_faults(&vm, WorkerFaults { paused: true, ..WorkerFaults::default() }).await;
+                paused.push(vm);
+            }
+        }
+        let mut job = fixture::batch_job("blue", &format!("job-{index}"), 2);
+        job["run_ms"] = 30_000.into();
+        expect_that!(fixture::submit(&entry, BLUE_KEY, &job).await.0, eq(202));
+    }
+    // Both tasks of all jobs run on other workers, twelve of them for the second time.
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
+    let mut started = 0;
+    while started < 36 && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let records = world.workers.records().await;
+        started = records.iter().filter(|record| matches!(record.event, WorkEvent::Started { .. })).count();
+    }
+    for vm in &paused {
+        world.workers.set_faults(vm, WorkerFaults::default()).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    // Assert
+    let records = world.workers.records().await;
+    expect_that!(started, eq(36));
+    expect_that!(invariant::check(&records, &world.facts), eq(BrokenPromises::default()));
+    token.cancel();
+}
