Name heard peers only while somebody is missed

Change: a process that hears nothing from a peer for 1.25 s says so; it and those that hear it name whom they hear, early enough that the vouching arrives before the peer is suspected at 3 s. What makes a process current does not use the list. Writers of the log that are no entry processes are not missed. The membership tests count named peers; a process that cannot ask is told, too. An empty list on the command line of the measuring program leaves a scenario out.

--- a/capacity/src/main.rs
+++ b/capacity/src/main.rs
@@ -16,7 +16,7 @@
         cmd capacity {
             /// Length of each measured window in seconds.
             optional --seconds seconds: u64
-            /// Numbers of workers, comma-separated.
+            /// Numbers of workers, comma-separated; an empty list leaves the scenario out.
             optional --workers workers: String
             /// Numbers of VMs on the list, comma-separated.
             optional --listed listed: String
@@ -75,5 +75,5 @@
 
 fn numbers(given: Option<String>, default: &str) -> StepResult<Vec<usize>> {
     let text = given.unwrap_or_else(|| default.to_owned());
-    text.split(',').map(|number| Ok(number.trim().parse()?)).collect()
+    text.split(',').filter(|number| !number.is_empty()).map(|number| Ok(number.trim().parse()?)).collect()
 }
--- a/src/kernel/peer_beat.rs
+++ b/src/kernel/peer_beat.rs
@@ -2,6 +2,7 @@
 
 /// What an entry process tells the others with each heartbeat.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts about one process")]
 pub struct PeerBeat {
     /// The process.
     pub process: ProcessId,
@@ -17,7 +18,9 @@
     pub yielding: bool,
     /// Whether it has folded the log up to the present.
     pub ready: bool,
-    /// Other processes and how long ago they were heard.
+    /// Whether it misses heartbeats of a process that may be alive, so that others should name whom they hear.
+    pub missing: bool,
+    /// Other processes and how long ago they were heard; empty while nobody misses anyone.
     pub heard: Vec<(ProcessId, Duration)>,
     /// Free capacity of its worker shards.
     pub free: Vec<(ShardId, ResourceVector)>,
--- a/src/kernel/peer_view.rs
+++ b/src/kernel/peer_view.rs
@@ -5,6 +5,9 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_secs(3);
 /// A process is current if the log was read within this time.
 pub const CURRENT_FOR: Duration = Duration::from_secs(6);
+/// A process misses a peer after this long without its heartbeat. Heartbeats come every 1 s; what others hear must
+/// arrive, asked for with the next heartbeat, before the peer is suspected.
+const MISSED_AFTER: Duration = Duration::from_millis(1_250);
 /// A gap between two ticks above this counts as a pause of the process; ticks come every 250 ms.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Time that another process must have been ready before shards are handed to it.
@@ -63,6 +66,8 @@
     ready_since: Option<Instant>,
     leaving: bool,
     yielding: bool,
+    /// Whether its last heartbeat said that it misses a peer.
+    missing: bool,
 }
 
 impl PeerView {
@@ -99,6 +104,7 @@
         state.alive = Some(now);
         state.leaving = beat.leaving;
         state.yielding = beat.yielding;
+        state.missing = beat.missing;
         state.ready_since = beat.ready.then(|| state.ready_since.unwrap_or(now));
         if let Some(asked) = asked {
             // A peer with a newer bundle vouches for nothing until this process has that bundle, too.
@@ -222,13 +228,30 @@
         live
     }
 
-    /// Returns the processes that were heard and how long ago, for the next heartbeat.
+    /// Whether the heartbeats of an entry process that may be alive do not arrive. Others that append to the log,
+    /// such as operators' commands, own nothing and send no heartbeats.
+    #[must_use]
+    pub fn is_missing_any(&self, now: Instant) -> bool {
+        let recent =
+            |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_AFTER);
+        let owns = |process: &ProcessId| self.claims.values().any(|claim| claim.process == *process);
+        self.peers
+            .iter()
+            .any(|(process, state)| !recent(state.heard) && (state.vm.is_some() || owns(process)))
+    }
+
+    /// Returns the processes that were heard and how long ago, for the next heartbeat. They are named only while
+    /// this process or one that it hears misses a peer, as heartbeats would grow with the number of processes.
     #[must_use]
     pub fn heard(&self, now: Instant) -> Vec<(ProcessId, Duration)> {
         let age = |heard: Instant| now.saturating_duration_since(heard);
         let heard =
-            self.peers.iter().filter_map(|(process, state)| Some((process.clone(), age(state.heard?))));
-        heard.filter(|(_, age)| *age < SUSPECT_AFTER).collect()
+            self.peers.iter().filter_map(|(process, state)| Some((process, state, age(state.heard?))));
+        let heard: Vec<_> = heard.filter(|(_, _, age)| *age < SUSPECT_AFTER).collect();
+        if !heard.iter().any(|(_, state, _)| state.missing) && !self.is_missing_any(now) {
+            return Vec::new();
+        }
+        heard.into_iter().map(|(process, _, age)| (process.clone(), age)).collect()
     }
 
     fn note_tick(&mut self, now: Instant) {
--- a/src/proto/peer.rs
+++ b/src/proto/peer.rs
@@ -16,7 +16,7 @@
     /// Whether the sender has folded the log up to the present.
     #[prost(bool, tag = "6")]
     pub ready: bool,
-    /// Processes that the sender heard.
+    /// Processes that the sender heard; named only while it or a process that it hears misses one.
     #[prost(message, repeated, tag = "7")]
     pub heard: ::prost::alloc::vec::Vec<HeardPeer>,
     /// Free capacity of the worker shards that the sender owns.
@@ -25,6 +25,9 @@
     /// Whether others may claim the sender's shards, because it cannot read the log while a peer can.
     #[prost(bool, tag = "9")]
     pub yielding: bool,
+    /// Whether the sender misses the heartbeats of a process that may be alive.
+    #[prost(bool, tag = "10")]
+    pub missing: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeardPeer {
--- a/src/tasks/heartbeat.rs
+++ b/src/tasks/heartbeat.rs
@@ -47,6 +47,7 @@
         leaving: beat.leaving,
         yielding: beat.yielding,
         ready: beat.ready,
+        missing: beat.missing,
         heard: beat.heard.iter().map(heard).collect(),
         free: beat.free.iter().map(free).collect(),
     }
@@ -66,6 +67,7 @@
         leaving: beat.leaving,
         yielding: beat.yielding,
         ready: beat.ready,
+        missing: beat.missing,
         heard: beat.heard.into_iter().map(heard).collect(),
         free: beat.free.into_iter().map(free).collect(),
     })
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -195,6 +195,7 @@
             leaving: self.view.stage != LeaveStage::Staying,
             yielding: self.view.is_yielding(now),
             ready: self.view.ready(),
+            missing: self.view.is_missing_any(now),
             heard: self.view.heard(now),
             free: heartbeat::free_capacity(&self.summaries),
         }
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -102,6 +102,41 @@
     }
 }
 
+/// Guards against traffic that grows with the square of the processes, as when each beat names all peers.
+#[gtest]
+fn heartbeats_name_no_peer_while_all_are_heard() {
+    for count in [3, 9, 36] {
+        // Arrange
+        let mut cluster = settled(count, 16);
+        let before = cluster.named;
+
+        // Act: an operators' command appends to the log, too, and sends no heartbeats.
+        let now = cluster.now;
+        cluster.members.iter_mut().for_each(|member| member.view.note_group(&"operator".into(), now));
+        cluster.run(60 * SECOND);
+
+        // Assert
+        expect_that!(cluster.named - before, eq(0), "{count} processes");
+    }
+}
+
+/// Guards against a process that takes shards because nobody learns that it misses their owner: its own messages
+/// to the third process, which hears the owner, are lost as well.
+#[gtest]
+fn a_process_that_cannot_ask_is_told_whom_others_hear() {
+    // Arrange
+    let mut cluster = settled(3, 16);
+    let claims = cluster.transcript.len();
+
+    // Act
+    cluster.cut.extend([(0, 1), (1, 2)]);
+    cluster.run(60 * SECOND);
+
+    // Assert
+    expect_that!(cluster.transcript.len(), eq(claims));
+    expect_that!(cluster.named, gt(0));
+}
+
 #[gtest]
 fn a_process_cut_off_from_all_peers_but_not_from_the_log_starts_no_fight() {
     // Arrange
