Compare one request session with a golden file

Nothing showed what a whole session of a request decides: a refused start, a late answer, callers that leave and a stop of the owner were tested one by one, so a changed order or text went unnoticed.

The session drives the partition on the logical clock and writes events, effects and answers to callers; tests/golden/request_session.txt is compared whole.

Conclusion: any change of these decisions now shows as a difference.

--- /dev/null
+++ b/tests/requests_session.rs
@@ -0,0 +1,136 @@
+//! Guards against a change of what one request session decides and answers that nobody meant.
+
+mod raw_http;
+mod routing;
+
+use std::fmt::Write as _;
+use std::time::Instant;
+
+use bytes::Bytes;
+use godwithaven::kernel::id::AttemptId;
+use godwithaven::kernel::{FrontReply, RouteEffect, RouteEvent, RouteFailure};
+use godwithaven::tasks::adapter::EndpointAnswer;
+use godwithaven::tasks::metrics::EntryMetrics;
+use godwithaven::tasks::partition::OwnedPartition;
+use googletest::prelude::*;
+use tokio::sync::oneshot;
+
+use routing::{ms, ready_router, request};
+
+/// One partition on a logical clock, its callers, and the text of what happened.
+struct Session {
+    partition: OwnedPartition,
+    metrics: EntryMetrics,
+    start: Instant,
+    callers: Vec<(String, oneshot::Receiver<FrontReply>)>,
+    text: String,
+}
+
+impl Session {
+    fn new() -> Self {
+        let start = Instant::now();
+        Self {
+            partition: OwnedPartition::new(1, ready_router(3, start)),
+            metrics: EntryMetrics::new().unwrap(),
+            start,
+            callers: Vec::new(),
+            text: String::new(),
+        }
+    }
+
+    fn arrive(&mut self, at: u64, caller: &str, id: &str, deadline: u64) {
+        let now = self.start + ms(at);
+        let mut arrival = request("blue", id, false, now);
+        arrival.deadline = now + ms(deadline);
+        let (reply, answer) = oneshot::channel();
+        self.callers.push((caller.to_owned(), answer));
+        let body = Bytes::from(format!("body of {id}"));
+        let effects = self.partition.arrive(arrival, body, reply, now);
+        self.note(at, &format!("{caller} sends blue/{id}, deadline {deadline} ms"), effects);
+    }
+
+    fn event(&mut self, at: u64, event: RouteEvent) {
+        let label = format!("{event:?}");
+        let effects = self.partition.router.handle(event, self.start + ms(at));
+        self.note(at, &label, effects);
+    }
+
+    fn answer(&mut self, at: u64, attempt: AttemptId, text: &'static str) {
+        let body = Bytes::from_static(text.as_bytes());
+        let size = body.len();
+        self.partition.store(attempt, EndpointAnswer { status: 200, body });
+        self.event(at, RouteEvent::Answered { attempt, status: 200, size });
+    }
+
+    /// Drops a caller that waits, as a closed connection does.
+    fn leave(&mut self, at: u64, caller: &str) {
+        self.callers.retain(|(name, _)| name != caller);
+        for id in self.partition.deserted() {
+            self.event(at, RouteEvent::CallersGone(id));
+        }
+    }
+
+    fn note(&mut self, at: u64, event: &str, effects: Vec<RouteEffect>) {
+        let _ = writeln!(self.text, "{at:>5} ms  {event}");
+        for effect in effects {
+            let _ = writeln!(self.text, "          -> {effect:?}");
+            self.partition.apply(effect, &self.metrics);
+        }
+        let text = &mut self.text;
+        self.callers.retain_mut(|(caller, answer)| match answer.try_recv() {
+            Ok(reply) => {
+                let _ = writeln!(text, "          <- {caller}: {reply:?}");
+                false
+            }
+            Err(oneshot::error::TryRecvError::Empty) => true,
+            Err(oneshot::error::TryRecvError::Closed) => {
+                let _ = writeln!(text, "          <- {caller}: dropped without an answer");
+                false
+            }
+        });
+    }
+}
+
+#[gtest]
+fn one_session_decides_and_answers_as_recorded() {
+    // Arrange
+    let mut session = Session::new();
+    let folded = |id: &str| RouteEvent::IntentAccepted(format!("blue/{id}").into());
+
+    // Act
+    // A retry after an endpoint that did not start the request; a second caller joins, a third comes later.
+    session.arrive(0, "caller-1", "retried", 5_000);
+    session.event(10, folded("retried"));
+    session.event(20, RouteEvent::Failed(1, RouteFailure::NotStarted));
+    session.arrive(21, "caller-2", "retried", 5_000);
+    session.event(60, RouteEvent::Tick);
+    session.answer(80, 2, "retried answer");
+    session.arrive(90, "caller-3", "retried", 5_000);
+    // An answer after the deadline.
+    session.arrive(100, "caller-4", "late", 200);
+    session.event(110, folded("late"));
+    session.event(310, RouteEvent::Tick);
+    session.answer(400, 3, "late answer");
+    session.arrive(410, "caller-5", "late", 200);
+    // Callers that go away, one while the request runs and one before it is sent.
+    session.arrive(500, "caller-6", "cancelled", 5_000);
+    session.event(510, folded("cancelled"));
+    session.leave(520, "caller-6");
+    session.answer(530, 4, "unread answer");
+    session.arrive(540, "caller-7", "unsent", 5_000);
+    session.leave(545, "caller-7");
+    session.event(550, folded("unsent"));
+    // A graceful stop of the owner: what runs is answered, what arrives belongs to the next owner.
+    session.arrive(600, "caller-8", "running", 5_000);
+    session.event(610, folded("running"));
+    session.event(620, RouteEvent::Closing);
+    session.arrive(630, "caller-9", "next", 5_000);
+    session.event(640, RouteEvent::ClaimLost);
+    session.answer(700, 5, "running answer");
+    let idle = session.partition.is_idle();
+
+    // Assert
+    expect_that!(idle, eq(true));
+    expect_that!(session.callers.len(), eq(0));
+    raw_http::compare_golden("request_session.txt", &session.text);
+}
