Test slow callers, refused answers, leaving endpoints and silent connections

These properties were stated but nothing over real sockets showed them, and the endpoint stand-in could send neither long nor endless answers.

The stand-in gains padding and the faults TooLong and Endless. Tests check that 16 callers that do not read 4 MiB answers hold no slot, that too long, endless and cut answers are counted and told as may_have_run while requests beside them are answered, that endpoints that leave in three ways begin nothing after 3 s while all requests in flight are answered, and that a silent connection of a busy endpoint ends at timeout_ms. An answer whose announced length is above the limit is dropped before its body is read; before, 16 MiB were read first.

--- a/src/plugins/endpoint_http.rs
+++ b/src/plugins/endpoint_http.rs
@@ -132,6 +132,9 @@
         // Without a length, a cut-off answer cannot be told from a whole one.
         return Err(dropped("no length"));
     }
+    if announced_length(&head).is_some_and(|length| length > ANSWER_LIMIT) {
+        return Err(dropped("too long"));
+    }
     let (body, keep_alive) = read_body(&line.stream, codec, &mut buffer).await?;
     let surplus = (!buffer.is_empty()).then_some("surplus");
     let reusable = keep_alive && framed && surplus.is_none();
@@ -204,6 +207,10 @@
     }
 }
 
+fn announced_length(head: &ResponseHead) -> Option<usize> {
+    head.headers().get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn not_started(head: &ResponseHead) -> bool {
     head.status.as_u16() == 503 && head.headers().contains_key(NOT_STARTED)
 }
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -12,11 +12,16 @@
 
 use crate::server;
 
+/// Padding that makes an answer too long for an entry process.
+const TOO_LONG: usize = (16 << 20) + 1;
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointFaults {
     /// Time of an answer.
     pub work_time: Duration,
+    /// Bytes that are added to each answer.
+    pub padding: usize,
     /// Slots; further requests are refused as not started.
     pub slots: u32,
     /// Requests are answered with status 500 at once.
@@ -46,12 +51,17 @@
     Lost,
     /// The request is refused as not started, and the connection ends.
     Refused,
+    /// The body is longer than the 16 MiB that an entry process takes.
+    TooLong,
+    /// The body comes in chunks and never ends.
+    Endless,
 }
 
 impl Default for EndpointFaults {
     fn default() -> Self {
         Self {
             work_time: Duration::from_millis(5),
+            padding: 0,
             slots: 8,
             failing: false,
             leaving: false,
@@ -258,11 +268,21 @@
     let _ = worked.await;
     let silent = *mute.borrow() > epoch;
     stay_silent_if(silent, stream).await?;
-    let text = format!("answer to {}: {}", request.id, String::from_utf8_lossy(&request.body));
+    let mut text = format!("answer to {}: {}", request.id, String::from_utf8_lossy(&request.body));
+    let padding = if faults.answer == AnswerFault::TooLong { TOO_LONG } else { faults.padding };
+    text.extend(std::iter::repeat_n('.', padding));
     let status = if faults.failing { 500 } else { 200 };
     let whole = response(status, &named, text.as_bytes());
     match faults.answer {
-        AnswerFault::None | AnswerFault::Refused => write(stream, &whole).await,
+        AnswerFault::None | AnswerFault::Refused | AnswerFault::TooLong => write(stream, &whole).await,
+        AnswerFault::Endless => {
+            let head = format!("HTTP/1.1 200 Status\r\n{named}transfer-encoding: chunked\r\n\r\n");
+            write(stream, head.as_bytes()).await?;
+            let chunk = [b"10000\r\n".to_vec(), vec![b'.'; 0x1_0000], b"\r\n".to_vec()].concat();
+            loop {
+                write(stream, &chunk).await?;
+            }
+        }
         AnswerFault::Silent => stay_silent_if(true, stream).await,
         AnswerFault::Lost => None,
         AnswerFault::Truncated => {
