Apply changed settings of a service when the bundle is adopted

The router task gives both to the routers of owned partitions when a bundle is adopted. They hold for attempts that start afterwards; the time-out also for slots that are lost afterwards.

Conclusion: the bundle in force is what the owner uses.

--- a/src/kernel/endpoint_pool.rs
+++ b/src/kernel/endpoint_pool.rs
@@ -29,6 +29,11 @@
         Self { hold, endpoints: BTreeMap::new() }
     }
 
+    /// Changes how long slots of requests that are lost from now on are held.
+    pub const fn set_hold(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
     /// Takes over the list; endpoints that are not listed any more finish what they run.
     pub fn list(&mut self, vms: Vec<EndpointVm>, now: Instant) {
         let listed: FastSet<VmId> = vms.iter().map(|vm| vm.vm.clone()).collect();
--- a/src/kernel/service_router.rs
+++ b/src/kernel/service_router.rs
@@ -76,6 +76,13 @@
         effects
     }
 
+    /// Takes over changed settings of the service; they hold for attempts that start from now on.
+    pub const fn configure(&mut self, policy: RoutingPolicy, timeout: Duration) {
+        self.policy = policy;
+        self.timeout = timeout;
+        self.endpoints.set_hold(timeout);
+    }
+
     /// Returns all endpoints for operators, by name.
     #[must_use]
     pub fn endpoints(&self, now: Instant) -> Vec<EndpointSummary> {
--- a/src/tasks/router.rs
+++ b/src/tasks/router.rs
@@ -6,7 +6,8 @@
 use crate::clock::unix_ms;
 use crate::kernel::{
     EndpointVm, FrontReply, IntentFault, LedgerChange, PluginRegistry, RefusalReason, RouteEffect,
-    RouteEvent, RouteFailure, RouteRequest, RouteTeam, ServiceRouter, ShardClaim, TeamPolicy, TeamRefusal,
+    RouteEvent, RouteFailure, RouteRequest, RouteTeam, RoutingPolicy, ServiceRouter, ShardClaim, TeamPolicy,
+    TeamRefusal,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -218,6 +219,7 @@
         match change {
             LedgerChange::BundleAdopted(bundle) => {
                 self.bundle = Some(bundle);
+                self.configure();
                 self.list_endpoints(token).await;
             }
             LedgerChange::ShardClaimed(shard, claim) if shard.starts_with("service:") => {
@@ -268,12 +270,27 @@
         self.lost.insert((shard.clone(), partition.token), partition);
     }
 
+    /// Gives the settings of the bundle in force to the routers of owned partitions.
+    fn configure(&mut self) {
+        for shard in self.owned() {
+            let Some((policy, timeout)) = self.service_settings(&shard) else { continue };
+            if let Some(partition) = self.partitions.get_mut(&shard) {
+                partition.router.configure(policy, timeout);
+            }
+        }
+    }
+
+    /// Returns routing policy and time-out of the service of a partition.
+    fn service_settings(&self, shard: &ShardId) -> Option<(RoutingPolicy, Duration)> {
+        let (name, _) = shard.trim_start_matches("service:").rsplit_once('/')?;
+        let service = self.bundle.as_ref()?.service(name)?;
+        let policy = self.registry.routings.get(service.routing.as_str())?;
+        Some((*policy, Duration::from_millis(service.timeout_ms)))
+    }
+
     fn claim(&mut self, shard: ShardId, claim: &ShardClaim) {
-        let Some(bundle) = &self.bundle else { return };
-        let name = shard.trim_start_matches("service:").rsplit_once('/').map_or("", |(name, _)| name);
-        let Some(service) = bundle.service(name) else { return };
-        let Some(policy) = self.registry.routings.get(service.routing.as_str()) else { return };
-        let router = ServiceRouter::new(*policy, Duration::from_millis(service.timeout_ms));
+        let Some((policy, timeout)) = self.service_settings(&shard) else { return };
+        let router = ServiceRouter::new(policy, timeout);
         log::info!(shard = &*shard, token = claim.token; "service partition claimed");
         self.partitions.insert(shard, OwnedPartition::new(claim.token, router));
     }
--- a/tests/requests_sockets.rs
+++ b/tests/requests_sockets.rs
@@ -217,6 +217,41 @@
     stage.stop().await;
 }
 
+/// Guards against settings of a service that are in force only after the next claim of its partition.
+#[gtest]
+#[actix_rt::test]
+async fn changed_settings_of_a_service_apply_to_its_present_owner() {
+    // Arrange
+    let stage = start(6, "").await;
+    for index in 0..12 {
+        fixture::call(&stage.entry, "blue", BLUE_KEY, &format!("before-{index}"), true).await;
+    }
+    let before = stage.begun().await;
+
+    // Act
+    let settings = "routing = \"round_robin\"\ntimeout_ms = 400\n";
+    fixture::publish(&stage.world, 2, 1, bundle(2, 1, settings)).await;
+    let mut spread = Vec::new();
+    for index in 0..200 {
+        fixture::call(&stage.entry, "blue", BLUE_KEY, &format!("after-{index}"), true).await;
+        spread = stage.begun().await;
+        if spread.iter().all(|begun| *begun > 0) {
+            break;
+        }
+    }
+    stage.set_faults(EndpointFaults { answer: AnswerFault::Silent, ..EndpointFaults::default() }).await;
+    let (status, body) = fixture::call(&stage.entry, "blue", BLUE_KEY, "silent", false).await;
+
+    // Assert
+    // The policy before the change prefers the zone of the caller: planner-0 and planner-3.
+    expect_that!([before[1], before[2], before[4], before[5]], each(eq(0)));
+    expect_that!(spread, each(gt(&0)));
+    // The request names no deadline, which makes 30 s: `timeout` would be the code of that.
+    expect_that!(status, eq(502));
+    expect_that!(body, all!(contains_substring("connection_lost"), contains_substring("\"may_have_run\"")));
+    stage.stop().await;
+}
+
 /// Guards against a request that waits for longer than the service's time-out on a connection that fell silent
 /// while the endpoint works on others, and against requests that follow it to the silent connection.
 #[gtest]
