Measure the request path and run requests under faults

Added time, requests per core, allocations and the promises under a long run with faults were not measured.

A bench without a harness starts entry processes as children, so processor time and allocations are theirs alone, compares them with one queue that calls endpoints directly, and runs callers under a seeded schedule of faults. The endpoint stand-in gains late answers.

Conclusion: one program gives all figures of the request path.

--- /dev/null
+++ b/benches/requests/main.rs
@@ -0,0 +1,69 @@
+//! Measures the request path over sockets: added time, requests per core, allocations, and broken promises
+//! under faults.
+//!
+//! `cargo bench --bench requests` prints all figures of one run. `GODWITHAVEN_REQUESTS` sets the requests of
+//! the run with faults (200,000), `GODWITHAVEN_SEED` its seed (1), `GODWITHAVEN_SECONDS` the length of each
+//! measured window (6), 0 to leave the windows out.
+
+mod child;
+mod faults;
+mod load;
+
+#[path = "../../tests/calls/mod.rs"]
+mod calls;
+#[path = "../../tests/fixture/mod.rs"]
+mod fixture;
+#[path = "../../tests/routing/mod.rs"]
+mod routing;
+
+use std::alloc::System;
+
+use actix_rt::Arbiter;
+use godwithaven_standins::world::{StandinWorld, WorldShape};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Endpoints of the service, each with 8 slots.
+const ENDPOINTS: usize = 12;
+
+#[actix_rt::main]
+async fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if arguments.first().is_some_and(|argument| argument == child::MODE) {
+        child::run(&arguments[1..]).await;
+        return;
+    }
+    let seconds = number("GODWITHAVEN_SECONDS", 6);
+    if seconds > 0 {
+        load::measure(seconds).await;
+    }
+    faults::measure(number("GODWITHAVEN_REQUESTS", 200_000), number("GODWITHAVEN_SEED", 1)).await;
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Starts the stand-ins on a thread of their own, without workers.
+async fn start_world(arbiter: &Arbiter, token: &CancellationToken) -> StandinWorld {
+    let shape = WorldShape {
+        workers_per_zone: 0,
+        services: vec![("planner".into(), ENDPOINTS)],
+        ..WorldShape::default()
+    };
+    let (reply, world) = oneshot::channel();
+    let token = token.clone();
+    arbiter.spawn(async move {
+        let _ = reply.send(StandinWorld::start(&shape, &token).await.unwrap());
+    });
+    world.await.unwrap()
+}
+
+/// Returns the bundle of all runs.
+fn bundle_text() -> String {
+    fixture::bundle_text(1, 0) + "timeout_ms = 3000\n"
+}
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -15,6 +15,9 @@
 /// Padding that makes an answer too long for an entry process.
 const TOO_LONG: usize = (16 << 20) + 1;
 
+/// Delay of late answers.
+pub const LATE: Duration = Duration::from_secs(1);
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointFaults {
@@ -51,6 +54,8 @@
     Lost,
     /// The request is refused as not started, and the connection ends.
     Refused,
+    /// The slot is free in time, and the answer comes [`LATE`] after that.
+    Late,
     /// The body is longer than the 16 MiB that an entry process takes.
     TooLong,
     /// The body comes in chunks and never ends.
@@ -283,6 +288,10 @@
                 write(stream, &chunk).await?;
             }
         }
+        AnswerFault::Late => {
+            tokio::time::sleep(LATE).await;
+            write(stream, &whole).await
+        }
         AnswerFault::Silent => stay_silent_if(true, stream).await,
         AnswerFault::Lost => None,
         AnswerFault::Truncated => {
