--- a/tests/routing_waits.rs
+++ b/tests/routing_waits.rs
@@ -1,5 +1,7 @@
 //! Guards against routing that makes requests wait longer than one queue at the owner of a service would.
 
+#[path = "routing_waits/lists.rs"]
+mod lists;
 mod routing;
 
 use std::cmp::Reverse;
@@ -9,61 +11,11 @@
 use godwithaven::kernel::{RouteEffect, RouteEvent, rendezvous};
 use googletest::prelude::*;
 
+use lists::{Arrival, ENDPOINTS, SLOTS, SeededNumbers, arrivals};
 use routing::ms;
 
-/// Endpoints of the service, each with [`SLOTS`].
-const ENDPOINTS: usize = 35;
-const SLOTS: usize = 8;
-/// Nine of ten requests are short.
-const SHORT: Duration = ms(20);
-const LONG: Duration = ms(200);
 /// One way between two entry processes.
 const HOP: Duration = ms(1);
-/// Requests in one list.
-const COUNT: usize = 20_000;
-
-/// One request of a list.
-#[derive(Clone, Copy)]
-struct Arrival {
-    at: Duration,
-    process: usize,
-    length: Duration,
-}
-
-/// A seeded generator (`SplitMix64`), so that each list repeats exactly.
-struct SeededNumbers(u64);
-
-impl SeededNumbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    fn below(&mut self, bound: usize) -> usize {
-        usize::try_from(self.next() % bound as u64).unwrap_or_default()
-    }
-
-    #[expect(clippy::cast_precision_loss, reason = "only a random fraction")]
-    fn fraction(&mut self) -> f64 {
-        ((self.next() >> 11) as f64 + 1.0) / (1_u64 << 53) as f64
-    }
-}
-
-/// Returns a list with random gaps at the given load of all slots, in percent.
-fn arrivals(load: u32, processes: usize, seed: u64) -> Vec<Arrival> {
-    let mut numbers = SeededNumbers(seed);
-    let mean_length = (SHORT * 9 + LONG) / 10;
-    let gap = mean_length.as_secs_f64() * 100.0 / f64::from(load) / f64::from(35 * 8);
-    let mut at = Duration::ZERO;
-    let mut next = || {
-        at += Duration::from_secs_f64(-numbers.fraction().ln() * gap);
-        let length = if numbers.below(10) == 0 { LONG } else { SHORT };
-        Arrival { at, process: numbers.below(processes), length }
-    };
-    (0..COUNT).map(|_| next()).collect()
-}
 
 /// The 99th percentile of waits and of waits with work time.
 #[derive(Clone, Copy, Debug)]
