Count waiting tasks by team and reason, and log accepted work

Cause: operators saw that tasks wait, but not of which team and why; only refusals left an admission line; routing lines named no team; status showed the version of the ledger, which a process without the log does not follow. Refusals of jobs by the log or a full queue, and of requests that arrived at a full queue, were missing in godwithaven_refusals_total.

Figures: log lines that the key test checks: 3 kinds before, 5 after.

Conclusion: the reasons are counted when somebody asks, not on each placement.

--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -70,7 +70,7 @@
             /// Operators' address of an entry process; repeat for several.
             repeated --entry address: String
         }
-        /// Show share, limit, use and open work of all teams.
+        /// Show share, limit, use, open work and waiting tasks by reason of all teams.
         cmd teams {
             /// Operators' address of an entry process; repeat for several.
             repeated --entry address: String
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -33,8 +33,8 @@
             entries = text.split(',').map(|entry| entry.trim().to_owned()).collect();
         }
         // An address given twice would count its use twice.
-        entries.sort();
-        entries.dedup();
+        let mut seen = std::collections::BTreeSet::new();
+        entries.retain(|entry| seen.insert(entry.clone()));
         let client = awc::Client::builder().timeout(TIMEOUT).disable_redirects().finish();
         Self { entries, client }
     }
--- a/cli/src/summary.rs
+++ b/cli/src/summary.rs
@@ -25,8 +25,10 @@
         let row = |(entry, page): &(String, Result<Value, String>)| match page {
             Ok(page) => {
                 let ready = if page["ready"] == true { "yes" } else { "no" }.to_owned();
-                let names = ["bundle_version", "log_next", "shards_owned", "open_jobs"];
+                let names = ["log_next", "shards_owned", "open_jobs"];
                 let mut row = vec![entry.clone(), cell(&page["process"]), ready];
+                row.push(cell(&page["bundle_version"]));
+                row.push(page["bundle_age_s"].as_u64().map_or("-".into(), |age| format!("{age}s")));
                 row.extend(names.iter().map(|name| cell(&page[*name])));
                 row
             }
@@ -38,7 +40,7 @@
                 eprintln!("{entry}: {obstacle}");
             }
         }
-        table::print(&["ENTRY", "PROCESS", "READY", "BUNDLE", "LOG", "SHARDS", "OPEN JOBS"], &rows);
+        table::print(&["ENTRY", "PROCESS", "READY", "BUNDLE", "AGE", "LOG", "SHARDS", "OPEN JOBS"], &rows);
     }
     if failed { Err(CommandFailure::Printed) } else { Ok(()) }
 }
@@ -69,7 +71,7 @@
     Ok(())
 }
 
-/// Shows all teams; use is the sum over the processes that were asked.
+/// Shows all teams; use and waiting tasks are sums over the processes that were asked.
 pub async fn teams(entries: &[String], json: bool) -> Result<(), CommandFailure> {
     let pages = OperatorClient::new(entries).readable("/v1/teams").await?;
     let mut teams: BTreeMap<String, Value> = BTreeMap::new();
@@ -77,6 +79,7 @@
         let sum = teams.entry(cell(&team["team"])).or_insert_with(|| {
             let mut team = team.clone();
             team["used"] = json!({});
+            team["waiting"] = json!({});
             team
         });
         for (name, _) in DIMENSIONS {
@@ -84,9 +87,14 @@
                 sum["used"][name].as_u64().unwrap_or(0) + team["used_here"][name].as_u64().unwrap_or(0);
             sum["used"][name] = used.into();
         }
+        for (reason, tasks) in team["waiting_here"].as_object().into_iter().flatten() {
+            let waiting = sum["waiting"][reason].as_u64().unwrap_or(0) + tasks.as_u64().unwrap_or(0);
+            sum["waiting"][reason] = waiting.into();
+        }
     }
     for team in teams.values_mut().filter_map(Value::as_object_mut) {
         team.remove("used_here");
+        team.remove("waiting_here");
     }
     if json {
         println!("{}", json!({ "teams": teams.into_values().collect::<Vec<Value>>() }));
@@ -96,9 +104,12 @@
         let mut row = vec![cell(&team["team"]), cell(&team["share"])];
         row.extend(DIMENSIONS.map(|(name, _)| of(&team["used"][name], &team["limit"][name])));
         row.extend([cell(&team["open_jobs"]), cell(&team["open_tasks"])]);
+        let waiting = team["waiting"].as_object().into_iter().flatten();
+        let waiting: Vec<String> = waiting.map(|(reason, tasks)| format!("{tasks} {reason}")).collect();
+        row.push(if waiting.is_empty() { "-".to_owned() } else { waiting.join(", ") });
         row
     };
-    let head = ["TEAM", "SHARE", "CORES", "MEMORY MIB", "ACCELERATORS", "OPEN JOBS", "OPEN TASKS"];
+    let head = ["TEAM", "SHARE", "CORES", "MEMORY MIB", "ACCELERATORS", "OPEN JOBS", "OPEN TASKS", "WAITING"];
     table::print(&head, &teams.values().map(row).collect::<Vec<_>>());
     Ok(())
 }
--- a/src/kernel/front_request.rs
+++ b/src/kernel/front_request.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Returns the id of the job or request, scoped by team.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Submit { spec, .. } => &spec.id,
+            Self::Inspect { job, .. } | Self::Cancel { job, .. } => job,
+            Self::Call { request, .. } => request,
+        }
+    }
+
     /// Returns the team that the request speaks for.
     #[must_use]
     pub fn team(&self) -> &str {
--- a/src/kernel/job_explanation.rs
+++ b/src/kernel/job_explanation.rs
@@ -1,8 +1,13 @@
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::kernel::{GangReservation, JobProgress, ShardState, WaitReason};
 use crate::prelude::*;
 
+/// Waiting tasks by team and reason.
+pub type TeamWaits = BTreeMap<TeamId, BTreeMap<&'static str, u32>>;
+
 /// Why the tasks of a job are where they are, as the owner of its shard sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobExplanation {
@@ -27,6 +32,37 @@
     }
 }
 
+/// Returns the number of waiting tasks of each team by reason.
+#[must_use]
+pub fn team_waits(state: &ShardState) -> TeamWaits {
+    let mut waits = TeamWaits::new();
+    for job in state.jobs.values() {
+        let backing_off = ("backoff", count(job.backing_off.len()));
+        let waiting = (wait_reason(job, state), count(job.waiting.len()));
+        for (reason, tasks) in [backing_off, waiting] {
+            if tasks > 0 {
+                let team = waits.entry(job.spec.team.clone()).or_default();
+                *team.entry(reason).or_default() += tasks;
+            }
+        }
+    }
+    waits
+}
+
+/// Returns why the waiting tasks of a job that are not backing off wait.
+fn wait_reason(job: &JobProgress, state: &ShardState) -> &'static str {
+    if job.inherited {
+        return "waits_for_old_lease";
+    }
+    match state.queue.class_of(&job.spec).and_then(|(_, class)| class.blocked) {
+        Some(WaitReason::OverLimit) => "over_limit",
+        Some(WaitReason::Reserved) => "reserved",
+        Some(WaitReason::FitsNowhere) => "fits_nowhere",
+        // The class was not tried yet because others come first.
+        None => "share_used",
+    }
+}
+
 fn reasons(job: &JobProgress, state: &ShardState, gang: &GangReservation) -> Vec<(String, u32)> {
     let mut reasons = Vec::new();
     let mut add = |reason: &str, tasks: u32| reasons.push((reason.to_owned(), tasks));
@@ -42,22 +78,13 @@
     if waiting == 0 {
         return reasons;
     }
-    if job.inherited {
-        add("waits_for_old_lease", waiting);
-        return reasons;
-    }
-    match state.queue.class_of(&job.spec).and_then(|(_, class)| class.blocked) {
-        Some(WaitReason::OverLimit) => add("over_limit", waiting),
-        Some(WaitReason::Reserved) => add("reserved", waiting),
-        Some(WaitReason::FitsNowhere) => {
-            add("fits_nowhere", waiting);
-            if gang.held().is_some_and(|held| held.job == job.spec.id) {
-                add("holds_reservation", waiting);
-            }
-            add_worker_reasons(job.spec.need, state, &mut add);
+    let reason = wait_reason(job, state);
+    add(reason, waiting);
+    if reason == "fits_nowhere" {
+        if gang.held().is_some_and(|held| held.job == job.spec.id) {
+            add("holds_reservation", waiting);
         }
-        // The class was not tried yet because others come first.
-        None => add("share_used", waiting),
+        add_worker_reasons(job.spec.need, state, &mut add);
     }
     reasons
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -97,7 +97,7 @@
 pub use front_request::FrontRequest;
 pub use gang_reservation::{GangReservation, HeldWorkers};
 pub use group_commit::GroupCommit;
-pub use job_explanation::JobExplanation;
+pub use job_explanation::{JobExplanation, TeamWaits};
 pub use job_kind::{JobKind, PriorityClass};
 pub use job_outcome::JobOutcome;
 pub use job_progress::{JobProgress, TaskProgress};
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -1,7 +1,7 @@
 use crate::kernel::{
     ClassKey, GangReservation, JobExplanation, JobOutcome, LeaseTiming, PlacementPass, PluginRegistry,
-    ReclaimPlanner, ReportFold, ScheduleEffect, ScheduleEvent, ShardState, ShardSummary, WorkerReport,
-    WorkerVm, ZoneDrain,
+    ReclaimPlanner, ReportFold, ScheduleEffect, ScheduleEvent, ShardState, ShardSummary, TeamWaits,
+    WorkerReport, WorkerVm, ZoneDrain, job_explanation,
 };
 use crate::prelude::*;
 
@@ -120,6 +120,12 @@
         JobExplanation::of(id, &self.state, &self.gang)
     }
 
+    /// Returns the number of waiting tasks of each team by reason.
+    #[must_use]
+    pub fn team_waits(&self) -> TeamWaits {
+        job_explanation::team_waits(&self.state)
+    }
+
     /// Summarises the shard for operators.
     #[must_use]
     pub fn summary(&self, shard: ShardId) -> ShardSummary {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -86,7 +86,7 @@
         "commit-window-ms",
         "GODWITHAVEN_COMMIT_WINDOW_MS",
         Some("50"),
-        "group commit window in milliseconds",
+        "shortest time between two appends of this process in milliseconds; the first record after a pause is appended at once",
     ),
     entry(
         "sync-interval-ms",
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -34,6 +34,8 @@
     Listed(Vec<WorkerVm>),
     /// Asks why requests with a key are refused at present; `None` if they are not.
     Obstacle(oneshot::Sender<Option<TeamRefusal>>),
+    /// Asks for the version in force in this process, and since when it is.
+    InForce(oneshot::Sender<Option<(BundleVersion, Instant)>>),
 }
 
 /// State of the gate task.
@@ -42,6 +44,7 @@
     zone: ZoneId,
     registry: PluginRegistry,
     bundle: Option<Arc<PolicyBundle>>,
+    adopted: Instant,
     current_until: Option<Instant>,
     free: FastMap<ShardId, ResourceVector>,
     workers: Vec<WorkerVm>,
@@ -71,6 +74,7 @@
             zone,
             registry,
             bundle: None,
+            adopted: Instant::now(),
             current_until: None,
             free: FastMap::default(),
             workers: Vec::new(),
@@ -98,7 +102,7 @@
         match message {
             GateMessage::Request(request, reply) => match self.refuse(&request) {
                 Some(refusal) => {
-                    log::info!(decision = "admission", team = request.team(), refusal:% = refusal; "refused");
+                    log_refusal(request.team(), request.id(), &refusal);
                     self.metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
                     let _ = reply.send(FrontReply::Refused(refusal));
                 }
@@ -112,6 +116,10 @@
             GateMessage::Obstacle(reply) => {
                 let _ = reply.send(self.obstacle());
             }
+            GateMessage::InForce(reply) => {
+                let in_force = self.bundle.as_ref().map(|bundle| (bundle.version, self.adopted));
+                let _ = reply.send(in_force);
+            }
             GateMessage::Free(free) => self.free = free.into_iter().collect(),
             GateMessage::Listed(workers) => {
                 self.workers = workers;
@@ -125,6 +133,7 @@
             LedgerChange::BundleAdopted(bundle) => {
                 log::info!(version = bundle.version; "bundle in force");
                 self.bundle = Some(bundle);
+                self.adopted = Instant::now();
                 self.count_shapes();
             }
             LedgerChange::BundleRefused(version, reason) => {
@@ -171,6 +180,10 @@
             FrontRequest::Cancel { job, .. } => self.cancel(job, reply),
             FrontRequest::Call { team, service, request, idempotent, deadline, body, .. } => {
                 let Some(shard) = self.partition(&service, &request) else { return };
+                log::info!(
+                    decision = "admission", team = &*team, id = &*request, shard = &*shard;
+                    "request admitted"
+                );
                 let zone = self.zone.clone();
                 let call = RoutedCall { shard, team, request, zone, idempotent, deadline, body, reply };
                 self.route(call).await;
@@ -209,8 +222,22 @@
             let _ = reply.send(FrontReply::Refused(refusal));
             return;
         };
+        let metrics = self.metrics.clone();
         actix_rt::spawn(async move {
-            let _ = reply.send(submit_job(&journal, spec, shard).await);
+            let (team, job) = (spec.team.clone(), spec.id.clone());
+            let result = submit_job(&journal, spec, shard.clone()).await;
+            match &result {
+                FrontReply::Accepted { repeated, .. } => log::info!(
+                    decision = "admission", team = &*team, id = &*job, shard = &*shard, repeated = repeated;
+                    "job accepted"
+                ),
+                FrontReply::Refused(refusal) => {
+                    log_refusal(&team, &job, refusal);
+                    metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+                }
+                _ => {}
+            }
+            let _ = reply.send(result);
         });
     }
 
@@ -263,6 +290,10 @@
     }
 }
 
+fn log_refusal(team: &str, id: &str, refusal: &TeamRefusal) {
+    log::info!(decision = "admission", team = team, id = id, refusal:% = refusal; "refused");
+}
+
 async fn submit_job(journal: &mpsc::Sender<JournalMessage>, spec: JobSpec, shard: ShardId) -> FrontReply {
     let job = spec.id.clone();
     let changes = match commit(journal, LogRecord::Submit { spec, shard }).await {
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -1,6 +1,12 @@
 //! Counters of one entry process, served at `/metrics`.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, exponential_buckets};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    exponential_buckets,
+};
+
+use crate::kernel::TeamWaits;
+use crate::prelude::*;
 
 /// Counters that the tasks add to.
 #[derive(Clone)]
@@ -25,6 +31,9 @@
     pub log_faults: IntCounter,
     /// Worker syncs by result.
     pub syncs: IntCounterVec,
+    ready: IntGauge,
+    bundle_version: IntGauge,
+    waiting: IntGaugeVec,
 }
 
 impl EntryMetrics {
@@ -45,6 +54,14 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let options = Opts::new("godwithaven_waiting_tasks", "Waiting tasks in the shards of this process");
+        let waiting = IntGaugeVec::new(options, &["team", "reason"])?;
+        registry.register(Box::new(waiting.clone()))?;
         // 1 µs to 2 s.
         let buckets = exponential_buckets(0.000_001, 2.0, 22)?;
         let options = HistogramOpts::new("godwithaven_placement_seconds", "Time of a placement decision");
@@ -64,7 +81,25 @@
             appends: plain("godwithaven_log_appends_total", "Appends to the log")?,
             log_faults: plain("godwithaven_log_faults_total", "Failed appends and reads of the log")?,
             syncs: labelled("godwithaven_worker_syncs_total", "Worker syncs", "result")?,
+            ready: gauge("godwithaven_ready", "1 while the process takes requests")?,
+            bundle_version: gauge(
+                "godwithaven_bundle_version",
+                "Version in force in this process, 0 if none",
+            )?,
+            waiting,
             registry,
         })
     }
+
+    /// Sets what is read when the metrics are gathered.
+    pub fn set_state(&self, ready: bool, version: BundleVersion, waits: &TeamWaits) {
+        self.ready.set(ready.into());
+        self.bundle_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.waiting.reset();
+        for (team, reasons) in waits {
+            for (reason, tasks) in reasons {
+                self.waiting.with_label_values(&[&**team, *reason]).set((*tasks).into());
+            }
+        }
+    }
 }
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -40,7 +40,7 @@
         match parts.as_slice() {
             ["healthz"] => text(StatusCode::OK, "ok\n".into()),
             ["readyz"] => self.ready().await,
-            ["metrics"] => self.metrics(),
+            ["metrics"] => self.metrics().await,
             ["v1", "status"] => page(self.status().await),
             ["v1", "bundle"] => page(self.view.bundle().await),
             ["v1", "fleet"] => page(self.view.fleet().await),
@@ -80,6 +80,8 @@
 
     async fn status(&self) -> Option<Value> {
         let obstacle = self.obstacle().await;
+        let in_force = self.view.in_force().await?;
+        let (version, since) = in_force.unzip();
         let process = self.process.clone();
         let status = move |ledger: &crate::kernel::LedgerState| {
             let owned = ledger.claims.values().filter(|claim| claim.process == process).count();
@@ -88,7 +90,8 @@
                 "process": &*process,
                 "ready": obstacle.is_none(),
                 "obstacle": obstacle,
-                "bundle_version": ledger.bundle.as_ref().map(|bundle| bundle.version),
+                "bundle_version": version,
+                "bundle_age_s": since.map(|since: Instant| since.elapsed().as_secs()),
                 "log_next": ledger.next,
                 "shards_owned": owned,
                 "shards_claimed": ledger.claims.len(),
@@ -98,7 +101,10 @@
         self.view.ledger(status).await
     }
 
-    fn metrics(&self) -> Response<Bytes> {
+    async fn metrics(&self) -> Response<Bytes> {
+        let version = self.view.in_force().await.flatten().map_or(0, |(version, _)| version);
+        let waits = self.view.waits().await.unwrap_or_default();
+        self.metrics.set_state(self.obstacle().await.is_none(), version, &waits);
         match TextEncoder::new().encode_to_string(&self.metrics.registry.gather()) {
             Ok(body) => text(StatusCode::OK, body),
             Err(fault) => error(StatusCode::INTERNAL_SERVER_ERROR, &fault.to_string()),
--- a/src/tasks/operator_view.rs
+++ b/src/tasks/operator_view.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::kernel::{JobState, LedgerState, ShardSummary};
+use crate::kernel::{JobState, LedgerState, ShardSummary, TeamWaits};
 use crate::prelude::*;
 use crate::tasks::adapter::DirectoryAdapter;
 use crate::tasks::gate::GateMessage;
@@ -71,6 +71,16 @@
         Some(refusal.map(|refusal| refusal.message))
     }
 
+    /// Returns the version in force in this process and since when it is; the inner value is nothing without one.
+    pub async fn in_force(&self) -> Option<Option<(BundleVersion, Instant)>> {
+        ask(&self.gate, GateMessage::InForce).await
+    }
+
+    /// Returns the waiting tasks of each team by reason, in the shards of this process.
+    pub async fn waits(&self) -> Option<TeamWaits> {
+        ask(&self.scheduler, SchedulerMessage::Waits).await
+    }
+
     /// Returns the bundle in force as published.
     pub async fn bundle(&self) -> Option<Value> {
         self.ledger(|ledger| serde_json::to_value(&ledger.published).unwrap_or_default()).await
@@ -87,8 +97,9 @@
         Some(json!({ "shards": shards.into_iter().map(row).collect::<Vec<Value>>() }))
     }
 
-    /// Returns all teams: share, limit and open work everywhere, use in the shards of this process.
+    /// Returns all teams: share, limit and open work everywhere, use and waiting tasks in the shards of this process.
     pub async fn teams(&self) -> Option<Value> {
+        let waits = self.waits().await?;
         let owned = ask(&self.scheduler, SchedulerMessage::Summarise).await?;
         let used = move |team: &TeamId| {
             let parts = owned.iter().flat_map(|shard| &shard.used_by_team);
@@ -105,6 +116,7 @@
                 json!({
                     "team": &*team.id, "share": team.share, "limit": team.limit, "allotted": work.allotted,
                     "used_here": used(&team.id), "open_jobs": work.open_jobs, "open_tasks": work.open_tasks,
+                    "waiting_here": waits.get(&team.id).cloned().unwrap_or_default(),
                 })
             };
             Some(json!({ "teams": bundle.teams.iter().map(row).collect::<Vec<Value>>() }))
--- a/src/tasks/partition.rs
+++ b/src/tasks/partition.rs
@@ -40,13 +40,15 @@
         request: RouteRequest,
         body: Bytes,
         reply: oneshot::Sender<FrontReply>,
+        metrics: &EntryMetrics,
         now: Instant,
     ) -> Vec<RouteEffect> {
         let (id, digest) = (request.id.clone(), request.digest);
         let effects = self.router.handle(RouteEvent::Arrived(request), now);
         match effects.first() {
             Some(RouteEffect::RefuseArrival(_, refusal)) => {
-                log::info!(decision = "routing", request = &*id, refusal:% = refusal; "arrival refused");
+                log_refusal(&id, refusal, "arrival refused");
+                metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
                 let _ = reply.send(FrontReply::Refused(refusal.clone()));
             }
             Some(RouteEffect::Replay(_)) => {
@@ -77,12 +79,12 @@
         match effect {
             RouteEffect::Deliver { request, attempt } => self.deliver(&request, attempt),
             RouteEffect::Refuse(request, refusal) => {
-                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "request refused");
+                log_refusal(&request, &refusal, "request refused");
                 metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
                 self.refuse(&request, refusal);
             }
             RouteEffect::RefuseWaiting(request, refusal) => {
-                log::info!(decision = "routing", request = &*request, refusal:% = refusal; "callers refused");
+                log_refusal(&request, &refusal, "callers refused");
                 metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
                 self.refuse_waiting(&request, &refusal);
             }
@@ -165,6 +167,19 @@
     }
 }
 
+/// Returns the team that a request id is scoped by.
+#[must_use]
+pub fn team_of(request: &str) -> &str {
+    request.split_once('/').map_or("", |(team, _)| team)
+}
+
+fn log_refusal(request: &str, refusal: &TeamRefusal, text: &str) {
+    log::info!(
+        decision = "routing", team = team_of(request), request = request, refusal:% = refusal;
+        "{text}"
+    );
+}
+
 fn whole(answer: &EndpointAnswer) -> FrontReply {
     FrontReply::Answer { status: answer.status, body: answer.body.clone() }
 }
--- a/src/tasks/router.rs
+++ b/src/tasks/router.rs
@@ -14,7 +14,7 @@
 use crate::tasks::endpoint::{EndpointMessage, EndpointRequest, EndpointTask};
 use crate::tasks::journal::JournalMessage;
 use crate::tasks::metrics::EntryMetrics;
-use crate::tasks::partition::OwnedPartition;
+use crate::tasks::partition::{OwnedPartition, team_of};
 pub use crate::tasks::router_message::{AttemptResult, CheckedCall, RoutedCall, RouterMessage};
 
 /// Time between ticks of the routers.
@@ -185,7 +185,7 @@
             deadline,
             announced,
         };
-        let effects = partition.arrive(request, call.body, call.reply, Instant::now());
+        let effects = partition.arrive(request, call.body, call.reply, &self.metrics, Instant::now());
         self.carry_out(&call.shard, effects).await;
     }
 
@@ -344,7 +344,7 @@
         let Some(partition) = self.partitions.get(shard) else { return };
         self.metrics.dispatches.inc();
         log::info!(
-            decision = "routing", request = &*request, vm = &*vm, attempt = attempt, reason = reason,
+            decision = "routing", team = team_of(&request), request = &*request, vm = &*vm, attempt = attempt, reason = reason,
             rejected:? = rejected;
             "request routed"
         );
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::{
     JobExplanation, LeaseTiming, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
-    ShardSummary, WorkerReport, WorkerVm,
+    ShardSummary, TeamWaits, WorkerReport, WorkerVm,
 };
 use crate::prelude::*;
 use crate::tasks::journal::JournalMessage;
@@ -52,6 +52,8 @@
     CurrentUntil(Instant),
     /// Asks why the tasks of a job are where they are; `None` if no owned shard has the job.
     Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
+    /// Asks for the waiting tasks of all owned shards.
+    Waits(oneshot::Sender<TeamWaits>),
     /// Asks for summaries of all owned shards.
     Summarise(oneshot::Sender<Vec<ShardSummary>>),
 }
@@ -105,6 +107,18 @@
         }
     }
 
+    /// Returns the waiting tasks of all owned shards.
+    fn team_waits(&self) -> TeamWaits {
+        let mut sum = TeamWaits::new();
+        for (team, reasons) in self.shards.values().flat_map(|owned| owned.scheduler.team_waits()) {
+            let team = sum.entry(team).or_default();
+            for (reason, tasks) in reasons {
+                *team.entry(reason).or_default() += tasks;
+            }
+        }
+        sum
+    }
+
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<SchedulerMessage>, token: CancellationToken) {
         let mut tick = tokio::time::interval(TICK);
@@ -147,6 +161,9 @@
                 let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
                 let _ = reply.send(explanation);
             }
+            SchedulerMessage::Waits(reply) => {
+                let _ = reply.send(self.team_waits());
+            }
             SchedulerMessage::Summarise(reply) => {
                 let summaries =
                     self.shards.iter().map(|(shard, owned)| owned.scheduler.summary(shard.clone()));
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -72,6 +72,9 @@
 
     // Assert
     expect_that!(status["bundle_version"], eq(&Value::from(1)));
+    expect_that!(status["bundle_age_s"].as_u64(), some(lt(60)));
+    expect_that!(metrics, contains_substring("\ngodwithaven_bundle_version 1\n"));
+    expect_that!(metrics, contains_substring("\ngodwithaven_ready 1\n"));
     expect_that!(status["open_jobs"], eq(&Value::from(1)));
     expect_that!(bundle["signatures"].as_array().map(Vec::len), some(eq(1)));
     expect_that!(fleet["shards"].as_array().map(Vec::len), some(eq(2)));
@@ -90,6 +93,41 @@
     token.cancel();
 }
 
+/// Guards against waiting tasks that no page counts, or that are counted under another reason.
+#[gtest]
+#[actix_rt::test]
+async fn waiting_tasks_are_counted_by_team_and_reason() {
+    // Arrange: 100 cores are asked for, the limit is 64.
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let entry = fixture::start_entry(&world, "entry-1", "a").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    fixture::wait_ready(&entry).await;
+    let mut job = fixture::batch_job("blue", "wide", 100);
+    job["run_ms"] = 60_000.into();
+    fixture::submit(&entry, BLUE_KEY, &job).await;
+
+    // Act
+    let waits = |teams: &Value| teams["teams"][0]["waiting_here"]["over_limit"].as_u64();
+    let mut teams = json(&entry, "/v1/teams").await;
+    for _ in 0..200 {
+        if waits(&teams).is_some() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        teams = json(&entry, "/v1/teams").await;
+    }
+    let (_, metrics) = page(&entry, "/metrics").await;
+
+    // Assert
+    expect_that!(waits(&teams), some(all!(ge(36), le(100))), "{teams}");
+    expect_that!(teams["teams"][1]["waiting_here"], eq(&serde_json::json!({})));
+    let series = "godwithaven_waiting_tasks{reason=\"over_limit\",team=\"blue\"} ";
+    expect_that!(metrics, contains_substring(series));
+    entry.stop().await;
+    token.cancel();
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn what_is_not_there_or_not_reading_is_refused() {
--- a/tests/operators_log.rs
+++ b/tests/operators_log.rs
@@ -79,20 +79,28 @@
     wait_status(address, "/v1/jobs", "stray-key", &job, 401).await;
     let placed = wait_lines(&log, |line| line["decision"] == "placement").await;
     let routed = wait_lines(&log, |line| line["decision"] == "routing").await;
-    let refused = wait_lines(&log, |line| line["decision"] == "admission").await;
+    let admission = |line: &Value, text| line["decision"] == "admission" && line["message"] == text;
+    let refused = wait_lines(&log, |line| admission(line, "refused")).await;
+    let accepted = wait_lines(&log, |line| admission(line, "job accepted")).await;
+    let admitted = wait_lines(&log, |line| admission(line, "request admitted")).await;
     daemon.kill().unwrap();
     daemon.wait().unwrap();
 
     // Assert
     for (line, fields) in [
         (&placed[0], &["task", "team", "vm", "reason", "rejected"][..]),
-        (&routed[0], &["request", "vm", "attempt", "reason", "rejected"][..]),
-        (&refused[0], &["team", "refusal"][..]),
+        (&routed[0], &["team", "request", "vm", "attempt", "reason", "rejected"][..]),
+        (&refused[0], &["team", "id", "refusal"][..]),
+        (&accepted[0], &["team", "id", "shard", "repeated"][..]),
+        (&admitted[0], &["team", "id", "shard"][..]),
     ] {
         for field in fields {
             expect_that!(line[*field].as_str(), some(anything()), "{field} is missing in {line}");
         }
     }
+    expect_that!(accepted[0]["id"], eq("blue/load"));
+    expect_that!(admitted[0]["id"], eq("blue/r-1"));
+    expect_that!(routed[0]["team"], eq("blue"));
     let text = fs::read_to_string(&log).unwrap();
     for key in [BLUE_KEY, RED_KEY, "stray-key"] {
         expect_that!(text, not(contains_substring(key)));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -116,6 +116,7 @@
     for entry in ENTRY_SETTINGS {
         expect_that!(help.1, contains_substring(entry.variable));
     }
+    expect_that!(help.1, contains_substring("shortest time between two appends of this process"));
     expect_that!(version.1, starts_with("godwithaven-entry "));
     expect_that!((missing.0, missing.1.as_str()), eq((Some(2), "")));
     expect_that!(missing.2, contains_substring("--zone or GODWITHAVEN_ZONE is missing"));
