End commands without a stack trace when nobody reads their output

Cause: `godwithaven fleet | grep -q NAME` panicked with a broken pipe and printed a stack trace; `status` put the fault of an unreachable process into the column PROCESS, which made the table as wide as the fault.

Conclusion: the commands can be used in pipes and loops of scripts.

--- a/cli/src/bundle.rs
+++ b/cli/src/bundle.rs
@@ -31,11 +31,11 @@
                 json!({ "line": fault.line(&file.text), "start": start, "end": end, "message": fault.message })
             })
             .collect();
-        println!("{}", json!({ "file": file.path, "faults": faults }));
+        say!("{}", json!({ "file": file.path, "faults": faults }));
         return result.map(|_| ()).map_err(|_| CommandFailure::Printed);
     }
     let bundle = result.map_err(|faults| file.report(&faults))?;
-    println!("{}: {}", file.path.display(), describe(&bundle));
+    say!("{}: {}", file.path.display(), describe(&bundle));
     Ok(())
 }
 
@@ -76,17 +76,17 @@
         .filter(|(_, [before, after])| before != after)
         .collect();
     if json {
-        println!("{}", json!({ "removed": removed, "added": added, "changed": changed }));
+        say!("{}", json!({ "removed": removed, "added": added, "changed": changed }));
         return Ok(());
     }
     for (path, value) in removed {
-        println!("- {path} = {value}");
+        say!("- {path} = {value}");
     }
     for (path, value) in added {
-        println!("+ {path} = {value}");
+        say!("+ {path} = {value}");
     }
     for (path, [before, after]) in changed {
-        println!("~ {path} = {before} -> {after}");
+        say!("~ {path} = {before} -> {after}");
     }
     Ok(())
 }
@@ -142,9 +142,9 @@
     let text =
         serde_json::to_string_pretty(&record).map_err(|error| CommandFailure::failed("JSON", error))?;
     std::fs::write(&out, text + "\n").map_err(|error| CommandFailure::failed(out.display(), error))?;
-    println!("{}: version {} on base {}", out.display(), record.version, record.base);
+    say!("{}: version {} on base {}", out.display(), record.version, record.base);
     for (signer, _) in &record.signatures {
-        println!("signed by {signer}");
+        say!("signed by {signer}");
     }
     Ok(())
 }
@@ -158,7 +158,7 @@
     let client = OperatorClient::new(&flags.entry);
     let page = client.first("/v1/bundle").await?;
     if json {
-        println!("{page}");
+        say!("{page}");
         return Ok(());
     }
     let record: BundleRecord =
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -10,29 +10,29 @@
 pub async fn job(flags: &Job, json: bool) -> Result<(), CommandFailure> {
     let page = best(&flags.entry, "job", &flags.name, "tasks").await?;
     if json {
-        println!("{page}");
+        say!("{page}");
         return Ok(());
     }
-    println!("job {}: {}", text(&page["job"]), text(&page["state"]));
-    println!("shard {}, owned by {}", text(&page["shard"]), text(&page["owner"]));
+    say!("job {}: {}", text(&page["job"]), text(&page["state"]));
+    say!("shard {}, owned by {}", text(&page["shard"]), text(&page["owner"]));
     if !page["outcome"].is_null() {
-        println!("outcome {}", page["outcome"]);
+        say!("outcome {}", page["outcome"]);
         return Ok(());
     }
     let tasks = &page["tasks"];
     if tasks.is_null() {
-        println!("its tasks are known only to the owner; add its --entry");
+        say!("its tasks are known only to the owner; add its --entry");
         return Ok(());
     }
     let running = tasks["running"].as_array().into_iter().flatten();
     let mut running: Vec<(&str, &str)> = running.map(|task| (text(&task[0]), text(&task[1]))).collect();
     running.sort_unstable();
     for (task, vm) in running {
-        println!("{task} runs on {vm}");
+        say!("{task} runs on {vm}");
     }
-    println!("{} tasks wait", tasks["waiting"]);
+    say!("{} tasks wait", tasks["waiting"]);
     for reason in tasks["reasons"].as_array().into_iter().flatten() {
-        println!("{} x {}", reason[1], text(&reason[0]));
+        say!("{} x {}", reason[1], text(&reason[0]));
     }
     Ok(())
 }
@@ -41,12 +41,12 @@
 pub async fn request(flags: &Request, json: bool) -> Result<(), CommandFailure> {
     let page = best(&flags.entry, "request", &flags.id, "stage").await?;
     if json {
-        println!("{page}");
+        say!("{page}");
         return Ok(());
     }
     let stage =
         page["stage"].as_str().unwrap_or("announced; its stage is known only to the owner, add its --entry");
-    println!("request {}: {stage}", text(&page["request"]));
+    say!("request {}: {stage}", text(&page["request"]));
     Ok(())
 }
 
--- a/cli/src/key.rs
+++ b/cli/src/key.rs
@@ -25,8 +25,8 @@
     let mut file =
         OpenOptions::new().write(true).create_new(true).mode(SECRET_MODE).open(&path).map_err(fault)?;
     file.write_all(format!("{}\n", hex::encode(secret)).as_bytes()).map_err(fault)?;
-    println!("public key {}", hex::encode(key.verifying_key().to_bytes()));
-    println!("secret key in {}, readable by its owner only", path.display());
+    say!("public key {}", hex::encode(key.verifying_key().to_bytes()));
+    say!("secret key in {}, readable by its owner only", path.display());
     Ok(())
 }
 
@@ -50,6 +50,6 @@
         let text = "a team key is one line of visible ASCII characters, since it travels in a header";
         return Err(CommandFailure::Failed(text.to_owned()));
     }
-    println!("{}", hex::encode(Sha256::digest(key.as_bytes())));
+    say!("{}", hex::encode(Sha256::digest(key.as_bytes())));
     Ok(())
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,8 @@
 //! The operators' command.
 
+#[macro_use]
+mod output;
+
 mod bundle;
 mod bundle_file;
 mod caller;
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -34,15 +34,12 @@
 fn finish(record: &BundleRecord, result: &Result<(), String>, json: bool) -> Result<(), CommandFailure> {
     let version = record.version;
     if json {
-        println!(
-            "{}",
-            json!({ "version": version, "adopted": result.is_ok(), "reason": result.as_ref().err() })
-        );
+        say!("{}", json!({ "version": version, "adopted": result.is_ok(), "reason": result.as_ref().err() }));
         return result.clone().map_err(|_| CommandFailure::Printed);
     }
     match result {
         Ok(()) => {
-            println!("version {version} is in force");
+            say!("version {version} is in force");
             Ok(())
         }
         Err(reason) => Err(CommandFailure::failed(format!("version {version} was refused"), reason)),
--- a/cli/src/summary.rs
+++ b/cli/src/summary.rs
@@ -20,7 +20,7 @@
                 Err(fault) => json!({ "entry": entry, "fault": fault }),
             })
             .collect();
-        println!("{}", Value::Array(rows));
+        say!("{}", Value::Array(rows));
     } else {
         let row = |(entry, page): &(String, Result<Value, String>)| match page {
             Ok(page) => {
@@ -32,12 +32,16 @@
                 row.extend(names.iter().map(|name| cell(&page[*name])));
                 row
             }
-            Err(fault) => vec![entry.clone(), fault.clone(), "no".into()],
+            Err(_) => [vec![entry.clone(), "-".into(), "no".into()], vec!["-".into(); 5]].concat(),
         };
         let rows: Vec<Vec<String>> = pages.iter().map(row).collect();
         for (entry, page) in &pages {
-            if let Some(obstacle) = page.as_ref().ok().and_then(|page| page["obstacle"].as_str()) {
-                eprintln!("{entry}: {obstacle}");
+            match page {
+                Ok(page) => page["obstacle"]
+                    .as_str()
+                    .into_iter()
+                    .for_each(|obstacle| eprintln!("{entry}: {obstacle}")),
+                Err(fault) => eprintln!("{entry}: {fault}"),
             }
         }
         table::print(&["ENTRY", "PROCESS", "READY", "BUNDLE", "AGE", "LOG", "SHARDS", "OPEN JOBS"], &rows);
@@ -50,7 +54,7 @@
     let pages = OperatorClient::new(entries).readable("/v1/fleet").await?;
     let shards = merge(&pages, "shards", "shard", "summary");
     if json {
-        println!("{}", json!({ "shards": shards }));
+        say!("{}", json!({ "shards": shards }));
         return Ok(());
     }
     let row = |shard: &Value| {
@@ -97,7 +101,7 @@
         team.remove("waiting_here");
     }
     if json {
-        println!("{}", json!({ "teams": teams.into_values().collect::<Vec<Value>>() }));
+        say!("{}", json!({ "teams": teams.into_values().collect::<Vec<Value>>() }));
         return Ok(());
     }
     let row = |team: &Value| {
@@ -118,7 +122,7 @@
 pub async fn zones(entries: &[String], json: bool) -> Result<(), CommandFailure> {
     let page = OperatorClient::new(entries).first("/v1/zones").await?;
     if json {
-        println!("{page}");
+        say!("{page}");
         return Ok(());
     }
     let names = ["zone", "region", "state", "workers", "endpoints", "leaving"];
@@ -134,7 +138,7 @@
     let pages = OperatorClient::new(entries).readable("/v1/endpoints").await?;
     let partitions = merge(&pages, "partitions", "partition", "endpoints");
     if json {
-        println!("{}", json!({ "partitions": partitions }));
+        say!("{}", json!({ "partitions": partitions }));
         return Ok(());
     }
     let mut rows = Vec::new();
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -11,6 +11,6 @@
     for row in std::iter::once(&head).chain(rows) {
         let cells: Vec<String> =
             row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}")).collect();
-        println!("{}", cells.join("  ").trim_end());
+        say!("{}", cells.join("  ").trim_end());
     }
 }
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// Guards against a panic with a stack trace where a pipe ends early or the disk is full.
+#[gtest]
+#[actix_rt::test]
+async fn output_that_nobody_takes_is_a_failure() {
+    let dir = fixture::directory("output");
+    fs::write(dir.join("sound.toml"), bundle_text(1, 0)).unwrap();
+
+    let printed = fixture::shell(&dir, "godwithaven bundle check sound.toml > /dev/full", &[]).await;
+
+    expect_that!((printed.code, printed.err.as_str()), eq((1, "")));
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn secrets_are_kept_in_files_of_their_owner() {
