Run the commands of all operators' pages against failing stand-ins

Cause: ten of sixteen pages were text only, so nothing showed whether their signs, commands and effects are true; some were not.

The endpoint stand-in can hold requests that run, so no page depends on how long something takes. A test fails for a page that is not run.

--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -21,7 +21,7 @@
 async fn run_page(name: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations").join(name);
     let mut page = ShellPage::parse(&fs::read_to_string(&path).unwrap());
-    let platform = Platform::start(name).await;
+    let mut platform = Platform::start(name).await;
     let regenerate = std::env::var_os(REGENERATE).is_some();
     for block in &mut page.blocks {
         match block {
@@ -29,7 +29,7 @@
             PageBlock::File { name, text } => platform.write(name, text),
             PageBlock::Command { line, output } => {
                 let printed =
-                    shell_page::run(&platform, line, if regenerate { None } else { Some(output) }).await;
+                    shell_page::run(&mut platform, line, if regenerate { None } else { Some(output) }).await;
                 if regenerate {
                     *output = printed;
                 } else {
@@ -45,38 +45,45 @@
     }
 }
 
-#[gtest]
-#[actix_rt::test]
-async fn first_start() {
-    run_page("first-start.md").await;
-}
-
-#[gtest]
-#[actix_rt::test]
-async fn keys() {
-    run_page("keys.md").await;
-}
-
-#[gtest]
-#[actix_rt::test]
-async fn zones() {
-    run_page("zones.md").await;
-}
-
-#[gtest]
-#[actix_rt::test]
-async fn bad_workers() {
-    run_page("bad-workers.md").await;
+/// Defines a test for each page.
+macro_rules! pages {
+    ($($name:ident $file:literal)*) => {
+        $(
+            #[gtest]
+            #[actix_rt::test]
+            async fn $name() {
+                run_page($file).await;
+            }
+        )*
+    };
 }
 
-#[gtest]
-#[actix_rt::test]
-async fn explain_and_logs() {
-    run_page("explain-and-logs.md").await;
+pages! {
+    index "README.md"
+    first_start "first-start.md"
+    keys "keys.md"
+    zones "zones.md"
+    bad_workers "bad-workers.md"
+    explain_and_logs "explain-and-logs.md"
+    metrics "metrics.md"
+    drain_endpoint "drain-endpoint.md"
+    log_down "log-down.md"
+    may_have_run "may-have-run.md"
+    process_down "process-down.md"
+    region_cut_off "region-cut-off.md"
+    replacing_vms "replacing-vms.md"
+    rolling_bundles "rolling-bundles.md"
+    shares_and_waits "shares-and-waits.md"
+    slow_service "slow-service.md"
 }
 
+/// Guards against a page that is not run.
 #[gtest]
-#[actix_rt::test]
-async fn metrics() {
-    run_page("metrics.md").await;
+fn every_page_is_run() {
+    let source = fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/pages.rs")).unwrap();
+    let pages = fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations")).unwrap();
+    for page in pages {
+        let name = page.unwrap().file_name().into_string().unwrap();
+        expect_that!(source, contains_substring(format!(" \"{name}\"\n")));
+    }
 }
--- a/cli/tests/shell_page/mod.rs
+++ b/cli/tests/shell_page/mod.rs
@@ -1,15 +1,20 @@
 //! Pages with commands and their output.
 
+use std::fs;
+use std::path::Path;
 use std::time::Duration;
 
 use awc::Client;
+use awc::http::Method;
 
 use crate::fixture::Platform;
 
 /// Longest wait until a command that only reads prints what the page shows.
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// Commands that only read; they are repeated until the platform has settled.
-const READS: [&str; 7] = [
+const READS: [&str; 9] = [
+    "cat",
+    "grep",
     "godwithaven status",
     "godwithaven fleet",
     "godwithaven teams",
@@ -19,6 +24,22 @@
     "godwithaven bundle show",
 ];
 
+/// Addresses in the pages: the log, the VM list, and callers' and operators' addresses of the entry processes.
+const PAGE_ADDRESSES: [&str; 8] = [
+    "127.0.0.1:7070",
+    "127.0.0.1:7071",
+    "127.0.0.1:8080",
+    "127.0.0.1:8082",
+    "127.0.0.1:8180",
+    "127.0.0.1:8182",
+    "127.0.0.1:8280",
+    "127.0.0.1:8282",
+];
+/// Columns of `status` that move on by themselves: age and offset.
+const STATUS_COUNTERS: [usize; 2] = [4, 5];
+/// Fields of log lines that differ from run to run.
+const LOG_COUNTERS: [&str; 2] = ["time_ms", "token"];
+
 /// A part of a page.
 pub enum PageBlock {
     /// Lines that are kept.
@@ -88,16 +109,36 @@
 }
 
 /// Runs a command with the addresses of the platform and returns what it prints with those of the page.
-pub async fn run(platform: &Platform, line: &str, expected: Option<&String>) -> String {
+pub async fn run(platform: &mut Platform, line: &str, expected: Option<&String>) -> String {
+    if line == "standin ready" {
+        make_ready(platform).await;
+        return String::new();
+    }
+    if let Some(arguments) = line.strip_prefix("standin ") {
+        platform.switch(arguments).await;
+        return String::new();
+    }
     let addresses = addresses(platform);
     let actual = addresses.iter().fold(line.to_owned(), |line, (page, real)| line.replace(page, real));
+    if let Some((arguments, file)) = actual.strip_suffix(" &").and_then(|line| line.split_once(" > ")) {
+        let (path, arguments) = (platform.dir.join(file), arguments.replacen("curl ", "", 1));
+        actix_rt::spawn(async move { fs::write(path, fetch(&arguments).await) });
+        return String::new();
+    }
     let fetches = line.starts_with("curl ") && !line.contains(" -d ");
     let reads = fetches || READS.iter().any(|start| line.starts_with(start));
     let settled =
         tokio::time::Instant::now() + if expected.is_some() { TIMEOUT } else { Duration::from_secs(3) };
     loop {
         let printed = if let Some(arguments) = actual.strip_prefix("curl ") {
-            fetch(arguments).await
+            let (arguments, filter) = arguments.split_once(" | ").unwrap_or((arguments, ""));
+            let answer = fetch(arguments).await;
+            if filter.is_empty() {
+                answer
+            } else {
+                platform.write("answer", &answer);
+                platform.shell(&format!("{filter} < answer")).await.out
+            }
         } else {
             let printed = platform.shell(&actual).await;
             format!("{}{}", printed.out, printed.err)
@@ -118,28 +159,40 @@
     }
 }
 
-/// Returns the output without what differs from run to run: addresses, digests, process ids, workers, padding,
-/// and the counters of `status` and `/metrics`.
+/// Returns the output without what differs from run to run: addresses outside the pages, digests, lives of
+/// processes, workers, padding, times and offsets, and the counters of `/metrics`.
 pub fn masked(line: &str, output: &str) -> String {
-    let counters = line.starts_with("godwithaven status") || line.contains("/metrics");
+    // A metric that a page picks out is compared as far as whether it is 0.
+    let counters = line.contains("/metrics").then_some(!line.contains(" | "));
     let mut words: Vec<String> = Vec::new();
     for text in output.lines() {
-        for word in text.split_whitespace() {
-            words.push(mask_word(word, counters));
+        for (index, word) in text.split_whitespace().enumerate() {
+            let moving = line.starts_with("godwithaven status") && STATUS_COUNTERS.contains(&index);
+            let number = word.trim_end_matches('s').parse::<f64>();
+            match (number, counters) {
+                (Ok(_), _) if moving => words.push("NUMBER".to_owned()),
+                (Ok(value), Some(all)) if all || value != 0.0 => words.push("NUMBER".to_owned()),
+                _ => words.push(mask_word(word)),
+            }
         }
         words.push("\n".to_owned());
     }
     words.join(" ")
 }
 
-fn mask_word(word: &str, counters: bool) -> String {
+fn mask_word(word: &str) -> String {
     let hex = |part: &str| part.len() >= 16 && part.bytes().all(|byte| byte.is_ascii_hexdigit());
     let word = word.trim_end_matches(',');
-    if word.starts_with("127.0.0.1:") {
+    if word.starts_with("127.0.0.1:") && !PAGE_ADDRESSES.iter().any(|known| word.starts_with(known)) {
         return "ADDRESS".to_owned();
     }
     if word.split(['.', '"', ':']).any(hex) {
-        return "HEX".to_owned();
+        let parts = word.split_inclusive(['.', '"', ':']);
+        let shown = parts.map(|part| if hex(part.trim_end_matches(['.', '"', ':'])) { "HEX" } else { part });
+        return shown.collect();
+    }
+    if let Some((field, _)) = word.split_once('=').filter(|(field, _)| LOG_COUNTERS.contains(field)) {
+        return format!("{field}=NUMBER");
     }
     if word.starts_with("worker-") {
         return "WORKER".to_owned();
@@ -148,40 +201,50 @@
     if let Some((task, attempt)) = word.split_once('@') {
         return format!("{task}@ATTEMPT{}", attempt.trim_start_matches(|digit: char| digit.is_ascii_digit()));
     }
-    if counters && word.parse::<f64>().is_ok() {
-        return "NUMBER".to_owned();
-    }
     word.to_owned()
 }
 
+/// Puts the bundle of the page on the first start into force and waits until all workers were heard.
+async fn make_ready(platform: &Platform) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations/first-start.md");
+    for block in ShellPage::parse(&fs::read_to_string(path).unwrap()).blocks {
+        if let PageBlock::File { name, text } = block {
+            platform.write(&name, &text);
+        }
+    }
+    let publish = "godwithaven bundle sign bundle.toml --key signing.key && \
+                   godwithaven bundle publish bundle.signed.json --log $LOG";
+    assert_eq!(platform.shell(publish).await.code, 0);
+    platform.wait_for("godwithaven fleet", "4/4").await;
+    platform.wait_for("godwithaven status | grep -c yes", "2").await;
+    platform.wait_for("godwithaven endpoints", "planner-1").await;
+}
+
 /// Returns the addresses in the pages with those of the platform.
 fn addresses(platform: &Platform) -> Vec<(&'static str, String)> {
-    let [first, second] = &platform.entries[..] else { panic!("a platform has two entry processes") };
-    vec![
-        ("127.0.0.1:7070", platform.world.log.address.to_string()),
-        ("127.0.0.1:7071", platform.world.directory.address.to_string()),
-        ("127.0.0.1:8080", first.listen.to_string()),
-        ("127.0.0.1:8082", first.operator_listen.to_string()),
-        ("127.0.0.1:8180", second.listen.to_string()),
-        ("127.0.0.1:8182", second.operator_listen.to_string()),
-    ]
+    let fixed = [platform.world.log.address, platform.world.directory.address];
+    let entries = platform.entries.iter().flat_map(|vm| [vm.listen, vm.operator_listen]);
+    let real = fixed.into_iter().chain(entries).map(|address| address.to_string());
+    PAGE_ADDRESSES.into_iter().zip(real).collect()
 }
 
-/// Does what `curl -s [-H HEADER]... [-d BODY] ADDRESS` does, so that tests need no `curl`.
+/// Does what `curl -s [-H HEADER]... [-X METHOD] [-d BODY] ADDRESS` does, so that tests need no `curl`.
 async fn fetch(arguments: &str) -> String {
     let words = split_words(arguments);
     let mut words = words.iter();
     let (mut url, mut headers, mut body) = (String::new(), Vec::new(), None);
+    let mut method = Method::GET;
     while let Some(word) = words.next() {
         match word.as_str() {
             "-s" => {}
             "-H" => headers.push(words.next().unwrap().split_once(": ").unwrap()),
             "-d" => body = words.next().cloned(),
+            "-X" => method = words.next().unwrap().parse().unwrap(),
             address => url = format!("http://{address}"),
         }
     }
-    let client = Client::builder().timeout(TIMEOUT).finish();
-    let request = if body.is_some() { client.post(url) } else { client.get(url) };
+    let client = Client::builder().timeout(3 * TIMEOUT).finish();
+    let request = client.request(if body.is_some() { Method::POST } else { method }, url);
     let request = headers.into_iter().fold(request, awc::ClientRequest::insert_header);
     let mut response = request.send_body(body.unwrap_or_default()).await.unwrap();
     let text = String::from_utf8(response.body().await.unwrap().to_vec()).unwrap();
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -84,13 +84,22 @@
     Read(oneshot::Sender<EndpointRecord>),
 }
 
+/// What holds for all connections of an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConnectionFaults {
+    /// Connections opened before the last change of this number are silent.
+    epoch: u32,
+    /// Requests run, but none ends.
+    held: bool,
+}
+
 /// A running endpoint.
 #[derive(Clone)]
 pub struct EndpointStandin {
     /// Its address.
     pub address: SocketAddr,
     inbox: mpsc::Sender<EndpointMessage>,
-    mute: watch::Sender<u32>,
+    mute: watch::Sender<ConnectionFaults>,
     killed: CancellationToken,
 }
 
@@ -103,7 +112,7 @@
     pub async fn start(address: &str, token: CancellationToken) -> std::io::Result<Self> {
         let (listener, address) = server::bind(address).await?;
         let (inbox, messages) = mpsc::channel(1_024);
-        let (mute, muted) = watch::channel(0);
+        let (mute, muted) = watch::channel(ConnectionFaults::default());
         let killed = token.child_token();
         actix_rt::spawn(keep_endpoint(messages, token));
         actix_rt::spawn(accept(listener, inbox.clone(), muted, killed.clone()));
@@ -117,7 +126,12 @@
 
     /// Makes all open connections silent for ever; new ones work.
     pub fn mute_connections(&self) {
-        self.mute.send_modify(|epoch| *epoch += 1);
+        self.mute.send_modify(|faults| faults.epoch += 1);
+    }
+
+    /// Holds all requests that run until it is called with `false`.
+    pub fn hold(&self, held: bool) {
+        self.mute.send_modify(|faults| faults.held = held);
     }
 
     /// Ends all connections and takes no new ones; what it saw can still be read.
@@ -182,7 +196,7 @@
 async fn accept(
     listener: TcpListener,
     inbox: mpsc::Sender<EndpointMessage>,
-    mute: watch::Receiver<u32>,
+    mute: watch::Receiver<ConnectionFaults>,
     killed: CancellationToken,
 ) {
     let mut connections = JoinSet::new();
@@ -213,14 +227,14 @@
 async fn serve(
     stream: &TcpStream,
     inbox: &mpsc::Sender<EndpointMessage>,
-    mute: &watch::Receiver<u32>,
+    mute: &watch::Receiver<ConnectionFaults>,
 ) -> Option<()> {
-    let epoch = *mute.borrow();
+    let epoch = mute.borrow().epoch;
     let mut buffer = BytesMut::new();
     loop {
         let request = read_request(stream, &mut buffer).await?;
         // The guard of `borrow` must not live on while this waits.
-        let silent = *mute.borrow() > epoch;
+        let silent = mute.borrow().epoch > epoch;
         stay_silent_if(silent, stream).await?;
         if request.path == "/healthz" {
             let (reply, health) = oneshot::channel();
@@ -239,7 +253,7 @@
     inbox: &mpsc::Sender<EndpointMessage>,
     request: RawRequest,
     epoch: u32,
-    mute: &watch::Receiver<u32>,
+    mute: &watch::Receiver<ConnectionFaults>,
 ) -> Option<()> {
     let (reply, begun) = oneshot::channel();
     inbox.send(EndpointMessage::Begin(request.id.clone(), reply)).await.ok()?;
@@ -251,12 +265,14 @@
     }
     // Runs apart, so that a caller that goes away does not free the slot early.
     let sender = inbox.clone();
+    let mut held = mute.clone();
     let worked = actix_rt::spawn(async move {
         tokio::time::sleep(if faults.failing { Duration::ZERO } else { faults.work_time }).await;
+        let _ = held.wait_for(|faults| !faults.held).await;
         let _ = sender.send(EndpointMessage::End).await;
     });
     let _ = worked.await;
-    let silent = *mute.borrow() > epoch;
+    let silent = mute.borrow().epoch > epoch;
     stay_silent_if(silent, stream).await?;
     let text = format!("answer to {}: {}", request.id, String::from_utf8_lossy(&request.body));
     let status = if faults.failing { 500 } else { 200 };
