--- a/tests/requests_session.rs
+++ b/tests/requests_session.rs
@@ -45,7 +45,7 @@
         let (reply, answer) = oneshot::channel();
         self.callers.push((caller.to_owned(), answer));
         let body = Bytes::from(format!("body of {id}"));
-        let effects = self.partition.arrive(arrival, body, reply, now);
+        let effects = self.partition.arrive(arrival, body, reply, &self.metrics, now);
         self.note(at, &format!("{caller} sends blue/{id}, deadline {deadline} ms"), effects);
     }
 
