Move waiting jobs that no longer fit their shard

A job that was accepted and waits was refused when the only workers that hold it left its shard, although another shard had such workers. The fold knew `Move`, but no process wrote it.

The fold refuses to move a cancelled job. The new owner numbers attempts from the offset of the move.

The replay fixture has one shard, so it takes a move as a failure.

--- a/src/kernel/job_explanation.rs
+++ b/src/kernel/job_explanation.rs
@@ -38,6 +38,9 @@
     if stopping > 0 {
         add("stopping", count(stopping));
     }
+    if job.moving {
+        add("moving", job.spec.tasks);
+    }
     let waiting = count(job.waiting.len());
     if waiting == 0 {
         return reasons;
--- a/src/kernel/job_progress.rs
+++ b/src/kernel/job_progress.rs
@@ -5,6 +5,7 @@
 
 /// What is known of a job without a recorded outcome.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "the conditions are independent of each other")]
 pub struct JobProgress {
     /// The job as submitted.
     pub spec: Arc<JobSpec>,
@@ -24,6 +25,8 @@
     pub cancelled: bool,
     /// Whether its outcome was decided.
     pub ended: bool,
+    /// Whether it is on its way to another shard.
+    pub moving: bool,
     /// The decided outcome, until the last task has ended.
     pub outcome: Option<JobOutcome>,
     /// Replacements of an earlier owner that were found before the job was settled.
@@ -90,6 +93,7 @@
             spread: SpreadCount::default(),
             cancelled: false,
             ended: false,
+            moving: false,
             outcome: None,
             surplus: 0,
             inherited,
@@ -103,7 +107,7 @@
     /// Whether tasks of the job may still start.
     #[must_use]
     pub const fn is_live(&self) -> bool {
-        !self.cancelled && !self.ended
+        !self.cancelled && !self.ended && !self.moving
     }
 
     /// Whether the job runs all its tasks or none.
--- a/src/kernel/ledger_change.rs
+++ b/src/kernel/ledger_change.rs
@@ -21,7 +21,7 @@
     /// A team asked to cancel a job.
     JobCancelled(JobId, ShardId),
     /// A job moved to another shard.
-    JobMoved(Arc<JobSpec>, ShardId),
+    JobMoved(Arc<JobSpec>, ShardId, LogOffset),
     /// A job ended.
     JobEnded(JobId, JobOutcome),
     /// The allotment of a team in a shard changed.
--- a/src/kernel/ledger_state.rs
+++ b/src/kernel/ledger_state.rs
@@ -168,7 +168,7 @@
         let mut jobs: Vec<&JobState> = self.jobs.values().collect();
         jobs.sort_unstable_by_key(|state| (state.offset, &state.spec.id));
         for state in jobs {
-            changes.extend(job_change(state, old.jobs.get(&state.spec.id)));
+            changes.extend(job_changes(state, old.jobs.get(&state.spec.id), self.next));
         }
         changes
     }
@@ -191,7 +191,7 @@
                 let shard = self.jobs.cancel(job);
                 changes.extend(shard.map(|shard| LedgerChange::JobCancelled(job.clone(), shard)));
             }
-            LogRecord::Move { job, to, token } => self.apply_move(job, to, *token, changes),
+            LogRecord::Move { job, to, token } => self.apply_move(offset, job, to, *token, changes),
             LogRecord::Transfer { team, from, to, amount, token } => {
                 // The author set the amount aside; another owner did not.
                 let owned = self.claims.get(from).is_some_and(|claim| claim.process == *author);
@@ -305,18 +305,20 @@
 
     fn apply_move(
         &mut self,
+        offset: LogOffset,
         job: &JobId,
         to: &ShardId,
         token: FencingToken,
         changes: &mut Vec<LedgerChange>,
     ) {
         let Some(state) = self.jobs.open(job) else { return };
-        if self.token(&state.shard) != token || state.shard == *to {
+        // The old owner ends a cancelled job; the new one would not learn that it was cancelled.
+        if self.token(&state.shard) != token || state.shard == *to || state.cancelled {
             return;
         }
         let spec = Arc::new(state.spec.clone());
         self.jobs.hand_over(job, to);
-        changes.push(LedgerChange::JobMoved(spec, to.clone()));
+        changes.push(LedgerChange::JobMoved(spec, to.clone(), offset));
     }
 
     fn apply_outcome(
@@ -335,20 +337,22 @@
     }
 }
 
-/// Returns the change of a job that the reader of an older state has to hear.
-fn job_change(state: &JobState, old: Option<&JobState>) -> Option<LedgerChange> {
+/// Returns the changes of a job that the reader of an older state has to hear.
+fn job_changes(state: &JobState, old: Option<&JobState>, next: LogOffset) -> Vec<LedgerChange> {
     let id = state.spec.id.clone();
-    match (&state.outcome, old) {
-        (Some(outcome), known) if known.is_none_or(|known| known.outcome.is_none()) => {
-            Some(LedgerChange::JobEnded(id, outcome.clone()))
-        }
-        (None, None) => Some(LedgerChange::JobAccepted(Arc::new(state.spec.clone()), state.shard.clone())),
-        (None, Some(known)) if known.shard != state.shard => {
-            Some(LedgerChange::JobMoved(Arc::new(state.spec.clone()), state.shard.clone()))
-        }
-        (None, Some(known)) if known.cancelled != state.cancelled => {
-            Some(LedgerChange::JobCancelled(id, state.shard.clone()))
-        }
-        _ => None,
+    if let Some(outcome) = &state.outcome {
+        let told = old.is_some_and(|known| known.outcome.is_some());
+        return if told { Vec::new() } else { vec![LedgerChange::JobEnded(id, outcome.clone())] };
+    }
+    let (spec, shard) = (Arc::new(state.spec.clone()), state.shard.clone());
+    let mut changes = Vec::new();
+    match old {
+        None => changes.push(LedgerChange::JobAccepted(spec, shard)),
+        Some(known) if known.shard != shard => changes.push(LedgerChange::JobMoved(spec, shard, next)),
+        Some(_) => {}
+    }
+    if state.cancelled && !old.is_some_and(|known| known.cancelled && known.shard == state.shard) {
+        changes.push(LedgerChange::JobCancelled(id, state.shard.clone()));
     }
+    changes
 }
--- a/src/kernel/schedule_effect.rs
+++ b/src/kernel/schedule_effect.rs
@@ -10,6 +10,8 @@
     Command(VmId, WorkerCommand),
     /// Record the outcome of a job.
     End(JobId, JobOutcome),
+    /// Hand a job of which nothing runs to another shard.
+    Move(JobId, ShardId),
     /// Log a placement decision.
     Placed {
         /// The task.
--- a/src/kernel/schedule_event.rs
+++ b/src/kernel/schedule_event.rs
@@ -1,4 +1,4 @@
-use crate::kernel::{WorkerReport, WorkerVm};
+use crate::kernel::{ShardShapes, WorkerReport, WorkerVm};
 use crate::prelude::*;
 
 /// What a shard's scheduler is told.
@@ -10,6 +10,8 @@
     WorkersListed(Vec<WorkerVm>),
     /// Workers that left the VM list less than a lease ago; tasks of an earlier owner may still run there.
     WorkersVanished(Vec<VmId>),
+    /// What the workers of the other shards hold.
+    OthersListed(ShardShapes),
     /// The allotment of a team in the shard changed.
     AllotmentChanged(TeamId, ResourceVector),
     /// A job of the shard was accepted.
@@ -18,6 +20,8 @@
     JobCancelled(JobId),
     /// The outcome of a job is in the ledger.
     JobEnded(JobId),
+    /// A waiting job was handed to this shard, which numbers its attempts from the given one on.
+    JobArrived(Arc<JobSpec>, AttemptNumber),
     /// A waiting job was handed to another shard.
     JobLeft(JobId),
     /// An answered sync carried the starts and stops of these tasks; its report follows.
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -1,7 +1,7 @@
 use crate::kernel::{
-    ClassKey, GangReservation, JobExplanation, JobOutcome, LeaseTiming, PlacementPass, PluginRegistry,
-    ReclaimPlanner, ReportFold, ScheduleEffect, ScheduleEvent, ShardState, ShardSummary, WorkerReport,
-    WorkerVm, ZoneDrain,
+    ClassKey, GangReservation, JobExplanation, JobMover, JobOutcome, LeaseTiming, PlacementPass,
+    PluginRegistry, ReclaimPlanner, ReportFold, ScheduleEffect, ScheduleEvent, ShardState, ShardSummary,
+    WorkerReport, WorkerVm, ZoneDrain,
 };
 use crate::prelude::*;
 
@@ -18,6 +18,7 @@
     gang: GangReservation,
     drain: ZoneDrain,
     reclaim: ReclaimPlanner,
+    mover: JobMover,
     /// Workers that have not accepted this owner yet.
     unheard: FastSet<VmId>,
     /// Workers that had left the VM list shortly before the shard was claimed.
@@ -43,6 +44,7 @@
             gang: GangReservation::default(),
             drain: ZoneDrain::default(),
             reclaim: ReclaimPlanner::default(),
+            mover: JobMover::default(),
             unheard: FastSet::default(),
             vanished: FastSet::default(),
             current_until: None,
@@ -91,6 +93,11 @@
                 self.state.add_job(&spec, false);
                 self.refuse_misfit(&spec);
             }
+            ScheduleEvent::JobArrived(spec, first_attempt) => {
+                self.state.take_over(&spec, first_attempt);
+                self.refuse_misfit(&spec);
+            }
+            ScheduleEvent::OthersListed(others) => self.mover.note_shapes(others),
             ScheduleEvent::JobCancelled(job) => self.cancel(&job),
             ScheduleEvent::JobEnded(job) | ScheduleEvent::JobLeft(job) => self.state.forget(&job),
             ScheduleEvent::CommandsDelivered(vm, tasks) => {
@@ -244,6 +251,9 @@
         }
         self.state.sweep = self.state.sweep.and_then(|from| self.state.queue.unblock_next(from));
         self.check_leases(now);
+        for job in self.mover.take_due(now) {
+            self.move_misfit(&job);
+        }
         self.gang.expire(&mut self.state, now);
         self.drain.advance(&mut self.state, now);
         self.reclaim.advance(&mut self.state, now);
@@ -309,13 +319,32 @@
         }
     }
 
+    /// Refuses a job that no worker can hold, unless those of another shard can.
     fn refuse_misfit(&mut self, spec: &JobSpec) {
         let key = ClassKey::of(spec);
-        if let Some(reason) = self.state.fleet.misfit(key.need, u64::from(key.together)) {
+        if let Some(reason) = self.state.fleet.misfit(key.need, u64::from(key.together))
+            && !self.mover.plan(spec)
+        {
             self.state.end_job(&spec.id, JobOutcome::Refused(reason));
         }
     }
 
+    /// Hands a job that still fits no worker to another shard, or waits until nothing of it runs here.
+    fn move_misfit(&mut self, id: &JobId) {
+        let Some(job) = self.state.jobs.get(id).filter(|job| job.is_live()) else { return };
+        let spec = job.spec.clone();
+        let key = ClassKey::of(&spec);
+        if self.state.fleet.misfit(key.need, u64::from(key.together)).is_none() {
+            return;
+        }
+        let moved = self.mover.target(&spec).is_some_and(|to| self.state.hand_over(id, to));
+        if !moved {
+            self.refuse_misfit(&spec);
+        } else if self.gang.held().is_some_and(|held| held.job == *id) {
+            self.gang.release(&mut self.state);
+        }
+    }
+
     fn decide(&mut self, now: Instant) {
         let heard_all = self.unheard.is_empty() && self.vanished.is_empty() && !self.state.fleet.is_empty();
         if !self.state.held.is_empty() && (heard_all || now >= self.settled_at) {
--- a/src/kernel/shard_shapes.rs
+++ b/src/kernel/shard_shapes.rs
@@ -19,6 +19,19 @@
         Self { counts }
     }
 
+    /// Returns the shards that have workers, in no order.
+    pub fn shards(&self) -> impl Iterator<Item = &ShardId> {
+        self.counts.keys()
+    }
+
+    /// Returns the counts of all shards but one.
+    #[must_use]
+    pub fn without(&self, shard: &ShardId) -> Self {
+        let mut counts = self.counts.clone();
+        counts.remove(shard);
+        Self { counts }
+    }
+
     /// Whether the empty workers of a shard hold a task of the job, or all tasks of a gang job at once.
     #[must_use]
     pub fn hold(&self, shard: &ShardId, spec: &JobSpec) -> bool {
--- a/src/kernel/shard_state.rs
+++ b/src/kernel/shard_state.rs
@@ -305,6 +305,26 @@
         }
     }
 
+    /// Adds a job that another shard handed over; its attempts are numbered above those of that shard.
+    pub fn take_over(&mut self, spec: &Arc<JobSpec>, first_attempt: AttemptNumber) {
+        self.add_job(spec, false);
+        if let Some(job) = self.jobs.get_mut(&spec.id) {
+            job.first_attempt = job.first_attempt.max(first_attempt);
+        }
+    }
+
+    /// Hands a job to another shard unless something of it may still run; nothing of it starts here any more.
+    pub fn hand_over(&mut self, id: &JobId, to: ShardId) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        if job.placed > 0 || job.inherited || self.tasks.values().any(|placed| placed.job == *id) {
+            return false;
+        }
+        job.moving = true;
+        self.clear_waiting(id);
+        self.effects.push(ScheduleEffect::Move(id.clone(), to));
+        true
+    }
+
     /// Decides the outcome of a job and stops what still runs of it.
     ///
     /// The outcome is recorded after the last task has ended, so that an owner that takes over knows of all jobs
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::{
     JobExplanation, LeaseTiming, LedgerChange, PluginRegistry, ScheduleEffect, ScheduleEvent, ShardScheduler,
-    ShardSummary, WorkerVm,
+    ShardShapes, ShardSummary, WorkerVm,
 };
 use crate::prelude::*;
 use crate::tasks::journal::JournalMessage;
@@ -246,9 +246,14 @@
             LedgerChange::JobAccepted(spec, shard) => {
                 self.tell(&shard, ScheduleEvent::JobAccepted(spec)).await;
             }
-            LedgerChange::JobMoved(spec, shard) => {
-                self.tell_holder(&spec.id, ScheduleEvent::JobLeft(spec.id.clone())).await;
-                self.tell(&shard, ScheduleEvent::JobAccepted(spec)).await;
+            LedgerChange::JobMoved(spec, shard, offset) => {
+                let others = self.shards.keys().filter(|other| **other != shard).cloned();
+                for other in others.collect::<Vec<ShardId>>() {
+                    self.tell(&other, ScheduleEvent::JobLeft(spec.id.clone())).await;
+                }
+                // The offset is above all tokens under which attempts of the job were started before.
+                let first_attempt = (offset + 1) << ATTEMPT_BITS;
+                self.tell(&shard, ScheduleEvent::JobArrived(spec, first_attempt)).await;
             }
             LedgerChange::JobEnded(job, _) => {
                 self.tell_holder(&job, ScheduleEvent::JobEnded(job.clone())).await;
@@ -267,7 +272,9 @@
     async fn list_workers(&mut self) {
         let Some(bundle) = self.bundle.clone() else { return };
         let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
+        let shapes = ShardShapes::new(&self.workers, bundle.shards_per_region);
         for shard in shards {
+            self.tell(&shard, ScheduleEvent::OthersListed(shapes.without(&shard))).await;
             let mine = self
                 .workers
                 .iter()
@@ -344,6 +351,10 @@
                 let record = LogRecord::Outcome { job, token, outcome };
                 let _ = self.journal.send(JournalMessage::Record(record)).await;
             }
+            ScheduleEffect::Move(job, to) => {
+                log::info!(decision = "move", job = &*job, from = &**shard, to = &*to; "job moved");
+                let _ = self.journal.send(JournalMessage::Record(LogRecord::Move { job, to, token })).await;
+            }
             ScheduleEffect::Placed { task, team, vm, reason, rejected } => {
                 self.metrics.placements.inc();
                 log::info!(
--- a/tests/fixture_replay/checks.rs
+++ b/tests/fixture_replay/checks.rs
@@ -18,6 +18,7 @@
                         self.disown(*index);
                     }
                 }
+                ScheduleEffect::Move(job, _) => panic!("{job} is moved, but there is one shard"),
                 ScheduleEffect::Placed { .. } | ScheduleEffect::Stopped { .. } => {}
             }
         }
