Add log faults, short deadlines and callers that give up to the fault run

Faults come every 150 ms instead of 300 ms and include a log that is down or loses replies; one request in eight has a deadline of 40 or 600 ms, and one in four is not sent again after a refusal.

--- a/benches/requests/faults.rs
+++ b/benches/requests/faults.rs
@@ -4,6 +4,7 @@
 
 use actix_rt::Arbiter;
 use godwithaven_standins::endpoint::{AnswerFault, EndpointFaults, EndpointStandin};
+use godwithaven_standins::logservice::LogFaults;
 use godwithaven_standins::world::StandinWorld;
 use tokio::sync::{oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -16,9 +17,11 @@
 const THREADS: u64 = 2;
 const CALLERS: u64 = 64;
 /// Time between two faults of endpoints.
-const FAULT_TIME: Duration = Duration::from_millis(300);
+const FAULT_TIME: Duration = Duration::from_millis(150);
 /// Faults of endpoints between two changes of the entry processes.
-const FAULTS_PER_CHANGE: u64 = 30;
+const FAULTS_PER_CHANGE: u64 = 50;
+/// Time that the log is down or loses replies.
+const LOG_FAULT_TIME: Duration = Duration::from_millis(700);
 const ANSWERS: [AnswerFault; 9] = [
     AnswerFault::None,
     AnswerFault::Silent,
@@ -47,6 +50,7 @@
     unclean: u32,
     deaths: u32,
     muted: u32,
+    log_faults: u32,
 }
 
 /// Runs `requests` requests under faults and prints the counts.
@@ -61,7 +65,8 @@
             callers: CALLERS,
             requests: requests.div_ceil(THREADS * CALLERS),
             seed: seed * THREADS + thread,
-            short_one_in: 16,
+            short_one_in: 8,
+            give_up_one_in: 4,
             pause_ms: 10,
         };
         arbiter.spawn_fn(move || {
@@ -96,13 +101,14 @@
     let counts = calls::count(&records, &reports);
     println!(
         "seed {seed}: {} requests in {spent:?}, {} owners or others killed, {} replaced gracefully ({} not clean), \
-         {} endpoints killed, {} times connections silenced",
+         {} endpoints killed, {} times connections silenced, {} log faults",
         records.len(),
         stage.kills,
         stage.replacements,
         stage.unclean,
         stage.deaths,
-        stage.muted
+        stage.muted,
+        stage.log_faults
     );
     println!("refused by full endpoints: {}", reports.iter().map(|record| record.over_slots).sum::<u32>());
     println!("{counts:?}");
@@ -141,6 +147,7 @@
             unclean: 0,
             deaths: 0,
             muted: 0,
+            log_faults: 0,
         };
         stage.announce();
         stage
@@ -161,14 +168,16 @@
         names.sort();
         let name = &names[usize::try_from(pick >> 8).unwrap_or(0) % names.len()];
         match pick % 24 {
-            0 => self.replace_endpoint(name).await,
-            1..4 => {
+            0..3 => self.replace_endpoint(name).await,
+            3 => self.fail_log(LogFaults { down: true, ..LogFaults::default() }).await,
+            4 => self.fail_log(LogFaults { lose_append_replies: true, ..LogFaults::default() }).await,
+            5..9 => {
                 self.muted += 1;
                 self.world.endpoints[name].mute_connections();
             }
             _ => {
                 let answer = ANSWERS[usize::try_from(pick >> 40).unwrap_or(0) % ANSWERS.len()];
-                let one_in = 10 + u32::try_from((pick >> 50) % 40).unwrap_or(0);
+                let one_in = 5 + u32::try_from((pick >> 50) % 30).unwrap_or(0);
                 let work_time = Duration::from_millis(2 + (pick >> 30) % 30);
                 let faults = EndpointFaults { answer, one_in, work_time, ..EndpointFaults::default() };
                 self.world.endpoints[name].set_faults(faults).await;
@@ -196,6 +205,14 @@
         });
     }
 
+    /// Lets the log fail for a moment.
+    async fn fail_log(&mut self, faults: LogFaults) {
+        self.log_faults += 1;
+        self.world.log.set_faults(faults);
+        tokio::time::sleep(LOG_FAULT_TIME).await;
+        self.world.log.set_faults(LogFaults::default());
+    }
+
     fn start_entry(&mut self, zone: usize) -> EntryChild {
         self.started += 1;
         EntryChild::start(&self.world, &format!("entry-{}", self.started), ["a", "b", "c"][zone % 3])
--- a/tests/calls/mod.rs
+++ b/tests/calls/mod.rs
@@ -28,8 +28,11 @@
     pub requests: u64,
     /// Selects ids, idempotency and waits.
     pub seed: u64,
-    /// One request in this many has a deadline of 600 ms instead of 4 s.
+    /// One request in this many has a deadline of 40 or 600 ms instead of 4 s: before most intents are folded, or
+    /// before late answers.
     pub short_one_in: u64,
+    /// One request in this many is not sent again after it was refused as not run.
+    pub give_up_one_in: u64,
     /// Longest wait between two requests of a caller, in milliseconds.
     pub pause_ms: u64,
 }
@@ -88,7 +91,14 @@
 }
 
 /// Sends one id until there is an answer or nothing more can be learned.
-async fn call(addresses: &Addresses, id: &str, idempotent: bool, deadline_ms: u64, turn: u64) -> CallRecord {
+async fn call(
+    addresses: &Addresses,
+    id: &str,
+    idempotent: bool,
+    deadline_ms: u64,
+    gives_up: bool,
+    turn: u64,
+) -> CallRecord {
     let mut record = CallRecord { idempotent, ..CallRecord::default() };
     for attempt in 0..TRIES {
         let known = addresses.borrow().clone();
@@ -115,6 +125,9 @@
             continue;
         }
         record.may_have_run |= run == "may_have_run";
+        if gives_up && record.last_not_run {
+            break;
+        }
         if run == "may_have_run" && (!idempotent || !record.answers.is_empty()) {
             break;
         }
@@ -130,8 +143,13 @@
         let pick = routing::next_random(&mut random);
         let id = format!("s{}-c{caller}-{number}", plan.seed);
         let short = (pick >> 16).is_multiple_of(plan.short_one_in);
-        let deadline_ms = if short { 600 } else { 4_000 };
-        let record = call(&addresses, &id, pick.is_multiple_of(3), deadline_ms, pick >> 8).await;
+        let deadline_ms = match (short, pick >> 40 & 1) {
+            (false, _) => 4_000,
+            (true, 0) => 600,
+            (true, _) => 40,
+        };
+        let gives_up = (pick >> 24).is_multiple_of(plan.give_up_one_in);
+        let record = call(&addresses, &id, pick.is_multiple_of(3), deadline_ms, gives_up, pick >> 8).await;
         records.insert(id, record);
         tokio::time::sleep(Duration::from_millis(pick % plan.pause_ms)).await;
     }
--- a/tests/requests_faults.rs
+++ b/tests/requests_faults.rs
@@ -17,7 +17,14 @@
 
 /// Returns 12 callers with 60 requests each.
 const fn plan(seed: u64) -> CallPlan {
-    CallPlan { callers: 12, requests: 60, seed, short_one_in: u64::MAX, pause_ms: 40 }
+    CallPlan {
+        callers: 12,
+        requests: 60,
+        seed,
+        short_one_in: u64::MAX,
+        give_up_one_in: u64::MAX,
+        pause_ms: 40,
+    }
 }
 
 async fn endpoint_records(world: &StandinWorld) -> Vec<EndpointRecord> {
