--- a/cli/tests/shell_page/mod.rs
+++ b/cli/tests/shell_page/mod.rs
@@ -194,7 +194,7 @@
     if let Some((field, _)) = word.split_once('=').filter(|(field, _)| LOG_COUNTERS.contains(field)) {
         return format!("{field}=NUMBER");
     }
-    if word.starts_with("worker-") {
+    if word.trim_start_matches("vm=\"").starts_with("worker-") {
         return "WORKER".to_owned();
     }
     // Attempts of a job that was accepted before its shard was claimed are numbered from the token of the claim.
