Move started jobs only while nothing of them has finished

Cause: merging the moving of jobs with the rule that a started job is not refused left started jobs in their shard for good, and a moved job could have had finished tasks, whose results the new owner does not know and would run again.

Change: a misfit that another shard holds is planned for a move whether it has started or not; a hand-over is refused while results of finished tasks are kept here.

--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -328,13 +328,10 @@
     /// Refuses a job that no worker can hold, unless those of another shard can. One that has started waits for
     /// workers that return, as a refusal would deny what ran.
     fn refuse_misfit(&mut self, spec: &JobSpec) {
-        if self.state.jobs.get(&spec.id).is_some_and(|job| job.has_started()) {
-            return;
-        }
         let key = ClassKey::of(spec);
-        if let Some(reason) = self.state.fleet.misfit(key.need, u64::from(key.together))
-            && !self.mover.plan(spec)
-        {
+        let Some(reason) = self.state.fleet.misfit(key.need, u64::from(key.together)) else { return };
+        let started = self.state.jobs.get(&spec.id).is_some_and(|job| job.has_started());
+        if !self.mover.plan(spec) && !started {
             self.state.end_job(&spec.id, JobOutcome::Refused(reason));
         }
     }
--- a/src/kernel/shard_state.rs
+++ b/src/kernel/shard_state.rs
@@ -313,10 +313,15 @@
         }
     }
 
-    /// Hands a job to another shard unless something of it may still run; nothing of it starts here any more.
+    /// Hands a job to another shard unless something of it may still run or has finished, which the other shard would
+    /// run again; nothing of it starts here any more.
     pub fn hand_over(&mut self, id: &JobId, to: ShardId) -> bool {
         let Some(job) = self.jobs.get_mut(id) else { return false };
-        if job.placed > 0 || job.inherited || self.tasks.values().any(|placed| placed.job == *id) {
+        if job.placed > 0
+            || job.finished > 0
+            || job.inherited
+            || self.tasks.values().any(|placed| placed.job == *id)
+        {
             return false;
         }
         job.moving = true;
