Work the capacity budget out for a size given as parameters

Cause: the line for changes of the VM list was added by hand, running tasks had no line, and the sizes were constants.

Change: DesignSize holds the sizes; the table holds every line and what crosses regions. Two scenarios more: running tasks and changes of the VM list. Syncs are counted by kernel::SyncTiming.

--- a/capacity/src/budget.rs
+++ b/capacity/src/budget.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use godwithaven::kernel::{JobKind, JobOutcome, LogRecord, PriorityClass, RecordGroup};
+use godwithaven::kernel::{JobKind, JobOutcome, KnownRun, LogRecord, PriorityClass, RecordGroup, SyncTiming};
 use godwithaven::prelude::*;
 
 use crate::report;
@@ -11,25 +11,9 @@
 
 /// Seconds in a day.
 const DAY: f64 = 86_400.0;
-/// Entry processes.
-const PROCESSES: f64 = 9.0;
-/// Workers.
-const WORKERS: f64 = 7_900.0;
-/// VMs on the list: workers, endpoints and entry VMs.
-const LISTED: f64 = 8_000.0;
-/// Jobs a day.
-const JOBS: f64 = 54_000.0;
-/// Task starts a second at the peak.
-const PEAK_STARTS: f64 = 500.0;
-/// Running tasks and an equal number of waiting ones.
-const TASKS: f64 = 25_000.0;
-/// Changes of configuration a day.
-const CHANGES: f64 = 5_300.0;
-/// Seconds between two syncs of a worker in this budget.
-const SYNC_INTERVAL: f64 = 10.0;
-/// Seconds between two syncs in the measurement.
-const MEASURED_INTERVAL: f64 = 2.0;
-/// Bytes of a bundle with 42 teams; the text is counted by the program that prints this table.
+/// VMs on the list whose changes are measured.
+const CHANGED_LIST: f64 = 4_000.0;
+/// Teams of the bundle whose text is counted.
 const BUNDLE_TEAMS: usize = 42;
 /// Processor time that control may take on a node, in microseconds a second.
 const CPU_LIMIT: f64 = 28_000.0;
@@ -38,101 +22,258 @@
 /// Memory that control may take on a node, in bytes.
 const MEMORY_LIMIT: f64 = 128e6;
 
-/// What one part of an entry process spends at the designed size.
+/// The size for which a budget is worked out.
+#[derive(Clone, Copy, Debug)]
+pub struct DesignSize {
+    /// Entry processes.
+    pub processes: f64,
+    /// Regions, with an equal part of processes and workers each.
+    pub regions: f64,
+    /// Workers.
+    pub workers: f64,
+    /// VMs on the list: workers, endpoints and entry VMs.
+    pub listed: f64,
+    /// VMs that fail or are replaced a day.
+    pub list_changes: f64,
+    /// Jobs a day, of one task each.
+    pub jobs: f64,
+    /// Task starts a second at the peak.
+    pub peak_starts: f64,
+    /// Running tasks.
+    pub running: f64,
+    /// Jobs without an outcome, which every process keeps in its ledger.
+    pub open_jobs: f64,
+    /// Changes of configuration a day.
+    pub configurations: f64,
+    /// Lease of a worker in seconds.
+    pub lease: f64,
+    /// Shortest time between syncs in seconds.
+    pub interval: f64,
+}
+
+impl Default for DesignSize {
+    fn default() -> Self {
+        Self {
+            processes: 9.0,
+            regions: 4.0,
+            workers: 7_900.0,
+            listed: 8_000.0,
+            list_changes: 1_563.0,
+            jobs: 54_000.0,
+            peak_starts: 500.0,
+            running: 25_000.0,
+            open_jobs: 25_000.0,
+            configurations: 5_300.0,
+            lease: 60.0,
+            interval: 2.0,
+        }
+    }
+}
+
+impl DesignSize {
+    fn timing(&self) -> SyncTiming {
+        let seconds = Duration::from_secs_f64;
+        SyncTiming { interval: seconds(self.interval), lease: seconds(self.lease) }
+    }
+
+    /// Returns how many syncs more than an idle worker one costs after a task without a declared run time starts.
+    fn syncs_after_start(&self) -> f64 {
+        let (timing, start) = (self.timing(), Instant::now());
+        let run = KnownRun { since: start, run_time: None };
+        let (mut now, mut extra) = (start, 0.0);
+        loop {
+            let wait = timing.next(std::iter::once(run), now);
+            if wait >= timing.longest() {
+                return extra;
+            }
+            extra += 1.0 - wait.as_secs_f64() / timing.longest().as_secs_f64();
+            now += wait;
+        }
+    }
+
+    /// Returns the part of the peers of a process that is in other regions.
+    fn remote_part(&self) -> f64 {
+        (self.processes - self.processes / self.regions) / (self.processes - 1.0)
+    }
+}
+
+/// What one part of an entry process spends at the size.
 struct BudgetLine {
-    part: &'static str,
-    mechanism: &'static str,
+    part: String,
+    module: &'static str,
     cpu: f64,
     bytes: f64,
+    /// Those of the bytes that cross regions.
+    crossing: f64,
     memory: f64,
 }
 
-/// Returns a Markdown table of what one entry process spends at the designed size.
+/// Returns a Markdown table of what one entry process spends at the size.
 #[must_use]
-pub fn table(points: &[MeasuredPoint]) -> String {
-    let lines = lines(points);
-    let mut text = String::from(
-        "| part | mechanism | CPU, µs/s | bytes/s | memory, MB |\n| --- | --- | ---: | ---: | ---: |\n",
+pub fn table(points: &[MeasuredPoint], size: &DesignSize) -> String {
+    let lines = lines(points, size);
+    let mut text = format!(
+        "One of {} processes; {:.0} workers, {:.0} running tasks, {:.0} VMs listed, lease {} s.\n\n\
+         | part | module | CPU, µs/s | bytes/s | of them between regions | memory, MB |\n\
+         | --- | --- | ---: | ---: | ---: | ---: |\n",
+        size.processes,
+        size.workers / size.processes,
+        size.running / size.processes,
+        size.listed,
+        size.lease
     );
+    let mut row = |part: &str, module: &str, [cpu, bytes, crossing, memory]: [f64; 4]| {
+        let memory = memory / 1e6;
+        let _ = writeln!(text, "| {part} | {module} | {cpu:.0} | {bytes:.0} | {crossing:.0} | {memory:.1} |");
+    };
+    let mut sum = [0.0; 4];
     for line in &lines {
-        let memory = line.memory / 1e6;
-        let _ = writeln!(
-            text,
-            "| {} | {} | {:.0} | {:.0} | {memory:.1} |",
-            line.part, line.mechanism, line.cpu, line.bytes
-        );
+        let values = [line.cpu, line.bytes, line.crossing, line.memory];
+        row(&line.part, line.module, values);
+        sum = std::array::from_fn(|index| sum[index] + values[index]);
     }
-    let sum = |get: fn(&BudgetLine) -> f64| lines.iter().map(get).sum::<f64>();
-    let (cpu, bytes, memory) = (sum(|line| line.cpu), sum(|line| line.bytes), sum(|line| line.memory));
-    let _ = writeln!(text, "| sum | | {cpu:.0} | {bytes:.0} | {:.1} |", memory / 1e6);
-    let _ = writeln!(text, "| limit | | {CPU_LIMIT:.0} | {BYTES_LIMIT:.0} | {:.1} |", MEMORY_LIMIT / 1e6);
-    let _ = writeln!(
-        text,
-        "| margin | | {:.0} | {:.0} | {:.1} |",
-        CPU_LIMIT - cpu,
-        BYTES_LIMIT - bytes,
-        (MEMORY_LIMIT - memory) / 1e6
-    );
+    row("sum", "", sum);
+    row("limit", "", [CPU_LIMIT, BYTES_LIMIT, BYTES_LIMIT, MEMORY_LIMIT]);
+    let margin = [CPU_LIMIT - sum[0], BYTES_LIMIT - sum[1], BYTES_LIMIT - sum[2], MEMORY_LIMIT - sum[3]];
+    row("margin", "", margin);
     text
 }
 
-fn lines(points: &[MeasuredPoint]) -> Vec<BudgetLine> {
-    let fit = |scenario: &str, metric: &str| {
-        SlopeFit::new(&report::values(points, scenario, metric)).unwrap_or(SlopeFit {
-            slope: 0.0,
-            base: 0.0,
-            error: 0.0,
-        })
-    };
-    let per_unit = |scenario: &str, metric: &str| fit(scenario, metric).slope;
-    let syncs = MEASURED_INTERVAL / SYNC_INTERVAL * WORKERS / PROCESSES;
-    // The list travels with every poll, so its slope is part of the slope of workers.
-    let list_cpu = per_unit("listed_vms", "cpu_us_per_s");
-    let job_rate = JOBS / DAY;
-    let log_per_job = per_unit("jobs_per_s", "log_bytes_per_s");
-    let cpu_per_job = per_unit("jobs_per_s", "cpu_us_per_s");
-    let change_bytes = bundle_bytes() * CHANGES / DAY;
-    vec![
+/// The fitted slopes of the measured points.
+struct SlopeTable<'a>(&'a [MeasuredPoint]);
+
+impl SlopeTable<'_> {
+    fn fit(&self, scenario: &str, metric: &str) -> SlopeFit {
+        let none = SlopeFit { slope: 0.0, base: 0.0, error: 0.0 };
+        SlopeFit::new(&report::values(self.0, scenario, metric)).unwrap_or(none)
+    }
+
+    /// Returns the value at zero units; below zero it is noise and counts as zero.
+    fn base(&self, scenario: &str, metric: &str) -> f64 {
+        self.fit(scenario, metric).base.max(0.0)
+    }
+
+    /// Returns the growth for each unit; below zero it is noise and counts as zero.
+    fn per_unit(&self, scenario: &str, metric: &str) -> f64 {
+        self.fit(scenario, metric).slope.max(0.0)
+    }
+}
+
+fn lines(points: &[MeasuredPoint], size: &DesignSize) -> Vec<BudgetLine> {
+    let slopes = SlopeTable(points);
+    let mut lines = Vec::from(worker_lines(&slopes, size));
+    lines.extend(list_lines(&slopes, size));
+    lines.extend(process_lines(&slopes, size));
+    lines
+}
+
+/// Returns the lines of workers; their owner is in their region, so none of the bytes crosses regions.
+fn worker_lines(slopes: &SlopeTable<'_>, size: &DesignSize) -> [BudgetLine; 3] {
+    let syncs_per_worker = slopes.per_unit("workers", "syncs_per_s").max(f64::MIN_POSITIVE);
+    // Each worker is on the list, so the slope of the list is part of the slope of workers.
+    let list_cpu = slopes.per_unit("listed_vms", "cpu_us_per_s");
+    let cpu = (slopes.per_unit("workers", "cpu_us_per_s") - list_cpu).max(0.0) / syncs_per_worker;
+    let bytes = slopes.per_unit("workers", "worker_bytes_per_s") / syncs_per_worker;
+    let (workers, running) = (size.workers / size.processes, size.running / size.processes);
+    let syncs = workers / size.timing().longest().as_secs_f64();
+    let follow_up = size.jobs / DAY / size.processes * size.syncs_after_start();
+    [
         BudgetLine {
-            part: "idle process",
-            mechanism: "all tasks, no workers",
-            cpu: fit("listed_vms", "cpu_us_per_s").base,
-            bytes: 0.0,
-            memory: fit("listed_vms", "resident_bytes").base,
+            part: format!("{syncs:.1} syncs/s of {bytes:.0} bytes"),
+            module: "`tasks::worker`, `kernel::SyncTiming`",
+            cpu: cpu * syncs,
+            bytes: bytes * syncs,
+            crossing: 0.0,
+            memory: slopes.per_unit("workers", "resident_bytes") * workers,
+        },
+        BudgetLine {
+            part: format!("{follow_up:.1} syncs/s after starts"),
+            module: "`kernel::SyncTiming`",
+            cpu: cpu * follow_up,
+            bytes: bytes * follow_up,
+            crossing: 0.0,
+            memory: 0.0,
         },
         BudgetLine {
-            part: "worker syncs",
-            mechanism: "`tasks::worker`, every 10 s",
-            cpu: (per_unit("workers", "cpu_us_per_s") - list_cpu) * syncs,
-            bytes: per_unit("workers", "worker_bytes_per_s") * syncs,
-            memory: per_unit("workers", "resident_bytes") * WORKERS / PROCESSES,
+            part: "running tasks in reports".into(),
+            module: "`plugins::worker_http`, `kernel::FleetView`",
+            cpu: slopes.per_unit("running_tasks", "cpu_us_per_s") * running,
+            bytes: slopes.per_unit("running_tasks", "worker_bytes_per_s") * running,
+            crossing: 0.0,
+            memory: slopes.per_unit("running_tasks", "resident_bytes") * running,
         },
+    ]
+}
+
+fn list_lines(slopes: &SlopeTable<'_>, size: &DesignSize) -> [BudgetLine; 2] {
+    let changes = size.list_changes / DAY;
+    [
         BudgetLine {
-            part: "VM list",
-            mechanism: "`tasks::directory`, conditional read every 1 s, nothing changed",
-            cpu: list_cpu * LISTED,
-            bytes: per_unit("listed_vms", "directory_bytes_per_s") * LISTED,
-            memory: per_unit("listed_vms", "resident_bytes") * LISTED,
+            part: "VM list, unchanged".into(),
+            module: "`tasks::directory`, `plugins::directory_http`",
+            cpu: slopes.per_unit("listed_vms", "cpu_us_per_s") * size.listed,
+            bytes: slopes.base("listed_vms", "directory_bytes_per_s"),
+            crossing: 0.0,
+            memory: slopes.per_unit("listed_vms", "resident_bytes") * size.listed,
         },
         BudgetLine {
-            part: "heartbeats",
-            mechanism: "`tasks::peer`, every 1 s to 8 peers",
-            cpu: per_unit("processes", "cpu_us_per_s") * (PROCESSES - 1.0),
-            bytes: per_unit("processes", "peer_bytes_per_s") * (PROCESSES - 1.0),
+            part: format!("VM list, {} changes a day", size.list_changes),
+            module: "`tasks::vm_list`",
+            // A change is read with the next poll and costs more with a longer list.
+            cpu: slopes.per_unit("list_changes_per_s", "cpu_us_per_s") * changes * size.listed / CHANGED_LIST,
+            bytes: slopes.per_unit("list_changes_per_s", "directory_bytes_per_s") * changes,
+            crossing: 0.0,
+            memory: 0.0,
+        },
+    ]
+}
+
+fn process_lines(slopes: &SlopeTable<'_>, size: &DesignSize) -> [BudgetLine; 5] {
+    let (peers, job_rate) = (size.processes - 1.0, size.jobs / DAY);
+    let peer_bytes = slopes.per_unit("processes", "peer_bytes_per_s") * peers;
+    let log_idle = slopes.per_unit("processes", "log_bytes_per_s");
+    let job_log = slopes.per_unit("jobs_per_s", "log_bytes_per_s") * job_rate;
+    let job_syncs = slopes.per_unit("jobs_per_s", "worker_bytes_per_s") * job_rate / size.processes;
+    let bundles = bundle_bytes() * size.configurations / DAY;
+    [
+        BudgetLine {
+            part: "idle process".into(),
+            module: "all tasks",
+            cpu: slopes.base("listed_vms", "cpu_us_per_s"),
+            bytes: 0.0,
+            crossing: 0.0,
+            memory: slopes.base("listed_vms", "resident_bytes"),
+        },
+        BudgetLine {
+            part: format!("heartbeats with {peers} peers"),
+            module: "`tasks::peer`, `kernel::PeerView`",
+            cpu: slopes.per_unit("processes", "cpu_us_per_s") * peers,
+            bytes: peer_bytes,
+            crossing: peer_bytes * size.remote_part(),
+            memory: 0.0,
+        },
+        BudgetLine {
+            part: "log tail, idle; CPU in the idle process".into(),
+            module: "`tasks::journal`",
+            cpu: 0.0,
+            bytes: log_idle,
+            crossing: log_idle,
             memory: 0.0,
         },
         BudgetLine {
-            part: "jobs, day's mean",
-            mechanism: "`tasks::gate`, `tasks::journal`, `tasks::scheduler`",
-            cpu: cpu_per_job * job_rate,
-            bytes: log_per_job * job_rate,
-            memory: per_unit("waiting_jobs", "resident_bytes") * TASKS,
+            part: format!("{job_rate:.2} jobs/s, mean of the day; {} open", size.open_jobs),
+            module: "`tasks::gate`, `tasks::journal`, `kernel::ShardScheduler`",
+            cpu: slopes.per_unit("jobs_per_s", "cpu_us_per_s") * job_rate,
+            bytes: job_log + job_syncs,
+            crossing: job_log,
+            memory: slopes.per_unit("waiting_jobs", "resident_bytes") * size.open_jobs,
         },
         BudgetLine {
-            part: "bundles",
-            mechanism: "`kernel::LedgerState`, 5,300 a day",
+            part: format!("{} bundles a day; CPU not measured", size.configurations),
+            module: "`kernel::LedgerState`, `plugins::bundle_toml`",
             cpu: 0.0,
-            bytes: change_bytes,
+            bytes: bundles,
+            crossing: bundles,
             memory: 0.0,
         },
     ]
@@ -140,16 +281,17 @@
 
 /// Returns what a burst at the peak adds to one process, as one line.
 #[must_use]
-pub fn peak(points: &[MeasuredPoint]) -> String {
+pub fn peak(points: &[MeasuredPoint], size: &DesignSize) -> String {
     let per_job = |metric: &str| {
         SlopeFit::new(&report::values(points, "jobs_per_s", metric)).map_or(0.0, |fit| fit.slope)
     };
-    let cpu = per_job("cpu_us_per_s") * PEAK_STARTS / PROCESSES;
-    let bytes = per_job("log_bytes_per_s") * PEAK_STARTS;
-    let work = per_job("worker_bytes_per_s") * PEAK_STARTS / PROCESSES;
+    let cpu = per_job("cpu_us_per_s") * size.peak_starts / size.processes;
+    let bytes = per_job("log_bytes_per_s") * size.peak_starts;
+    let work = per_job("worker_bytes_per_s") * size.peak_starts / size.processes;
     format!(
-        "At {PEAK_STARTS} starts/s, one task a job, one of {PROCESSES} processes adds {cpu:.0} µs/s, {bytes:.0} \
-         bytes/s of the log and {work:.0} bytes/s to workers.\n"
+        "At {} starts/s, one task a job, one of {} processes adds {cpu:.0} µs/s, {bytes:.0} bytes/s of the log and \
+         {work:.0} bytes/s to workers.\n",
+        size.peak_starts, size.processes
     )
 }
 
--- a/capacity/src/main.rs
+++ b/capacity/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use godwithaven_capacity::budget::DesignSize;
 use godwithaven_capacity::platform::StepResult;
 use godwithaven_capacity::scenario::ScenarioPlan;
 use godwithaven_capacity::{budget, report};
@@ -28,6 +29,16 @@
             optional --requests requests: String
             /// Waiting jobs, comma-separated.
             optional --waiting waiting: String
+            /// Running tasks, comma-separated.
+            optional --running running: String
+            /// Changes of the VM list a second, comma-separated.
+            optional --changes changes: String
+            /// Entry processes in the budget.
+            optional --budget-processes budget_processes: f64
+            /// Workers in the budget.
+            optional --budget-workers budget_workers: f64
+            /// Lease of a worker in the budget in seconds.
+            optional --budget-lease budget_lease: f64
             /// Folder for points.csv and the plots.
             optional --out out: PathBuf
         }
@@ -58,11 +69,18 @@
         jobs: numbers(flags.jobs, "20,50,100")?,
         requests: numbers(flags.requests, "100,200,400")?,
         waiting: numbers(flags.waiting, "0,1000,3000")?,
+        running: numbers(flags.running, "0,1000,3000")?,
+        changes: numbers(flags.changes, "0,1,2,4")?,
     };
+    let mut size = DesignSize::default();
+    size.processes = flags.budget_processes.unwrap_or(size.processes);
+    size.workers = flags.budget_workers.unwrap_or(size.workers);
+    size.lease = flags.budget_lease.unwrap_or(size.lease);
     let points = plan.run().await?;
     println!("{}", report::fits(&points));
-    println!("{}", budget::table(&points));
-    println!("{}", budget::peak(&points));
+    println!("{}", budget::table(&points, &size));
+    println!("{}", budget::table(&points, &DesignSize { processes: 4.0 * size.processes, ..size }));
+    println!("{}", budget::peak(&points, &size));
     println!("{}", budget::records());
     if let Some(out) = flags.out {
         std::fs::create_dir_all(&out)?;
--- a/capacity/src/platform.rs
+++ b/capacity/src/platform.rs
@@ -142,6 +142,14 @@
         self.token.cancel();
     }
 
+    /// Replaces a VM of no concern on the list by another one.
+    pub fn replace_vm(&self, index: usize) {
+        self.world.directory.change(|list| {
+            list.retain(|vm| vm.vm != other_vm(index).vm);
+            list.push(ListedVm { vm: format!("worker-new-{index}"), ..other_vm(index) });
+        });
+    }
+
     fn list_vms(&self, shape: &PlatformShape) {
         let workers = self.workers.address.to_string();
         self.world.directory.change(|list| {
--- a/capacity/src/scenario.rs
+++ b/capacity/src/scenario.rs
@@ -59,6 +59,10 @@
     pub requests: Vec<usize>,
     /// Waiting jobs.
     pub waiting: Vec<usize>,
+    /// Running tasks.
+    pub running: Vec<usize>,
+    /// Changes of the VM list a second.
+    pub changes: Vec<usize>,
 }
 
 impl ScenarioPlan {
@@ -86,7 +90,13 @@
         }
         points.extend(measure_hop().await?);
         for &jobs in &self.waiting {
-            points.extend(self.measure_waiting(jobs).await?);
+            points.extend(self.measure_held("waiting_jobs", jobs, 1_000).await?);
+        }
+        for &jobs in &self.running {
+            points.extend(self.measure_held("running_tasks", jobs, 100_000_000).await?);
+        }
+        for &rate in &self.changes {
+            points.extend(self.measure_changes(rate).await?);
         }
         Ok(points)
     }
@@ -164,8 +174,14 @@
         Ok(vec![point("requests_per_s", rate, "cpu_us_per_s", used.cpu_us / used.seconds)])
     }
 
-    async fn measure_waiting(&self, jobs: usize) -> StepResult<Vec<MeasuredPoint>> {
-        let shape = PlatformShape { workers: 79, team_cores: 1_000, ..PlatformShape::default() };
+    /// Measures long jobs of one task each that wait or run, depending on what their team may use.
+    async fn measure_held(
+        &self,
+        scenario: &'static str,
+        jobs: usize,
+        team_cores: u64,
+    ) -> StepResult<Vec<MeasuredPoint>> {
+        let shape = PlatformShape { workers: 79, team_cores, ..PlatformShape::default() };
         let platform = CapacityPlatform::start(&shape).await?;
         let client = awc::Client::builder().timeout(Duration::from_secs(30)).finish();
         for chunk in (0..jobs).collect::<Vec<_>>().chunks(100) {
@@ -175,8 +191,43 @@
         tokio::time::sleep(SETTLE).await;
         let used = window(&platform, self.window, std::future::ready(())).await?;
         platform.stop();
-        let point = |metric, value| point("waiting_jobs", jobs, metric, value);
-        Ok(vec![point("resident_bytes", used.resident), point("cpu_us_per_s", used.cpu_us / used.seconds)])
+        let point = |metric, value| point(scenario, jobs, metric, value);
+        Ok(vec![
+            point("resident_bytes", used.resident),
+            point("cpu_us_per_s", used.cpu_us / used.seconds),
+            point("worker_bytes_per_s", used.worker_bytes / used.seconds),
+            point("syncs_per_s", used.syncs / used.seconds),
+        ])
+    }
+
+    /// Measures changes of a list of 4,000 VMs.
+    async fn measure_changes(&self, rate: usize) -> StepResult<Vec<MeasuredPoint>> {
+        let shape = PlatformShape { other_vms: 4_000, ..PlatformShape::default() };
+        let platform = CapacityPlatform::start(&shape).await?;
+        tokio::time::sleep(SETTLE).await;
+        let used = window(&platform, self.window, change_list(&platform, rate, self.window)).await?;
+        platform.stop();
+        let point = |metric, value| point("list_changes_per_s", rate, metric, value);
+        Ok(vec![
+            point("cpu_us_per_s", used.cpu_us / used.seconds),
+            point("directory_bytes_per_s", used.directory_bytes / used.seconds),
+        ])
+    }
+}
+
+/// Replaces one worker of no concern after another.
+async fn change_list(platform: &CapacityPlatform, rate: usize, length: Duration) {
+    let Some(pause) = u32::try_from(rate).ok().and_then(|rate| Duration::from_secs(1).checked_div(rate))
+    else {
+        return;
+    };
+    let end = Instant::now() + length;
+    let mut tick = tokio::time::interval(pause);
+    let mut number = 0;
+    while Instant::now() < end {
+        tick.tick().await;
+        platform.replace_vm(number);
+        number += 1;
     }
 }
 
