Call the routers every 10 ms only while a request is open

Cause: the router task woke up 100 times a second in an idle process.

Change: kernel::RouteTimer gives the due time of the next call: 10 ms after the last while a request, a lost partition or a drain is open, else 250 ms, for ejected endpoints and kept answers. The due time is asked for after each message.

--- a/src/tasks/router.rs
+++ b/src/tasks/router.rs
@@ -6,7 +6,8 @@
 use crate::clock::unix_ms;
 use crate::kernel::{
     EndpointVm, FrontReply, IntentFault, LedgerChange, PluginRegistry, RefusalReason, RouteEffect,
-    RouteEvent, RouteFailure, RouteRequest, RouteTeam, ServiceRouter, ShardClaim, TeamPolicy, TeamRefusal,
+    RouteEvent, RouteFailure, RouteRequest, RouteTeam, RouteTimer, ServiceRouter, ShardClaim, TeamPolicy,
+    TeamRefusal,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -17,8 +18,6 @@
 use crate::tasks::partition::OwnedPartition;
 pub use crate::tasks::router_message::{AttemptResult, CheckedCall, RoutedCall, RouterMessage};
 
-/// Time between ticks of the routers.
-const TICK: Duration = Duration::from_millis(10);
 /// State of the router task.
 pub struct RouterTask {
     process: ProcessId,
@@ -64,13 +63,16 @@
 
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<RouterMessage>, token: CancellationToken) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut timer = RouteTimer::new(Instant::now());
         loop {
+            let due = timer.due(!self.is_idle());
             tokio::select! {
                 () = token.cancelled() => return,
                 Some(message) = inbox.recv() => self.handle(message, &token).await,
-                _ = tick.tick() => self.tick().await,
+                () = tokio::time::sleep_until(due.into()) => {
+                    self.tick().await;
+                    timer = RouteTimer::new(Instant::now());
+                }
             }
         }
     }
@@ -112,6 +114,12 @@
         }
     }
 
+    /// Whether nothing waits for a call soon.
+    fn is_idle(&self) -> bool {
+        let partitions = self.partitions.values().all(OwnedPartition::is_idle);
+        partitions && self.lost.is_empty() && self.draining.is_empty()
+    }
+
     async fn tick(&mut self) {
         for shard in self.owned() {
             let deserted = self.partitions.get_mut(&shard).map(OwnedPartition::deserted);
