Claim worker shards in the region of the process first

Cause: owners were picked among all processes, so worker syncs crossed regions.

Change: worker shards of a region are divided among the live processes that the VM list shows in it, and among all only if there are none; the bound of 5/4 of the mean holds within each.

Conclusion: syncs stay in the region while it has an entry process.

--- a/src/kernel/peer_view.rs
+++ b/src/kernel/peer_view.rs
@@ -38,7 +38,8 @@
 pub struct PeerView {
     process: ProcessId,
     peers: FastMap<ProcessId, PeerState>,
-    listed: Option<Vec<VmId>>,
+    /// Regions of the other listed entry VMs.
+    listed: Option<FastMap<VmId, RegionId>>,
     claims: FastMap<ShardId, ShardClaim>,
     asked: FastMap<ShardId, FencingToken>,
     started: Instant,
@@ -50,6 +51,8 @@
     own_read: Instant,
     /// Version of the bundle in force in this process.
     pub version: BundleVersion,
+    /// Region of this process, once the VM list shows it.
+    pub region: Option<RegionId>,
     /// How far this process is on its way out.
     pub stage: LeaveStage,
 }
@@ -88,6 +91,7 @@
             read: None,
             own_read: now,
             version: 0,
+            region: None,
             stage: LeaveStage::Staying,
         }
     }
@@ -138,11 +142,18 @@
         self.claims.insert(shard, claim);
     }
 
-    /// Notes the other entry VMs that the VM list shows as live.
-    pub fn note_listed(&mut self, vms: Vec<VmId>) {
+    /// Notes the other entry VMs that the VM list shows as live, with their regions.
+    pub fn note_listed(&mut self, vms: FastMap<VmId, RegionId>) {
         self.listed = Some(vms);
     }
 
+    fn region(&self, process: &ProcessId) -> Option<&RegionId> {
+        if *process == self.process {
+            return self.region.as_ref();
+        }
+        self.listed.as_ref()?.get(self.peers.get(process)?.vm.as_ref()?)
+    }
+
     /// Notes a read of the log that was started at `started` and reached its end if `caught_up`.
     pub fn note_read(&mut self, started: Instant, caught_up: bool) {
         self.read = self.read.max(Some(started));
@@ -193,7 +204,7 @@
             return Vec::new();
         }
         let candidates = self.live(now);
-        let owners = shard_assignment::divide(shards, &candidates);
+        let owners = shard_assignment::divide(shards, &candidates, |process| self.region(process));
         let mut records = self.takeovers(shards, &owners, now);
         records.extend(self.hand_overs(shards, &owners, now));
         records.truncate(MAX_CLAIMS);
@@ -286,7 +297,7 @@
     /// Returns until when every listed process counts as heard, if all were heard and none has a newer bundle.
     fn heard_all_until(&self, now: Instant) -> Option<Instant> {
         let mut until = now + SUSPECT_AFTER;
-        for vm in self.listed.as_ref()? {
+        for vm in self.listed.as_ref()?.keys() {
             let states = self.peers.values().filter(|state| state.vm.as_ref() == Some(vm));
             let (asked, vouches) = states.filter_map(|state| state.answered).max()?;
             if !vouches {
@@ -356,7 +367,7 @@
         let recent =
             |at: Option<Instant>, time| at.is_some_and(|at| now.saturating_duration_since(at) < time);
         let missed = |state: &PeerState| !recent(state.heard, SUSPECT_AFTER / 2);
-        let unheard = self.listed.iter().flatten().any(|vm| {
+        let unheard = self.listed.iter().flat_map(FastMap::keys).any(|vm| {
             let mut states = self.peers.values().filter(|state| state.vm.as_ref() == Some(vm));
             states.all(missed)
         });
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -204,7 +204,9 @@
     fn connect(&mut self, entries: Vec<EntryVm>) {
         let listed: FastSet<VmId> = entries.iter().map(|entry| entry.vm.clone()).collect();
         let others = entries.iter().filter(|entry| entry.vm != self.vm && !entry.leaving);
-        self.view.note_listed(others.map(|entry| entry.vm.clone()).collect());
+        self.view.note_listed(others.map(|entry| (entry.vm.clone(), entry.region.clone())).collect());
+        let own = entries.iter().find(|entry| entry.vm == self.vm);
+        self.view.region = own.map(|entry| entry.region.clone()).or(self.view.region.take());
         self.clients.retain(|vm, _| listed.contains(vm));
         for entry in entries.into_iter().filter(|entry| entry.vm != self.vm) {
             let same = self.clients.get(&entry.vm).is_some_and(|(address, _)| *address == entry.address);
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cluster::{Cluster, STEP};
+use godwithaven::kernel::ShardClaim;
 use googletest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -39,6 +40,33 @@
     expect_that!(cluster.appended, le(80));
 }
 
+/// Guards against syncs that cross regions: 16 shards in each of 4 regions, of which `r3` has no process.
+#[gtest]
+fn owners_are_in_the_region_of_their_shards_while_it_has_processes() {
+    // Arrange
+    let regions = vec!["r0", "r0", "r0", "r1", "r1", "r1", "r2", "r2"];
+    let mut cluster = Cluster::in_regions(8, 64, regions.clone());
+    cluster.run(20 * SECOND);
+    let remote = |cluster: &Cluster| {
+        let owner = |claim: &ShardClaim| claim.process[6..7].parse::<usize>().unwrap();
+        let away = |region: &str, claim| region != "r3" && regions[owner(claim)] != region;
+        cluster.ledger.claims.iter().filter(|(shard, claim)| away(&shard[..2], claim)).count()
+    };
+
+    // Act
+    let at_first = remote(&cluster);
+    cluster.members[6].up = false;
+    cluster.run(20 * SECOND);
+    let with_one = remote(&cluster);
+    cluster.members[7].up = false;
+    cluster.run(20 * SECOND);
+
+    // Assert: without a process of its own, `r2` is served from elsewhere.
+    expect_that!((at_first, with_one, remote(&cluster)), eq((0, 0, 16)));
+    expect_true!(cluster.served());
+    expect_that!(cluster.owned().values().max(), some(le(&14)));
+}
+
 #[gtest]
 fn a_killed_owner_is_replaced_within_five_seconds() {
     // Arrange
