--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -87,6 +87,8 @@
     pub stamp: Option<WorkerStamp>,
     /// Commands since the last answered sync.
     pub commands: Vec<WorkerCommand>,
+    /// Revision of the list of running tasks that the last answer gave, if the worker gives revisions.
+    pub known: Option<ReportRevision>,
 }
 
 /// Answer of a worker to an accepted sync.
@@ -98,6 +100,8 @@
     pub stamp: Option<WorkerStamp>,
     /// Tasks that the worker did not start because the lease of the sync was over.
     pub rejected: Vec<TaskId>,
+    /// Revision of the running tasks, if the worker gives one.
+    pub revision: Option<ReportRevision>,
 }
 
 /// Result of a worker sync.
@@ -105,6 +109,8 @@
 pub enum SyncResult {
     /// The worker accepted the sync.
     Report(SyncAnswer),
+    /// The worker accepted the sync and runs what it ran at the known revision; the report names no running tasks.
+    Unchanged(SyncAnswer),
     /// The worker knows a newer owner.
     Fenced(FencingToken),
     /// No answer; the commands may have taken effect.
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -3,7 +3,8 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{WorkerCommand, WorkerReport};
+pub use crate::kernel::SyncTiming;
+use crate::kernel::{KnownRun, TaskReport, WorkerCommand, WorkerReport};
 use crate::prelude::*;
 use crate::tasks::adapter::{SyncAnswer, SyncRequest, SyncResult, WorkerAdapter, WorkerClient, WorkerStamp};
 use crate::tasks::metrics::EntryMetrics;
@@ -64,17 +65,6 @@
     pub stamp: Option<HeldStamp>,
 }
 
-/// How workers are synced.
-#[derive(Clone, Copy, Debug)]
-pub struct SyncTiming {
-    /// Time between syncs without commands.
-    pub interval: Duration,
-    /// Lease that each sync grants.
-    pub lease: Duration,
-    /// Longest time from sending a sync to its answer; the kernel counts on reports that are no older.
-    pub answer_within: Duration,
-}
-
 /// What a sync loop is told.
 enum LoopMessage {
     Command(WorkerCommand),
@@ -136,6 +126,9 @@
                     pending: Vec::new(),
                     withdrawn: Vec::new(),
                     granted_until: None,
+                    held: None,
+                    news: true,
+                    runs: FastMap::default(),
                     metrics: self.metrics.clone(),
                 };
                 actix_rt::spawn(sync.run(inbox, child.clone()));
@@ -199,6 +192,12 @@
     withdrawn: Vec<TaskId>,
     /// End of the lease that the first of the failed syncs may have granted to a worker without stamps.
     granted_until: Option<Instant>,
+    /// Running tasks of the last report and their revision, if the worker gives revisions.
+    held: Option<(ReportRevision, Vec<TaskReport>)>,
+    /// Whether the last sync failed, carried commands or told of ends, so that the next one follows soon.
+    news: bool,
+    /// Tasks that were started or reported.
+    runs: FastMap<TaskId, KnownRun>,
     metrics: EntryMetrics,
 }
 
@@ -229,7 +228,7 @@
             if token.is_cancelled() || !self.sync(&mut inbox).await {
                 return;
             }
-            let wait = if self.renewed { Duration::ZERO } else { self.timing.interval };
+            let wait = if self.renewed { Duration::ZERO } else { self.next_wait() };
             due = tokio::time::Instant::now() + wait;
         }
     }
@@ -272,11 +271,12 @@
         let commands = request.commands.clone();
         let result = self.exchange(request, inbox).await;
         let (shard, vm) = (self.shard.clone(), self.vm.clone());
-        let message = match result {
+        let message = match self.complete(result) {
             SyncResult::Report(answer) => {
                 self.count("answered");
                 self.granted_until = None;
-                let SyncAnswer { report, stamp, rejected } = answer;
+                self.note_runs(&commands, &answer.report);
+                let SyncAnswer { report, stamp, rejected, .. } = answer;
                 let refused = |command: &WorkerCommand| rejected.contains(command.task());
                 self.pending.retain(|pending| !pending.carried || refused(&pending.command));
                 let tasks = delivered(commands.into_iter().filter(|command| !refused(command)));
@@ -284,10 +284,13 @@
                 let token = self.fencing;
                 SchedulerMessage::Synced(Box::new(AnsweredSync { shard, token, vm, tasks, report, stamp }))
             }
+            // Completed above.
+            SyncResult::Unchanged(_) => return true,
             SyncResult::Unknown(fault) => {
                 self.count("unknown");
                 log::warn!(vm = &*self.vm, fault = fault.as_str(); "worker sync failed");
                 let lease = self.timing.lease;
+                self.news = true;
                 self.granted_until.get_or_insert_with(|| Instant::now() + lease);
                 SchedulerMessage::Silent(shard, self.fencing, vm)
             }
@@ -313,7 +316,50 @@
         let carried = self.pending.iter().filter(|pending| pending.carried);
         let commands = carried.map(|pending| pending.command.clone()).collect();
         let lease = if starts { self.grant() } else { Duration::ZERO };
-        SyncRequest { vm: self.vm.clone(), token: self.fencing, lease, stamp, commands }
+        let known = self.held.as_ref().map(|(revision, _)| *revision);
+        SyncRequest { vm: self.vm.clone(), token: self.fencing, lease, stamp, commands, known }
+    }
+
+    fn next_wait(&self) -> Duration {
+        if self.news {
+            return self.timing.interval;
+        }
+        self.timing.next(self.runs.values().copied(), Instant::now())
+    }
+
+    /// Notes what runs, with the run times of the tasks that were started here.
+    fn note_runs(&mut self, commands: &[WorkerCommand], report: &WorkerReport) {
+        self.news = !commands.is_empty() || !report.ended.is_empty();
+        let now = Instant::now();
+        let running: FastSet<&TaskId> = report.running.iter().map(|task| &task.task).collect();
+        self.runs.retain(|task, _| running.contains(task));
+        for task in running {
+            let unknown = KnownRun { since: now, run_time: None };
+            self.runs.entry(task.clone()).or_insert(unknown);
+        }
+        for command in commands {
+            if let WorkerCommand::Start { task, run_time, .. } = command
+                && let Some(run) = self.runs.get_mut(task)
+            {
+                run.run_time = *run_time;
+            }
+        }
+    }
+
+    /// Fills in the running tasks of a report that says that they are the known ones.
+    fn complete(&mut self, result: SyncResult) -> SyncResult {
+        match (result, &mut self.held) {
+            (SyncResult::Unchanged(mut answer), Some((_, running))) => {
+                answer.report.running.clone_from(running);
+                SyncResult::Report(answer)
+            }
+            (SyncResult::Unchanged(_), None) => SyncResult::Unknown("no running tasks are known".into()),
+            (SyncResult::Report(answer), held) => {
+                *held = answer.revision.map(|revision| (revision, answer.report.running.clone()));
+                SyncResult::Report(answer)
+            }
+            (result, _) => result,
+        }
     }
 
     /// Sends a sync and takes messages until it is answered or the time for the answer is over.
@@ -333,7 +379,9 @@
         };
         match result {
             // This process may have been paused while the answer waited in its socket.
-            SyncResult::Report(_) if sent_at.elapsed() > within => SyncResult::Unknown("late answer".into()),
+            SyncResult::Report(_) | SyncResult::Unchanged(_) if sent_at.elapsed() > within => {
+                SyncResult::Unknown("late answer".into())
+            }
             result => result,
         }
     }
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -1,7 +1,7 @@
 //! Workers with leases, fencing tokens and lagging usage reports; one server stands for many.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
@@ -40,6 +40,7 @@
     commands: Vec<CommandBody>,
     #[serde(default)]
     acknowledge: Vec<String>,
+    known: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -98,6 +99,8 @@
     faults: WorkerFaults,
     /// Syncs that arrived while the worker was paused, oldest first.
     buffered: Vec<(SyncBody, SyncReply)>,
+    /// Changes with the list of running tasks; 0 before the first sync.
+    revision: u64,
 }
 
 /// A running server of workers.
@@ -221,6 +224,7 @@
             known: FxHashSet::default(),
             faults: WorkerFaults::default(),
             buffered: Vec::new(),
+            revision: 0,
         }
     }
 
@@ -261,6 +265,7 @@
         records: &mut Vec<WorkRecord>,
     ) {
         if self.running.remove(task).is_some() {
+            self.revision += 1;
             records.push(WorkRecord::new(vm, task, WorkEvent::Ended(end.into())));
             self.ended.insert(task.into(), (end, result));
         }
@@ -293,6 +298,11 @@
         let holds = granted.is_some_and(|end| end > Instant::now());
         self.lease_end = self.lease_end.max(granted);
         let mut rejected = Vec::new();
+        if self.revision == 0 {
+            // No revision of an earlier life of the worker must come again.
+            let age = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+            self.revision = u64::try_from(age.as_millis()).unwrap_or(1);
+        }
         for task in &sync.acknowledge {
             self.ended.remove(task);
         }
@@ -304,10 +314,11 @@
                 command => self.carry_out(vm, command, records),
             }
         }
-        (StatusCode::OK, self.report(&rejected))
+        (StatusCode::OK, self.report(sync.known, &rejected))
     }
 
     fn carry_out(&mut self, vm: &str, command: CommandBody, records: &mut Vec<WorkRecord>) {
+        self.revision += 1;
         match command {
             CommandBody::Start { task, team, cores_milli, memory_mib, accelerators, run_ms } => {
                 // A repeated start must not run the task again.
@@ -345,7 +356,7 @@
         }
     }
 
-    fn report(&self, rejected: &[String]) -> Value {
+    fn report(&self, known: Option<u64>, rejected: &[String]) -> Value {
         let running = self.running.iter().map(|(task, running)| {
             json!({
                 "task": task,
@@ -362,10 +373,19 @@
             .ended
             .iter()
             .map(|(task, (end, result))| json!({ "task": task, "end": end, "result": result }));
+        if known == Some(self.revision) && self.ended.is_empty() {
+            let unchanged = self.revision;
+            let mut reply = json!({ "token": self.token, "stamp": self.stamp(), "unchanged": unchanged });
+            if !rejected.is_empty() {
+                reply["rejected"] = json!(rejected);
+            }
+            return reply;
+        }
         json!({
             "token": self.token,
             "stamp": self.stamp(),
             "rejected": rejected,
+            "revision": self.revision,
             "running": running.collect::<Vec<Value>>(),
             "ended": ended.collect::<Vec<Value>>(),
         })
--- a/tests/coordination_lease.rs
+++ b/tests/coordination_lease.rs
@@ -168,7 +168,7 @@
     let tasks = bench.renew_until_delivered(&rejected).await;
 
     // Assert
-    expect_that!((rejected.tasks.len(), early.len()), eq((0, 0)));
+    expect_that!((rejected.tasks.len(), early.len(), tasks.len()), eq((0, 0, 1)));
     expect_that!(bench.workers.running().await.len(), eq(1));
     bench.token.cancel();
 }
