--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -77,13 +77,21 @@
     slow_service "slow-service.md"
 }
 
-/// Guards against a page that is not run.
+/// Guards against a page that is not run, and against alarms on metrics that do not exist.
 #[gtest]
-fn every_page_is_run() {
-    let source = fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/pages.rs")).unwrap();
+fn every_page_is_run_and_names_metrics_that_exist() {
+    let read = |file: &str| fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(file)).unwrap();
+    let (source, metrics) = (read("tests/pages.rs"), read("../src/tasks/metrics.rs"));
     let pages = fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations")).unwrap();
     for page in pages {
         let name = page.unwrap().file_name().into_string().unwrap();
+        let text = read(&format!("../docs/operations/{name}"));
+        let parts = text.split(|letter: char| !letter.is_ascii_alphanumeric() && letter != '_');
+        for metric in parts.filter(|part| part.starts_with("godwithaven_")) {
+            let family = ["_bucket", "_sum", "_count"].iter().find_map(|end| metric.strip_suffix(end));
+            let known = metrics.contains(&format!("\"{}\"", family.unwrap_or(metric)));
+            expect_that!(known, eq(true), "{name} names {metric}");
+        }
         expect_that!(source, contains_substring(format!(" \"{name}\"\n")));
     }
 }
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -202,6 +202,8 @@
         match self.claims.get(&call.shard) {
             None => {
                 let refusal = TeamRefusal::not_run(RefusalReason::NoOwner, "no process owns the service yet");
+                log_refusal(&call.team, &call.request, &refusal);
+                self.metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
                 let _ = call.reply.send(FrontReply::Refused(refusal));
             }
             Some(claim) if claim.process == self.process => {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -116,6 +116,12 @@
     for entry in ENTRY_SETTINGS {
         expect_that!(help.1, contains_substring(entry.variable));
     }
+    let readme = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/README.md")).unwrap();
+    expect_that!(
+        readme,
+        contains_substring(help.1.as_str()),
+        "the options in README.md are not those of --help"
+    );
     expect_that!(help.1, contains_substring("shortest time between two appends of this process"));
     expect_that!(version.1, starts_with("godwithaven-entry "));
     expect_that!((missing.0, missing.1.as_str()), eq((Some(2), "")));
