Test that a restarted worker starts nothing under an old stamp

A stamp names the incarnation of the worker, but no test restarted one. The stand-in can now restart a worker. The tests of leases handle every answer as the scheduler does until a start is delivered, so a slow machine cannot leave them with an expired stamp.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -70,6 +70,7 @@
 enum WorkerMessage {
     Sync(String, SyncBody, SyncReply),
     Faults(String, WorkerFaults),
+    Restart(String),
     Records(oneshot::Sender<Vec<WorkRecord>>),
     Running(oneshot::Sender<Vec<(String, String)>>),
 }
@@ -127,6 +128,11 @@
         let _ = self.inbox.send(WorkerMessage::Faults(vm.into(), faults)).await;
     }
 
+    /// Restarts one worker: it forgets everything, and its tasks end.
+    pub async fn restart(&self, vm: &str) {
+        let _ = self.inbox.send(WorkerMessage::Restart(vm.into())).await;
+    }
+
     /// Returns what the workers saw, in order.
     pub async fn records(&self) -> Vec<WorkRecord> {
         let (reply, records) = oneshot::channel();
@@ -181,6 +187,14 @@
                     worker.faults = faults;
                     worker.read_syncs(&vm, &mut records);
                 }
+                WorkerMessage::Restart(vm) => {
+                    if let Some(worker) = workers.get_mut(&vm) {
+                        for task in worker.running.keys() {
+                            records.push(WorkRecord::new(&vm, task, WorkEvent::Ended("restarted".into())));
+                        }
+                        *worker = FakeWorker::new(worker.incarnation + 1);
+                    }
+                }
                 WorkerMessage::Records(reply) => {
                     let _ = reply.send(records.clone());
                 }
--- a/tests/coordination_lease.rs
+++ b/tests/coordination_lease.rs
@@ -1,6 +1,7 @@
 //! Guards against leases and starts that outlive what the scheduler believes of a worker.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use godwithaven::kernel::{ResourceVector, WorkerCommand};
@@ -67,6 +68,18 @@
         self.tell.send(WorkerMessage::Renew("w".into(), stamp)).await.unwrap();
     }
 
+    /// Handles answers as the scheduler does until one delivers commands; returns their tasks.
+    async fn renew_until_delivered(&mut self, first: &AnsweredSync) -> Vec<Arc<str>> {
+        self.renew(first).await;
+        loop {
+            let sync = self.answered().await;
+            if !sync.tasks.is_empty() {
+                return sync.tasks;
+            }
+            self.renew(&sync).await;
+        }
+    }
+
     async fn pause(&self, paused: bool) {
         self.workers.set_faults("w", WorkerFaults { paused, ..WorkerFaults::default() }).await;
     }
@@ -102,11 +115,7 @@
     let unstamped = bench.next_answered().await;
     let early = bench.workers.running().await;
     bench.command(WorkerCommand::Stop { task: "blue/given-up#0@0".into() }).await;
-    bench.renew(&unstamped).await;
-    let mut tasks = Vec::new();
-    while tasks.is_empty() {
-        tasks = bench.answered().await.tasks;
-    }
+    let tasks = bench.renew_until_delivered(&unstamped).await;
 
     // Assert
     expect_that!((unstamped.tasks.len(), early.len()), eq((0, 0)));
@@ -131,11 +140,7 @@
     bench.next_answered().await;
     let rejected = bench.next_answered().await;
     let early = bench.workers.running().await;
-    bench.renew(&rejected).await;
-    let mut tasks = Vec::new();
-    while tasks.is_empty() {
-        tasks = bench.answered().await.tasks;
-    }
+    let tasks = bench.renew_until_delivered(&rejected).await;
 
     // Assert
     expect_that!((rejected.tasks.len(), early.len()), eq((0, 0)));
@@ -144,6 +149,30 @@
     bench.token.cancel();
 }
 
+/// Guards against a start that was meant for an earlier life of the worker.
+#[gtest]
+#[actix_rt::test]
+async fn a_restarted_worker_starts_nothing_under_an_old_stamp() {
+    // Arrange
+    let mut bench = bench(worker_http()).await;
+    let before = bench.answered().await;
+    bench.renew(&before).await;
+    bench.next_answered().await;
+
+    // Act
+    bench.workers.restart("w").await;
+    bench.command(start("blue/job#0@0")).await;
+    bench.next_answered().await;
+    let rejected = bench.next_answered().await;
+    let early = bench.workers.running().await;
+    let tasks = bench.renew_until_delivered(&rejected).await;
+
+    // Assert
+    expect_that!((rejected.tasks.len(), early.len(), tasks.len()), eq((0, 0, 1)));
+    expect_that!(bench.workers.running().await.len(), eq(1));
+    bench.token.cancel();
+}
+
 /// Guards against a report that is older than the lag that the kernel allows for when it ends leases.
 #[gtest]
 #[actix_rt::test]
