Reclaim for gang jobs and divide the fleet by demand

Shares were counted without demand, so teams gave and took at the wrong level.

Change: the fair part of each team is the weighted max-min share bounded by its demand. A gang job that its team lacks half of gets tasks stopped; one above the share waits, ten minutes at most; one far above it is stopped as a whole. The budget of stops is a fifth of the running tasks a minute, at least 120.

--- a/src/kernel/fleet_view.rs
+++ b/src/kernel/fleet_view.rs
@@ -63,6 +63,14 @@
         (0u32..).zip(&self.workers).filter_map(|(slot, state)| Some((slot, state.as_ref()?)))
     }
 
+    /// Returns what the workers hold that are listed, stay and are in open zones.
+    #[must_use]
+    pub fn open_capacity(&self) -> ResourceVector {
+        let open = self.workers.iter().flatten();
+        let open = open.filter(|worker| worker.listed && worker.zone_open && !worker.vm.leaving);
+        open.map(|worker| worker.vm.capacity).fold(ResourceVector::default(), ResourceVector::plus)
+    }
+
     /// Returns the number of workers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/kernel/job_explanation.rs
+++ b/src/kernel/job_explanation.rs
@@ -49,6 +49,7 @@
     match state.queue.class_of(&job.spec).and_then(|(_, class)| class.blocked) {
         Some(WaitReason::OverLimit) => add("over_limit", waiting),
         Some(WaitReason::Reserved) => add("reserved", waiting),
+        Some(WaitReason::AboveShare) => add("above_share", waiting),
         Some(WaitReason::FitsNowhere) => {
             add("fits_nowhere", waiting);
             if gang.held().is_some_and(|held| held.job == job.spec.id) {
--- a/src/kernel/placed_task.rs
+++ b/src/kernel/placed_task.rs
@@ -97,6 +97,12 @@
         now.saturating_duration_since(self.work_since).as_secs() * self.need.cores_milli
     }
 
+    /// Whether the task may be stopped for a gang job; those of other gang jobs would leave theirs incomplete.
+    #[must_use]
+    pub fn yields_to_gang(&self) -> bool {
+        self.priority == PriorityClass::Normal && self.kind != JobKind::Gang && self.stopping.is_none()
+    }
+
     /// Whether a report of `now` that lacks the task proves that it does not run.
     #[must_use]
     pub fn absence_counts(&self, now: Instant, report_lag: Duration) -> bool {
--- a/src/kernel/placement_pass.rs
+++ b/src/kernel/placement_pass.rs
@@ -129,6 +129,10 @@
         self.gang.backfill(self.state, key.need, run_time, self.now)
     }
 
+    fn is_entitled(&self, id: &JobId) -> bool {
+        self.state.jobs.get(id).is_some_and(|job| self.gang.is_entitled(self.state, job, self.now))
+    }
+
     fn try_gang(
         &mut self,
         id: &JobId,
@@ -136,6 +140,13 @@
         together: u32,
         policy: &PlacementPolicy,
     ) -> Result<u32, WaitReason> {
+        if !self.is_entitled(id) && self.gang.defer(id, self.now) {
+            // The last division may be older than the job.
+            self.state.divide_shares();
+        }
+        if !self.is_entitled(id) {
+            return Err(WaitReason::AboveShare);
+        }
         let kept = self.gang.workers_of(id, self.state);
         let Some(slots) = self.state.fleet.choose_all(key.need, together, &kept) else {
             let Some(spec) = self.state.jobs.get(id).map(|job| job.spec.clone()) else {
@@ -147,6 +158,7 @@
         };
         let indices: Vec<u32> =
             self.state.jobs.get(id).map(|job| job.waiting.iter().copied().collect()).unwrap_or_default();
+        self.gang.note_start(id, self.now);
         for (index, slot) in indices.into_iter().zip(slots) {
             self.state.start(id, index, slot, policy.name, Vec::new(), self.now);
         }
--- a/src/kernel/reclaim_planner.rs
+++ b/src/kernel/reclaim_planner.rs
@@ -1,18 +1,26 @@
 use crate::kernel::{
-    ClassId, ClassKey, JobKind, PriorityClass, ScheduleEffect, ShardState, StopReason, WorkerCommand,
+    ClassId, ClassKey, GangReservation, JobKind, PriorityClass, ScheduleEffect, ShardState, ShareForecast,
+    StopReason, WorkerCommand,
 };
 use crate::prelude::*;
 
-/// Tasks stopped per minute to give lent capacity back.
-const STOPS_PER_MINUTE: u32 = 120;
+/// Tasks stopped per minute to give lent capacity back, at least.
+const STOPS_PER_MINUTE: usize = 120;
+/// Tasks stopped per minute to give lent capacity back: one in this many running ones.
+const STOPPED_PART: usize = 5;
 /// Tasks stopped per minute for urgent work, in addition.
-const URGENT_STOPS_PER_MINUTE: u32 = 240;
+const URGENT_STOPS_PER_MINUTE: usize = 240;
 /// Plans that are carried out at once.
 const PLANS: usize = 64;
 /// Plans for one class at once.
 const PLANS_PER_CLASS: usize = 16;
 /// Waiting classes examined in one round.
 const CLASSES: usize = 64;
+/// Part of the size of a task by which a team must be above or below its fair part to give or take one; above one
+/// half, so that two teams do not take the same capacity from each other in turn.
+const HYSTERESIS: f64 = 0.75;
+/// The same for a whole gang job: it starts from one half on, so it may run until its team has much more.
+const GANG_EXCESS: f64 = 0.6;
 /// Tasks of one team examined as victims for one plan, those with the least work first.
 const VICTIMS: usize = 32;
 /// Longest wait for checkpoints; together with the throttle and two syncs it stays below 8.5 s.
@@ -32,14 +40,18 @@
     plans: Vec<ReclaimPlan>,
     planned_at: Option<Instant>,
     minute: Option<Instant>,
-    stopped: u32,
-    urgent_stopped: u32,
+    stopped: usize,
+    urgent_stopped: usize,
+    forecast: ShareForecast,
 }
 
 #[derive(Clone, Debug)]
 struct ReclaimPlan {
     class: ClassId,
-    vm: VmId,
+    team: TeamId,
+    need: ResourceVector,
+    /// Worker that is reserved for the class; `None` if a gang job keeps the workers or is the victim.
+    vm: Option<VmId>,
     victims: Vec<TaskId>,
     step: ReclaimStep,
     since: Instant,
@@ -61,7 +73,7 @@
 
 impl ReclaimPlanner {
     /// Carries plans on and makes new ones for classes that fit nowhere.
-    pub fn advance(&mut self, state: &mut ShardState, now: Instant) {
+    pub fn advance(&mut self, state: &mut ShardState, gang: &mut GangReservation, now: Instant) {
         if self.planned_at.is_some_and(|planned_at| now < planned_at + ROUND) {
             return;
         }
@@ -69,12 +81,131 @@
         if self.minute.is_none_or(|minute| now >= minute + Duration::from_secs(60)) {
             (self.minute, self.stopped, self.urgent_stopped) = (Some(now), 0, 0);
         }
+        state.divide_shares();
         let plans = std::mem::take(&mut self.plans);
         self.plans = plans.into_iter().filter_map(|plan| carry_on(state, plan, now)).collect();
-        let active = active_weight(state);
-        for (id, key) in needy_classes(state, active) {
-            self.plan_class(state, id, &key, active, now);
+        self.forecast = ShareForecast::of(state);
+        for number in 0..self.plans.len() {
+            self.count_plan(state, number);
         }
+        self.empty_kept(state, gang, now);
+        let classes = self.needy_classes(state);
+        if let Some((id, key)) = classes.first() {
+            self.plan_gang(state, gang, *id, key, now);
+        }
+        for (id, key) in classes {
+            self.plan_class(state, id, &key, now);
+        }
+    }
+
+    fn count_plan(&mut self, state: &ShardState, number: usize) {
+        let plan = &self.plans[number];
+        for placed in plan.victims.iter().filter_map(|task| state.tasks.get(task)) {
+            self.forecast.stop(&placed.team, placed.need);
+        }
+        self.forecast.start(&plan.team, plan.need);
+    }
+
+    /// Plans stops on the workers that are kept for an entitled gang job.
+    fn empty_kept(&mut self, state: &mut ShardState, gang: &GangReservation, now: Instant) {
+        let Some(held) = gang.held().filter(|held| held.reclaims) else {
+            retry_gang(state, gang, &self.forecast, now);
+            return;
+        };
+        let Some(job) = state.jobs.get(&held.job) else { return };
+        let (need, mut left) = (job.spec.need, job.waiting.len() as u64);
+        let Some((class, _)) = state.queue.class_of(&job.spec) else { return };
+        if self.plans.iter().any(|plan| plan.class == class) {
+            return;
+        }
+        let (team, mut victims, mut room) = (job.spec.team.clone(), Vec::new(), 0);
+        for slot in held.workers.iter().filter_map(|vm| state.fleet.slot(vm)) {
+            let (tasks, fit) = emptied(state, slot, need, left, now);
+            left -= fit;
+            if !tasks.is_empty() {
+                room += fit;
+                victims.extend(tasks);
+            }
+        }
+        if self.take_stops(state, PriorityClass::Normal, victims.len()) {
+            let (need, step) = (need.times(room), ReclaimStep::Checkpoint);
+            self.begin(state, ReclaimPlan { class, team, need, vm: None, victims, step, since: now });
+        }
+    }
+
+    /// Plans to stop one gang job of a team that is closer to its fair part without it, the cheapest one.
+    fn plan_gang(
+        &mut self,
+        state: &mut ShardState,
+        gang: &GangReservation,
+        class: ClassId,
+        key: &ClassKey,
+        now: Instant,
+    ) {
+        let planned: FastSet<&TaskId> = self.plans.iter().flat_map(|plan| &plan.victims).collect();
+        let jobs = state.running_gangs.iter().filter_map(|id| state.jobs.get(id));
+        let found = jobs
+            .filter(|job| job.spec.priority == PriorityClass::Normal && job.spec.team != key.team)
+            .filter_map(|job| {
+                let tasks: Vec<&TaskId> = job.tasks.iter().filter_map(|task| task.placed.as_ref()).collect();
+                let need = job.spec.need.times(tasks.len() as u64);
+                if !self.forecast.gives(&job.spec.team, need, GANG_EXCESS)
+                    || gang.is_starved(&job.spec.id, now)
+                    || tasks.iter().any(|task| planned.contains(task))
+                {
+                    return None;
+                }
+                let placed = || tasks.iter().filter_map(|task| state.tasks.get(*task));
+                let lost_work: u64 = placed().map(|placed| placed.lost_work(now)).sum();
+                placed().all(|placed| placed.stopping.is_none()).then_some((lost_work, &job.spec.id, tasks))
+            });
+        let cheapest = found.min_by_key(|(lost_work, id, _)| (*lost_work, *id));
+        let Some(victims) = cheapest.map(|(.., tasks)| tasks.into_iter().cloned().collect::<Vec<_>>()) else {
+            return;
+        };
+        if self.take_stops(state, PriorityClass::Normal, victims.len()) {
+            let (team, need, step) = (key.team.clone(), ResourceVector::default(), ReclaimStep::Checkpoint);
+            self.begin(state, ReclaimPlan { class, team, need, vm: None, victims, step, since: now });
+        }
+    }
+
+    /// Counts stops against the budget of the minute; returns false if it does not allow them.
+    fn take_stops(&mut self, state: &ShardState, priority: PriorityClass, count: usize) -> bool {
+        let (stopped, limit) = match priority {
+            PriorityClass::Urgent => (&mut self.urgent_stopped, URGENT_STOPS_PER_MINUTE),
+            PriorityClass::Normal => {
+                (&mut self.stopped, (state.tasks.len() / STOPPED_PART).max(STOPS_PER_MINUTE))
+            }
+        };
+        let allowed = count > 0 && *stopped + count <= limit;
+        *stopped += if allowed { count } else { 0 };
+        allowed
+    }
+
+    fn begin(&mut self, state: &mut ShardState, plan: ReclaimPlan) {
+        for task in &plan.victims {
+            command(state, WorkerCommand::Checkpoint { task: task.clone() });
+        }
+        self.plans.push(plan);
+        self.count_plan(state, self.plans.len() - 1);
+    }
+
+    /// Returns classes that fit nowhere and may take capacity back, urgent ones first, then by share.
+    fn needy_classes(&self, state: &ShardState) -> Vec<(ClassId, ClassKey)> {
+        let unfit = state.queue.unfit().filter(|(_, class)| class.key.kind != JobKind::Gang);
+        let mut classes: Vec<(ClassId, ClassKey)> = unfit
+            .filter(|(_, class)| {
+                class.key.priority == PriorityClass::Urgent
+                    || self.forecast.lacks(&class.key.team, class.key.need, HYSTERESIS)
+            })
+            .map(|(id, class)| (id, class.key.clone()))
+            .collect();
+        classes.sort_by(|(_, key), (_, other)| {
+            let by_share = || self.forecast.offset(&key.team).total_cmp(&self.forecast.offset(&other.team));
+            key.priority.cmp(&other.priority).then_with(by_share)
+        });
+        classes.truncate(CLASSES);
+        classes
     }
 
     /// Returns the number of tasks that are being reclaimed.
@@ -83,31 +214,28 @@
         self.plans.iter().map(|plan| plan.victims.len()).sum()
     }
 
-    fn plan_class(&mut self, state: &mut ShardState, id: ClassId, key: &ClassKey, active: f64, now: Instant) {
+    fn plan_class(&mut self, state: &mut ShardState, id: ClassId, key: &ClassKey, now: Instant) {
         let waiting = waiting_tasks(state, id, PLANS_PER_CLASS);
         let planned = self.plans.iter().filter(|plan| plan.class == id).count();
         for _ in planned..waiting {
             let urgent = key.priority == PriorityClass::Urgent;
-            let (stopped, limit) = if urgent {
-                (&mut self.urgent_stopped, URGENT_STOPS_PER_MINUTE)
-            } else {
-                (&mut self.stopped, STOPS_PER_MINUTE)
-            };
-            let Some(set) = find_victims(state, key, active, now).filter(|_| self.plans.len() < PLANS) else {
+            if !urgent && !self.forecast.lacks(&key.team, key.need, HYSTERESIS) {
+                return;
+            }
+            if self.plans.len() >= PLANS {
                 return;
-            };
-            let count = u32::try_from(set.tasks.len()).unwrap_or(u32::MAX);
-            if stopped.saturating_add(count) > limit {
+            }
+            let Some(set) = find_victims(&self.forecast, state, key, now) else { return };
+            if !self.take_stops(state, key.priority, set.tasks.len()) {
                 return;
             }
-            *stopped += count;
-            let Some(vm) = state.fleet.get(set.slot).map(|worker| worker.vm.vm.clone()) else { return };
+            let vm = state.fleet.get(set.slot).map(|worker| worker.vm.vm.clone());
             state.fleet.update(set.slot, |worker| worker.reserved = true);
-            for task in &set.tasks {
-                command(state, &vm, WorkerCommand::Checkpoint { task: task.clone() });
-            }
-            let step = ReclaimStep::Checkpoint;
-            self.plans.push(ReclaimPlan { class: id, vm, victims: set.tasks, step, since: now });
+            let (team, need, step) = (key.team.clone(), key.need, ReclaimStep::Checkpoint);
+            self.begin(
+                state,
+                ReclaimPlan { class: id, team, need, vm, victims: set.tasks, step, since: now },
+            );
         }
     }
 }
@@ -126,7 +254,7 @@
             let saved = |task: &TaskId| state.tasks.get(task).is_some_and(|placed| placed.checkpointed);
             if waited >= CHECKPOINT_WAIT || plan.victims.iter().all(saved) {
                 for task in plan.victims.clone() {
-                    command(state, &plan.vm, WorkerCommand::Throttle { task, percent: THROTTLE_PERCENT });
+                    command(state, WorkerCommand::Throttle { task, percent: THROTTLE_PERCENT });
                 }
                 (plan.step, plan.since) = (ReclaimStep::Throttle, now);
             }
@@ -145,44 +273,62 @@
 fn give_up(state: &mut ShardState, plan: &ReclaimPlan) {
     if plan.step == ReclaimStep::Throttle {
         for task in plan.victims.clone() {
-            command(state, &plan.vm, WorkerCommand::Throttle { task, percent: 100 });
+            command(state, WorkerCommand::Throttle { task, percent: 100 });
         }
     }
-    if let Some(slot) = state.fleet.slot(&plan.vm) {
+    if let Some(slot) = plan.vm.as_ref().and_then(|vm| state.fleet.slot(vm)) {
         state.fleet.update(slot, |worker| worker.reserved = false);
     }
 }
 
-fn command(state: &mut ShardState, vm: &VmId, command: WorkerCommand) {
-    state.effects.push(ScheduleEffect::Command(vm.clone(), command));
+/// Sends a command to the worker of its task.
+fn command(state: &mut ShardState, command: WorkerCommand) {
+    let Some(placed) = state.tasks.get(command.task()) else { return };
+    state.effects.push(ScheduleEffect::Command(placed.vm.clone(), command));
 }
 
-/// Returns the sum of the weights of all teams that use something or wait.
-fn active_weight(state: &ShardState) -> f64 {
-    let waiting = state.queue.iter().map(|(_, class)| &class.key.team);
-    let teams: FastSet<&TeamId> = state.shares.users().chain(waiting).collect();
-    teams.into_iter().map(|team| state.shares.weight(team)).sum()
+/// Lets the entitled gang job be tried again whose team is furthest below its fair part.
+fn retry_gang(state: &mut ShardState, gang: &GangReservation, forecast: &ShareForecast, now: Instant) {
+    let waits =
+        state.queue.iter().filter(|(_, class)| class.key.kind == JobKind::Gang && class.blocked.is_some());
+    let entitled = waits.filter(|(_, class)| {
+        let job = class.jobs.values().next().and_then(|job| state.jobs.get(job));
+        job.is_some_and(|job| gang.is_entitled(state, job, now))
+    });
+    let first = entitled.min_by(|(id, class), (other_id, other)| {
+        let by_share = forecast.offset(&class.key.team).total_cmp(&forecast.offset(&other.key.team));
+        by_share.then(id.cmp(other_id))
+    });
+    if let Some(id) = first.map(|(id, _)| id) {
+        state.queue.unblock(id);
+    }
 }
 
-/// Returns classes that fit nowhere and may take capacity back, urgent ones first, then by share.
-fn needy_classes(state: &ShardState, active: f64) -> Vec<(ClassId, ClassKey)> {
-    let total = state.fleet.capacity;
-    let mut classes: Vec<(ClassId, ClassKey)> = state
-        .queue
-        .unfit()
-        .filter(|(_, class)| class.key.kind != JobKind::Gang)
-        .filter(|(_, class)| {
-            class.key.priority == PriorityClass::Urgent
-                || state.shares.excess(&class.key.team, active, total) < 1.0
-        })
-        .take(CLASSES)
-        .map(|(id, class)| (id, class.key.clone()))
-        .collect();
-    classes.sort_by(|(_, key), (_, other)| {
-        let by_share = || state.shares.score(&key.team).total_cmp(&state.shares.score(&other.team));
-        key.priority.cmp(&other.priority).then_with(by_share)
-    });
-    classes
+/// Returns the cheapest tasks to stop so that up to `most` tasks of a gang job fit, and how many then fit.
+fn emptied(
+    state: &ShardState,
+    slot: u32,
+    need: ResourceVector,
+    most: u64,
+    now: Instant,
+) -> (Vec<TaskId>, u64) {
+    let Some(worker) = state.fleet.get(slot) else { return (Vec::new(), 0) };
+    let placed = worker.tasks.iter().filter_map(|task| Some((task, state.tasks.get(task)?)));
+    let mut movable: Vec<_> = placed.filter(|(_, placed)| placed.yields_to_gang()).collect();
+    movable.sort_unstable_by_key(|(task, placed)| (placed.lost_work(now), *task));
+    let fixed = movable.iter().fold(worker.free(), |free, (_, placed)| free.plus(placed.need));
+    let wanted = need.times(need.count_in(fixed).min(most));
+    let (mut free, mut tasks) = (worker.free(), Vec::new());
+    for (task, placed) in movable {
+        if wanted.fits(free) {
+            break;
+        }
+        if !wanted.minus(free).min(placed.need).is_zero() {
+            free = free.plus(placed.need);
+            tasks.push(task.clone());
+        }
+    }
+    (tasks, need.count_in(free).min(most))
 }
 
 /// Counts the waiting tasks of a class up to `most`.
@@ -196,11 +342,17 @@
 }
 
 /// Returns the cheapest set of tasks whose end makes room for one task of the class.
-fn find_victims(state: &ShardState, key: &ClassKey, active: f64, now: Instant) -> Option<VictimSet> {
-    let total = state.fleet.capacity;
+fn find_victims(
+    forecast: &ShareForecast,
+    state: &ShardState,
+    key: &ClassKey,
+    now: Instant,
+) -> Option<VictimSet> {
     let urgent = key.priority == PriorityClass::Urgent;
-    let gives = |team: &TeamId| urgent || *team != key.team && state.shares.excess(team, active, total) > 1.0;
-    let sources = state.recent.iter().filter(|(team, _)| gives(team));
+    let gives = |team: &TeamId, taken: ResourceVector| {
+        urgent || *team != key.team && forecast.gives(team, taken, HYSTERESIS)
+    };
+    let sources = state.recent.iter().filter(|(team, _)| gives(team, ResourceVector::default()));
     let newest = sources.flat_map(|(_, recent)| recent.iter().rev().take(VICTIMS));
     let slots: FastSet<u32> = newest
         .filter_map(|(_, task)| state.fleet.slot(&state.tasks.get(task)?.vm))
@@ -215,7 +367,7 @@
     state: &ShardState,
     slot: u32,
     key: &ClassKey,
-    gives: &impl Fn(&TeamId) -> bool,
+    gives: &impl Fn(&TeamId, ResourceVector) -> bool,
     now: Instant,
 ) -> Option<VictimSet> {
     let worker = state.fleet.get(slot)?;
@@ -224,11 +376,12 @@
         .iter()
         .filter_map(|task| Some((task, state.tasks.get(task)?)))
         .filter(|(_, placed)| placed.priority == PriorityClass::Normal && placed.stopping.is_none())
-        .filter(|(_, placed)| gives(&placed.team))
+        .filter(|(_, placed)| key.priority == PriorityClass::Urgent || placed.kind != JobKind::Gang)
         .map(|(task, placed)| (placed.lost_work(now), task, placed.need))
         .collect();
     candidates.sort_unstable_by_key(|(lost_work, task, _)| (*lost_work, *task));
     let mut set = VictimSet { slot, tasks: Vec::new(), lost_work: 0 };
+    let mut taken: FastMap<&TeamId, ResourceVector> = FastMap::default();
     let mut free = worker.free();
     for (lost_work, task, need) in candidates {
         if key.need.fits(free) {
@@ -239,6 +392,13 @@
         if lacks.min(need).is_zero() {
             continue;
         }
+        let Some(placed) = state.tasks.get(task) else { continue };
+        let of_team = taken.entry(&placed.team).or_default();
+        let sum = of_team.plus(need);
+        if !gives(&placed.team, sum) {
+            continue;
+        }
+        *of_team = sum;
         free = free.plus(need);
         set.tasks.push(task.clone());
         set.lost_work += lost_work;
--- a/src/kernel/resource_vector.rs
+++ b/src/kernel/resource_vector.rs
@@ -96,13 +96,27 @@
         None
     }
 
+    /// Returns the fraction of `total` that this amount takes in each dimension.
+    #[expect(clippy::cast_precision_loss, reason = "fleet totals stay far below 2^52")]
+    fn fractions(self, total: Self) -> [f64; 3] {
+        let fraction = |part: u64, whole: u64| if whole == 0 { 0.0 } else { part as f64 / whole as f64 };
+        [
+            fraction(self.cores_milli, total.cores_milli),
+            fraction(self.memory_mib, total.memory_mib),
+            fraction(self.accelerators, total.accelerators),
+        ]
+    }
+
     /// Returns the largest fraction of `total` that this amount takes in any dimension.
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "fleet totals stay far below 2^52")]
     pub fn dominant_fraction(self, total: Self) -> f64 {
-        let fraction = |part: u64, whole: u64| if whole == 0 { 0.0 } else { part as f64 / whole as f64 };
-        fraction(self.cores_milli, total.cores_milli)
-            .max(fraction(self.memory_mib, total.memory_mib))
-            .max(fraction(self.accelerators, total.accelerators))
+        self.fractions(total).into_iter().fold(0.0, f64::max)
+    }
+
+    /// Returns the smallest fraction of `total` that this amount takes in a dimension that it uses.
+    #[must_use]
+    pub fn least_fraction(self, total: Self) -> f64 {
+        let used = self.fractions(total).into_iter().filter(|part| *part > 0.0);
+        used.reduce(f64::min).unwrap_or_default()
     }
 }
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -246,7 +246,7 @@
         self.check_leases(now);
         self.gang.expire(&mut self.state, now);
         self.drain.advance(&mut self.state, now);
-        self.reclaim.advance(&mut self.state, now);
+        self.reclaim.advance(&mut self.state, &mut self.gang, now);
     }
 
     /// Gives up tasks of workers whose lease is surely over.
--- a/src/kernel/shard_state.rs
+++ b/src/kernel/shard_state.rs
@@ -2,7 +2,8 @@
 
 use crate::kernel::{
     ClassId, FleetView, JobKind, JobOutcome, JobProgress, JobSpec, LeaseTiming, PlacedTask, PriorityClass,
-    RunTimeLedger, ScheduleEffect, ShareLedger, StopReason, WaitQueue, WorkerCommand,
+    RunTimeLedger, ScheduleEffect, ShareLedger, StopReason, TeamDemand, WaitQueue, WorkerCommand,
+    divide_fairly,
 };
 use crate::prelude::*;
 
@@ -10,6 +11,8 @@
 const BACKOFF: Duration = Duration::from_millis(500);
 /// Doublings of the wait at most, so that it stays near half a minute.
 const MAX_DOUBLINGS: u32 = 6;
+/// Jobs of one class whose waiting tasks count as demand, so that a long queue does not slow the division down.
+const COUNTED: usize = 256;
 
 /// Jobs, tasks, workers and shares of one shard, with the changes that keep them consistent.
 #[derive(Default)]
@@ -26,6 +29,8 @@
     pub tasks: FastMap<TaskId, Box<PlacedTask>>,
     /// Tasks that may be reclaimed, by team, least work first from the back.
     pub recent: FastMap<TeamId, BTreeSet<(Instant, TaskId)>>,
+    /// Gang jobs with placed tasks.
+    pub running_gangs: BTreeSet<JobId>,
     /// Run times of the teams.
     pub run_times: RunTimeLedger,
     /// Lowest attempt that this owner starts, above all those of earlier owners.
@@ -92,6 +97,28 @@
         }
     }
 
+    /// Divides the fleet among the teams by their shares and by what they use and wait for.
+    pub fn divide_shares(&mut self) {
+        let mut demands: FastMap<&TeamId, ResourceVector> = FastMap::default();
+        for (team, used, _) in self.shares.iter() {
+            demands.insert(team, used);
+        }
+        for (_, class) in self.queue.iter() {
+            let jobs = class.jobs.values().take(COUNTED).filter_map(|job| self.jobs.get(job));
+            let waiting: usize = jobs.map(|job| job.waiting.len()).sum();
+            let demand = demands.entry(&class.key.team).or_default();
+            *demand = demand.plus(class.key.need.times(waiting as u64));
+        }
+        let wanted: Vec<TeamDemand> = demands
+            .into_iter()
+            .map(|(team, demand)| TeamDemand { team: team.clone(), weight: self.shares.weight(team), demand })
+            .collect();
+        let fair = divide_fairly(&wanted, self.fleet.open_capacity(), self.fleet.capacity);
+        for (wanted, fair) in wanted.iter().zip(fair) {
+            self.shares.grant(&wanted.team, fair);
+        }
+    }
+
     /// Places a waiting task on a worker.
     pub fn start(
         &mut self,
@@ -152,6 +179,9 @@
         {
             progress.placed = Some(task.clone());
             job.placed += 1;
+            if job.is_gang() {
+                self.running_gangs.insert(placed.job.clone());
+            }
             if let Some(state) = slot.and_then(|slot| self.fleet.get(slot)) {
                 job.spread.add(state);
             }
@@ -169,6 +199,9 @@
         {
             progress.placed = None;
             job.placed -= 1;
+            if job.placed == 0 {
+                self.running_gangs.remove(&placed.job);
+            }
             if let Some(state) = slot.and_then(|slot| self.fleet.get(slot)) {
                 job.spread.remove(state);
             }
@@ -339,6 +372,7 @@
     /// Forgets a job whose outcome is in the ledger; its ended tasks need not be repeated any more.
     pub fn forget(&mut self, id: &JobId) {
         self.clear_waiting(id);
+        self.running_gangs.remove(id);
         let Some(job) = self.jobs.remove(id) else { return };
         for (task, vm) in job.tasks.into_iter().flat_map(|progress| progress.unacknowledged) {
             self.effects.push(ScheduleEffect::Command(vm, WorkerCommand::Acknowledge { task }));
--- a/src/kernel/share_ledger.rs
+++ b/src/kernel/share_ledger.rs
@@ -21,6 +21,8 @@
     allotment: ResourceVector,
     weight: f64,
     average: f64,
+    /// Fair part of the fleet as last divided.
+    fair: f64,
     /// Weighted share that orders the teams.
     score: f64,
 }
@@ -28,7 +30,7 @@
 impl Default for TeamUse {
     fn default() -> Self {
         let zero = ResourceVector::default();
-        Self { used: zero, expected: zero, allotment: zero, weight: 1.0, average: 0.0, score: 0.0 }
+        Self { used: zero, expected: zero, allotment: zero, weight: 1.0, average: 0.0, fair: 0.0, score: 0.0 }
     }
 }
 
@@ -108,10 +110,15 @@
         self.teams.get(team).map_or(0.0, |team| team.score)
     }
 
-    /// Returns what a team uses of the fleet divided by the part that its share entitles it to among `active`.
+    /// Sets the fair part of the fleet of a team.
+    pub fn grant(&mut self, team: &TeamId, fair: f64) {
+        self.teams.entry(team.clone()).or_default().fair = fair;
+    }
+
+    /// Returns the fair part of the fleet of a team.
     #[must_use]
-    pub fn excess(&self, team: &str, active: f64, total: ResourceVector) -> f64 {
-        self.teams.get(team).map_or(0.0, |team| team.used.dominant_fraction(total) * active / team.weight)
+    pub fn fair(&self, team: &str) -> f64 {
+        self.teams.get(team).map_or(0.0, |team| team.fair)
     }
 
     /// Returns the weight of a team.
--- a/src/kernel/wait_queue.rs
+++ b/src/kernel/wait_queue.rs
@@ -57,6 +57,9 @@
     /// Another gang job holds the reservation.
     #[display("reserved")]
     Reserved,
+    /// A gang job that would bring its team far above its fair part.
+    #[display("above_share")]
+    AboveShare,
 }
 
 /// Jobs whose waiting tasks are alike, in the order of submission.
@@ -160,6 +163,8 @@
             WaitReason::OverLimit => {
                 self.limited.entry(class.key.team.clone()).or_default().insert(id);
             }
+            // The planner looks at these classes in each round.
+            WaitReason::AboveShare => {}
             WaitReason::Reserved => {
                 self.reserved.insert(id);
             }
--- a/tests/placement_order.rs
+++ b/tests/placement_order.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 
 use fixture_placement::{WORKER, batch, bundle, gang, outcomes, service, shard, starts, urgent, worker};
-use godwithaven::kernel::{JobOutcome, ResourceVector, ScheduleEvent, TaskEnding};
+use godwithaven::kernel::{JobOutcome, ResourceVector, ScheduleEvent, TaskEnding, TeamDemand, divide_fairly};
 
 /// Guards against scans of all workers.
 #[gtest]
@@ -115,6 +115,64 @@
     expect_that!(blue, all!(ge(28), le(36)));
 }
 
+/// Guards against fair parts that ignore what a team wants or what is used up.
+#[gtest]
+fn the_fleet_is_divided_by_weight_and_demand() {
+    // Arrange
+    let total = ResourceVector::new(100, 100, 10);
+    let wants = |team: &str, weight, demand| TeamDemand { team: team.into(), weight, demand };
+    let demands = [
+        wants("small", 1.0, ResourceVector::new(10, 0, 0)),
+        wants("large", 1.0, ResourceVector::new(1_000, 0, 0)),
+        wants("heavy", 2.0, ResourceVector::new(1_000, 0, 0)),
+        wants("other", 1.0, ResourceVector::new(0, 0, 4)),
+    ];
+
+    // Act
+    let fair = divide_fairly(&demands, total, total);
+
+    // Assert
+    expect_that!(fair, elements_are![near(0.1, 1e-9), near(0.3, 1e-9), near(0.6, 1e-9), near(0.4, 1e-9)]);
+}
+
+/// Guards against a gang job that waits for tasks of a team above its share to end.
+#[gtest]
+fn a_gang_gets_lent_capacity_back() {
+    // Arrange
+    let mut shard = shard(4);
+    shard.accept(batch("red/fill", 64, 4_000));
+    shard.run(Duration::from_secs(60));
+
+    // Act
+    shard.accept(gang("blue/mesh", 2, 64_000));
+    shard.run(Duration::from_secs(10));
+
+    // Assert
+    expect_that!(shard.workers_of("blue/mesh").len(), eq(2));
+    expect_that!(shard.workers_of("red/fill").len(), eq(32));
+}
+
+/// Guards against a gang job that takes far more than the share of its team, and against one that never runs.
+#[gtest]
+fn a_gang_above_the_share_of_its_team_waits_for_a_bounded_time() {
+    // Arrange
+    let mut shard = shard(4);
+    shard.accept(batch("red/fill", 64, 4_000));
+    shard.accept(batch("green/fill", 64, 4_000));
+    shard.run(Duration::from_secs(60));
+
+    // Act
+    shard.accept(gang("blue/mesh", 4, 64_000));
+    shard.run(Duration::from_secs(580));
+    let (early, reasons) = (shard.workers_of("blue/mesh").len(), shard.reasons("blue/mesh"));
+    shard.run(Duration::from_secs(40));
+
+    // Assert
+    expect_that!(early, eq(0));
+    expect_that!(reasons, contains(eq(&("above_share".to_owned(), 4))));
+    expect_that!(shard.workers_of("blue/mesh").len(), eq(4));
+}
+
 /// Guards against urgent work that waits on a full fleet.
 #[gtest]
 fn urgent_work_starts_within_its_bound_on_a_full_fleet() {
