--- a/src/kernel/job_explanation.rs
+++ b/src/kernel/job_explanation.rs
@@ -57,6 +57,7 @@
     match state.queue.class_of(&job.spec).and_then(|(_, class)| class.blocked) {
         Some(WaitReason::OverLimit) => "over_limit",
         Some(WaitReason::Reserved) => "reserved",
+        Some(WaitReason::AboveShare) => "above_share",
         Some(WaitReason::FitsNowhere) => "fits_nowhere",
         // The class was not tried yet because others come first.
         None => "share_used",
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -262,7 +262,7 @@
         }
         self.gang.expire(&mut self.state, now);
         self.drain.advance(&mut self.state, now);
-        self.reclaim.advance(&mut self.state, now);
+        self.reclaim.advance(&mut self.state, &mut self.gang, now);
     }
 
     /// Gives up tasks of workers whose lease is surely over.
