--- a/tests/scheduler_replay.rs
+++ b/tests/scheduler_replay.rs
@@ -1,6 +1,7 @@
 //! Compares placement with plain first fit on the same seeded arrivals, on the logical clock.
 //!
-//! `GODWITHAVEN_LONG_TESTS=1` replays 25,000 tasks; `-- --nocapture` prints the figures.
+//! `GODWITHAVEN_LONG_TESTS=1` replays 25,000 tasks on 790 workers, `GODWITHAVEN_REPLAY_WORKERS=160` as many tasks a
+//! worker on 160; `-- --nocapture` prints the figures.
 
 mod fixture_replay;
 
@@ -11,11 +12,24 @@
 
 /// Set to replay the large size.
 const LONG_TESTS: &str = "GODWITHAVEN_LONG_TESTS";
+/// Number of workers of another size.
+const REPLAY_WORKERS: &str = "GODWITHAVEN_REPLAY_WORKERS";
+/// Workers of the replay in CI. One gang job takes up to 60% of their accelerators.
+const CI_WORKERS: usize = 40;
+const LONG_WORKERS: usize = 790;
+const LONG_TASKS: usize = 25_000;
+
+fn load_shape(trouble: bool) -> LoadShape {
+    let long = std::env::var_os(LONG_TESTS).map(|_| LONG_WORKERS);
+    let workers = std::env::var(REPLAY_WORKERS).ok().and_then(|workers| workers.parse().ok()).or(long);
+    let tasks = |workers: usize| u32::try_from(LONG_TASKS * workers / LONG_WORKERS).unwrap();
+    let (workers, tasks) = workers.map_or((CI_WORKERS, 1_250), |workers| (workers, tasks(workers)));
+    LoadShape { workers, tasks, seed: 1, trouble }
+}
 
 /// Replays one load through first fit and through the kernel.
 fn compare(trouble: bool) -> (LoadFigures, LoadFigures) {
-    let (workers, tasks) = if std::env::var_os(LONG_TESTS).is_some() { (790, 25_000) } else { (40, 1_250) };
-    let shape = LoadShape { workers, tasks, seed: 1, trouble };
+    let shape = load_shape(trouble);
     let now = Instant::now();
     let first_fit = replay(shape, first_fit_decider(), now);
     let kernel = replay(shape, kernel_decider(new_scheduler(now)), now);
@@ -53,11 +67,14 @@
     let urgent = kernel.waits.iter().find(|(kind, ..)| *kind == "urgent").map(|(_, _, late, _)| *late);
     expect_that!(kernel.faults, is_empty());
     expect_that!(urgent, some(lt(Duration::from_millis(8_500))));
-    // Gang jobs run whole, which alone can force more than a quarter of the distance of first fit.
+    // On few workers gang jobs, which run whole, force more than a quarter of first fit's distance on any scheduler.
+    let forced = load_shape(trouble).workers == CI_WORKERS;
+    let (own, other) =
+        if forced { (kernel.avoidable, first_fit.avoidable) } else { (kernel.distance, first_fit.distance) };
+    expect_that!(own.0, le(other.0 / 4.0));
+    expect_that!(own.1, le(other.1 / 4.0));
     expect_that!(kernel.distance.0, lt(first_fit.distance.0));
     expect_that!(kernel.distance.1, lt(first_fit.distance.1));
-    expect_that!(kernel.avoidable.0, le(first_fit.avoidable.0 / 4.0));
-    expect_that!(kernel.avoidable.1, le(first_fit.avoidable.1 / 4.0));
     expect_that!(kernel.used.0, ge(first_fit.used.0));
     expect_that!(kernel.used.1, ge(first_fit.used.1));
 }
