--- a/src/kernel/ledger_state.rs
+++ b/src/kernel/ledger_state.rs
@@ -237,19 +237,22 @@
                 record.version, record.base
             ));
         }
-        self.read_bundle(record)
+        self.read_bundle(record, self.bundle.as_deref())
     }
 
-    /// Parses a bundle and checks its signatures, but not its base.
+    /// Parses a bundle and checks its signatures by the signers of `current`, but not its base.
     ///
     /// # Errors
     ///
     /// Returns one line that names the fault.
-    pub fn read_bundle(&self, record: &BundleRecord) -> Result<PolicyBundle, String> {
-        let signers =
-            self.bundle.as_ref().map(|bundle| &bundle.signers).filter(|signers| !signers.is_empty());
+    pub fn read_bundle(
+        &self,
+        record: &BundleRecord,
+        current: Option<&PolicyBundle>,
+    ) -> Result<PolicyBundle, String> {
+        let signers = current.map(|bundle| &bundle.signers).filter(|signers| !signers.is_empty());
         let signers = signers.unwrap_or(&self.codec.signers);
-        let required = self.bundle.as_ref().map_or(self.codec.required, |bundle| bundle.approvals.max(1));
+        let required = current.map_or(self.codec.required, |bundle| bundle.approvals.max(1));
         let approvals = (self.codec.approvals)(record, signers);
         if approvals < required {
             return Err(format!("{approvals} of {required} needed signatures are valid"));
--- a/src/tasks/gate.rs
+++ b/src/tasks/gate.rs
@@ -124,6 +124,7 @@
         match change {
             LedgerChange::BundleAdopted(bundle) => {
                 log::info!(version = bundle.version; "bundle in force");
+                self.metrics.bundle_version.set(i64::try_from(bundle.version).unwrap_or(i64::MAX));
                 self.bundle = Some(bundle);
                 self.count_shapes();
             }
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters of one entry process, served at `/metrics`.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, exponential_buckets};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, exponential_buckets,
+};
 
 /// Counters that the tasks add to.
 #[derive(Clone)]
@@ -25,6 +27,8 @@
     pub log_faults: IntCounter,
     /// Worker syncs by result.
     pub syncs: IntCounterVec,
+    /// Version of the bundle by which the process admits; it may come from a peer.
+    pub bundle_version: IntGauge,
 }
 
 impl EntryMetrics {
@@ -50,8 +54,12 @@
         let options = HistogramOpts::new("godwithaven_placement_seconds", "Time of a placement decision");
         let placement_seconds = Histogram::with_opts(options.buckets(buckets))?;
         registry.register(Box::new(placement_seconds.clone()))?;
+        let bundle_version =
+            IntGauge::new("godwithaven_bundle_version", "Version of the bundle in force in this process")?;
+        registry.register(Box::new(bundle_version.clone()))?;
         Ok(Self {
             placement_seconds,
+            bundle_version,
             placements: plain("godwithaven_placements_total", "Placed tasks")?,
             jobs_ended: labelled("godwithaven_jobs_ended_total", "Ended jobs", "outcome")?,
             dispatches: plain("godwithaven_dispatches_total", "Requests dispatched to endpoints")?,
--- a/src/tasks/publisher.rs
+++ b/src/tasks/publisher.rs
@@ -35,7 +35,9 @@
         if record.version <= self.version(ledger) {
             return;
         }
-        let bundle = match ledger.read_bundle(record) {
+        // A bundle from a peer may have changed the signers before the ledger reached it.
+        let ahead = self.ahead.as_ref().map(|ahead| ahead.bundle.as_ref());
+        let bundle = match ledger.read_bundle(record, ahead.or(ledger.bundle.as_deref())) {
             Ok(bundle) => Arc::new(bundle),
             Err(reason) => {
                 log::warn!(version = record.version, reason = reason.as_str(); "bundle of a peer refused");
--- a/tests/coordination_pause.rs
+++ b/tests/coordination_pause.rs
@@ -2,8 +2,10 @@
 
 mod fixture;
 
+#[path = "fixture/daemon.rs"]
+mod daemon;
+
 use std::collections::BTreeSet;
-use std::process::{Child, Command};
 use std::time::Duration;
 
 use fixture::BLUE_KEY;
@@ -12,39 +14,6 @@
 use googletest::prelude::*;
 use tokio_util::sync::CancellationToken;
 
-/// Returns a free loopback address.
-fn free_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
-}
-
-/// Starts the daemon with the settings of the fixtures.
-fn start_daemon(log: &str, directory: &str, peer: &str) -> Child {
-    let signers = fixture::public_key();
-    let (listen, operator) = (free_address(), free_address());
-    let flags = [
-        ("--vm", "paused"),
-        ("--zone", "a"),
-        ("--listen", &listen),
-        ("--peer-listen", peer),
-        ("--operator-listen", &operator),
-        ("--log", log),
-        ("--directory", directory),
-        ("--signers", &signers),
-        ("--sync-interval-ms", "100"),
-        ("--commit-window-ms", "10"),
-        ("--lease-ms", "3000"),
-    ];
-    let mut command = Command::new(env!("CARGO_BIN_EXE_godwithaven-entry"));
-    command.args(flags.iter().flat_map(|(flag, value)| [*flag, *value]));
-    command.stderr(std::process::Stdio::null()).stdout(std::process::Stdio::null()).spawn().unwrap()
-}
-
-fn signal(daemon: &Child, name: &str) {
-    let status = Command::new("kill").args([format!("-{name}"), daemon.id().to_string()]).status();
-    assert!(status.unwrap().success());
-}
-
 #[gtest]
 #[actix_rt::test]
 async fn a_process_paused_past_its_lease_starts_nothing_twice() {
@@ -54,10 +23,7 @@
     for team in ["blue", "red"] {
         world.facts.limits.insert(team.into(), [64_000, 262_144, 16]);
     }
-    let peer = free_address();
-    let mut daemon =
-        start_daemon(&world.log.address.to_string(), &world.directory.address.to_string(), &peer);
-    world.list_entry("paused", "a", &peer);
+    let daemon = daemon::start_daemon(&world);
     fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     let entry = fixture::start_entry(&world, "entry-1", "b").await;
@@ -71,9 +37,9 @@
         expect_that!(fixture::submit(&entry, BLUE_KEY, &job).await.0, eq(202));
         jobs.push(format!("blue/job-{index}"));
         match index {
-            3 => signal(&daemon, "STOP"),
+            3 => daemon.signal("STOP"),
             7 => tokio::time::sleep(Duration::from_secs(5)).await,
-            9 => signal(&daemon, "CONT"),
+            9 => daemon.signal("CONT"),
             _ => {}
         }
     }
@@ -82,8 +48,7 @@
         let state = fixture::wait_job(&entry, BLUE_KEY, job).await;
         finished += usize::from(state["outcome"]["finished"].is_array());
     }
-    signal(&daemon, "KILL");
-    daemon.wait().unwrap();
+    drop(daemon);
 
     // Assert
     expect_that!(finished, eq(12));
