--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -6,7 +6,6 @@
 };
 
 use crate::kernel::TeamWaits;
-use crate::prelude::*;
 
 /// Counters that the tasks add to.
 #[derive(Clone)]
@@ -31,8 +30,9 @@
     pub log_faults: IntCounter,
     /// Worker syncs by result.
     pub syncs: IntCounterVec,
+    /// Version of the bundle by which the process admits; it may come from a peer.
+    pub bundle_version: IntGauge,
     ready: IntGauge,
-    bundle_version: IntGauge,
     waiting: IntGaugeVec,
 }
 
@@ -92,9 +92,8 @@
     }
 
     /// Sets what is read when the metrics are gathered.
-    pub fn set_state(&self, ready: bool, version: BundleVersion, waits: &TeamWaits) {
+    pub fn set_state(&self, ready: bool, waits: &TeamWaits) {
         self.ready.set(ready.into());
-        self.bundle_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.waiting.reset();
         for (team, reasons) in waits {
             for (reason, tasks) in reasons {
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -102,9 +102,8 @@
     }
 
     async fn metrics(&self) -> Response<Bytes> {
-        let version = self.view.in_force().await.flatten().map_or(0, |(version, _)| version);
         let waits = self.view.waits().await.unwrap_or_default();
-        self.metrics.set_state(self.obstacle().await.is_none(), version, &waits);
+        self.metrics.set_state(self.obstacle().await.is_none(), &waits);
         match TextEncoder::new().encode_to_string(&self.metrics.registry.gather()) {
             Ok(body) => text(StatusCode::OK, body),
             Err(fault) => error(StatusCode::INTERNAL_SERVER_ERROR, &fault.to_string()),
