Look soon whether a command has taken effect

Cause: after a stop whose end was not in the same answer, the next sync but one came up to half a lease later, so room and limits stayed taken; a start that a lagging report does not list did not count.

Change: kernel::KnownRuns keeps what the time of the next sync depends on; a command makes its task young again, and a task counts for 5 s unlisted.

Figures, 2, 4 and 10 s after a stop of a task of 9,000 s at an interval of 2 s and a lease of 60 s: the next sync after 30 s by the wait before, 2 s now.

--- /dev/null
+++ b/src/kernel/known_runs.rs
@@ -0,0 +1,41 @@
+//! What the owner of a worker knows of the tasks on it, as far as the time of the next sync depends on it.
+
+use crate::kernel::{KnownRun, WorkerCommand, WorkerReport};
+use crate::prelude::*;
+
+/// Time for which a task counts although no report lists it; reports lag.
+const UNLISTED_FOR: Duration = Duration::from_secs(5);
+
+/// Tasks that were started, stopped or reported.
+#[derive(Debug, Default)]
+pub struct KnownRuns {
+    runs: FastMap<TaskId, KnownRun>,
+}
+
+impl KnownRuns {
+    /// Notes an answered sync. A command makes its task young again, so that its effect is looked for soon.
+    pub fn note(&mut self, commands: &[WorkerCommand], report: &WorkerReport, now: Instant) {
+        let listed: FastSet<&TaskId> = report.running.iter().map(|task| &task.task).collect();
+        let recent = |run: &KnownRun| now.saturating_duration_since(run.since) < UNLISTED_FOR;
+        self.runs.retain(|task, run| listed.contains(task) || recent(run));
+        for task in listed {
+            self.runs.entry(task.clone()).or_insert(KnownRun { since: now, run_time: None });
+        }
+        for command in commands {
+            let run_time = match command {
+                WorkerCommand::Start { run_time, .. } => *run_time,
+                WorkerCommand::Stop { .. } => None,
+                _ => continue,
+            };
+            self.runs.insert(command.task().clone(), KnownRun { since: now, run_time });
+        }
+        for end in &report.ended {
+            self.runs.remove(&end.task);
+        }
+    }
+
+    /// Returns the tasks, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = KnownRun> {
+        self.runs.values().copied()
+    }
+}
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -4,7 +4,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use crate::kernel::SyncTiming;
-use crate::kernel::{KnownRun, TaskReport, WorkerCommand, WorkerReport};
+use crate::kernel::{KnownRuns, TaskReport, WorkerCommand, WorkerReport};
 use crate::prelude::*;
 use crate::tasks::adapter::{SyncRequest, SyncResult, WorkerAdapter, WorkerClient};
 use crate::tasks::metrics::EntryMetrics;
@@ -88,7 +88,7 @@
                     granted_until: None,
                     held: None,
                     news: true,
-                    runs: FastMap::default(),
+                    runs: KnownRuns::default(),
                     metrics: self.metrics.clone(),
                 };
                 actix_rt::spawn(sync.run(inbox, child.clone()));
@@ -139,8 +139,7 @@
     held: Option<(ReportRevision, Vec<TaskReport>)>,
     /// Whether the last sync failed, carried commands or told of ends, so that the next one follows soon.
     news: bool,
-    /// Tasks that were started or reported.
-    runs: FastMap<TaskId, KnownRun>,
+    runs: KnownRuns,
     metrics: EntryMetrics,
 }
 
@@ -212,7 +211,7 @@
                 self.granted_until = None;
                 self.pending.retain(|pending| !pending.sent);
                 self.news = !commands.is_empty() || !report.ended.is_empty();
-                self.note_runs(&commands, &report);
+                self.runs.note(&commands, &report, Instant::now());
                 SchedulerMessage::Synced(shard, self.fencing, vm, delivered(commands), report)
             }
             // Completed above.
@@ -240,25 +239,7 @@
         if self.news {
             return self.timing.interval;
         }
-        self.timing.next(self.runs.values().copied(), Instant::now())
-    }
-
-    /// Notes what runs, with the run times of the tasks that were started here.
-    fn note_runs(&mut self, commands: &[WorkerCommand], report: &WorkerReport) {
-        let now = Instant::now();
-        let running: FastSet<&TaskId> = report.running.iter().map(|task| &task.task).collect();
-        self.runs.retain(|task, _| running.contains(task));
-        for task in running {
-            let unknown = KnownRun { since: now, run_time: None };
-            self.runs.entry(task.clone()).or_insert(unknown);
-        }
-        for command in commands {
-            if let WorkerCommand::Start { task, run_time, .. } = command
-                && let Some(run) = self.runs.get_mut(task)
-            {
-                run.run_time = *run_time;
-            }
-        }
+        self.timing.next(self.runs.iter(), Instant::now())
     }
 
     /// Fills in the running tasks of a report that says that they are the known ones.
--- a/tests/sync_interval.rs
+++ b/tests/sync_interval.rs
@@ -3,7 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use godwithaven::kernel::{KnownRun, SyncTiming};
+use godwithaven::kernel::{
+    KnownRun, KnownRuns, ResourceVector, SyncTiming, TaskReport, WorkerCommand, WorkerReport,
+};
 use googletest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -56,3 +58,38 @@
 
     verify_that!(TIMING.next([old, young].into_iter(), now), eq(5 * SECOND))
 }
+
+fn running(task: &str) -> WorkerReport {
+    let need = ResourceVector::new(1_000, 1_024, 0);
+    let (task, team) = (task.into(), "blue".into());
+    let running = vec![TaskReport { task, team, need, used: need, checkpointed: false }];
+    WorkerReport { running, ended: Vec::new() }
+}
+
+/// Guards against room that stays taken because nobody looks whether a task has stopped, and against starts whose
+/// loss is noticed late because a report that lags does not list them.
+#[gtest]
+fn a_command_is_followed_up_although_reports_lag() {
+    // Arrange
+    let (start, task) = (Instant::now(), "blue/j#0@1");
+    let (mut stopping, mut starting) = (KnownRuns::default(), KnownRuns::default());
+    stopping.note(&[], &running(task), start);
+    let now = start + 9_000 * SECOND;
+    let need = ResourceVector::new(1_000, 1_024, 0);
+    let launch = WorkerCommand::Start { task: task.into(), team: "blue".into(), need, run_time: None };
+
+    // Act
+    let before = TIMING.next(stopping.iter(), now);
+    stopping.note(&[WorkerCommand::Stop { task: task.into() }], &running(task), now);
+    starting.note(&[launch], &WorkerReport::default(), now);
+    let waits = [2, 4, 10].map(|seconds| {
+        let later = now + seconds * SECOND;
+        stopping.note(&[], &running(task), later);
+        starting.note(&[], &WorkerReport::default(), later);
+        [TIMING.next(stopping.iter(), later), TIMING.next(starting.iter(), later)]
+    });
+
+    // Assert: what no report lists for 5 s has not started.
+    expect_that!(before, eq(30 * SECOND));
+    expect_that!(waits, eq([[2 * SECOND; 2], [2 * SECOND; 2], [2 * SECOND, 30 * SECOND]]));
+}
