--- a/capacity/src/budget.rs
+++ b/capacity/src/budget.rs
@@ -177,6 +177,11 @@
     let (workers, running) = (size.workers / size.processes, size.running / size.processes);
     let syncs = workers / size.timing().longest().as_secs_f64();
     let follow_up = size.jobs / DAY / size.processes * size.syncs_after_start();
+    // Tasks that are young in the measurement bring more syncs, which are counted in the line after starts.
+    let young = slopes.per_unit("running_tasks", "syncs_per_s");
+    let in_reports = |metric: &str, per_sync: f64| {
+        (slopes.per_unit("running_tasks", metric) - young * per_sync).max(0.0) * running
+    };
     [
         BudgetLine {
             part: format!("{syncs:.1} syncs/s of {bytes:.0} bytes"),
@@ -197,8 +202,8 @@
         BudgetLine {
             part: "running tasks in reports".into(),
             module: "`plugins::worker_http`, `kernel::FleetView`",
-            cpu: slopes.per_unit("running_tasks", "cpu_us_per_s") * running,
-            bytes: slopes.per_unit("running_tasks", "worker_bytes_per_s") * running,
+            cpu: in_reports("cpu_us_per_s", cpu),
+            bytes: in_reports("worker_bytes_per_s", bytes),
             crossing: 0.0,
             memory: slopes.per_unit("running_tasks", "resident_bytes") * running,
         },
--- a/capacity/src/main.rs
+++ b/capacity/src/main.rs
@@ -66,7 +66,7 @@
         workers: numbers(flags.workers, "79,395,790,1580")?,
         listed: numbers(flags.listed, "0,1000,4000")?,
         processes: numbers(flags.processes, "1,3,6,9")?,
-        jobs: numbers(flags.jobs, "20,50,100")?,
+        jobs: numbers(flags.jobs, "20,50,100,200")?,
         requests: numbers(flags.requests, "100,200,400")?,
         waiting: numbers(flags.waiting, "0,1000,3000")?,
         running: numbers(flags.running, "0,1000,3000")?,
