--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -4,7 +4,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use crate::kernel::SyncTiming;
-use crate::kernel::{KnownRun, TaskReport, WorkerCommand, WorkerReport};
+use crate::kernel::{KnownRuns, TaskReport, WorkerCommand, WorkerReport};
 use crate::prelude::*;
 use crate::tasks::adapter::{SyncAnswer, SyncRequest, SyncResult, WorkerAdapter, WorkerClient, WorkerStamp};
 use crate::tasks::metrics::EntryMetrics;
@@ -128,7 +128,7 @@
                     granted_until: None,
                     held: None,
                     news: true,
-                    runs: FastMap::default(),
+                    runs: KnownRuns::default(),
                     metrics: self.metrics.clone(),
                 };
                 actix_rt::spawn(sync.run(inbox, child.clone()));
@@ -196,8 +196,7 @@
     held: Option<(ReportRevision, Vec<TaskReport>)>,
     /// Whether the last sync failed, carried commands or told of ends, so that the next one follows soon.
     news: bool,
-    /// Tasks that were started or reported.
-    runs: FastMap<TaskId, KnownRun>,
+    runs: KnownRuns,
     metrics: EntryMetrics,
 }
 
@@ -275,10 +274,11 @@
             SyncResult::Report(answer) => {
                 self.count("answered");
                 self.granted_until = None;
-                self.note_runs(&commands, &answer.report);
                 let SyncAnswer { report, stamp, rejected, .. } = answer;
+                self.runs.note(&commands, &report, Instant::now());
                 let refused = |command: &WorkerCommand| rejected.contains(command.task());
                 self.pending.retain(|pending| !pending.carried || refused(&pending.command));
+                self.news = !commands.is_empty() || !report.ended.is_empty() || !self.pending.is_empty();
                 let tasks = delivered(commands.into_iter().filter(|command| !refused(command)));
                 let stamp = stamp.map(|stamp| HeldStamp { stamp, at: Instant::now() });
                 let token = self.fencing;
@@ -324,26 +324,7 @@
         if self.news {
             return self.timing.interval;
         }
-        self.timing.next(self.runs.values().copied(), Instant::now())
-    }
-
-    /// Notes what runs, with the run times of the tasks that were started here.
-    fn note_runs(&mut self, commands: &[WorkerCommand], report: &WorkerReport) {
-        self.news = !commands.is_empty() || !report.ended.is_empty();
-        let now = Instant::now();
-        let running: FastSet<&TaskId> = report.running.iter().map(|task| &task.task).collect();
-        self.runs.retain(|task, _| running.contains(task));
-        for task in running {
-            let unknown = KnownRun { since: now, run_time: None };
-            self.runs.entry(task.clone()).or_insert(unknown);
-        }
-        for command in commands {
-            if let WorkerCommand::Start { task, run_time, .. } = command
-                && let Some(run) = self.runs.get_mut(task)
-            {
-                run.run_time = *run_time;
-            }
-        }
+        self.timing.next(self.runs.iter(), Instant::now())
     }
 
     /// Fills in the running tasks of a report that says that they are the known ones.
