--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -39,6 +39,10 @@
             }
         }
     }
+    for vm in &platform.entries {
+        let log = fs::read_to_string(platform.dir.join(format!("{}.log", vm.name))).unwrap();
+        expect_that!(log, not(contains_substring("blue-key")), "{name}: a key is in the log");
+    }
     platform.stop().await;
     if regenerate {
         fs::write(&path, page.render()).unwrap();
