--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -163,7 +163,7 @@
 pub use task_end::{TaskEnd, TaskEnding};
 pub use team_queue::TeamQueue;
 pub use team_refusal::TeamRefusal;
-pub use wait_queue::{ClassId, ClassKey, WaitClass, WaitQueue, WaitReason};
+pub use wait_queue::{ClassId, ClassKey, OfferRound, WaitClass, WaitQueue, WaitReason};
 pub use worker_command::WorkerCommand;
 pub use worker_health::WorkerHealth;
 pub use worker_report::{TaskReport, WorkerReport};
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -31,6 +31,8 @@
     pub backlog: bool,
     /// Workers examined by all searches for a worker so far.
     pub examined: u64,
+    /// Classes of waiting tasks tried by all calls so far.
+    pub tried: u64,
 }
 
 impl ShardScheduler {
@@ -51,6 +53,7 @@
             settled_at,
             backlog: false,
             examined: 0,
+            tried: 0,
         }
     }
 
@@ -368,6 +371,7 @@
         }
         self.backlog = more;
         self.examined = self.state.fleet.examined;
+        self.tried = self.state.tried;
     }
 
     fn release_held(&mut self) {
