Keep shards where they are when the log returns

Cause: after an outage of the log the first process that read it made the others take themselves for cut off, as their own last read was more than 10 s old.

Change: a process yields its shards only once somebody has read the log for 4 s without a break, above the longest wait of 2 s between reads. A process that is cut off alone yields as early as before, as the others never stop reading.

--- a/src/kernel/peer_view.rs
+++ b/src/kernel/peer_view.rs
@@ -16,6 +16,8 @@
 const HAND_OVER_SPACING: Duration = Duration::from_secs(1);
 /// A process that has not read the log for this long yields its shards if a peer has read it.
 const YIELD_AFTER: Duration = Duration::from_secs(10);
+/// Time within which processes read a log that returns; the longest wait between their reads is 2 s.
+const RETURN_SPREAD: Duration = Duration::from_secs(4);
 /// Time between two signs of life in the log.
 const SIGN_SPACING: Duration = Duration::from_secs(1);
 /// Most claims in one tick.
@@ -49,6 +51,8 @@
     shown: Option<Instant>,
     read: Option<Instant>,
     own_read: Instant,
+    /// Since when some process has read the log without a break; `None` while nobody reads it.
+    readable: Option<Instant>,
     /// Version of the bundle in force in this process.
     pub version: BundleVersion,
     /// Region of this process, once the VM list shows it.
@@ -90,6 +94,7 @@
             shown: None,
             read: None,
             own_read: now,
+            readable: None,
             version: 0,
             region: None,
             stage: LeaveStage::Staying,
@@ -190,10 +195,12 @@
     }
 
     /// Whether this process should leave its shards to those that read the log; it would not see new jobs.
+    ///
+    /// After an outage of the log processes read it again one after another, and the later ones are not cut off.
     #[must_use]
     pub fn is_yielding(&self, now: Instant) -> bool {
         let cut_off = now.saturating_duration_since(self.own_read) >= YIELD_AFTER;
-        cut_off && self.log_age(now).is_some_and(|age| age < CURRENT_FOR)
+        cut_off && self.readable.is_some_and(|since| now.saturating_duration_since(since) >= RETURN_SPREAD)
     }
 
     /// Returns the records that this process should append now: claims, and signs of life for those that it does
@@ -266,6 +273,8 @@
     }
 
     fn note_tick(&mut self, now: Instant) {
+        let read = self.log_age(now).is_some_and(|age| age < CURRENT_FOR);
+        self.readable = self.readable.or(Some(now)).filter(|_| read);
         let paused = now.saturating_duration_since(self.ticked) > PAUSE;
         self.ticked = now;
         if paused {
