Give no process more shards of its region than the mean

Change: shards of a region with processes are divided with the mean as bound; shards of other regions and service partitions keep 5/4.

Conclusion: the largest part of a region is what the budget can count on.

--- a/src/kernel/shard_assignment.rs
+++ b/src/kernel/shard_assignment.rs
@@ -9,8 +9,9 @@
 ///
 /// Rendezvous hashing with bounded load: no process gets more than 5/4 of the mean of worker shards, nor of
 /// service partitions; plain hashing bounds no process. The worker shards of a region are divided among the
-/// processes of that region if there are any, so that syncs do not cross regions. Worker shards are named
-/// `region/number`; `region` gives the region of a process, if it is known.
+/// processes of that region if there are any, so that syncs do not cross regions; none of
+/// these gets more than the mean, as few processes share a region and syncs are most of their traffic. Worker
+/// shards are named `region/number`; `region` gives the region of a process, if it is known.
 #[must_use]
 pub fn divide<'a>(
     shards: &[ShardId],
@@ -33,16 +34,30 @@
     let all: Vec<&ProcessId> = processes.iter().collect();
     let mut owners = FastMap::default();
     for (region, part) in parts {
-        let candidates = region.and_then(|region| local.get(region)).unwrap_or(&all);
-        spread(part, candidates, &mut owners);
+        match region.and_then(|region| local.get(region)) {
+            Some(candidates) => {
+                let mean = part.len().div_ceil(candidates.len());
+                spread(part, candidates, mean, &mut owners);
+            }
+            None => spread_loosely(part, &all, &mut owners),
+        }
     }
-    spread(services, &all, &mut owners);
+    spread_loosely(services, &all, &mut owners);
     owners
 }
 
-fn spread(mut part: Vec<&ShardId>, processes: &[&ProcessId], owners: &mut FastMap<ShardId, ProcessId>) {
-    part.sort_unstable();
+fn spread_loosely(part: Vec<&ShardId>, processes: &[&ProcessId], owners: &mut FastMap<ShardId, ProcessId>) {
     let most = (part.len() * 5).div_ceil(4 * processes.len().max(1));
+    spread(part, processes, most, owners);
+}
+
+fn spread(
+    mut part: Vec<&ShardId>,
+    processes: &[&ProcessId],
+    most: usize,
+    owners: &mut FastMap<ShardId, ProcessId>,
+) {
+    part.sort_unstable();
     let mut load: FastMap<&ProcessId, usize> = FastMap::default();
     for shard in part {
         let open = processes.iter().filter(|process| load.get(**process).is_none_or(|held| *held < most));
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -55,6 +55,10 @@
 
     // Act
     let at_first = remote(&cluster);
+    let mut local = [0; 8];
+    for (_, claim) in cluster.ledger.claims.iter().filter(|(shard, _)| !shard.starts_with("r3")) {
+        local[claim.process[6..7].parse::<usize>().unwrap()] += 1;
+    }
     cluster.members[6].up = false;
     cluster.run(20 * SECOND);
     let with_one = remote(&cluster);
@@ -63,6 +67,9 @@
 
     // Assert: without a process of its own, `r2` is served from elsewhere.
     expect_that!((at_first, with_one, remote(&cluster)), eq((0, 0, 16)));
+    // The mean of 16 shards by 3 or by 2 processes.
+    expect_that!(local[..6], each(le(&6)));
+    expect_that!(local[6..], each(eq(&8)));
     expect_true!(cluster.served());
     expect_that!(cluster.owned().values().max(), some(le(&14)));
 }
