--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -20,6 +20,7 @@
 pub mod router;
 pub mod router_message;
 pub mod scheduler;
+pub mod sync_loop;
 pub mod transfer;
 pub mod vm_list;
 pub mod worker;
--- a/tests/coordination_bundles.rs
+++ b/tests/coordination_bundles.rs
@@ -13,7 +13,6 @@
 use ed25519_dalek::SigningKey;
 use godwithaven::kernel::BundleRecord;
 use godwithaven::plugins::bundle_signature;
-use godwithaven::tasks::entry::EntryProcess;
 use godwithaven_standins::logservice::LogFaults;
 use googletest::prelude::*;
 use tokio::sync::mpsc;
@@ -72,11 +71,7 @@
         if long { (60_u64, Duration::from_secs(1)) } else { (12, Duration::from_millis(250)) };
     let token = CancellationToken::new();
     let world = fixture::start_world(&token).await;
-    let door = world.log.open_door(token.child_token()).await.unwrap();
-    let mut settings = fixture::settings(&world, "cut", "b");
-    settings.log = door.address.to_string();
-    let cut = EntryProcess::start(settings).await.unwrap();
-    world.list_entry("cut", "b", &cut.peer_listen.to_string());
+    let (door, cut) = faults::start_with_door(&world, "cut", "b", &token).await;
     let daemon = daemon::start_daemon(&world);
     let sound = fixture::start_entry(&world, "sound", "c").await;
     fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
@@ -157,11 +152,7 @@
     // Arrange: both processes run on version 1, then one loses the log.
     let token = CancellationToken::new();
     let world = fixture::start_world(&token).await;
-    let door = world.log.open_door(token.child_token()).await.unwrap();
-    let mut settings = fixture::settings(&world, "cut", "b");
-    settings.log = door.address.to_string();
-    let cut = EntryProcess::start(settings).await.unwrap();
-    world.list_entry("cut", "b", &cut.peer_listen.to_string());
+    let (door, cut) = faults::start_with_door(&world, "cut", "b", &token).await;
     let sound = fixture::start_entry(&world, "sound", "c").await;
     fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
     fixture::wait_ready(&sound).await;
--- a/tests/coordination_faults.rs
+++ b/tests/coordination_faults.rs
@@ -95,11 +95,7 @@
     // Arrange
     let token = CancellationToken::new();
     let (world, entries) = start_all(&token).await;
-    let door = world.log.open_door(token.child_token()).await.unwrap();
-    let mut settings = fixture::settings(&world, "late", "a");
-    settings.log = door.address.to_string();
-    let late = EntryProcess::start(settings).await.unwrap();
-    world.list_entry("late", "a", &late.peer_listen.to_string());
+    let (door, late) = faults::start_with_door(&world, "late", "a", &token).await;
     fixture::wait_ready(&late).await;
 
     // Act
--- a/tests/coordination_schedule.rs
+++ b/tests/coordination_schedule.rs
@@ -124,11 +124,7 @@
     // Arrange: a fourth process reads the log by an address of its own and owns shards.
     let token = CancellationToken::new();
     let (world, mut entries) = start_all(&token).await;
-    let door = world.log.open_door(token.child_token()).await.unwrap();
-    let mut settings = fixture::settings(&world, "lonely", "a");
-    settings.log = door.address.to_string();
-    let lonely = EntryProcess::start(settings).await.unwrap();
-    world.list_entry("lonely", "a", &lonely.peer_listen.to_string());
+    let (door, lonely) = faults::start_with_door(&world, "lonely", "a", &token).await;
     fixture::wait_ready(&lonely).await;
     while entries.len() > 1 {
         // The lonely one and one other are left, and both own shards.
--- a/tests/fixture_replay/mod.rs
+++ b/tests/fixture_replay/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 pub mod load;
 mod work;
+mod worker;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -16,6 +17,9 @@
 };
 use godwithaven::prelude::*;
 
+use worker::{PendingSync, ReplayTask, new_worker};
+pub use worker::{ReplayWorker, SyncLink};
+
 /// Logical time of one step; the time between ticks of the scheduler task.
 pub const STEP: Duration = Duration::from_millis(500);
 /// Lease that each sync grants, as in the default settings.
@@ -33,79 +37,6 @@
 /// An attempt with the index of its worker and its need.
 type AssignedAttempt = (TaskId, usize, ResourceVector);
 
-/// What happens to the syncs of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SyncLink {
-    /// They are answered at once.
-    Prompt,
-    /// They take effect at once and are answered after this many steps.
-    Late(u32),
-    /// They neither take effect nor are answered.
-    Cut,
-    /// They take effect but are not answered.
-    Mute,
-}
-
-/// A running attempt of a task.
-struct ReplayTask {
-    team: TeamId,
-    need: ResourceVector,
-    key: (JobId, u32),
-    /// Progress at `since`.
-    done: Duration,
-    since: Instant,
-    /// `None` for services.
-    length: Option<Duration>,
-    percent: u32,
-    checkpointed: bool,
-}
-
-impl ReplayTask {
-    fn progress(&self, now: Instant) -> Duration {
-        self.done + now.duration_since(self.since) * self.percent / 100
-    }
-}
-
-struct PendingSync {
-    due: Instant,
-    report: Option<WorkerReport>,
-    /// Tasks whose starts and stops it carries.
-    carried: Vec<TaskId>,
-}
-
-/// A worker as it really is.
-#[expect(clippy::struct_excessive_bools, reason = "they are independent")]
-pub struct ReplayWorker {
-    /// The worker as listed.
-    pub vm: WorkerVm,
-    /// Whether the VM list shows it.
-    pub listed: bool,
-    /// What happens to its syncs.
-    pub link: SyncLink,
-    /// Whether it fails everything that it starts.
-    pub fails: bool,
-    alive: bool,
-    /// Whether the owner syncs with it.
-    owned: bool,
-    /// Whether the present owner got an answer of it.
-    heard: bool,
-    running: BTreeMap<TaskId, ReplayTask>,
-    ended: BTreeMap<TaskId, TaskEnd>,
-    known: FastSet<TaskId>,
-    lease_end: Option<Instant>,
-    used: ResourceVector,
-    /// What is assigned: starting, running and not stopped.
-    assigned: ResourceVector,
-    /// Commands that no answered sync carried, and whether a sync carried them.
-    commands: Vec<(WorkerCommand, bool)>,
-    withdrawn: Vec<TaskId>,
-    /// End of the lease that the first of the failed syncs may have granted.
-    granted_until: Option<Instant>,
-    in_flight: Option<PendingSync>,
-    next_sync: Instant,
-    last_answer: Option<WorkerReport>,
-}
-
 /// A submitted job with what really happened to it.
 pub struct ReplayJob {
     /// The job.
@@ -278,30 +209,6 @@
     run
 }
 
-fn new_worker(vm: WorkerVm, now: Instant) -> ReplayWorker {
-    ReplayWorker {
-        vm,
-        listed: true,
-        link: SyncLink::Prompt,
-        fails: false,
-        alive: true,
-        owned: false,
-        heard: false,
-        running: BTreeMap::new(),
-        ended: BTreeMap::new(),
-        known: FastSet::default(),
-        lease_end: None,
-        used: ResourceVector::default(),
-        assigned: ResourceVector::default(),
-        commands: Vec::new(),
-        withdrawn: Vec::new(),
-        granted_until: None,
-        in_flight: None,
-        next_sync: now,
-        last_answer: None,
-    }
-}
-
 impl ReplayRun {
     /// Tells the decider the allotments, the bundle and the VM list.
     fn announce(&mut self) {
