--- a/capacity/src/main.rs
+++ b/capacity/src/main.rs
@@ -13,7 +13,7 @@
     use std::path::PathBuf;
 
     xflags::xflags! {
-        /// Measures what an entry process spends, on loopback, in under five minutes.
+        /// Measures what an entry process spends, on loopback; windows of 6 s take about six minutes.
         cmd capacity {
             /// Length of each measured window in seconds.
             optional --seconds seconds: u64
