Ask the advisor once for all workers, keep room for urgent steps and let others yield

Cause: with everything waiting, 2.9 s of advisor time were asked for each second, many questions named one worker; after a takeover replayed failures suspended 33 of 35 workers for 8 s. Ruled out: processor time (3% of a core) and the store. Conclusion: advisor time and room for urgent work bind next, then store slowness.

--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -75,6 +75,8 @@
         /// How long the permits hold from now on.
         valid: Duration,
     },
+    /// The number of processes that ask the advisor changed.
+    HelpersChanged(usize),
     /// The advisor did not answer about a step.
     PermitsFailed(StepKey),
     /// Outcome of a start.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,7 +1,8 @@
+use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellWorker, GraphSpec, JobStatus,
-    LookFold, OrderOutcome, PlacementPhase, StartPass, StepKey, TaskKey, TaskPlacement, WorkerListing,
-    WorkerLook,
+    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker, GraphSpec,
+    JobStatus, LookFold, OrderOutcome, PlacementPhase, StartPass, StepKey, TaskKey, TaskPlacement,
+    WorkerListing, WorkerLook,
 };
 use crate::prelude::*;
 
@@ -36,7 +37,9 @@
             CellEvent::PermitsGranted { step, asked, granted, valid } => {
                 self.note_permits(&step, &asked, granted, valid, now);
             }
+            CellEvent::HelpersChanged(helpers) => self.state.helpers = helpers,
             CellEvent::PermitsFailed(step) => {
+                self.state.open_questions = self.state.open_questions.saturating_sub(1);
                 if let Some(state) = self.state.step_mut(&step) {
                     state.permits.fail(now);
                 }
@@ -62,7 +65,7 @@
 
     /// Decides which tasks start, and returns all that is to be done since the last call.
     pub fn decide(&mut self, now: Instant) -> Vec<CellEffect> {
-        StartPass { state: &mut self.state, now, full: Vec::new() }.run();
+        StartPass::new(&mut self.state, now).run();
         std::mem::take(&mut self.state.effects)
     }
 
@@ -87,11 +90,19 @@
             }
             CellRecord::Closed(job, status) => self.state.close(&job, status, now),
         }
-        // Stops are sent again when the workers were looked at.
         self.state.effects.clear();
+    }
+
+    /// Forgets what was noted while records were applied that says nothing about the present.
+    pub fn end_replay(&mut self) {
+        for worker in &mut self.state.workers {
+            worker.suspended_until = None;
+            worker.health = WorkerHealth::default();
+        }
         for placement in self.state.placements.values_mut() {
             placement.stop_sent = None;
         }
+        self.state.effects.clear();
     }
 
     /// Returns the state of a job; `None` if it is not known.
@@ -107,7 +118,13 @@
         self.state.jobs.values().filter(waits).count()
     }
 
-    /// Returns the state, for summaries and tests.
+    /// Returns the present load.
+    #[must_use]
+    pub fn summary(&self, now: Instant) -> CellSummary {
+        CellSummary::of(&self.state, now)
+    }
+
+    /// Returns the state, for tests.
     #[must_use]
     pub const fn state(&self) -> &CellState {
         &self.state
@@ -209,6 +226,7 @@
         valid: Duration,
         now: Instant,
     ) {
+        self.state.open_questions = self.state.open_questions.saturating_sub(1);
         let asked: Vec<u32> = asked.iter().filter_map(|worker| self.state.slot(worker)).collect();
         let granted = granted.into_iter();
         let granted = granted.filter_map(|(worker, ticket)| Some((self.state.slot(&worker)?, ticket)));
@@ -284,6 +302,7 @@
         self.state.wall = wall;
         self.check_leases(now);
         self.check_gangs(now);
+        self.state.demote_late(now);
         let scheduled: Vec<JobId> = self
             .state
             .jobs
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -1,11 +1,10 @@
 use std::collections::BTreeSet;
 
 use crate::kernel::ShareLedger;
-use crate::kernel::cell::step_state::StepOrder;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobStatus, OccurrenceState,
-    PlacementPhase, StartOrder, StepKey, StepSpec, StepState, StopOrder, SubmitRate, TaskKey, TaskPlacement,
-    TaskState,
+    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobLateness, JobStatus,
+    OccurrenceState, PlacementPhase, StartOrder, StepKey, StepOrder, StepSpec, StepState, StopOrder,
+    SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -13,6 +12,8 @@
 const RESTART_BACKOFF: Duration = Duration::from_millis(500);
 /// Run time below which the end of a lasting task counts as soon.
 const SHORT_RUN: Duration = Duration::from_secs(2);
+/// Objectives after which a completed job earns nothing.
+const LATEST_OBJECTIVES: u32 = 3;
 /// Time between two stops of the same run, which may have got lost.
 const STOP_RETRY: Duration = Duration::from_millis(400);
 
@@ -44,6 +45,10 @@
     pub wall: Duration,
     /// When every lease of an earlier owner is over.
     pub inherited_lease_over: Option<Instant>,
+    /// Processes that ask the advisor.
+    pub helpers: usize,
+    /// Questions to the advisor that are open.
+    pub open_questions: usize,
     /// What is to be done.
     pub effects: Vec<CellEffect>,
 }
@@ -127,16 +132,45 @@
     /// Returns the place of a step in the order of starts.
     fn order_of(&self, key: &StepKey, now: Instant) -> StepOrder {
         let Some(job) = self.jobs.get(&key.job) else {
-            return StepOrder { priority: u32::MAX, excess: true, deadline: now };
+            let lateness = JobLateness::Worthless;
+            return StepOrder { priority: u32::MAX, excess: true, lateness, latest_start: now };
         };
-        let (priority, objective) =
-            self.config.queues.get(&job.spec.queue).map_or((u32::MAX, Duration::ZERO), |rule| {
-                let chain = job.spec.estimated_chain().as_secs_f64() * rule.stretch;
-                (rule.priority, rule.target + Duration::try_from_secs_f64(chain).unwrap_or_default())
-            });
+        let priority = self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
+        let objective = self.objective(&job.spec);
         let age = self.wall.saturating_sub(job.spec.due(key.occurrence));
+        let lateness = match age {
+            age if age < objective => JobLateness::InTime,
+            age if age < objective * LATEST_OBJECTIVES => JobLateness::Late,
+            _ => JobLateness::Worthless,
+        };
         let begun = now.checked_sub(age).unwrap_or(now);
-        StepOrder { priority, excess: job.excess, deadline: begun + objective }
+        let rest = job.spec.estimated_rest(key.step);
+        let latest_start = (begun + objective).checked_sub(rest).unwrap_or(begun);
+        StepOrder { priority, excess: job.excess, lateness, latest_start }
+    }
+
+    /// Returns the time within which a job should be complete.
+    fn objective(&self, spec: &GraphSpec) -> Duration {
+        let Some(rule) = self.config.queues.get(&spec.queue) else { return Duration::ZERO };
+        let chain = spec.estimated_chain().as_secs_f64() * rule.stretch;
+        rule.target + Duration::try_from_secs_f64(chain).unwrap_or_default()
+    }
+
+    /// Moves ready steps back whose jobs have become late since they were ordered.
+    pub fn demote_late(&mut self, now: Instant) {
+        let stale: Vec<(StepOrder, StepKey, StepOrder)> = self
+            .ready
+            .iter()
+            .map(|(order, key)| (*order, key.clone(), self.order_of(key, now)))
+            .filter(|(old, _, new)| old.lateness < new.lateness)
+            .collect();
+        for (old, key, new) in stale {
+            self.ready.remove(&(old, key.clone()));
+            if let Some(state) = self.step_mut(&key) {
+                state.order = Some(new);
+            }
+            self.ready.insert((new, key));
+        }
     }
 
     /// Places a waiting task on a worker and orders its start.
@@ -203,6 +237,9 @@
             self.shares.remove(&team, need, self.capacity);
             if let Some(worker) = self.worker_mut(placement.slot) {
                 worker.used = worker.used.minus(reserved);
+                if placement.stopping.is_some() {
+                    worker.stopping = worker.stopping.minus(reserved);
+                }
                 worker.tasks.remove(key);
             }
         }
@@ -259,12 +296,24 @@
             return;
         }
         placement.stop_sent = Some(now);
+        let first = placement.stopping.is_none();
         let reason = *placement.stopping.get_or_insert(reason);
         let (slot, run) = (placement.slot, placement.run);
+        if first {
+            self.count_stopping(key, slot);
+        }
         let Some(worker) = self.worker(slot).map(|worker| worker.listing.worker.clone()) else { return };
         self.effects.push(CellEffect::Stop(StopOrder { worker, task: key.clone(), run, reason }));
     }
 
+    /// Counts the room that a run gives back once it has stopped.
+    fn count_stopping(&mut self, key: &TaskKey, slot: u32) {
+        let Some(reserved) = self.step(&key.step).map(|(_, step, _)| step.reserved()) else { return };
+        if let Some(worker) = self.worker_mut(slot) {
+            worker.stopping = worker.stopping.plus(reserved);
+        }
+    }
+
     /// Applies the end of the run that counts; returns whether it did.
     pub fn apply_end(
         &mut self,
@@ -282,7 +331,12 @@
         self.effects.push(CellEffect::Record(CellRecord::Ended(key.clone(), run, cause, checkpoint.clone())));
         self.keep_checkpoint(key, checkpoint);
         match cause {
-            EndCause::Done => self.finish_task(key, now),
+            EndCause::Done => {
+                if let Some(worker) = self.worker_mut(placement.slot) {
+                    worker.health.succeed();
+                }
+                self.finish_task(key, now);
+            }
             EndCause::Failed => self.fail_task(key, run, &placement, now),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => self.requeue(key),
         }
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -24,6 +24,8 @@
     pub born: Option<WorkerBirth>,
     /// Capacity that its tasks take.
     pub used: ResourceVector,
+    /// The part of it whose tasks are being stopped.
+    pub stopping: ResourceVector,
     /// Its tasks.
     pub tasks: FastSet<TaskKey>,
     /// Failures of tasks on it.
@@ -45,6 +47,7 @@
             lease_over,
             born: None,
             used: ResourceVector::default(),
+            stopping: ResourceVector::default(),
             tasks: FastSet::default(),
             health: WorkerHealth::default(),
             suspended_until: None,
--- a/src/kernel/cell/graph_spec.rs
+++ b/src/kernel/cell/graph_spec.rs
@@ -61,6 +61,21 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns the estimated time of the longest chain that begins with a step.
+    #[must_use]
+    pub fn estimated_rest(&self, from: u32) -> Duration {
+        let mut rests = vec![Duration::ZERO; self.steps.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            rests[index] = rests[index].saturating_add(step.estimate);
+            for after in &step.after {
+                if let Some(rest) = rests.get(*after as usize).copied() {
+                    rests[*after as usize] = rest.max(rests[index]);
+                }
+            }
+        }
+        rests.get(from as usize).copied().unwrap_or_default()
+    }
+
     /// Returns the first fault of the steps, as one sentence.
     #[must_use]
     pub fn fault(&self) -> Option<String> {
--- a/src/kernel/cell/look_fold.rs
+++ b/src/kernel/cell/look_fold.rs
@@ -1,5 +1,5 @@
 use crate::kernel::cell::{
-    CellEffect, CellState, EndCause, PlacementPhase, RunningRun, StopOrder, TaskKey, WorkerLook,
+    CellEffect, CellState, PlacementPhase, RunningRun, StopOrder, TaskKey, WorkerLook,
 };
 use crate::prelude::*;
 
@@ -21,14 +21,7 @@
         let mut last = 0;
         for end in look.ended {
             last = last.max(end.number);
-            let succeeded = end.cause == EndCause::Done;
-            let counted = self.state.apply_end(&end.task, end.run, end.cause, end.checkpoint, self.now);
-            if counted
-                && succeeded
-                && let Some(worker) = self.state.worker_mut(self.slot)
-            {
-                worker.health.succeed();
-            }
+            self.state.apply_end(&end.task, end.run, end.cause, end.checkpoint, self.now);
         }
         let mut present: FastSet<TaskKey> = FastSet::default();
         for run in look.running {
--- a/src/kernel/cell/permit_book.rs
+++ b/src/kernel/cell/permit_book.rs
@@ -36,6 +36,12 @@
         self.asking = true;
     }
 
+    /// Whether a question is open.
+    #[must_use]
+    pub const fn is_asking(&self) -> bool {
+        self.asking
+    }
+
     /// Whether a question may be asked now.
     #[must_use]
     pub fn may_ask(&self, now: Instant) -> bool {
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -1,42 +1,64 @@
 use std::cmp::Reverse;
 
-use crate::kernel::cell::{CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec};
+use crate::kernel::cell::{CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, VictimSearch};
 use crate::prelude::*;
 
-/// Part of the workers that the advisor is expected to grant, in percent.
-const EXPECTED_GRANTS_PERCENT: usize = 40;
-/// Workers that are named beyond those that are expected to be needed.
-const SPARE_CANDIDATES: usize = 3;
-/// Most workers that one question may name.
-const MOST_CANDIDATES: usize = 100;
+/// Most workers that one question to the advisor may name.
+const MOST_ASKED: usize = 40;
 /// Steps that are looked at in one pass, so that a long queue does not slow it down.
-const MOST_STEPS: usize = 400;
+const MOST_STEPS: usize = 300;
+/// Waiting steps of a service whose permits are renewed ahead, so that room that becomes free is used at once.
+const RENEWED_AHEAD: usize = 8;
+/// Rest of a permit's time at which it is renewed ahead.
+const RENEWAL_MARGIN: Duration = Duration::from_millis(500);
+/// Questions that may be open for each process that asks, so that an urgent one does not wait long.
+const QUESTIONS_PER_HELPER: usize = 2;
+/// Tasks that are stopped in one pass for more urgent ones.
+const MOST_VICTIMS: usize = 24;
 
-/// Decides which waiting tasks start now, and on which workers.
+/// Decides which waiting tasks start now, on which workers, and which tasks yield.
 pub struct StartPass<'a> {
     /// The cell.
     pub state: &'a mut CellState,
     /// The present time.
     pub now: Instant,
-    /// Needs for which no worker of a service has room in this pass.
-    pub full: Vec<(ServiceId, ResourceVector)>,
+    held: FastMap<u32, ResourceVector>,
+    ranks: FastMap<ServiceId, usize>,
+    victims_left: usize,
 }
 
-/// A worker on which a task of a step may be placed.
+/// A worker on which tasks of a step may be placed, as far as its labels and the configuration say.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
     /// Workers on the wanted rack come first.
     far: bool,
-    /// Room that would be left, in thousandths; its order depends on the step.
+    /// Room that would be left, in thousandths; its sense depends on the step.
     score: Reverse<i64>,
     slot: u32,
     /// How many tasks it has room for.
     count: u32,
+    /// How many more tasks of the step it may run at all.
+    most: u32,
 }
 
-impl StartPass<'_> {
+/// A step that is being placed.
+struct PlacedStep<'a> {
+    key: &'a StepKey,
+    rule: QueueRule,
+    reserved: ResourceVector,
+    wanted: u32,
+}
+
+impl<'a> StartPass<'a> {
+    /// Returns a pass over the cell.
+    #[must_use]
+    pub fn new(state: &'a mut CellState, now: Instant) -> Self {
+        let (held, ranks) = (FastMap::default(), FastMap::default());
+        Self { state, now, held, ranks, victims_left: MOST_VICTIMS }
+    }
+
     /// Places what can be placed, in the order of starts.
-    pub fn run(&mut self) {
+    pub fn run(mut self) {
         let steps: Vec<StepKey> =
             self.state.ready.iter().take(MOST_STEPS).map(|(_, key)| key.clone()).collect();
         for key in steps {
@@ -50,40 +72,33 @@
         if step.gang && state.placed > 0 {
             return;
         }
-        let reserved = step.reserved();
-        if self.full.iter().any(|(service, need)| *service == rule.service && need.fits(reserved)) {
-            return;
-        }
+        let (reserved, gang) = (step.reserved(), step.gang);
         let wanted = self.allowed(key);
         if wanted == 0 {
             return;
         }
-        let candidates = self.candidates(key, &rule);
-        if candidates.is_empty() {
-            self.note_full(key, &rule);
+        let placed = PlacedStep { key, rule, reserved, wanted };
+        let candidates = self.candidates(&placed);
+        let started =
+            if gang { self.start_gang(&placed, &candidates) } else { self.start_tasks(&placed, &candidates) };
+        let missing = wanted - started;
+        if missing == 0 {
             return;
         }
-        let permitted = self.permitted(key, &rule, &candidates);
-        let gang = self.state.step(key).is_some_and(|(_, step, _)| step.gang);
-        let placed = if gang {
-            self.start_gang(key, &permitted, wanted)
-        } else {
-            self.start_tasks(key, &permitted, wanted)
-        };
-        if placed < wanted
-            && let Some(permits) = rule.permits
-        {
-            self.ask(key, permits, rule.priority, &candidates, wanted - placed);
+        let candidates = if started > 0 { self.candidates(&placed) } else { candidates };
+        let rank = self.ranks.entry(placed.rule.service.clone()).or_default();
+        *rank += 1;
+        let rank = *rank;
+        if let Some(permits) = placed.rule.permits {
+            self.ask(&placed, permits, &candidates, rank);
         }
+        self.make_room(&placed, &candidates, missing);
     }
 
     /// Returns how many waiting tasks of a step the limit of its team and its backoffs allow to start.
     fn allowed(&self, key: &StepKey) -> u32 {
         let Some((spec, step, state)) = self.state.step(key) else { return 0 };
-        let due = |index: &&u32| {
-            let task = &state.tasks[**index as usize];
-            task.not_before.is_none_or(|at| self.now >= at)
-        };
+        let due = |index: &&u32| state.tasks[**index as usize].may_start(self.now);
         let waiting = u32::try_from(state.waiting.iter().filter(due).count()).unwrap_or(u32::MAX);
         let room = if spec.team.is_empty() {
             u64::MAX
@@ -97,85 +112,74 @@
         u32::try_from(allowed).unwrap_or(u32::MAX)
     }
 
-    /// Returns the workers with room for a task of the step, the best first.
-    fn candidates(&self, key: &StepKey, rule: &QueueRule) -> Vec<Candidate> {
-        let Some((_, step, state)) = self.state.step(key) else { return Vec::new() };
-        let Some(pool) = self.state.pools.get(&rule.service) else { return Vec::new() };
-        let reserved = step.reserved();
+    /// Returns the workers that may run tasks of the step, the best first; some have no room.
+    fn candidates(&self, placed: &PlacedStep<'_>) -> Vec<Candidate> {
+        let Some((_, step, state)) = self.state.step(placed.key) else { return Vec::new() };
+        let Some(pool) = self.state.pools.get(&placed.rule.service) else { return Vec::new() };
+        let with_permits = placed.rule.permits.is_some();
         let mut candidates = Vec::new();
         for slot in pool {
             let Some(worker) = self.state.worker(*slot) else { continue };
-            let free = worker.free();
-            if !reserved.fits(free) || !worker.is_open(self.now) || !worker.suits(step) {
+            let capacity = worker.listing.capacity;
+            if !placed.reserved.fits(capacity) || !worker.is_open(self.now) || !worker.suits(step) {
                 continue;
             }
-            if state.permits.is_denied(*slot) && rule.permits.is_some() {
+            if with_permits && state.permits.is_denied(*slot) {
                 continue;
             }
-            let placed = state.per_worker.get(slot).copied().unwrap_or_default();
-            let most = step.most_per_worker.map_or(u32::MAX, |most| most.saturating_sub(placed));
-            let count = u32::try_from(reserved.count_in(free)).unwrap_or(u32::MAX).min(most);
-            if count == 0 {
+            let there = state.per_worker.get(slot).copied().unwrap_or_default();
+            let most = step.most_per_worker.map_or(u32::MAX, |most| most.saturating_sub(there));
+            if most == 0 {
                 continue;
             }
+            let held = self.held.get(slot).copied().unwrap_or_default();
+            let free = worker.free().minus(held);
+            let count = if placed.reserved.fits(free) { placed.reserved.count_in(free) } else { 0 };
+            let count = u32::try_from(count).unwrap_or(u32::MAX).min(most);
             let far = step.rack.as_ref().is_some_and(|rack| worker.listing.rack.as_ref() != Some(rack));
-            let score = Reverse(score(step, free, worker.listing.capacity));
-            candidates.push(Candidate { far, score, slot: *slot, count });
+            let score = Reverse(score(step, free, capacity));
+            candidates.push(Candidate { far, score, slot: *slot, count, most });
         }
         candidates.sort_unstable();
         candidates
     }
 
-    /// Remembers that no worker has room for the need, if nothing but room stands in the way.
-    fn note_full(&mut self, key: &StepKey, rule: &QueueRule) {
-        let Some((_, step, state)) = self.state.step(key) else { return };
-        let only_room = step.label.is_none() && step.most_per_worker.is_none() && rule.permits.is_none();
-        let untried = rule.permits.is_some() && state.placed == 0 && state.permits.is_empty();
-        if only_room || untried {
-            self.full.push((rule.service.clone(), step.reserved()));
-        }
-    }
-
-    /// Returns those of the candidates on which a start would be accepted now.
+    /// Returns those of the candidates with room on which a start would be accepted now.
     fn permitted(
         &self,
-        key: &StepKey,
-        rule: &QueueRule,
+        placed: &PlacedStep<'_>,
         candidates: &[Candidate],
     ) -> Vec<(Candidate, Option<PermitTicket>)> {
-        let Some((_, _, state)) = self.state.step(key) else { return Vec::new() };
-        let permit = |candidate: &Candidate| match rule.permits {
+        let Some((_, _, state)) = self.state.step(placed.key) else { return Vec::new() };
+        let permit = |candidate: &Candidate| match placed.rule.permits {
             None => Some((candidate.clone(), None)),
             Some(_) => {
                 let ticket = state.permits.ticket(candidate.slot, self.now)?.clone();
                 Some((candidate.clone(), Some(ticket)))
             }
         };
-        candidates.iter().filter_map(permit).collect()
+        candidates.iter().filter(|candidate| candidate.count > 0).filter_map(permit).collect()
     }
 
     /// Starts waiting tasks one by one on the best workers; returns how many.
-    fn start_tasks(
-        &mut self,
-        key: &StepKey,
-        permitted: &[(Candidate, Option<PermitTicket>)],
-        wanted: u32,
-    ) -> u32 {
-        let Some((_, _, state)) = self.state.step(key) else { return 0 };
-        let due = |index: &u32| state.tasks[*index as usize].not_before.is_none_or(|at| self.now >= at);
-        let waiting: Vec<u32> = state.waiting.iter().copied().filter(due).take(wanted as usize).collect();
+    fn start_tasks(&mut self, placed: &PlacedStep<'_>, candidates: &[Candidate]) -> u32 {
+        let permitted = self.permitted(placed, candidates);
+        let Some((_, _, state)) = self.state.step(placed.key) else { return 0 };
+        let due = |index: &u32| state.tasks[*index as usize].may_start(self.now);
+        let waiting = state.waiting.iter().copied().filter(due);
+        let waiting: Vec<u32> = waiting.take(placed.wanted as usize).collect();
         let mut waiting = waiting.into_iter();
         let mut left: Vec<u32> = permitted.iter().map(|(candidate, _)| candidate.count).collect();
         let mut started = 0;
         // One task a worker in each round, so that a wide step spreads.
         while left.iter().any(|count| *count > 0) {
-            for (left, (candidate, ticket)) in left.iter_mut().zip(permitted) {
+            for (left, (candidate, ticket)) in left.iter_mut().zip(&permitted) {
                 if *left == 0 {
                     continue;
                 }
                 let Some(index) = waiting.next() else { return started };
                 *left -= 1;
-                self.state.start(&key.task(index), candidate.slot, ticket.clone(), self.now);
+                self.state.start(&placed.key.task(index), candidate.slot, ticket.clone(), self.now);
                 started += 1;
             }
         }
@@ -183,80 +187,128 @@
     }
 
     /// Starts all tasks of a gang, or none; returns how many.
-    fn start_gang(
-        &mut self,
-        key: &StepKey,
-        permitted: &[(Candidate, Option<PermitTicket>)],
-        wanted: u32,
-    ) -> u32 {
-        let same_rack = self.state.step(key).is_some_and(|(_, step, _)| step.same_rack);
-        let whole: Vec<&(Candidate, Option<PermitTicket>)> = permitted.iter().collect();
-        let mut groups = Vec::new();
+    fn start_gang(&mut self, placed: &PlacedStep<'_>, candidates: &[Candidate]) -> u32 {
+        let permitted = self.permitted(placed, candidates);
+        let same_rack = self.state.step(placed.key).is_some_and(|(_, step, _)| step.same_rack);
+        let mut groups: Vec<Vec<&(Candidate, Option<PermitTicket>)>> = Vec::new();
         if same_rack {
             let mut racks: FastMap<Option<RackId>, Vec<&(Candidate, Option<PermitTicket>)>> =
                 FastMap::default();
-            for entry in permitted {
+            for entry in &permitted {
                 let rack = self.state.worker(entry.0.slot).and_then(|worker| worker.listing.rack.clone());
                 racks.entry(rack).or_default().push(entry);
             }
             groups.extend(racks.into_values());
         }
-        groups.push(whole);
+        groups.push(permitted.iter().collect());
+        let wanted = placed.wanted as usize;
         for group in groups {
             let slots = group.iter().flat_map(|(candidate, ticket)| {
-                (0..candidate.count.min(wanted)).map(move |_| (candidate.slot, ticket.clone()))
+                std::iter::repeat_n((candidate.slot, ticket.clone()), candidate.count as usize)
             });
-            let slots: Vec<(u32, Option<PermitTicket>)> = slots.take(wanted as usize).collect();
-            if slots.len() == wanted as usize {
-                self.state.start_gang(key, &slots, self.now);
-                return wanted;
+            let slots: Vec<(u32, Option<PermitTicket>)> = slots.take(wanted).collect();
+            if slots.len() == wanted {
+                self.state.start_gang(placed.key, &slots, self.now);
+                return placed.wanted;
             }
         }
         0
     }
 
-    /// Asks the advisor about workers with room whose permit is not known or has ended.
-    fn ask(
-        &mut self,
-        key: &StepKey,
-        rule: PermitRule,
-        priority: u32,
-        candidates: &[Candidate],
-        missing: u32,
-    ) {
+    /// Asks the advisor about workers whose verdict is not known or whose permit ends, if that helps.
+    ///
+    /// Verdicts do not change and a question costs little more for more workers, so the first one names all that
+    /// may run the step, and later ones only those that were granted.
+    fn ask(&mut self, placed: &PlacedStep<'_>, rule: PermitRule, candidates: &[Candidate], rank: usize) {
         let now = self.now;
-        let Some((_, _, state)) = self.state.step(key) else { return };
-        if !state.permits.may_ask(now) {
+        let bound = self.state.helpers.max(1) * QUESTIONS_PER_HELPER;
+        if self.state.open_questions >= bound && placed.rule.priority > 0 {
             return;
         }
-        let mut without: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|candidate| state.permits.ticket(candidate.slot, now).is_none())
-            .collect();
-        // Workers that were granted before are granted again.
-        without.sort_by_key(|candidate| !state.permits.is_known_good(candidate.slot));
-        let mut expected = 0;
-        let mut slots = Vec::new();
-        for candidate in without {
-            if expected >= missing as usize * 100 + SPARE_CANDIDATES * EXPECTED_GRANTS_PERCENT
-                || slots.len() >= MOST_CANDIDATES
-            {
-                break;
-            }
-            let good = state.permits.is_known_good(candidate.slot);
-            let percent = if good { 100 } else { EXPECTED_GRANTS_PERCENT };
-            expected += percent * candidate.count.min(missing) as usize;
-            slots.push(candidate.slot);
+        let Some((_, _, state)) = self.state.step(placed.key) else { return };
+        if !state.permits.may_ask(now) {
+            return;
         }
-        if slots.is_empty() {
+        let margin = if rank <= RENEWED_AHEAD { RENEWAL_MARGIN } else { Duration::ZERO };
+        let lacks = |candidate: &&Candidate| state.permits.ticket(candidate.slot, now + margin).is_none();
+        let mut slots: Vec<&Candidate> = candidates.iter().filter(lacks).collect();
+        let known = |candidate: &Candidate| state.permits.is_known_good(candidate.slot);
+        let any_known = candidates.iter().any(|candidate| known(candidate));
+        let useful = slots.iter().any(|candidate| candidate.count > 0) || rank <= RENEWED_AHEAD;
+        if slots.is_empty() || !useful {
             return;
         }
-        let names = slots.iter().filter_map(|slot| self.state.worker(*slot));
+        if any_known {
+            slots.retain(|candidate| known(candidate) || candidate.count > 0);
+        }
+        slots.sort_by_key(|candidate| (!known(candidate), candidate.count == 0));
+        slots.truncate(MOST_ASKED);
+        let names = slots.iter().filter_map(|candidate| self.state.worker(candidate.slot));
         let workers: Vec<WorkerId> = names.map(|worker| worker.listing.worker.clone()).collect();
-        if let Some(state) = self.state.step_mut(key) {
+        if workers.is_empty() {
+            return;
+        }
+        if let Some(state) = self.state.step_mut(placed.key) {
             state.permits.ask();
         }
-        self.state.effects.push(CellEffect::AskPermits { step: key.clone(), rule, priority, workers });
+        self.state.open_questions += 1;
+        let (step, priority) = (placed.key.clone(), placed.rule.priority);
+        self.state.effects.push(CellEffect::AskPermits { step, rule, priority, workers });
+    }
+
+    /// Keeps room for the tasks that are missing, and stops less urgent tasks if there is not enough.
+    fn make_room(&mut self, placed: &PlacedStep<'_>, candidates: &[Candidate], missing: u32) {
+        let mut left = missing;
+        for candidate in candidates {
+            if left == 0 {
+                return;
+            }
+            if !self.is_hopeful(placed, candidate.slot) {
+                continue;
+            }
+            let room = self.room_soon(placed, candidate);
+            let room = if room > 0 { room } else { self.evict(placed, candidate) };
+            let kept = room.min(left);
+            if kept > 0 {
+                let held = self.held.entry(candidate.slot).or_default();
+                *held = held.plus(placed.reserved.times(u64::from(kept)));
+                left -= kept;
+            }
+        }
+    }
+
+    /// Whether the step may soon start on the worker: it holds a permit for it, or is getting one.
+    fn is_hopeful(&self, placed: &PlacedStep<'_>, slot: u32) -> bool {
+        if placed.rule.permits.is_none() {
+            return true;
+        }
+        let Some((_, _, state)) = self.state.step(placed.key) else { return false };
+        state.permits.ticket(slot, self.now).is_some()
+            || (state.permits.is_asking() && state.permits.is_known_good(slot))
+    }
+
+    /// Returns how many tasks fit on the worker once the tasks that are being stopped have ended.
+    fn room_soon(&self, placed: &PlacedStep<'_>, candidate: &Candidate) -> u32 {
+        let Some(worker) = self.state.worker(candidate.slot) else { return 0 };
+        let held = self.held.get(&candidate.slot).copied().unwrap_or_default();
+        let free = worker.free().plus(worker.stopping).minus(held);
+        let count = if placed.reserved.fits(free) { placed.reserved.count_in(free) } else { 0 };
+        u32::try_from(count).unwrap_or(u32::MAX).min(candidate.most)
+    }
+
+    /// Stops less urgent tasks on the worker until one task of the step fits; returns how many will.
+    fn evict(&mut self, placed: &PlacedStep<'_>, candidate: &Candidate) -> u32 {
+        if self.victims_left == 0 {
+            return 0;
+        }
+        let held = self.held.get(&candidate.slot).copied().unwrap_or_default();
+        let search = VictimSearch { state: self.state, slot: candidate.slot, priority: placed.rule.priority };
+        let Some(victims) = search.find(placed.reserved.plus(held), self.now) else { return 0 };
+        self.victims_left = self.victims_left.saturating_sub(victims.len());
+        for victim in victims {
+            self.state.stop(&victim, "yields_to_urgent", self.now);
+        }
+        1
     }
 }
 
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -18,6 +18,14 @@
     pub not_before: Option<Instant>,
 }
 
+impl TaskState {
+    /// Whether no backoff keeps the task from being started.
+    #[must_use]
+    pub fn may_start(&self, now: Instant) -> bool {
+        self.not_before.is_none_or(|at| now >= at)
+    }
+}
+
 /// Place of a step in the order of starts; lower ones come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StepOrder {
@@ -25,8 +33,21 @@
     pub priority: u32,
     /// Whether its team has submitted more than it is owed.
     pub excess: bool,
-    /// When its job should be complete.
-    pub deadline: Instant,
+    /// How much of its worth the job has lost by being late.
+    pub lateness: JobLateness,
+    /// When the step has to start so that its job is complete in time.
+    pub latest_start: Instant,
+}
+
+/// How much of its worth a job has lost by being late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum JobLateness {
+    /// Nothing: it may still be complete within its objective.
+    InTime,
+    /// Most: its objective has passed.
+    Late,
+    /// All: even a late completion earns nothing.
+    Worthless,
 }
 
 /// What is known of one step of an occurrence.
--- a/src/tasks/cell/advice.rs
+++ b/src/tasks/cell/advice.rs
@@ -42,6 +42,8 @@
 /// What the task is told.
 #[derive(Debug)]
 pub enum AdviceMessage {
+    /// This process owns the cell; its owner is told how many processes ask.
+    Own(mpsc::Sender<OwnerMessage>),
     /// Ask a question and tell the owner what came of it.
     Ask(AdviceQuestion, mpsc::Sender<OwnerMessage>),
     /// Another process offers to ask questions.
@@ -56,6 +58,7 @@
 struct OpenQuestion {
     question: AdviceQuestion,
     owner: mpsc::Sender<OwnerMessage>,
+    arrived: Instant,
     helper: Option<HelperNumber>,
     due: Option<Instant>,
 }
@@ -74,6 +77,7 @@
     open: FastMap<QuestionNumber, OpenQuestion>,
     waiting: BinaryHeap<Reverse<(u32, QuestionNumber)>>,
     next: QuestionNumber,
+    owner: Option<mpsc::Sender<OwnerMessage>>,
 }
 
 impl AdviceTask {
@@ -87,6 +91,7 @@
             open: FastMap::default(),
             waiting: BinaryHeap::new(),
             next: 0,
+            owner: None,
         }
     }
 
@@ -112,25 +117,39 @@
 
     async fn handle(&mut self, message: AdviceMessage) {
         match message {
+            AdviceMessage::Own(owner) => {
+                self.owner = Some(owner);
+                self.tell_helpers().await;
+            }
             AdviceMessage::Ask(question, owner) => {
                 self.next += 1;
                 self.waiting.push(Reverse((question.priority, self.next)));
-                let open = OpenQuestion { question, owner, helper: None, due: None };
+                let open = OpenQuestion { question, owner, arrived: Instant::now(), helper: None, due: None };
                 self.open.insert(self.next, open);
             }
             AdviceMessage::Join(helper, output) => {
                 self.helpers.insert(helper, AdviceHelper { output, busy: None });
+                self.tell_helpers().await;
             }
             AdviceMessage::Leave(helper) => {
                 let lost = self.helpers.remove(&helper).and_then(|helper| helper.busy);
                 if let Some(number) = lost {
                     self.ask_again(number);
                 }
+                self.tell_helpers().await;
             }
             AdviceMessage::Answered(number, result) => self.finish(number, result).await,
         }
     }
 
+    async fn tell_helpers(&mut self) {
+        let Some(owner) = &self.owner else { return };
+        let event = CellEvent::HelpersChanged(self.helpers.len());
+        if owner.send(OwnerMessage::Event(event)).await.is_err() {
+            self.owner = None;
+        }
+    }
+
     fn ask_again(&mut self, number: QuestionNumber) {
         if let Some(open) = self.open.get_mut(&number) {
             (open.helper, open.due) = (None, None);
@@ -169,7 +188,12 @@
         }
         let AdviceQuestion { step, rule, workers, .. } = open.question;
         let event = match result {
-            Ok(granted) => CellEvent::PermitsGranted { step, asked: workers, granted, valid: rule.validity },
+            Ok(granted) => {
+                log::info!(step:%, asked = workers.len(), granted = granted.len(),
+                    took_ms = open.arrived.elapsed().as_millis(), waiting = self.waiting.len();
+                    "advisor answered");
+                CellEvent::PermitsGranted { step, asked: workers, granted, valid: rule.validity }
+            }
             Err(reason) => {
                 log::info!(step:%, reason = &*reason; "advisor gave no answer");
                 CellEvent::PermitsFailed(step)
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -24,6 +24,8 @@
 const DEPOSED_TIME: Duration = Duration::from_millis(2_500);
 /// Time between ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between log lines about the load.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 /// Messages that are handled before the next decision.
 const BATCH: usize = 256;
 /// How long the store may wait for submissions before it answers an empty page.
@@ -108,6 +110,9 @@
         }
         let (mut state, next) = self.recover().await;
         log::info!(token = self.token, took_ms:? = started.elapsed().as_millis(); "cell recovered");
+        if self.advice.send(AdviceMessage::Own(self.inbox.clone())).await.is_err() {
+            log::error!("task of the placement advisor has ended");
+        }
         let (sender, mut jobs) = mpsc::channel(CHANNEL_CAPACITY);
         let (store, stop) = (self.store.clone(), token.clone());
         actix_rt::spawn(async move {
@@ -121,6 +126,8 @@
 
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut summary = tokio::time::interval(SUMMARY_INTERVAL);
+        summary.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 progress = state.log.progress() => {
@@ -135,6 +142,7 @@
                 }
                 Some(message) = jobs.recv() => state.note_jobs(message),
                 Some(message) = listings.recv() => self.note_listings(&mut state, message),
+                _ = summary.tick() => state.log_summary(),
                 _ = tick.tick() => {
                     let event = CellEvent::Tick(clock::since_1970());
                     state.scheduler.handle(event, Instant::now());
@@ -180,6 +188,7 @@
             Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be read"),
         })
         .await;
+        scheduler.end_replay();
         for job in cancelled {
             scheduler.handle(CellEvent::Cancelled(job), now);
         }
@@ -345,6 +354,18 @@
         Ok(())
     }
 
+    fn log_summary(&self) {
+        let summary = self.scheduler.summary(Instant::now());
+        for (service, pool) in &summary.pools {
+            log::info!(service = &**service, listed = pool.listed, open = pool.open,
+                used:% = pool.used, capacity:% = pool.capacity; "load of a service");
+        }
+        log::info!(open_jobs = summary.open_jobs, ready_steps = summary.ready_steps,
+            asking_steps = summary.asking_steps, waiting_tasks = summary.waiting_tasks,
+            placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks;
+            "load of the cell");
+    }
+
     fn is_current(&self) -> bool {
         self.jobs_read.elapsed() < CURRENT_FOR
     }
