Append submissions in groups and replace unreachable owners sooner

Cause: with the store 54 times slower one append a submission filled its partition (200 answers 504), and a killed owner was missed for 1.8 s. Change: one group in flight for each process over four partitions, an outage refuses at once, a broken stream to the owner or another life of its process shortens the wait.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -33,7 +33,7 @@
             CellEvent::ZonesClosed(zones) => self.close_zones(zones),
             CellEvent::WorkersListed(listings) => self.list_workers(listings, now),
             CellEvent::Submitted(spec) => self.submit(spec, now),
-            CellEvent::Cancelled(job) => self.state.close(&job, JobStatus::Cancelled, now),
+            CellEvent::Cancelled(job) => self.cancel(job, now),
             CellEvent::PermitsGranted { step, asked, granted, valid } => {
                 self.note_permits(&step, &asked, granted, valid, now);
             }
@@ -204,9 +204,22 @@
         let excess = self.state.rates.exceeds(&spec.team, weight, now);
         let id = spec.id.clone();
         self.state.jobs.insert(id.clone(), CellJob::new(spec, now, excess));
+        if self.state.early_cancels.remove(&id).is_some() {
+            self.state.close(&id, JobStatus::Cancelled, now);
+            return;
+        }
         self.activate_due(&id, now);
     }
 
+    fn cancel(&mut self, job: JobId, now: Instant) {
+        if self.state.jobs.contains_key(&job) {
+            self.state.close(&job, JobStatus::Cancelled, now);
+        } else {
+            // Submissions and cancellations may be read from different partitions.
+            self.state.early_cancels.insert(job, now);
+        }
+    }
+
     fn activate_due(&mut self, id: &JobId, now: Instant) {
         while let Some(job) = self.state.jobs.get(id).filter(|job| !job.status.is_final()) {
             let next = job.next_occurrence;
@@ -313,6 +326,7 @@
         for id in scheduled {
             self.activate_due(&id, now);
         }
+        self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_KEPT);
         self.state.jobs.retain(|_, job| {
             job.closed_at.is_none_or(|at| job.placed > 0 || now.saturating_duration_since(at) < CLOSED_KEPT)
         });
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -31,6 +31,8 @@
     pub pools: FastMap<ServiceId, Vec<u32>>,
     /// Accepted jobs, and closed ones for a time.
     pub jobs: FastMap<JobId, CellJob>,
+    /// Jobs that were cancelled before their submission was read, by the time of that.
+    pub early_cancels: FastMap<JobId, Instant>,
     /// Runs that count on a worker.
     pub placements: FastMap<TaskKey, TaskPlacement>,
     /// Steps with tasks that may be placed, in the order of starts.
--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -12,6 +12,10 @@
     pub token: FencingToken,
 }
 
+/// Silence in the log after which an owner is replaced that cannot be reached either; more than the time between
+/// two signs of life, so that a process that is cut off from a live owner does not replace it.
+const SUSPECTED_SILENCE: Duration = Duration::from_millis(850);
+
 /// Follows the log of claims and says when to claim the cell.
 #[derive(Clone, Debug)]
 pub struct ClaimWatch {
@@ -19,6 +23,8 @@
     patience: Duration,
     owner: Option<CellOwner>,
     released: bool,
+    /// Whether this process cannot reach the owner.
+    suspected: bool,
     end: LogOffset,
     /// Since when nothing was heard of the owner, while the log could be read.
     quiet_since: Option<Instant>,
@@ -30,7 +36,16 @@
     /// that should claim only if no other does.
     #[must_use]
     pub const fn new(silence: Duration, patience: Duration) -> Self {
-        Self { silence, patience, owner: None, released: false, end: 0, quiet_since: None, last_read: None }
+        Self {
+            silence,
+            patience,
+            owner: None,
+            released: false,
+            suspected: false,
+            end: 0,
+            quiet_since: None,
+            last_read: None,
+        }
     }
 
     /// Returns the present owner.
@@ -65,6 +80,7 @@
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
                 self.released = false;
+                self.suspected = false;
                 self.quiet_since = Some(now);
                 true
             }
@@ -80,6 +96,20 @@
         }
     }
 
+    /// Notes whether this process can reach the owner of a token.
+    pub fn note_reach(&mut self, token: FencingToken, reached: bool) {
+        if self.owner.as_ref().is_some_and(|owner| owner.token == token) {
+            self.suspected = !reached;
+        }
+    }
+
+    /// Notes that another life of the owner's process answers, so that the owner of the token is gone.
+    pub fn note_gone(&mut self, token: FencingToken) {
+        if self.owner.as_ref().is_some_and(|owner| owner.token == token) {
+            self.released = true;
+        }
+    }
+
     /// Notes that the log was read up to its end, whether or not there were records.
     pub fn note_read(&mut self, now: Instant) {
         // A time in which the log could not be read says nothing about the owner.
@@ -101,6 +131,7 @@
         match self.owner {
             None => quiet >= self.patience,
             Some(_) if self.released => quiet >= self.patience / 2,
+            Some(_) if self.suspected => quiet >= SUSPECTED_SILENCE.min(self.silence) + self.patience,
             Some(_) => quiet >= self.silence + self.patience,
         }
     }
--- a/src/kernel/id.rs
+++ b/src/kernel/id.rs
@@ -65,3 +65,5 @@
 pub type WorkerTime = Duration;
 /// Start of one life of a worker since 1970, which tells its lives apart.
 pub type WorkerBirth = Duration;
+/// Number of a partition of a topic of the store, from 0.
+pub type PartitionNumber = u32;
--- a/src/platform/advisor.rs
+++ b/src/platform/advisor.rs
@@ -45,7 +45,7 @@
     workers: Vec<WorkerId>,
 ) -> Result<Vec<(WorkerId, PermitTicket)>, String> {
     let body = AdviseBody { step: step.to_string(), workers };
-    let answer = calls::post(client.post(&*url), &body, TIMEOUT).await?;
+    let answer = calls::post(client.post(&*url), &body, TIMEOUT).await.map_err(|fault| fault.reason)?;
     if answer.status != StatusCode::OK {
         return Err(answer.status.to_string());
     }
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use bytes::Bytes;
 use serde::Serialize;
@@ -18,6 +19,28 @@
     pub body: Bytes,
 }
 
+/// Why there is no answer.
+#[derive(Debug, derive_more::Display)]
+#[display("{reason}")]
+pub struct CallFault {
+    /// What went wrong.
+    pub reason: String,
+    /// Whether nothing of the request was sent, so that it surely has no effect.
+    pub unsent: bool,
+}
+
+impl CallFault {
+    fn new(reason: impl ToString) -> Self {
+        Self { reason: reason.to_string(), unsent: false }
+    }
+}
+
+impl From<SendRequestError> for CallFault {
+    fn from(error: SendRequestError) -> Self {
+        Self { unsent: matches!(error, SendRequestError::Connect(_)), reason: error.to_string() }
+    }
+}
+
 impl CallAnswer {
     /// Reads the body.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T, String> {
@@ -30,8 +53,8 @@
     request: awc::ClientRequest,
     body: &impl Serialize,
     timeout: Duration,
-) -> Result<CallAnswer, String> {
-    let body = serde_json::to_vec(body).map_err(|error| error.to_string())?;
+) -> Result<CallAnswer, CallFault> {
+    let body = serde_json::to_vec(body).map_err(CallFault::new)?;
     send(request.content_type("application/json"), body, timeout).await
 }
 
@@ -40,12 +63,12 @@
     request: awc::ClientRequest,
     body: Vec<u8>,
     timeout: Duration,
-) -> Result<CallAnswer, String> {
+) -> Result<CallAnswer, CallFault> {
     let call = async {
-        let mut response =
-            request.timeout(timeout).send_body(body).await.map_err(|error| error.to_string())?;
-        let body = response.body().limit(ANSWER_LIMIT).await.map_err(|error| error.to_string())?;
+        let mut response = request.timeout(timeout).send_body(body).await?;
+        let body = response.body().limit(ANSWER_LIMIT).await.map_err(CallFault::new)?;
         Ok(CallAnswer { status: response.status(), body })
     };
-    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    let late = |_| Err(CallFault::new("no answer in time"));
+    tokio::time::timeout(timeout, call).await.unwrap_or_else(late)
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use serde::Deserialize;
 
-use crate::platform::calls::{self, CallAnswer};
+use crate::platform::calls::{self, CallAnswer, CallFault};
 use crate::plugins::http;
 use crate::prelude::*;
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, ReadFault, StorePort, TopicPage, TopicRecord};
@@ -63,15 +63,15 @@
     let (lister, list_base) = (client.clone(), base.clone());
     StorePort {
         append: Rc::new(move |call| append(client.clone(), base.clone(), call).boxed_local()),
-        read: Rc::new(move |topic, from, wait| {
-            read(reader.clone(), read_base.clone(), topic, from, wait).boxed_local()
+        read: Rc::new(move |topic, partition, from, wait| {
+            read(reader.clone(), read_base.clone(), topic, partition, from, wait).boxed_local()
         }),
         newest: Rc::new(move |topic| newest(lister.clone(), list_base.clone(), topic).boxed_local()),
     }
 }
 
 async fn append(client: awc::Client, base: Rc<str>, call: AppendCall) -> AppendOutcome {
-    let mut url = format!("{base}/log-append?topic={}&part=0", call.topic);
+    let mut url = format!("{base}/log-append?topic={}&part={}", call.topic, call.partition);
     if let Some(at) = call.at {
         url += &format!("&at={at}");
     }
@@ -85,7 +85,8 @@
     }
     match calls::send(client.post(url), body, call.timeout).await {
         Ok(answer) => append_outcome(&answer),
-        Err(reason) => AppendOutcome::Unknown(reason),
+        Err(fault) if fault.unsent => AppendOutcome::Refused(fault.reason),
+        Err(fault) => AppendOutcome::Unknown(fault.reason),
     }
 }
 
@@ -112,15 +113,15 @@
     client: awc::Client,
     base: Rc<str>,
     topic: &'static str,
+    partition: PartitionNumber,
     from: LogOffset,
     wait: Duration,
 ) -> Result<TopicPage, ReadFault> {
-    let mut url = format!("{base}/log-read?topic={topic}&part=0&from={from}");
+    let mut url = format!("{base}/log-read?topic={topic}&part={partition}&from={from}");
     if !wait.is_zero() {
         url += &format!("&wait_ms={}", wait.as_millis());
     }
-    let answer =
-        calls::send(client.get(url), Vec::new(), wait + READ_TIMEOUT).await.map_err(ReadFault::Failed)?;
+    let answer = calls::send(client.get(url), Vec::new(), wait + READ_TIMEOUT).await.map_err(failed)?;
     match answer.status {
         StatusCode::OK => decode_page(answer.body, topic.starts_with(KEYED), from).map_err(ReadFault::Failed),
         StatusCode::GONE => {
@@ -170,8 +171,7 @@
         if let Some(key) = records.last().and_then(|record| record.key.clone()) {
             url += &format!("&after={}", escape(&key));
         }
-        let answer =
-            calls::send(client.get(url), Vec::new(), READ_TIMEOUT).await.map_err(ReadFault::Failed)?;
+        let answer = calls::send(client.get(url), Vec::new(), READ_TIMEOUT).await.map_err(failed)?;
         if answer.status != StatusCode::OK {
             return Err(ReadFault::Failed(answer.status.to_string()));
         }
@@ -190,6 +190,10 @@
     }
 }
 
+fn failed(fault: CallFault) -> ReadFault {
+    ReadFault::Failed(fault.reason)
+}
+
 fn escape(key: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~');
     key.bytes()
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -9,7 +9,7 @@
 use crate::kernel::cell::{
     EndCause, EndedRun, OrderOutcome, RunningRun, StartOrder, StopOrder, TaskKey, WorkerListing, WorkerLook,
 };
-use crate::platform::calls;
+use crate::platform::calls::{self, CallAnswer, CallFault};
 use crate::plugins::http;
 use crate::prelude::*;
 use crate::tasks::cell::ports::{LookCall, LookOutcome, OrderAnswer, WorkerPort};
@@ -182,12 +182,13 @@
         self.order_answer(&order.task, answer)
     }
 
-    fn order_answer(&self, task: &TaskKey, answer: Result<calls::CallAnswer, String>) -> OrderAnswer {
+    fn order_answer(&self, task: &TaskKey, answer: Result<CallAnswer, CallFault>) -> OrderAnswer {
         let answer = match answer {
             Ok(answer) => answer,
-            Err(reason) => {
-                log::info!(task:%, worker = &*self.worker, reason = &*reason; "order is not answered");
-                return OrderAnswer { outcome: OrderOutcome::Unknown, clock: None };
+            Err(fault) => {
+                log::info!(task:%, worker = &*self.worker, reason:% = fault; "order is not answered");
+                let outcome = if fault.unsent { OrderOutcome::NotSent } else { OrderOutcome::Unknown };
+                return OrderAnswer { outcome, clock: None };
             }
         };
         let reply = answer.json::<OrderReply>().unwrap_or_default();
@@ -224,7 +225,7 @@
         let asked = Instant::now();
         let answer = match calls::post(self.request("hold"), &body, call.wait + LOOK_TIMEOUT).await {
             Ok(answer) => answer,
-            Err(reason) => return LookOutcome::Failed(reason),
+            Err(fault) => return LookOutcome::Failed(fault.reason),
         };
         match answer.status {
             StatusCode::OK => match answer.json::<HoldReply>().and_then(|reply| decode_look(reply, asked)) {
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -11,7 +11,7 @@
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advice::AdviceMessage;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
-use crate::tasks::cell::peer::{self, OwnerRoute};
+use crate::tasks::cell::peer::{self, AssistSession, OwnerRoute};
 use crate::tasks::cell::ports::{
     AdvisorPort, AppendCall, AppendOutcome, CellAdapter, PageFuture, ReadFault, StorePort, TopicPage,
 };
@@ -38,10 +38,23 @@
     Configured(Arc<CellConfig>),
     /// The zones that are out of service changed.
     ZonesClosed(FastSet<ZoneId>),
+    /// Whether the owner of a token can be reached.
+    Reach(FencingToken, OwnerReach),
     /// Give the cell up and never claim it again.
     Leave(oneshot::Sender<()>),
 }
 
+/// What a process that speaks to the owner finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerReach {
+    /// It answers.
+    Reached,
+    /// It does not answer.
+    Unreachable,
+    /// Another life of its process answers.
+    Replaced,
+}
+
 /// The task that follows the ownership of the cell.
 pub struct ClaimTask {
     /// This process.
@@ -56,6 +69,8 @@
     pub advisor: Option<AdvisorPort>,
     /// The task that asks the advisor for this owner.
     pub advice: mpsc::Sender<AdviceMessage>,
+    /// The inbox of this task.
+    pub inbox: mpsc::Sender<ClaimMessage>,
     /// Where the owner is reached.
     pub route: watch::Sender<OwnerRoute>,
     /// The log of claims.
@@ -105,7 +120,7 @@
         }
     }
 
-    async fn handle(&self, message: ClaimMessage, state: &mut ClaimState) {
+    async fn handle(&mut self, message: ClaimMessage, state: &mut ClaimState) {
         let event = match message {
             ClaimMessage::Configured(config) => {
                 state.config = Some(config.clone());
@@ -115,6 +130,14 @@
                 state.closed.clone_from(&zones);
                 CellEvent::ZonesClosed(zones)
             }
+            ClaimMessage::Reach(token, reach) => {
+                match reach {
+                    OwnerReach::Reached => self.watch.note_reach(token, true),
+                    OwnerReach::Unreachable => self.watch.note_reach(token, false),
+                    OwnerReach::Replaced => self.watch.note_gone(token),
+                }
+                return;
+            }
             ClaimMessage::Leave(done) => {
                 self.leave(state).await;
                 if done.send(()).is_err() {
@@ -144,7 +167,7 @@
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
-            (store.read)(CLAIM_TOPIC, from, READ_WAIT).await
+            (store.read)(CLAIM_TOPIC, 0, from, READ_WAIT).await
         }
         .boxed_local()
     }
@@ -232,11 +255,15 @@
                 return OwnerRoute::Unknown;
             }
         };
-        if let Some(advisor) = &self.advisor {
-            let stop = token.child_token();
-            actix_rt::spawn(peer::assist(client.clone(), advisor.clone(), stop.clone()));
-            state.assisting = Some(stop);
-        }
+        let stop = token.child_token();
+        let session = AssistSession {
+            client: client.clone(),
+            owner: owner.clone(),
+            advisor: self.advisor.clone(),
+            claim: self.inbox.clone(),
+        };
+        actix_rt::spawn(session.run(stop.clone()));
+        state.assisting = Some(stop);
         OwnerRoute::Remote(client)
     }
 
@@ -286,7 +313,7 @@
                 Vec::new()
             }
         };
-        AppendCall { topic: CLAIM_TOPIC, records, at, stamp: None, timeout: APPEND_TIMEOUT }
+        AppendCall { topic: CLAIM_TOPIC, partition: 0, records, at, stamp: None, timeout: APPEND_TIMEOUT }
     }
 }
 
--- a/src/tasks/cell/config_feed.rs
+++ b/src/tasks/cell/config_feed.rs
@@ -31,14 +31,14 @@
     pub async fn run(self, token: CancellationToken) {
         let (sender, mut pages) = mpsc::channel(CHANNEL_CAPACITY);
         let topic = self.adapter.operator_topic;
-        let tail = TopicTail { topic, wait: CHANGE_WAIT, pause: Duration::ZERO };
+        let tail = TopicTail { topic, partition: 0, wait: CHANGE_WAIT, pause: Duration::ZERO };
         actix_rt::spawn(tail.follow_keyed(self.store.clone(), sender, token.clone()));
         let mut config: Option<Arc<CellConfig>> = None;
         let mut closed: FastSet<ZoneId> = FastSet::default();
         while let Some(message) = pages.recv().await {
             let (page, whole) = match message {
                 TailMessage::Newest(page) => (page, true),
-                TailMessage::Page(page, _) => (page, false),
+                TailMessage::Page(_, page, _) => (page, false),
                 TailMessage::Failed(reason) => {
                     log::info!(reason = &*reason; "changes of operators cannot be read");
                     continue;
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -1,6 +1,5 @@
 //! Admits the calls of callers: submissions go to the store, questions to the owner of the cell.
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -10,16 +9,12 @@
 use crate::prelude::*;
 use crate::tasks::cell::owner::JobAnswer;
 use crate::tasks::cell::peer::OwnerRoute;
-use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
+use crate::tasks::cell::submit_queue::SubmitQueue;
 
 /// Topic of submissions and cancellations.
 pub const JOB_TOPIC: &str = "jobs";
-/// Longest wait for one append; a repeated one does no harm, as jobs are known by their ids.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
-/// Wait before an append is repeated.
-const APPEND_RETRY: Duration = Duration::from_millis(80);
-/// Time for which an append that the store refuses is repeated before the call is refused.
-const REFUSED_FOR: Duration = Duration::from_millis(700);
+/// Partitions of the topic, so that many processes can append at once while the store is slow.
+pub const JOB_PARTITIONS: PartitionNumber = 4;
 /// Part of the caller's time that is left for the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time of a call that names no deadline.
@@ -127,8 +122,8 @@
 
 /// The task that admits calls.
 pub struct IntakeTask {
-    /// The store.
-    pub store: StorePort,
+    /// Submissions on their way to the store.
+    pub queue: SubmitQueue,
     /// Where the owner is reached.
     pub route: watch::Receiver<OwnerRoute>,
     /// The configuration.
@@ -141,6 +136,7 @@
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
+                () = self.queue.progress() => {}
                 message = inbox.recv() => match message {
                     None => return,
                     Some(IntakeMessage::Configured(config)) => self.config = Some(config),
@@ -151,13 +147,22 @@
         }
     }
 
-    fn admit(&self, call: CellCall, reply: oneshot::Sender<CellReply>) {
+    fn admit(&mut self, call: CellCall, reply: oneshot::Sender<CellReply>) {
         match self.plan(&call) {
             Ok(plan) => {
-                let (store, route) = (self.store.clone(), self.route.borrow().clone());
                 let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
                 let until = Instant::now() + deadline.saturating_sub(ANSWER_TIME);
-                actix_rt::spawn(async move { respond(reply, plan.run(store, route, until).await) });
+                match plan {
+                    CallPlan::Store(record) => self.queue.add(&record, until, reply),
+                    CallPlan::Inspect(job) => {
+                        let route = self.route.borrow().clone();
+                        actix_rt::spawn(async move { respond(reply, inspect(&route, &job, until).await) });
+                    }
+                    CallPlan::Count(queue) => {
+                        let route = self.route.borrow().clone();
+                        actix_rt::spawn(async move { respond(reply, count(&route, &queue, until).await) });
+                    }
+                }
             }
             Err(refusal) => {
                 log::info!(path = &*call.path, reason:% = refusal; "call is refused");
@@ -217,76 +222,31 @@
     Count(QueueId),
 }
 
-impl CallPlan {
-    async fn run(self, store: StorePort, route: OwnerRoute, until: Instant) -> CellReply {
-        match self {
-            Self::Store(record) => store_record(&record, &store, until).await,
-            Self::Inspect(job) => match route.inspect(&job, until).await {
-                Ok(JobAnswer::Known(status)) => CellReply::Status(status),
-                Ok(JobAnswer::Missing) => CellReply::Missing,
-                Ok(JobAnswer::Unready) => unavailable(&job, "owner is recovering"),
-                Err(reason) => unavailable(&job, &reason),
-            },
-            Self::Count(queue) => match route.count(&queue, until).await {
-                Ok(Some(jobs)) => CellReply::Pending(jobs),
-                Ok(None) => unavailable(&queue, "owner is recovering"),
-                Err(reason) => unavailable(&queue, &reason),
-            },
-        }
+async fn inspect(route: &OwnerRoute, job: &JobId, until: Instant) -> CellReply {
+    match route.inspect(job, until).await {
+        Ok(JobAnswer::Known(status)) => CellReply::Status(status),
+        Ok(JobAnswer::Missing) => CellReply::Missing,
+        Ok(JobAnswer::Unready) => unavailable(job, "owner is recovering"),
+        Err(reason) => unavailable(job, &reason),
     }
 }
 
-fn unavailable(id: &str, reason: &str) -> CellReply {
-    log::info!(id = id, reason = reason; "question is not answered");
-    CellReply::Refused(CellRefusal::Unavailable(reason.to_owned()), Some(RETRY_AFTER))
+async fn count(route: &OwnerRoute, queue: &QueueId, until: Instant) -> CellReply {
+    match route.count(queue, until).await {
+        Ok(Some(jobs)) => CellReply::Pending(jobs),
+        Ok(None) => unavailable(queue, "owner is recovering"),
+        Err(reason) => unavailable(queue, &reason),
+    }
 }
 
-/// Appends a record until the store takes it, surely refuses it or the time is over.
-async fn store_record(record: &JobRecord, store: &StorePort, until: Instant) -> CellReply {
-    let (id, kind) = match record {
-        JobRecord::Submit(spec) => (&spec.id, "submit"),
-        JobRecord::Cancel(job) => (job, "cancel"),
-    };
-    let value = match serde_json::to_vec(record) {
-        Ok(value) => Bytes::from(value),
-        Err(error) => return unavailable(id, &error.to_string()),
-    };
-    let started = Instant::now();
-    let mut unsure = false;
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        let call = AppendCall {
-            topic: JOB_TOPIC,
-            records: vec![value.clone()],
-            at: None,
-            stamp: None,
-            timeout: APPEND_TIMEOUT.min(left.max(APPEND_RETRY)),
-        };
-        let reason = match (store.append)(call).await {
-            AppendOutcome::Stored(offset) => {
-                let took = started.elapsed().as_millis();
-                log::info!(job = &**id, kind = kind, offset = offset, took_ms:? = took; "call is stored");
-                return CellReply::Stored;
-            }
-            AppendOutcome::Refused(reason) => reason,
-            outcome => {
-                unsure = true;
-                outcome.to_string()
-            }
-        };
-        let now = Instant::now();
-        if !unsure && now.saturating_duration_since(started) >= REFUSED_FOR {
-            return unavailable(id, &reason);
-        }
-        if now + APPEND_RETRY >= until {
-            log::info!(job = &**id, kind = kind, reason = &*reason; "call may be stored");
-            return CellReply::Refused(CellRefusal::MayBeStored(reason), None);
-        }
-        tokio::time::sleep(APPEND_RETRY).await;
-    }
+/// Returns the refusal of a call of which nothing was done.
+pub fn unavailable(id: &str, reason: &str) -> CellReply {
+    log::info!(id = id, reason = reason; "call is not answered");
+    CellReply::Refused(CellRefusal::Unavailable(reason.to_owned()), Some(RETRY_AFTER))
 }
 
-fn respond<T>(reply: oneshot::Sender<T>, value: T) {
+/// Answers a caller, who may have gone away.
+pub fn respond<T>(reply: oneshot::Sender<T>, value: T) {
     if reply.send(value).is_err() {
         log::debug!("caller has gone away");
     }
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -10,5 +10,6 @@
 pub mod ports;
 pub mod process;
 pub mod settings;
+pub mod submit_queue;
 pub mod tail;
 pub mod term_log;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advice::{AdviceMessage, AdviceQuestion};
-use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
+use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::{LinkMessage, WorkerLink};
 use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StorePort, TopicPage};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
@@ -85,7 +85,8 @@
     log: TermLog<CellEffect>,
     links: FastMap<WorkerId, (mpsc::Sender<LinkMessage>, CancellationToken)>,
     listings: FastMap<WorkerId, WorkerListing>,
-    jobs_read: Instant,
+    /// When the newest answered read of each partition of submissions was sent.
+    jobs_read: Vec<Instant>,
 }
 
 /// Why a term ended.
@@ -108,20 +109,23 @@
         if let Err(end) = self.fence().await {
             return end;
         }
-        let (mut state, next) = self.recover().await;
+        let (mut state, ends) = self.recover().await;
         log::info!(token = self.token, took_ms:? = started.elapsed().as_millis(); "cell recovered");
         if self.advice.send(AdviceMessage::Own(self.inbox.clone())).await.is_err() {
             log::error!("task of the placement advisor has ended");
         }
         let (sender, mut jobs) = mpsc::channel(CHANNEL_CAPACITY);
-        let (store, stop) = (self.store.clone(), token.clone());
-        actix_rt::spawn(async move {
-            let tail = TopicTail { topic: JOB_TOPIC, wait: SUBMISSION_WAIT, pause: Duration::ZERO };
-            tail.follow(next, &store, &sender, &stop).await;
-        });
+        for (partition, next) in (0..JOB_PARTITIONS).zip(ends) {
+            let (store, sender, stop) = (self.store.clone(), sender.clone(), token.clone());
+            actix_rt::spawn(async move {
+                let tail =
+                    TopicTail { topic: JOB_TOPIC, partition, wait: SUBMISSION_WAIT, pause: Duration::ZERO };
+                tail.follow(next, &store, &sender, &stop).await;
+            });
+        }
         let (sender, mut listings) = mpsc::channel(CHANNEL_CAPACITY);
         let topic = self.adapter.worker_topic;
-        let tail = TopicTail { topic, wait: Duration::ZERO, pause: LISTING_PAUSE };
+        let tail = TopicTail { topic, partition: 0, wait: Duration::ZERO, pause: LISTING_PAUSE };
         actix_rt::spawn(tail.follow_keyed(self.store.clone(), sender, token.clone()));
 
         let mut tick = tokio::time::interval(TICK);
@@ -166,8 +170,8 @@
         }
     }
 
-    /// Rebuilds the state of the cell from the store; returns the offset from which submissions are read on.
-    async fn recover(&self) -> (OwnerState, LogOffset) {
+    /// Rebuilds the state of the cell from the store; returns the offsets from which submissions are read on.
+    async fn recover(&self) -> (OwnerState, Vec<LogOffset>) {
         let now = Instant::now();
         let mut scheduler = CellScheduler::new(now + LEASE + DEPOSED_TIME);
         scheduler.handle(CellEvent::Tick(clock::since_1970()), now);
@@ -176,14 +180,16 @@
         }
         scheduler.handle(CellEvent::ZonesClosed(self.closed.clone()), now);
         let mut cancelled = Vec::new();
-        let next = self
-            .read_all(JOB_TOPIC, |value| match serde_json::from_slice(value) {
+        let mut ends = Vec::new();
+        for partition in 0..JOB_PARTITIONS {
+            let end = self.read_all(JOB_TOPIC, partition, |value| match serde_json::from_slice(value) {
                 Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(Arc::new(spec)), now),
                 Ok(JobRecord::Cancel(job)) => cancelled.push(job),
                 Err(error) => log::warn!(topic = JOB_TOPIC, error:%; "record cannot be read"),
-            })
-            .await;
-        self.read_all(CELL_TOPIC, |value| match serde_json::from_slice::<CellRecord>(value) {
+            });
+            ends.push(end.await);
+        }
+        self.read_all(CELL_TOPIC, 0, |value| match serde_json::from_slice::<CellRecord>(value) {
             Ok(record) => scheduler.replay(record, now),
             Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be read"),
         })
@@ -194,14 +200,20 @@
         }
         let log = TermLog::new(self.store.clone(), self.token);
         let (links, listings) = (FastMap::default(), FastMap::default());
-        (OwnerState { scheduler, log, links, listings, jobs_read: now }, next)
+        let jobs_read = vec![now; ends.len()];
+        (OwnerState { scheduler, log, links, listings, jobs_read }, ends)
     }
 
     /// Reads a whole topic and returns the offset after it.
-    async fn read_all(&self, topic: &'static str, mut apply: impl FnMut(&[u8])) -> LogOffset {
+    async fn read_all(
+        &self,
+        topic: &'static str,
+        partition: PartitionNumber,
+        mut apply: impl FnMut(&[u8]),
+    ) -> LogOffset {
         let mut next = 0;
         loop {
-            match (self.store.read)(topic, next, Duration::ZERO).await {
+            match (self.store.read)(topic, partition, next, Duration::ZERO).await {
                 Ok(page) => {
                     page.records.iter().for_each(|record| apply(&record.value));
                     next = page.next;
@@ -224,7 +236,7 @@
                 state.listings.clear();
                 page
             }
-            TailMessage::Page(page, _) => page,
+            TailMessage::Page(_, page, _) => page,
             TailMessage::Failed(reason) => {
                 log::debug!(reason = &*reason; "registrations of workers cannot be read");
                 return;
@@ -367,7 +379,7 @@
     }
 
     fn is_current(&self) -> bool {
-        self.jobs_read.elapsed() < CURRENT_FOR
+        self.jobs_read.iter().all(|read| read.elapsed() < CURRENT_FOR)
     }
 
     fn inspect(&self, job: &str) -> JobAnswer {
@@ -379,8 +391,8 @@
     }
 
     fn note_jobs(&mut self, message: TailMessage) {
-        let (page, started) = match message {
-            TailMessage::Page(page, started) => (page, started),
+        let (partition, page, started) = match message {
+            TailMessage::Page(partition, page, started) => (partition, page, started),
             TailMessage::Newest(_) => return,
             TailMessage::Failed(reason) => {
                 log::info!(reason = &*reason; "submissions cannot be read");
@@ -399,7 +411,9 @@
                 }
             }
         }
-        self.jobs_read = self.jobs_read.max(started);
+        if let Some(read) = self.jobs_read.get_mut(partition as usize) {
+            *read = (*read).max(started);
+        }
     }
 
     /// Sends an order whose records are stored; starts only if this process is surely the owner still.
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -9,9 +9,9 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tokio_util::sync::CancellationToken;
 use tonic::transport::{Channel, Endpoint, Server};
-use tonic::{Request, Response, Status, Streaming};
+use tonic::{Code, Request, Response, Status, Streaming};
 
-use crate::kernel::cell::{JobStatus, StepKey};
+use crate::kernel::cell::{CellOwner, JobStatus, StepKey};
 use crate::prelude::*;
 use crate::proto::cell::cell_client::CellClient;
 use crate::proto::cell::cell_server::{Cell, CellServer};
@@ -20,6 +20,7 @@
     JobState,
 };
 use crate::tasks::cell::advice::AdviceMessage;
+use crate::tasks::cell::claim::{ClaimMessage, OwnerReach};
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage};
 use crate::tasks::cell::ports::AdvisorPort;
 
@@ -138,6 +139,8 @@
 
 /// Answers other entry processes while this process owns the cell.
 pub struct CellService {
+    /// This process.
+    pub process: ProcessId,
     /// Where the owner is reached.
     pub route: watch::Receiver<OwnerRoute>,
     /// The task that asks the advisor.
@@ -148,7 +151,11 @@
     fn owner(&self) -> Result<mpsc::Sender<OwnerMessage>, Status> {
         match &*self.route.borrow() {
             OwnerRoute::Local(owner) => Ok(owner.clone()),
-            _ => Err(Status::unavailable("this process does not own the cell")),
+            _ => {
+                let details = self.process.as_bytes().to_vec().into();
+                let text = "this process does not own the cell";
+                Err(Status::with_details(Code::FailedPrecondition, text, details))
+            }
         }
     }
 }
@@ -220,36 +227,68 @@
     }
 }
 
-/// Asks the placement advisor for the owner until the token is cancelled.
-pub async fn assist(client: CellClient<Channel>, advisor: AdvisorPort, token: CancellationToken) {
-    loop {
-        let session = answer_questions(client.clone(), &advisor);
-        let ended = tokio::select! {
-            () = token.cancelled() => return,
-            ended = session => ended,
-        };
-        if let Err(status) = ended {
-            log::info!(reason = status.message(); "stream to the owner is broken");
+/// Asks the placement advisor for an owner in another process, and notes whether that can be reached.
+pub struct AssistSession {
+    /// The connection to it.
+    pub client: CellClient<Channel>,
+    /// The owner.
+    pub owner: CellOwner,
+    /// The placement advisor, if there is one.
+    pub advisor: Option<AdvisorPort>,
+    /// The task that follows the ownership.
+    pub claim: mpsc::Sender<ClaimMessage>,
+}
+
+impl AssistSession {
+    /// Runs until the token is cancelled.
+    pub async fn run(self, token: CancellationToken) {
+        loop {
+            let ended = tokio::select! {
+                () = token.cancelled() => return,
+                ended = self.answer_questions() => ended,
+            };
+            let reach = match &ended {
+                Err(status) if self.is_replaced(status) => OwnerReach::Replaced,
+                _ => OwnerReach::Unreachable,
+            };
+            if let Err(status) = ended {
+                log::info!(owner = &*self.owner.process, reason = status.message(); "stream to the owner is broken");
+            }
+            self.tell(reach).await;
+            tokio::time::sleep(ASSIST_RETRY).await;
         }
-        tokio::time::sleep(ASSIST_RETRY).await;
     }
-}
 
-async fn answer_questions(mut client: CellClient<Channel>, advisor: &AdvisorPort) -> Result<(), Status> {
-    let (answers, stream) = mpsc::channel(ASSIST_CAPACITY);
-    let first = AdvisorAnswer { number: 0, failed: false, granted: Vec::new() };
-    answers.send(first).await.map_err(|_| Status::internal("stream is closed"))?;
-    let mut questions = client.assist(ReceiverStream::new(stream)).await?.into_inner();
-    while let Some(question) = questions.message().await? {
-        let workers = question.workers.iter().map(|worker| worker.as_str().into()).collect();
-        let result = match StepKey::parse(&question.step) {
-            Some(step) => advisor(step, workers).await,
-            None => Err(format!("{:?} is no step", question.step)),
-        };
-        let answer = encode_grants(question.number, result);
-        answers.send(answer).await.map_err(|_| Status::unavailable("stream is closed"))?;
+    /// Whether the answer comes from another life of the owner's process.
+    fn is_replaced(&self, status: &Status) -> bool {
+        status.code() == Code::FailedPrecondition && status.details() != self.owner.process.as_bytes()
+    }
+
+    async fn tell(&self, reach: OwnerReach) {
+        if self.claim.send(ClaimMessage::Reach(self.owner.token, reach)).await.is_err() {
+            log::debug!("process is stopping");
+        }
+    }
+
+    async fn answer_questions(&self) -> Result<(), Status> {
+        let (answers, stream) = mpsc::channel(ASSIST_CAPACITY);
+        let first = AdvisorAnswer { number: 0, failed: false, granted: Vec::new() };
+        answers.send(first).await.map_err(|_| Status::internal("stream is closed"))?;
+        let mut client = self.client.clone();
+        let mut questions = client.assist(ReceiverStream::new(stream)).await?.into_inner();
+        self.tell(OwnerReach::Reached).await;
+        while let Some(question) = questions.message().await? {
+            let workers = question.workers.iter().map(|worker| worker.as_str().into()).collect();
+            let result = match (StepKey::parse(&question.step), &self.advisor) {
+                (Some(step), Some(advisor)) => advisor(step, workers).await,
+                (Some(_), None) => Err("this process has no advisor".to_owned()),
+                (None, _) => Err(format!("{:?} is no step", question.step)),
+            };
+            let answer = encode_grants(question.number, result);
+            answers.send(answer).await.map_err(|_| Status::unavailable("stream is closed"))?;
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 fn encode_grants(number: u64, result: Result<Vec<(WorkerId, PermitTicket)>, String>) -> AdvisorAnswer {
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -32,6 +32,8 @@
 pub struct AppendCall {
     /// The topic.
     pub topic: &'static str,
+    /// The partition of the topic.
+    pub partition: PartitionNumber,
     /// The records.
     pub records: Vec<Bytes>,
     /// Offset at which the topic must end.
@@ -106,8 +108,8 @@
 pub struct StorePort {
     /// Appends records.
     pub append: Rc<dyn Fn(AppendCall) -> LocalBoxFuture<'static, AppendOutcome>>,
-    /// Reads a topic from an offset, and waits up to the duration for records.
-    pub read: Rc<dyn Fn(&'static str, LogOffset, Duration) -> PageFuture>,
+    /// Reads a partition of a topic from an offset, and waits up to the duration for records.
+    pub read: Rc<dyn Fn(&'static str, PartitionNumber, LogOffset, Duration) -> PageFuture>,
     /// Reads the newest record of each key of a topic; the page ends where a read goes on.
     pub newest: Rc<dyn Fn(&'static str) -> PageFuture>,
 }
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -14,10 +14,11 @@
 use crate::tasks::cell::advice::AdviceTask;
 use crate::tasks::cell::claim::{ClaimMessage, ClaimTask, OWNER_SILENCE};
 use crate::tasks::cell::config_feed::ConfigFeed;
-use crate::tasks::cell::intake::IntakeTask;
+use crate::tasks::cell::intake::{IntakeTask, JOB_PARTITIONS};
 use crate::tasks::cell::peer::{self, CellService, OwnerRoute};
 use crate::tasks::cell::ports::{CellAdapter, CellFront};
 use crate::tasks::cell::settings::CellSettings;
+use crate::tasks::cell::submit_queue::SubmitQueue;
 
 /// Part of a core below which a process leaves the cell to processes with more.
 const SMALL_CPU_SHARE: f64 = 0.25;
@@ -66,11 +67,15 @@
 
         let feed = ConfigFeed { adapter, store: store.clone(), intake: intake.clone(), claim: claim.clone() };
         actix_rt::spawn(feed.run(token.clone()));
-        let task = IntakeTask { store: store.clone(), route: routes.clone(), config: None };
+        let task = IntakeTask {
+            queue: SubmitQueue::new(store.clone(), partition(&settings)),
+            route: routes.clone(),
+            config: None,
+        };
         actix_rt::spawn(task.run(intake_inbox, token.clone()));
         let task = AdviceTask::new(advisor.clone(), advice.clone());
         actix_rt::spawn(task.run(advice_inbox, token.clone()));
-        let service = CellService { route: routes, advice: advice.clone() };
+        let service = CellService { process: process.clone(), route: routes, advice: advice.clone() };
         actix_rt::spawn(peer::serve(peer_listener, service, token.clone()));
         let task = ClaimTask {
             process: process.clone(),
@@ -79,6 +84,7 @@
             store,
             advisor,
             advice,
+            inbox: claim.clone(),
             route,
             watch: ClaimWatch::new(OWNER_SILENCE, patience(&settings)),
         };
@@ -119,10 +125,19 @@
     }
 }
 
+/// Returns the partition to which this process appends submissions.
+fn partition(settings: &CellSettings) -> PartitionNumber {
+    let part = hash(&settings.vm) % u64::from(JOB_PARTITIONS);
+    PartitionNumber::try_from(part).unwrap_or_default()
+}
+
+fn hash(vm: &VmId) -> u64 {
+    BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(vm)
+}
+
 /// Returns how long this process leaves a free cell to others.
 fn patience(settings: &CellSettings) -> Duration {
-    let hash = BuildHasherDefault::<rustc_hash::FxHasher>::default().hash_one(&settings.vm);
-    let spread = Duration::from_millis(hash % PATIENCE_SPREAD_MS);
+    let spread = Duration::from_millis(hash(&settings.vm) % PATIENCE_SPREAD_MS);
     if settings.cpu_share < SMALL_CPU_SHARE { SMALL_PATIENCE + spread } else { spread }
 }
 
--- /dev/null
+++ b/src/tasks/cell/submit_queue.rs
@@ -0,0 +1,166 @@
+//! Submissions and cancellations on their way to the store, appended in groups.
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::oneshot;
+
+use crate::kernel::cell::StoreHealth;
+use crate::prelude::*;
+use crate::tasks::cell::intake::{CellRefusal, CellReply, JOB_TOPIC, JobRecord, respond, unavailable};
+use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
+
+/// Longest wait for one append; a repeated one does no harm, as jobs are known by their ids.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Shortest wait for one append whose callers have little time left.
+const SHORTEST_APPEND: Duration = Duration::from_millis(150);
+/// Wait before an append is repeated.
+const APPEND_RETRY: Duration = Duration::from_millis(100);
+/// Time for which a record that was surely not stored is tried again before its caller is refused.
+const REFUSED_FOR: Duration = Duration::from_millis(900);
+/// Outage of the store after which callers are refused at once.
+const OUTAGE: Duration = Duration::from_millis(1_200);
+/// Largest group in bytes, a quarter of what the platform's store takes in one call.
+const GROUP_BYTES: usize = 512 << 10;
+
+/// A record that waits to be stored.
+struct QueuedRecord {
+    id: JobId,
+    kind: &'static str,
+    value: Bytes,
+    added: Instant,
+    until: Instant,
+    /// Whether an append of it was not answered, so that it may be stored.
+    unsure: bool,
+    reply: oneshot::Sender<CellReply>,
+}
+
+/// Records of one process on their way to the store.
+pub struct SubmitQueue {
+    store: StorePort,
+    partition: PartitionNumber,
+    health: StoreHealth,
+    waiting: Vec<QueuedRecord>,
+    flight: Option<(Vec<QueuedRecord>, LocalBoxFuture<'static, AppendOutcome>)>,
+    retry_at: Option<Instant>,
+}
+
+impl SubmitQueue {
+    /// Returns an empty queue for a partition.
+    #[must_use]
+    pub fn new(store: StorePort, partition: PartitionNumber) -> Self {
+        let health = StoreHealth::default();
+        Self { store, partition, health, waiting: Vec::new(), flight: None, retry_at: None }
+    }
+
+    /// Adds a record; its caller is answered once it is stored, surely not stored, or `until` has passed.
+    pub fn add(&mut self, record: &JobRecord, until: Instant, reply: oneshot::Sender<CellReply>) {
+        let now = Instant::now();
+        let (id, kind) = match record {
+            JobRecord::Submit(spec) => (spec.id.clone(), "submit"),
+            JobRecord::Cancel(job) => (job.clone(), "cancel"),
+        };
+        // The first call goes on, to find out when the outage ends.
+        let tried = self.flight.is_some() || !self.waiting.is_empty();
+        if tried && self.health.failing_for(now) >= OUTAGE {
+            respond(reply, unavailable(&id, "store takes no records"));
+            return;
+        }
+        match serde_json::to_vec(record) {
+            Ok(value) => {
+                let value = Bytes::from(value);
+                self.waiting.push(QueuedRecord { id, kind, value, added: now, until, unsure: false, reply });
+            }
+            Err(error) => respond(reply, unavailable(&id, &error.to_string())),
+        }
+    }
+
+    /// Sends and answers records; returns when something has changed.
+    pub async fn progress(&mut self) {
+        if let Some((_, call)) = &mut self.flight {
+            let outcome = call.await;
+            if let Some((group, _)) = self.flight.take() {
+                self.note(group, &outcome);
+            }
+            return;
+        }
+        if self.waiting.is_empty() {
+            return std::future::pending().await;
+        }
+        if let Some(at) = self.retry_at {
+            tokio::time::sleep_until(at.into()).await;
+            self.retry_at = None;
+        }
+        self.give_up();
+        self.send();
+    }
+
+    fn send(&mut self) {
+        let mut bytes = 0;
+        let fits = self.waiting.iter().take_while(|record| {
+            bytes += record.value.len();
+            bytes <= GROUP_BYTES
+        });
+        let count = fits.count().max(1).min(self.waiting.len());
+        if count == 0 {
+            return;
+        }
+        let group: Vec<QueuedRecord> = self.waiting.drain(..count).collect();
+        let until = group.iter().map(|record| record.until).min();
+        let left = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
+        let call = AppendCall {
+            topic: JOB_TOPIC,
+            partition: self.partition,
+            records: group.iter().map(|record| record.value.clone()).collect(),
+            at: None,
+            stamp: None,
+            timeout: left.clamp(SHORTEST_APPEND, APPEND_TIMEOUT),
+        };
+        let call = (self.store.append)(call);
+        self.flight = Some((group, call.boxed_local()));
+    }
+
+    fn note(&mut self, group: Vec<QueuedRecord>, outcome: &AppendOutcome) {
+        let now = Instant::now();
+        if let AppendOutcome::Stored(offset) = outcome {
+            self.health.succeed();
+            for record in group {
+                let took = now.saturating_duration_since(record.added).as_millis();
+                log::info!(job = &*record.id, kind = record.kind, partition = self.partition, offset = offset,
+                    took_ms = took; "call is stored");
+                respond(record.reply, CellReply::Stored);
+            }
+            return;
+        }
+        self.health.fail(now);
+        log::info!(records = group.len(), outcome:%; "append of submissions failed");
+        let unsure = !matches!(outcome, AppendOutcome::Refused(_));
+        let group =
+            group.into_iter().map(|record| QueuedRecord { unsure: record.unsure || unsure, ..record });
+        self.waiting.splice(0..0, group);
+        self.retry_at = Some(now + APPEND_RETRY);
+        self.give_up();
+    }
+
+    /// Answers callers whose record is surely not stored for a while, or whose time is over.
+    fn give_up(&mut self) {
+        let now = Instant::now();
+        let failing = !self.health.failing_for(now).is_zero();
+        let (kept, given_up): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|record| {
+                let refused =
+                    failing && !record.unsure && now.saturating_duration_since(record.added) >= REFUSED_FOR;
+                now < record.until && !refused
+            });
+        self.waiting = kept;
+        for record in given_up {
+            if record.unsure {
+                log::info!(job = &*record.id, kind = record.kind; "call may be stored");
+                let refusal = CellRefusal::MayBeStored("store does not answer".to_owned());
+                respond(record.reply, CellReply::Refused(refusal, None));
+            } else {
+                respond(record.reply, unavailable(&record.id, "store takes no records"));
+            }
+        }
+    }
+}
--- a/src/tasks/cell/tail.rs
+++ b/src/tasks/cell/tail.rs
@@ -14,6 +14,8 @@
 pub struct TopicTail {
     /// The topic.
     pub topic: &'static str,
+    /// The partition of the topic.
+    pub partition: PartitionNumber,
     /// How long the store may wait for records before it answers.
     pub wait: Duration,
     /// Time between reads.
@@ -25,8 +27,8 @@
 pub enum TailMessage {
     /// The newest record of each key; keys that are missing no longer exist.
     Newest(TopicPage),
-    /// Further records, or none, read by a call that started at the time.
-    Page(TopicPage, Instant),
+    /// Further records of a partition, or none, read by a call that started at the time.
+    Page(PartitionNumber, TopicPage, Instant),
     /// The store could not be read.
     Failed(String),
 }
@@ -78,12 +80,12 @@
             let started = Instant::now();
             let page = tokio::select! {
                 () = token.cancelled() => return false,
-                page = (store.read)(self.topic, next, self.wait) => page,
+                page = (store.read)(self.topic, self.partition, next, self.wait) => page,
             };
             let (message, pause) = match page {
                 Ok(page) => {
                     next = page.next;
-                    (TailMessage::Page(page, started), self.pause)
+                    (TailMessage::Page(self.partition, page, started), self.pause)
                 }
                 Err(ReadFault::Expired(_)) => return true,
                 Err(fault) => (TailMessage::Failed(fault.to_string()), RETRY_WAIT),
--- a/src/tasks/cell/term_log.rs
+++ b/src/tasks/cell/term_log.rs
@@ -95,6 +95,7 @@
     fn send(&mut self, records: Vec<Bytes>, waiting: Vec<T>, delay: Duration) {
         let call = AppendCall {
             topic: CELL_TOPIC,
+            partition: 0,
             records: records.clone(),
             at: None,
             stamp: Some(WriterStamp { writer: WRITER, epoch: self.token, sequence: self.sequence }),
@@ -139,6 +140,7 @@
     pub fn fence(token: FencingToken) -> AppendCall {
         AppendCall {
             topic: CELL_TOPIC,
+            partition: 0,
             records: Vec::new(),
             at: None,
             stamp: Some(WriterStamp { writer: WRITER, epoch: token, sequence: 0 }),
