--- a/src/kernel/cell/straggler_watch.rs
+++ b/src/kernel/cell/straggler_watch.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 
 /// Run time before which nothing is concluded from the progress of a run.
-const SOONEST: Duration = Duration::from_millis(400);
+const SOONEST: Duration = Duration::from_millis(500);
 /// Time in which a lasting task has to be at work, or a gang has to make progress.
 const STALL: Duration = Duration::from_millis(3_500);
 /// How many times longer than expected a run without siblings may seem to take; estimates are often far off.
@@ -15,6 +15,8 @@
 const LEAST_RUNS: usize = 2;
 /// How many times longer than its siblings a run may seem to take.
 const TOLERANCE_OF_SIBLINGS: f64 = 2.5;
+/// How many times longer than expected a run has to last before it may count as slow.
+const OVERDUE: f64 = 1.2;
 /// Time that a new start costs beyond the run itself.
 const RESTART_COST: Duration = Duration::from_millis(500);
 /// Stops of one task for being slow.
@@ -98,17 +100,21 @@
         if siblings.is_none() && !self.is_slow_worker(placement.slot) {
             return false;
         }
+        // A run that could still end about when it should is left alone.
         let since = self.now.checked_sub(elapsed).unwrap_or(self.now);
+        let told = placement.seen_at.saturating_duration_since(since);
+        if elapsed < expected.mul_f64(OVERDUE) || told < expected {
+            return false;
+        }
         let Some(left) = placement.time_left(since, self.now) else {
             return elapsed > expected.mul_f64(tolerance);
         };
-        let total = elapsed + left;
         let again = if step.checkpoints {
             expected.mul_f64(f64::from(100 - placement.progress.0.min(100)) / 100.0)
         } else {
             expected
         };
-        total > expected.mul_f64(tolerance) && left > again.mul_f64(1.5) + RESTART_COST
+        elapsed + left > expected.mul_f64(tolerance) && left > again.mul_f64(1.5) + RESTART_COST
     }
 
     /// Whether most runs on a worker take longer than expected.
