--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -77,6 +77,10 @@
         let Some(record) = record else { return false };
         match record.kind {
             ClaimKind::Claim => {
+                // Another process may have told of it before.
+                if self.owner.as_ref().is_some_and(|owner| owner.token > offset) {
+                    return false;
+                }
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
                 self.released = false;
@@ -96,6 +100,16 @@
         }
     }
 
+    /// Notes an owner that another process knows; returns whether it is newer than the known one.
+    pub fn note_told(&mut self, owner: CellOwner) -> bool {
+        let newer = self.owner.as_ref().is_none_or(|known| known.token < owner.token);
+        if newer {
+            self.owner = Some(owner);
+            (self.released, self.suspected) = (false, false);
+        }
+        newer
+    }
+
     /// Notes whether this process can reach the owner of a token.
     pub fn note_reach(&mut self, token: FencingToken, reached: bool) {
         if self.owner.as_ref().is_some_and(|owner| owner.token == token) {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -44,16 +44,29 @@
         Duration::from_millis(self.parse(name, 0))
     }
 
-    /// Returns the first two ports that entry processes may use among themselves.
-    fn internal_ports(&mut self) -> (u16, u16) {
+    /// Returns the addresses of a list; those that cannot be read are faults.
+    fn addresses(&mut self, name: &str) -> Vec<Arc<str>> {
+        let text = self.lines.get(name).cloned().unwrap_or_default();
+        let mut addresses = Vec::new();
+        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.parse::<SocketAddr>() {
+                Ok(_) => addresses.push(part.into()),
+                Err(_) => self.faults.push(format!("{name}: {part} is no address")),
+            }
+        }
+        addresses
+    }
+
+    /// Returns the first port that entry processes may use among themselves.
+    fn internal_port(&mut self) -> u16 {
         let text = self.text("internal_ports");
         let range = text.split_once(',').and_then(|(first, last)| {
             let (first, last): (u16, u16) = (first.trim().parse().ok()?, last.trim().parse().ok()?);
-            (first < last).then_some((first, first + 1))
+            (first <= last).then_some(first)
         });
         range.unwrap_or_else(|| {
-            self.faults.push(format!("internal_ports={text} is no range of two or more ports"));
-            (0, 0)
+            self.faults.push(format!("internal_ports={text} is no range of ports"));
+            0
         })
     }
 }
@@ -70,7 +83,7 @@
     let lines = pairs.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect();
     let mut lines = SettingLines { lines, faults: Vec::new() };
     let ip: IpAddr = lines.parse("ip", IpAddr::from([127, 0, 0, 1]));
-    let (peer_port, metrics_port) = lines.internal_ports();
+    let metrics_port = lines.internal_port();
     let advisor = lines.lines.get("advice").filter(|address| !address.is_empty());
     let settings = CellSettings {
         advisor: advisor.map(|address| address.as_str().into()),
@@ -78,7 +91,8 @@
         zone: lines.text("zone").into(),
         front: lines.address("listen.front"),
         ready: lines.address("listen.ready"),
-        peer: SocketAddr::from((ip, peer_port)),
+        peer: lines.address("listen.control"),
+        peers: lines.addresses("seeds"),
         metrics: SocketAddr::from((ip, metrics_port)),
         store: lines.text("platform.address").into(),
         cpu_share: lines.parse("limits.cpu_share", 1.0),
--- a/src/proto/cell.rs
+++ b/src/proto/cell.rs
@@ -20,6 +20,32 @@
     pub jobs: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RelayRequest {
+    /// A record of the topic of submissions, as it is stored.
+    #[prost(bytes = "vec", tag = "1")]
+    pub record: ::prost::alloc::vec::Vec<u8>,
+    /// How long the caller waits, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub time_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RelayReply {
+    #[prost(enumeration = "RelayOutcome", tag = "1")]
+    pub outcome: i32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LocateRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LocateReply {
+    /// Token of the owner's claim; 0 if no owner is known.
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    #[prost(string, tag = "2")]
+    pub process: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AdvisorQuestion {
     /// Number of the question, unique within the stream.
     #[prost(uint64, tag = "1")]
@@ -90,6 +116,41 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RelayOutcome {
+    Unspecified = 0,
+    /// It is stored.
+    Stored = 1,
+    /// It is surely not stored.
+    Refused = 2,
+    /// It may be stored.
+    Unsure = 3,
+}
+impl RelayOutcome {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "RELAY_OUTCOME_UNSPECIFIED",
+            Self::Stored => "RELAY_OUTCOME_STORED",
+            Self::Refused => "RELAY_OUTCOME_REFUSED",
+            Self::Unsure => "RELAY_OUTCOME_UNSURE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "RELAY_OUTCOME_UNSPECIFIED" => Some(Self::Unspecified),
+            "RELAY_OUTCOME_STORED" => Some(Self::Stored),
+            "RELAY_OUTCOME_REFUSED" => Some(Self::Refused),
+            "RELAY_OUTCOME_UNSURE" => Some(Self::Unsure),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod cell_client {
     #![allow(
@@ -226,6 +287,50 @@
                 .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "Count"));
             self.inner.unary(req, path, codec).await
         }
+        /// Hands over a record that the sender cannot store, as the store turns it away.
+        pub async fn relay(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RelayRequest>,
+        ) -> std::result::Result<tonic::Response<super::RelayReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/godwithaven.cell.v1.Cell/Relay",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "Relay"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Asks who owns the cell.
+        pub async fn locate(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LocateRequest>,
+        ) -> std::result::Result<tonic::Response<super::LocateReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/godwithaven.cell.v1.Cell/Locate",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "Locate"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Offers to ask the placement advisor for the owner: answers go in, questions come out.
         pub async fn assist(
             &mut self,
@@ -276,6 +381,16 @@
             &self,
             request: tonic::Request<super::CountRequest>,
         ) -> std::result::Result<tonic::Response<super::CountReply>, tonic::Status>;
+        /// Hands over a record that the sender cannot store, as the store turns it away.
+        async fn relay(
+            &self,
+            request: tonic::Request<super::RelayRequest>,
+        ) -> std::result::Result<tonic::Response<super::RelayReply>, tonic::Status>;
+        /// Asks who owns the cell.
+        async fn locate(
+            &self,
+            request: tonic::Request<super::LocateRequest>,
+        ) -> std::result::Result<tonic::Response<super::LocateReply>, tonic::Status>;
         /// Server streaming response type for the Assist method.
         type AssistStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::AdvisorQuestion, tonic::Status>,
@@ -451,6 +566,92 @@
                     };
                     Box::pin(fut)
                 }
+                "/godwithaven.cell.v1.Cell/Relay" => {
+                    #[allow(non_camel_case_types)]
+                    struct RelaySvc<T: Cell>(pub Arc<T>);
+                    impl<T: Cell> tonic::server::UnaryService<super::RelayRequest>
+                    for RelaySvc<T> {
+                        type Response = super::RelayReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RelayRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cell>::relay(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RelaySvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/godwithaven.cell.v1.Cell/Locate" => {
+                    #[allow(non_camel_case_types)]
+                    struct LocateSvc<T: Cell>(pub Arc<T>);
+                    impl<T: Cell> tonic::server::UnaryService<super::LocateRequest>
+                    for LocateSvc<T> {
+                        type Response = super::LocateReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LocateRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cell>::locate(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LocateSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/godwithaven.cell.v1.Cell/Assist" => {
                     #[allow(non_camel_case_types)]
                     struct AssistSvc<T: Cell>(pub Arc<T>);
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -28,6 +28,10 @@
 const READ_RETRY: Duration = Duration::from_millis(200);
 /// Time between looks at whether to claim.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between questions to other processes who owns the cell.
+const ASK_INTERVAL: Duration = Duration::from_millis(600);
+/// Time without a read of the log after which other processes are asked; more than a read that waits takes.
+const UNREAD: Duration = Duration::from_millis(1_300);
 /// Longest wait for an append of a claim.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -38,6 +42,8 @@
     Configured(Arc<CellConfig>),
     /// The zones that are out of service changed.
     ZonesClosed(FastSet<ZoneId>),
+    /// Another process knows this owner.
+    Told(CellOwner),
     /// Whether the owner of a token can be reached.
     Reach(FencingToken, OwnerReach),
     /// Give the cell up and never claim it again.
@@ -75,6 +81,8 @@
     pub route: watch::Sender<OwnerRoute>,
     /// The log of claims.
     pub watch: ClaimWatch,
+    /// Addresses of processes that may know the owner when the log cannot be read.
+    pub peers: Vec<Arc<str>>,
 }
 
 /// What the task holds besides.
@@ -105,10 +113,12 @@
         renew.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
         check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ask = tokio::time::interval(ASK_INTERVAL);
+        ask.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
-                Some(message) = inbox.recv() => self.handle(message, &mut state).await,
+                Some(message) = inbox.recv() => self.handle(message, &mut state, &token).await,
                 page = &mut read => {
                     let pause = self.note_page(page, &mut state, &token);
                     read = self.read(pause);
@@ -116,11 +126,12 @@
                 outcome = pending(&mut state.claiming) => self.note_claim(outcome, &mut state),
                 _ = renew.tick() => self.renew(&state),
                 _ = check.tick() => self.check(&mut state),
+                _ = ask.tick() => self.ask_peers(),
             }
         }
     }
 
-    async fn handle(&mut self, message: ClaimMessage, state: &mut ClaimState) {
+    async fn handle(&mut self, message: ClaimMessage, state: &mut ClaimState, token: &CancellationToken) {
         let event = match message {
             ClaimMessage::Configured(config) => {
                 state.config = Some(config.clone());
@@ -130,11 +141,17 @@
                 state.closed.clone_from(&zones);
                 CellEvent::ZonesClosed(zones)
             }
-            ClaimMessage::Reach(token, reach) => {
+            ClaimMessage::Reach(claim, reach) => {
                 match reach {
-                    OwnerReach::Reached => self.watch.note_reach(token, true),
-                    OwnerReach::Unreachable => self.watch.note_reach(token, false),
-                    OwnerReach::Replaced => self.watch.note_gone(token),
+                    OwnerReach::Reached => self.watch.note_reach(claim, true),
+                    OwnerReach::Unreachable => self.watch.note_reach(claim, false),
+                    OwnerReach::Replaced => self.watch.note_gone(claim),
+                }
+                return;
+            }
+            ClaimMessage::Told(owner) => {
+                if self.watch.note_told(owner) {
+                    self.follow_owner(state, token);
                 }
                 return;
             }
@@ -194,7 +211,12 @@
         let mut changed = false;
         for record in &page.records {
             let claim = match serde_json::from_slice::<ClaimRecord>(&record.value) {
-                Ok(claim) => Some(claim),
+                Ok(claim) => {
+                    if !self.peers.contains(&claim.address) && claim.address != self.address {
+                        self.peers.push(claim.address.clone());
+                    }
+                    Some(claim)
+                }
                 Err(error) => {
                     log::warn!(topic = CLAIM_TOPIC, offset = record.offset, error:%; "record cannot be read");
                     None
@@ -244,7 +266,7 @@
         let stop = term.clone();
         actix_rt::spawn(async move { task.run(inbox, stop).await });
         state.term = Some((sender.clone(), term));
-        OwnerRoute::Local(sender)
+        OwnerRoute::Local(owner.clone(), sender)
     }
 
     fn assist(&self, owner: &CellOwner, state: &mut ClaimState, token: &CancellationToken) -> OwnerRoute {
@@ -264,7 +286,7 @@
         };
         actix_rt::spawn(session.run(stop.clone()));
         state.assisting = Some(stop);
-        OwnerRoute::Remote(client)
+        OwnerRoute::Remote(owner.clone(), client)
     }
 
     fn check(&self, state: &mut ClaimState) {
@@ -282,6 +304,22 @@
         }
     }
 
+    /// Asks other processes who owns the cell while the log of claims cannot be read.
+    fn ask_peers(&self) {
+        let read = self.watch.last_read();
+        if read.is_some_and(|read| read.elapsed() < UNREAD) || self.peers.is_empty() {
+            return;
+        }
+        let (peers, inbox) = (self.peers.clone(), self.inbox.clone());
+        actix_rt::spawn(async move {
+            if let Some(owner) = peer::locate(peers).await
+                && inbox.send(ClaimMessage::Told(owner)).await.is_err()
+            {
+                log::debug!("process is stopping");
+            }
+        });
+    }
+
     fn note_claim(&mut self, outcome: AppendOutcome, state: &mut ClaimState) {
         state.claiming = None;
         if !matches!(outcome, AppendOutcome::Stored(_)) {
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -116,6 +116,8 @@
     Call(CellCall, oneshot::Sender<CellReply>),
     /// A configuration came into force.
     Configured(Arc<CellConfig>),
+    /// A record that another process could not store, and how long its caller waits.
+    Relayed(JobRecord, Instant, oneshot::Sender<CellReply>),
     /// Whether calls can be answered.
     Ready(oneshot::Sender<bool>),
 }
@@ -140,6 +142,9 @@
                 message = inbox.recv() => match message {
                     None => return,
                     Some(IntakeMessage::Configured(config)) => self.config = Some(config),
+                    Some(IntakeMessage::Relayed(record, until, reply)) => {
+                        self.queue.add(&record, until, None, reply);
+                    }
                     Some(IntakeMessage::Ready(reply)) => respond(reply, self.config.is_some()),
                     Some(IntakeMessage::Call(call, reply)) => self.admit(call, reply),
                 },
@@ -153,7 +158,13 @@
                 let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
                 let until = Instant::now() + deadline.saturating_sub(ANSWER_TIME);
                 match plan {
-                    CallPlan::Store(record) => self.queue.add(&record, until, reply),
+                    CallPlan::Store(record) => {
+                        let client = match &*self.route.borrow() {
+                            OwnerRoute::Remote(_, client) => Some(client.clone()),
+                            _ => None,
+                        };
+                        self.queue.add(&record, until, client, reply);
+                    }
                     CallPlan::Inspect(job) => {
                         let route = self.route.borrow().clone();
                         actix_rt::spawn(async move { respond(reply, inspect(&route, &job, until).await) });
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -17,10 +17,11 @@
 use crate::proto::cell::cell_server::{Cell, CellServer};
 use crate::proto::cell::{
     AdvisorAnswer, AdvisorGrant, AdvisorQuestion, CountReply, CountRequest, InspectReply, InspectRequest,
-    JobState,
+    JobState, LocateReply, LocateRequest, RelayOutcome, RelayReply, RelayRequest,
 };
 use crate::tasks::cell::advice::AdviceMessage;
 use crate::tasks::cell::claim::{ClaimMessage, OwnerReach};
+use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage};
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage};
 use crate::tasks::cell::ports::AdvisorPort;
 
@@ -39,15 +40,18 @@
 /// Longest wait for the answer of the owner before it is asked again.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest wait for a record to be stored by the owner's process.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Where the owner of the cell is reached.
 #[derive(Clone, Debug)]
 pub enum OwnerRoute {
     /// It is not known.
     Unknown,
     /// It is this process.
-    Local(mpsc::Sender<OwnerMessage>),
+    Local(CellOwner, mpsc::Sender<OwnerMessage>),
     /// It is another process.
-    Remote(CellClient<Channel>),
+    Remote(CellOwner, CellClient<Channel>),
 }
 
 /// Returns a client of the owner at an address, which connects when it is used.
@@ -73,14 +77,16 @@
     pub async fn inspect(&self, job: &JobId, until: Instant) -> Result<JobAnswer, String> {
         match self {
             Self::Unknown => Err("cell has no owner".to_owned()),
-            Self::Local(owner) => ask(owner, |reply| OwnerMessage::Inspect(job.clone(), reply), until).await,
-            Self::Remote(client) => {
+            Self::Local(_, owner) => {
+                ask(owner, |reply| OwnerMessage::Inspect(job.clone(), reply), until).await
+            }
+            Self::Remote(_, client) => {
                 let request = InspectRequest { job: job.to_string() };
                 let call = || {
                     let (mut client, request) = (client.clone(), request.clone());
                     async move { client.inspect(request).await }
                 };
-                let reply = repeat(call, until).await?;
+                let reply = repeat(call, ASK_TIMEOUT, until).await?;
                 Ok(decode_answer(reply.state()))
             }
         }
@@ -94,19 +100,52 @@
     pub async fn count(&self, queue: &QueueId, until: Instant) -> Result<Option<u64>, String> {
         match self {
             Self::Unknown => Err("cell has no owner".to_owned()),
-            Self::Local(owner) => ask(owner, |reply| OwnerMessage::Count(queue.clone(), reply), until).await,
-            Self::Remote(client) => {
+            Self::Local(_, owner) => {
+                ask(owner, |reply| OwnerMessage::Count(queue.clone(), reply), until).await
+            }
+            Self::Remote(_, client) => {
                 let request = CountRequest { queue: queue.to_string() };
                 let call = || {
                     let (mut client, request) = (client.clone(), request.clone());
                     async move { client.count(request).await }
                 };
-                Ok(Some(repeat(call, until).await?.jobs))
+                Ok(Some(repeat(call, ASK_TIMEOUT, until).await?.jobs))
             }
         }
     }
 }
 
+/// Hands a record to the owner's process, which stores it; again until the time if that cannot be reached.
+///
+/// # Errors
+///
+/// Returns why the record may or may not be stored.
+pub async fn relay(
+    client: &CellClient<Channel>,
+    record: &[u8],
+    until: Instant,
+) -> Result<RelayOutcome, String> {
+    let call = || {
+        let left = until.saturating_duration_since(Instant::now());
+        let time_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let (mut client, request) = (client.clone(), RelayRequest { record: record.to_vec(), time_ms });
+        async move { client.relay(request).await }
+    };
+    Ok(repeat(call, RELAY_TIMEOUT, until).await?.outcome())
+}
+
+/// Asks the processes at the addresses who owns the cell; returns the newest owner that they know.
+pub async fn locate(addresses: Vec<Arc<str>>) -> Option<CellOwner> {
+    let asked = addresses.into_iter().map(|address| async move {
+        let mut client = connect(&address).ok()?;
+        let reply = tokio::time::timeout(ASK_TIMEOUT, client.locate(LocateRequest {})).await.ok()?.ok()?;
+        let LocateReply { token, process, address } = reply.into_inner();
+        (token > 0).then(|| CellOwner { process: process.into(), address: address.into(), token })
+    });
+    let known = futures_util::future::join_all(asked).await;
+    known.into_iter().flatten().max_by_key(|owner| owner.token)
+}
+
 async fn ask<T>(
     owner: &mpsc::Sender<OwnerMessage>,
     message: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
@@ -120,12 +159,12 @@
     tokio::time::timeout_at(until.into(), asked).await.unwrap_or_else(|_| Err("owner is too slow".to_owned()))
 }
 
-async fn repeat<T, F>(mut call: impl FnMut() -> F, until: Instant) -> Result<T, String>
+async fn repeat<T, F>(mut call: impl FnMut() -> F, timeout: Duration, until: Instant) -> Result<T, String>
 where
     F: Future<Output = Result<Response<T>, Status>>,
 {
     loop {
-        let fault = match tokio::time::timeout(ASK_TIMEOUT, call()).await {
+        let fault = match tokio::time::timeout(timeout, call()).await {
             Ok(Ok(response)) => return Ok(response.into_inner()),
             Ok(Err(status)) => status.message().to_owned(),
             Err(_) => "owner is too slow".to_owned(),
@@ -145,12 +184,14 @@
     pub route: watch::Receiver<OwnerRoute>,
     /// The task that asks the advisor.
     pub advice: mpsc::Sender<AdviceMessage>,
+    /// The task that admits calls.
+    pub intake: mpsc::Sender<IntakeMessage>,
 }
 
 impl CellService {
     fn owner(&self) -> Result<mpsc::Sender<OwnerMessage>, Status> {
         match &*self.route.borrow() {
-            OwnerRoute::Local(owner) => Ok(owner.clone()),
+            OwnerRoute::Local(_, owner) => Ok(owner.clone()),
             _ => {
                 let details = self.process.as_bytes().to_vec().into();
                 let text = "this process does not own the cell";
@@ -179,6 +220,34 @@
         Ok(Response::new(CountReply { jobs }))
     }
 
+    async fn relay(&self, request: Request<RelayRequest>) -> Result<Response<RelayReply>, Status> {
+        let request = request.into_inner();
+        let record = serde_json::from_slice(&request.record)
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let until = Instant::now() + Duration::from_millis(request.time_ms);
+        let (reply, answer) = oneshot::channel();
+        let gone = || Status::unavailable("the process is stopping");
+        self.intake.send(IntakeMessage::Relayed(record, until, reply)).await.map_err(|_| gone())?;
+        let outcome = match answer.await.map_err(|_| gone())? {
+            CellReply::Stored => RelayOutcome::Stored,
+            CellReply::Refused(CellRefusal::Unavailable(_), _) => RelayOutcome::Refused,
+            _ => RelayOutcome::Unsure,
+        };
+        Ok(Response::new(RelayReply { outcome: outcome.into() }))
+    }
+
+    async fn locate(&self, _: Request<LocateRequest>) -> Result<Response<LocateReply>, Status> {
+        let reply = match &*self.route.borrow() {
+            OwnerRoute::Unknown => LocateReply::default(),
+            OwnerRoute::Local(owner, _) | OwnerRoute::Remote(owner, _) => LocateReply {
+                token: owner.token,
+                process: owner.process.to_string(),
+                address: owner.address.to_string(),
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
     type AssistStream = Pin<Box<dyn Stream<Item = Result<AdvisorQuestion, Status>> + Send>>;
 
     async fn assist(
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -75,11 +75,17 @@
         actix_rt::spawn(task.run(intake_inbox, token.clone()));
         let task = AdviceTask::new(advisor.clone(), advice.clone());
         actix_rt::spawn(task.run(advice_inbox, token.clone()));
-        let service = CellService { process: process.clone(), route: routes, advice: advice.clone() };
+        let service = CellService {
+            process: process.clone(),
+            route: routes,
+            advice: advice.clone(),
+            intake: intake.clone(),
+        };
         actix_rt::spawn(peer::serve(peer_listener, service, token.clone()));
+        let own: Arc<str> = settings.peer.to_string().into();
         let task = ClaimTask {
             process: process.clone(),
-            address: settings.peer.to_string().into(),
+            address: own.clone(),
             adapter,
             store,
             advisor,
@@ -87,6 +93,7 @@
             inbox: claim.clone(),
             route,
             watch: ClaimWatch::new(OWNER_SILENCE, patience(&settings)),
+            peers: settings.peers.iter().filter(|peer| **peer != own).cloned().collect(),
         };
         actix_rt::spawn(task.run(claim_inbox, token.clone()));
         let front = CellFront { listener, ready, intake, leaving: leaving.clone(), token: closing.clone() };
--- a/src/tasks/cell/settings.rs
+++ b/src/tasks/cell/settings.rs
@@ -17,6 +17,8 @@
     pub ready: SocketAddr,
     /// Address of the interface for other entry processes.
     pub peer: SocketAddr,
+    /// Addresses of some other entry processes; they may be down.
+    pub peers: Vec<Arc<str>>,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// Address of the store, `ip:port`.
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -4,12 +4,16 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::oneshot;
+use tonic::transport::Channel;
 
 use crate::kernel::cell::StoreHealth;
 use crate::prelude::*;
+use crate::proto::cell::RelayOutcome;
+use crate::proto::cell::cell_client::CellClient;
 use crate::tasks::cell::intake::{
     CellRefusal, CellReply, JOB_TOPIC, JobRecord, respond, unavailable, unavailable_for,
 };
+use crate::tasks::cell::peer;
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
 
 /// Longest wait for one append; a repeated one does no harm, as jobs are known by their ids.
@@ -26,6 +30,8 @@
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// See [`SHORTEST_RETRY_AFTER`]; callers repeat a call only a few times, so their attempts have to span an outage.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Time between calls that are sent to a store that takes nothing.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Largest group in bytes, a quarter of what the platform's store takes in one call.
 const GROUP_BYTES: usize = 512 << 10;
 
@@ -38,6 +44,8 @@
     until: Instant,
     /// Whether an append of it was not answered, so that it may be stored.
     unsure: bool,
+    /// The owner's process, which may be able to store it if this one is not.
+    relay: Option<CellClient<Channel>>,
     reply: oneshot::Sender<CellReply>,
 }
 
@@ -49,6 +57,7 @@
     waiting: Vec<QueuedRecord>,
     flight: Option<(Vec<QueuedRecord>, LocalBoxFuture<'static, AppendOutcome>)>,
     retry_at: Option<Instant>,
+    probed: Option<Instant>,
 }
 
 impl SubmitQueue {
@@ -56,29 +65,53 @@
     #[must_use]
     pub fn new(store: StorePort, partition: PartitionNumber) -> Self {
         let health = StoreHealth::default();
-        Self { store, partition, health, waiting: Vec::new(), flight: None, retry_at: None }
+        Self { store, partition, health, waiting: Vec::new(), flight: None, retry_at: None, probed: None }
     }
 
     /// Adds a record; its caller is answered once it is stored, surely not stored, or `until` has passed.
-    pub fn add(&mut self, record: &JobRecord, until: Instant, reply: oneshot::Sender<CellReply>) {
+    /// With `relay`, the process of that connection stores it if this one cannot.
+    pub fn add(
+        &mut self,
+        record: &JobRecord,
+        until: Instant,
+        relay: Option<CellClient<Channel>>,
+        reply: oneshot::Sender<CellReply>,
+    ) {
         let now = Instant::now();
         let (id, kind) = match record {
             JobRecord::Submit(spec) => (spec.id.clone(), "submit"),
             JobRecord::Cancel(job) => (job.clone(), "cancel"),
         };
-        // The first call goes on, to find out when the outage ends.
-        let tried = self.flight.is_some() || !self.waiting.is_empty();
-        if tried && self.health.failing_for(now) >= OUTAGE {
-            respond(reply, self.refusal(&id, now));
-            return;
-        }
-        match serde_json::to_vec(record) {
-            Ok(value) => {
-                let value = Bytes::from(value);
-                self.waiting.push(QueuedRecord { id, kind, value, added: now, until, unsure: false, reply });
+        let value = match serde_json::to_vec(record) {
+            Ok(value) => Bytes::from(value),
+            Err(error) => {
+                respond(reply, unavailable(&id, &error.to_string()));
+                return;
             }
-            Err(error) => respond(reply, unavailable(&id, &error.to_string())),
+        };
+        let record = QueuedRecord { id, kind, value, added: now, until, unsure: false, relay, reply };
+        let failing = self.health.failing_for(now);
+        // Some calls go on to the store, to find out when the outage ends.
+        let probes =
+            failing.is_zero() || (self.flight.is_none() && self.waiting.is_empty() && self.may_probe(now));
+        if probes {
+            self.waiting.push(record);
+        } else if record.relay.is_some() {
+            actix_rt::spawn(record.hand_over(self.wait(now)));
+        } else if failing >= OUTAGE {
+            let refusal = self.refusal(&record.id, now);
+            respond(record.reply, refusal);
+        } else {
+            self.waiting.push(record);
+        }
+    }
+
+    fn may_probe(&mut self, now: Instant) -> bool {
+        let due = self.probed.is_none_or(|probed| now.saturating_duration_since(probed) >= PROBE_INTERVAL);
+        if due {
+            self.probed = Some(now);
         }
+        due
     }
 
     /// Sends and answers records; returns when something has changed.
@@ -143,15 +176,22 @@
         let unsure = !matches!(outcome, AppendOutcome::Refused(_));
         let group =
             group.into_iter().map(|record| QueuedRecord { unsure: record.unsure || unsure, ..record });
-        self.waiting.splice(0..0, group);
+        let (relayed, kept): (Vec<_>, Vec<_>) = group.partition(|record| record.relay.is_some());
+        for record in relayed {
+            actix_rt::spawn(record.hand_over(self.wait(now)));
+        }
+        self.waiting.splice(0..0, kept);
         self.retry_at = Some(now + APPEND_RETRY);
         self.give_up();
     }
 
     /// Refuses a call; the longer the outage has lasted, the later its caller may come back.
     fn refusal(&self, id: &str, now: Instant) -> CellReply {
-        let wait = self.health.failing_for(now).clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER);
-        unavailable_for(id, "store takes no records", wait)
+        unavailable_for(id, "store takes no records", self.wait(now))
+    }
+
+    fn wait(&self, now: Instant) -> Duration {
+        self.health.failing_for(now).clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER)
     }
 
     /// Answers callers whose record is surely not stored for a while, or whose time is over.
@@ -176,3 +216,29 @@
         }
     }
 }
+
+impl QueuedRecord {
+    /// Lets the owner's process store the record, and answers the caller; one that is refused may come back after
+    /// `wait`.
+    async fn hand_over(self, wait: Duration) {
+        let Some(client) = self.relay else { return };
+        let outcome = peer::relay(&client, &self.value, self.until).await;
+        let took = self.added.elapsed().as_millis();
+        let reply = match outcome {
+            Ok(RelayOutcome::Stored) => {
+                log::info!(job = &*self.id, kind = self.kind, took_ms = took; "call is stored by the owner");
+                CellReply::Stored
+            }
+            Ok(RelayOutcome::Refused) if !self.unsure => {
+                unavailable_for(&self.id, "store takes no records", wait)
+            }
+            // A call to the owner that was not answered may have had its effect too.
+            outcome => {
+                log::info!(job = &*self.id, kind = self.kind, outcome:?; "call may be stored");
+                let refusal = CellRefusal::MayBeStored("owner does not answer".to_owned());
+                CellReply::Refused(refusal, None)
+            }
+        };
+        respond(self.reply, reply);
+    }
+}
