--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellState, PlacementPhase};
+use crate::kernel::cell::{CellState, PlacementPhase, StepWait};
 use crate::prelude::*;
 
 /// Load of the workers of one service.
@@ -23,6 +23,8 @@
     pub ready_steps: usize,
     /// Those of them whose question to the advisor is open.
     pub asking_steps: usize,
+    /// Ready steps that wait for the limit of their team, a permit and room.
+    pub waits: (usize, usize, usize),
     /// Tasks that wait to be placed.
     pub waiting_tasks: usize,
     /// Placed tasks.
@@ -40,6 +42,7 @@
         let steps = state.ready.iter().filter_map(|(_, key)| state.step(key));
         let steps: Vec<_> = steps.map(|(_, _, step)| step).collect();
         let unconfirmed = |phase: PlacementPhase| !matches!(phase, PlacementPhase::Running(_));
+        let count = |wait: StepWait| steps.iter().filter(|step| step.wait == Some(wait)).count();
         let mut pools: Vec<(ServiceId, PoolSummary)> = state
             .pools
             .iter()
@@ -50,6 +53,7 @@
             open_jobs: state.jobs.values().filter(|job| !job.status.is_final()).count(),
             ready_steps: steps.len(),
             asking_steps: steps.iter().filter(|step| step.permits.is_asking()).count(),
+            waits: (count(StepWait::TeamLimit), count(StepWait::Permit), count(StepWait::Room)),
             waiting_tasks: steps.iter().map(|step| step.waiting.len()).sum(),
             placed_tasks: state.placements.len(),
             unconfirmed_tasks: state.placements.values().filter(|known| unconfirmed(known.phase)).count(),
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -51,7 +51,7 @@
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
 pub use step_spec::StepSpec;
-pub use step_state::{JobLateness, StepOrder, StepState, TaskState};
+pub use step_state::{JobLateness, StepOrder, StepState, StepWait, TaskState};
 pub use store_health::StoreHealth;
 pub use straggler_watch::StragglerWatch;
 pub use submit_rate::SubmitRate;
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -1,6 +1,8 @@
 use std::cmp::Reverse;
 
-use crate::kernel::cell::{CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, VictimSearch};
+use crate::kernel::cell::{
+    CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey, VictimSearch,
+};
 use crate::prelude::*;
 
 /// Most workers that one question to the advisor may name.
@@ -23,6 +25,12 @@
     /// The present time.
     pub now: Instant,
     held: FastMap<u32, ResourceVector>,
+    /// What waiting steps of a team will take of its limit.
+    team_held: FastMap<TeamId, ResourceVector>,
+    /// What each team uses with tasks that are being stopped.
+    team_stopping: Option<FastMap<TeamId, ResourceVector>>,
+    /// Teams of which nothing more can yield in this pass, by the priority that asked.
+    team_spent: FastMap<TeamId, u32>,
     ranks: FastMap<ServiceId, usize>,
     victims_left: usize,
 }
@@ -55,8 +63,16 @@
     /// Returns a pass over the cell.
     #[must_use]
     pub fn new(state: &'a mut CellState, now: Instant) -> Self {
-        let (held, ranks) = (FastMap::default(), FastMap::default());
-        Self { state, now, held, ranks, victims_left: MOST_VICTIMS }
+        Self {
+            state,
+            now,
+            held: FastMap::default(),
+            team_held: FastMap::default(),
+            team_stopping: None,
+            team_spent: FastMap::default(),
+            ranks: FastMap::default(),
+            victims_left: MOST_VICTIMS,
+        }
     }
 
     /// Places what can be placed, in the order of starts.
@@ -75,8 +91,12 @@
             return;
         }
         let (reserved, gang) = (step.reserved(), step.gang);
-        let wanted = self.allowed(key);
+        let (waiting, wanted) = self.allowed(key);
+        if wanted < waiting {
+            self.make_room_in_team(key, &rule, waiting - wanted);
+        }
         if wanted == 0 {
+            self.note_wait(key, StepWait::TeamLimit);
             return;
         }
         let placed = PlacedStep { key, rule, reserved, wanted };
@@ -94,24 +114,83 @@
         if let Some(permits) = placed.rule.permits {
             self.ask(&placed, permits, &candidates, rank);
         }
+        let permitted = candidates.iter().any(|candidate| self.is_hopeful(&placed, candidate.slot));
+        self.note_wait(key, if permitted { StepWait::Room } else { StepWait::Permit });
         self.make_room(&placed, &candidates, missing);
     }
 
-    /// Returns how many waiting tasks of a step the limit of its team and its backoffs allow to start.
-    fn allowed(&self, key: &StepKey) -> u32 {
-        let Some((spec, step, state)) = self.state.step(key) else { return 0 };
+    fn note_wait(&mut self, key: &StepKey, wait: StepWait) {
+        if let Some(state) = self.state.step_mut(key) {
+            state.wait = Some(wait);
+        }
+    }
+
+    /// Returns how many tasks of a step could start, and how many of them the limit of its team allows.
+    fn allowed(&self, key: &StepKey) -> (u32, u32) {
+        let Some((spec, step, state)) = self.state.step(key) else { return (0, 0) };
         let due = |index: &&u32| state.tasks[**index as usize].may_start(self.now);
         let waiting = u32::try_from(state.waiting.iter().filter(due).count()).unwrap_or(u32::MAX);
-        let room = if spec.team.is_empty() {
-            u64::MAX
-        } else {
-            step.need.count_in(self.state.shares.room(&spec.team))
-        };
-        let allowed = u64::from(waiting).min(room);
-        if step.gang && allowed < u64::from(step.tasks) {
-            return 0;
+        if spec.team.is_empty() {
+            return (waiting, waiting);
+        }
+        let held = self.team_held.get(&spec.team).copied().unwrap_or_default();
+        let room = self.state.shares.room(&spec.team).minus(held);
+        let room = if step.need.fits(room) { step.need.count_in(room) } else { 0 };
+        let allowed = u32::try_from(room).unwrap_or(u32::MAX).min(waiting);
+        (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
+    }
+
+    /// Keeps a part of the limit of a team for missing tasks, and stops less urgent tasks of the team for them.
+    fn make_room_in_team(&mut self, key: &StepKey, rule: &QueueRule, missing: u32) {
+        let Some((spec, step, state)) = self.state.step(key) else { return };
+        let team = spec.team.clone();
+        let excess = state.order.is_some_and(|order| order.excess);
+        let wanted = step.need.times(u64::from(missing));
+        let wanted = wanted.plus(self.team_held.get(&team).copied().unwrap_or_default());
+        self.team_held.insert(team.clone(), wanted);
+        let spent = self.team_spent.get(&team).is_some_and(|priority| rule.priority >= *priority);
+        if spent || excess || self.victims_left == 0 {
+            return;
         }
-        u32::try_from(allowed).unwrap_or(u32::MAX)
+        let free = self.state.shares.room(&team).plus(self.stopping_of(&team));
+        if wanted.fits(free) {
+            return;
+        }
+        let search = VictimSearch { state: self.state, priority: rule.priority };
+        let victims = search.find_in_team(&team, wanted, free, self.now);
+        if victims.is_empty() {
+            self.team_spent.insert(team.clone(), rule.priority);
+        }
+        for victim in victims.into_iter().take(self.victims_left) {
+            self.victims_left -= 1;
+            self.count_stopping(&victim, &team);
+            self.state.stop(&victim, "yields_in_team", self.now);
+        }
+    }
+
+    fn count_stopping(&mut self, victim: &TaskKey, team: &TeamId) {
+        let Some((_, step, _)) = self.state.step(&victim.step) else { return };
+        let need = step.need;
+        if let Some(stopping) = &mut self.team_stopping {
+            let sum = stopping.entry(team.clone()).or_default();
+            *sum = sum.plus(need);
+        }
+    }
+
+    /// Returns what the tasks of a team use that are being stopped.
+    fn stopping_of(&mut self, team: &TeamId) -> ResourceVector {
+        let state = &self.state;
+        let stopping = self.team_stopping.get_or_insert_with(|| {
+            let mut sums: FastMap<TeamId, ResourceVector> = FastMap::default();
+            for (key, _) in state.placements.iter().filter(|(_, placement)| placement.stopping.is_some()) {
+                if let Some((spec, step, _)) = state.step(&key.step) {
+                    let sum = sums.entry(spec.team.clone()).or_default();
+                    *sum = sum.plus(step.need);
+                }
+            }
+            sums
+        });
+        stopping.get(team).copied().unwrap_or_default()
     }
 
     /// Returns the workers that may run tasks of the step, the best first; some have no room.
@@ -305,8 +384,9 @@
             return 0;
         }
         let held = self.held.get(&candidate.slot).copied().unwrap_or_default();
-        let search = VictimSearch { state: self.state, slot: candidate.slot, priority: placed.rule.priority };
-        let Some(victims) = search.find(placed.reserved.plus(held), self.now) else { return 0 };
+        let search = VictimSearch { state: self.state, priority: placed.rule.priority };
+        let wanted = placed.reserved.plus(held);
+        let Some(victims) = search.find_on(candidate.slot, wanted, self.now) else { return 0 };
         self.victims_left = self.victims_left.saturating_sub(victims.len());
         for victim in victims {
             self.state.stop(&victim, "yields_to_urgent", self.now);
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -52,6 +52,20 @@
     Worthless,
 }
 
+/// Why tasks of a ready step wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum StepWait {
+    /// The limit of the team is used up.
+    #[display("team_limit")]
+    TeamLimit,
+    /// Workers with room are not permitted, or not yet.
+    #[display("permit")]
+    Permit,
+    /// No permitted worker has room.
+    #[display("room")]
+    Room,
+}
+
 /// What is known of one step of an occurrence.
 #[derive(Clone, Debug)]
 pub struct StepState {
@@ -73,6 +87,8 @@
     pub run_times: (Duration, u32),
     /// Its place in the order of starts while it is ready.
     pub order: Option<StepOrder>,
+    /// Why tasks waited when they were last looked at.
+    pub wait: Option<StepWait>,
 }
 
 impl StepState {
@@ -89,6 +105,7 @@
             permits: PermitBook::default(),
             run_times: (Duration::ZERO, 0),
             order: None,
+            wait: None,
         }
     }
 
--- a/src/kernel/cell/victim_search.rs
+++ b/src/kernel/cell/victim_search.rs
@@ -6,53 +6,52 @@
 /// Victims of one search at most.
 const MOST_VICTIMS: usize = 6;
 
-/// Finds tasks on a worker that yield to a more urgent one.
+/// Finds tasks that yield to a more urgent one.
 pub struct VictimSearch<'a> {
     /// The cell.
     pub state: &'a CellState,
-    /// The worker.
-    pub slot: u32,
     /// Priority of the task that wants the room; only tasks of a higher number yield.
     pub priority: u32,
 }
 
+/// A task that may yield.
+struct Victim<'a> {
+    key: &'a TaskKey,
+    priority: u32,
+    ran: Duration,
+    need: ResourceVector,
+    reserved: ResourceVector,
+}
+
 impl VictimSearch<'_> {
-    /// Returns the tasks to stop so that `wanted` is free, or `None` if that takes too much.
+    /// Returns the tasks to stop so that `wanted` is free on a worker, or `None` if that takes too much.
     #[must_use]
-    pub fn find(&self, wanted: ResourceVector, now: Instant) -> Option<Vec<TaskKey>> {
-        let worker = self.state.worker(self.slot)?;
-        let mut victims: Vec<(u32, Duration, &TaskKey, ResourceVector)> =
-            worker.tasks.iter().filter_map(|key| self.victim(key, now)).collect();
-        // The least urgent first, then the one that has run for the shortest time.
-        victims.sort_by(|left, right| right.0.cmp(&left.0).then(left.1.cmp(&right.1)));
-        let mut free = worker.free().plus(worker.stopping);
-        let mut chosen = Vec::new();
-        for (_, _, key, reserved) in victims {
-            if wanted.fits(free) {
-                break;
-            }
-            if !self.helps(wanted, free, reserved) {
-                continue;
-            }
-            free = free.plus(reserved);
-            chosen.push(key.clone());
-        }
-        (wanted.fits(free) && chosen.len() <= MOST_VICTIMS).then_some(chosen)
-    }
-
-    /// Whether stopping a task frees something of which there is not enough.
-    fn helps(&self, wanted: ResourceVector, free: ResourceVector, reserved: ResourceVector) -> bool {
-        let missing = wanted.minus(free);
-        (missing.cores_milli > 0 && reserved.cores_milli > 0)
-            || (missing.memory_mib > 0 && reserved.memory_mib > 0)
-            || (missing.accelerators > 0 && reserved.accelerators > 0)
+    pub fn find_on(&self, slot: u32, wanted: ResourceVector, now: Instant) -> Option<Vec<TaskKey>> {
+        let worker = self.state.worker(slot)?;
+        let victims = worker.tasks.iter().filter_map(|key| self.victim(key, now)).collect();
+        let free = worker.free().plus(worker.stopping);
+        let (chosen, enough) = choose(victims, wanted, free, |victim| victim.reserved);
+        (enough && chosen.len() <= MOST_VICTIMS).then_some(chosen)
     }
 
-    fn victim<'k>(
+    /// Returns tasks of a team to stop so that its use falls by what is missing between `free` and `wanted`, or by as
+    /// much of it as there is.
+    #[must_use]
+    pub fn find_in_team(
         &self,
-        key: &'k TaskKey,
+        team: &TeamId,
+        wanted: ResourceVector,
+        free: ResourceVector,
         now: Instant,
-    ) -> Option<(u32, Duration, &'k TaskKey, ResourceVector)> {
+    ) -> Vec<TaskKey> {
+        let of_team =
+            |key: &&TaskKey| self.state.step(&key.step).is_some_and(|(spec, ..)| spec.team == *team);
+        let tasks = self.state.placements.keys().filter(of_team);
+        let victims = tasks.filter_map(|key| self.victim(key, now)).collect();
+        choose(victims, wanted, free, |victim| victim.need).0
+    }
+
+    fn victim<'k>(&self, key: &'k TaskKey, now: Instant) -> Option<Victim<'k>> {
         let placement: &TaskPlacement = self.state.placements.get(key)?;
         let (spec, step, _) = self.state.step(&key.step)?;
         let priority = self.state.config.queues.get(&spec.queue)?.priority;
@@ -60,6 +59,37 @@
         let ran = now.saturating_duration_since(since);
         let cheap = step.checkpoints || ran < LITTLE_WORK;
         let yields = priority > self.priority && !step.lasting && !step.gang && cheap;
-        (yields && placement.stopping.is_none()).then(|| (priority, ran, key, step.reserved()))
+        let (need, reserved) = (step.need, step.reserved());
+        (yields && placement.stopping.is_none()).then_some(Victim { key, priority, ran, need, reserved })
     }
 }
+
+/// Chooses tasks until `wanted` is free: the least urgent first, then those that have run for the shortest time.
+/// Also says whether that is enough.
+fn choose(
+    mut victims: Vec<Victim<'_>>,
+    wanted: ResourceVector,
+    mut free: ResourceVector,
+    gives: impl Fn(&Victim<'_>) -> ResourceVector,
+) -> (Vec<TaskKey>, bool) {
+    victims.sort_by(|left, right| right.priority.cmp(&left.priority).then(left.ran.cmp(&right.ran)));
+    let mut chosen = Vec::new();
+    for victim in victims {
+        if wanted.fits(free) {
+            break;
+        }
+        let given = gives(&victim);
+        if helps(wanted.minus(free), given) {
+            free = free.plus(given);
+            chosen.push(victim.key.clone());
+        }
+    }
+    (chosen, wanted.fits(free))
+}
+
+/// Whether an amount contains something that is missing.
+const fn helps(missing: ResourceVector, given: ResourceVector) -> bool {
+    (missing.cores_milli > 0 && given.cores_milli > 0)
+        || (missing.memory_mib > 0 && given.memory_mib > 0)
+        || (missing.accelerators > 0 && given.accelerators > 0)
+}
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -372,9 +372,11 @@
             log::info!(service = &**service, listed = pool.listed, open = pool.open,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
+        let (limit, permit, room) = summary.waits;
         log::info!(open_jobs = summary.open_jobs, ready_steps = summary.ready_steps,
             asking_steps = summary.asking_steps, waiting_tasks = summary.waiting_tasks,
-            placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks;
+            placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks,
+            steps_at_limit = limit, steps_without_permit = permit, steps_without_room = room;
             "load of the cell");
     }
 
