--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -203,7 +203,7 @@
             return;
         }
         let weight = self.state.config.teams.get(&spec.team).map_or(u32::MAX, |team| team.weight.max(1));
-        let excess = self.state.rates.exceeds(&spec.team, weight, now);
+        let excess = self.state.rates.exceeds(&spec.team, weight, spec.submitted);
         let id = spec.id.clone();
         self.state.jobs.insert(id.clone(), CellJob::new(spec, now, excess));
         if self.state.early_cancels.remove(&id).is_some() {
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -19,6 +19,8 @@
 pub struct CellSummary {
     /// Jobs that are not in a final state.
     pub open_jobs: usize,
+    /// Open jobs of teams that had submitted more than they are owed.
+    pub excess_jobs: usize,
     /// Steps with tasks that wait to be placed.
     pub ready_steps: usize,
     /// Those of them whose question to the advisor is open.
@@ -51,6 +53,7 @@
         pools.sort_by(|(left, _), (right, _)| left.cmp(right));
         Self {
             open_jobs: state.jobs.values().filter(|job| !job.status.is_final()).count(),
+            excess_jobs: state.jobs.values().filter(|job| job.excess && !job.status.is_final()).count(),
             ready_steps: steps.len(),
             asking_steps: steps.iter().filter(|step| step.permits.is_asking()).count(),
             waits: (count(StepWait::TeamLimit), count(StepWait::Permit), count(StepWait::Room)),
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -57,6 +57,6 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
-pub use victim_search::VictimSearch;
+pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::WorkerLease;
 pub use worker_look::{EndCause, EndedRun, RunningRun, WorkerLook};
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -1,7 +1,8 @@
 use std::cmp::Reverse;
 
 use crate::kernel::cell::{
-    CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey, VictimSearch,
+    CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey, TaskRank,
+    VictimSearch,
 };
 use crate::prelude::*;
 
@@ -15,6 +16,8 @@
 const RENEWAL_MARGIN: Duration = Duration::from_millis(500);
 /// Questions that may be open for each process that asks, so that an urgent one does not wait long.
 const QUESTIONS_PER_HELPER: usize = 2;
+/// Added to the priority of questions for teams that have submitted more than they are owed.
+const EXCESS_QUESTION: u32 = 1_000;
 /// Tasks that are stopped in one pass for more urgent ones.
 const MOST_VICTIMS: usize = 24;
 
@@ -29,8 +32,8 @@
     team_held: FastMap<TeamId, ResourceVector>,
     /// What each team uses with tasks that are being stopped.
     team_stopping: Option<FastMap<TeamId, ResourceVector>>,
-    /// Teams of which nothing more can yield in this pass, by the priority that asked.
-    team_spent: FastMap<TeamId, u32>,
+    /// Teams of which nothing more can yield in this pass, by the rank that asked.
+    team_spent: FastMap<TeamId, TaskRank>,
     ranks: FastMap<ServiceId, usize>,
     victims_left: usize,
 }
@@ -55,6 +58,7 @@
 struct PlacedStep<'a> {
     key: &'a StepKey,
     rule: QueueRule,
+    rank: TaskRank,
     reserved: ResourceVector,
     wanted: u32,
 }
@@ -91,15 +95,16 @@
             return;
         }
         let (reserved, gang) = (step.reserved(), step.gang);
+        let rank = (state.order.is_some_and(|order| order.excess), rule.priority);
         let (waiting, wanted) = self.allowed(key);
         if wanted < waiting {
-            self.make_room_in_team(key, &rule, waiting - wanted);
+            self.make_room_in_team(key, rank, waiting - wanted);
         }
         if wanted == 0 {
             self.note_wait(key, StepWait::TeamLimit);
             return;
         }
-        let placed = PlacedStep { key, rule, reserved, wanted };
+        let placed = PlacedStep { key, rule, rank, reserved, wanted };
         let candidates = self.candidates(&placed);
         let started =
             if gang { self.start_gang(&placed, &candidates) } else { self.start_tasks(&placed, &candidates) };
@@ -141,25 +146,24 @@
     }
 
     /// Keeps a part of the limit of a team for missing tasks, and stops less urgent tasks of the team for them.
-    fn make_room_in_team(&mut self, key: &StepKey, rule: &QueueRule, missing: u32) {
-        let Some((spec, step, state)) = self.state.step(key) else { return };
+    fn make_room_in_team(&mut self, key: &StepKey, rank: TaskRank, missing: u32) {
+        let Some((spec, step, _)) = self.state.step(key) else { return };
         let team = spec.team.clone();
-        let excess = state.order.is_some_and(|order| order.excess);
         let wanted = step.need.times(u64::from(missing));
         let wanted = wanted.plus(self.team_held.get(&team).copied().unwrap_or_default());
         self.team_held.insert(team.clone(), wanted);
-        let spent = self.team_spent.get(&team).is_some_and(|priority| rule.priority >= *priority);
-        if spent || excess || self.victims_left == 0 {
+        let spent = self.team_spent.get(&team).is_some_and(|spent| rank >= *spent);
+        if spent || self.victims_left == 0 {
             return;
         }
         let free = self.state.shares.room(&team).plus(self.stopping_of(&team));
         if wanted.fits(free) {
             return;
         }
-        let search = VictimSearch { state: self.state, priority: rule.priority };
+        let search = VictimSearch { state: self.state, rank };
         let victims = search.find_in_team(&team, wanted, free, self.now);
         if victims.is_empty() {
-            self.team_spent.insert(team.clone(), rule.priority);
+            self.team_spent.insert(team.clone(), rank);
         }
         for victim in victims.into_iter().take(self.victims_left) {
             self.victims_left -= 1;
@@ -304,7 +308,7 @@
     fn ask(&mut self, placed: &PlacedStep<'_>, rule: PermitRule, candidates: &[Candidate], rank: usize) {
         let now = self.now;
         let bound = self.state.helpers.max(1) * QUESTIONS_PER_HELPER;
-        if self.state.open_questions >= bound && placed.rule.priority > 0 {
+        if self.state.open_questions >= bound && placed.rank > (false, 0) {
             return;
         }
         let Some((_, _, state)) = self.state.step(placed.key) else { return };
@@ -334,7 +338,8 @@
             state.permits.ask();
         }
         self.state.open_questions += 1;
-        let (step, priority) = (placed.key.clone(), placed.rule.priority);
+        let priority = placed.rule.priority + if placed.rank.0 { EXCESS_QUESTION } else { 0 };
+        let step = placed.key.clone();
         self.state.effects.push(CellEffect::AskPermits { step, rule, priority, workers });
     }
 
@@ -384,7 +389,7 @@
             return 0;
         }
         let held = self.held.get(&candidate.slot).copied().unwrap_or_default();
-        let search = VictimSearch { state: self.state, priority: placed.rule.priority };
+        let search = VictimSearch { state: self.state, rank: placed.rank };
         let wanted = placed.reserved.plus(held);
         let Some(victims) = search.find_on(candidate.slot, wanted, self.now) else { return 0 };
         self.victims_left = self.victims_left.saturating_sub(victims.len());
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -31,10 +31,10 @@
 /// Place of a step in the order of starts; lower ones come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StepOrder {
-    /// Priority of its queue.
-    pub priority: u32,
     /// Whether its team has submitted more than it is owed.
     pub excess: bool,
+    /// Priority of its queue.
+    pub priority: u32,
     /// How much of its worth the job has lost by being late.
     pub lateness: JobLateness,
     /// When the step has to start so that its job is complete in time.
--- a/src/kernel/cell/victim_search.rs
+++ b/src/kernel/cell/victim_search.rs
@@ -10,14 +10,17 @@
 pub struct VictimSearch<'a> {
     /// The cell.
     pub state: &'a CellState,
-    /// Priority of the task that wants the room; only tasks of a higher number yield.
-    pub priority: u32,
+    /// Rank of the task that wants the room; only tasks of a higher one yield.
+    pub rank: TaskRank,
 }
 
+/// Whether the team of a task has submitted more than it is owed, and the priority of its queue.
+pub type TaskRank = (bool, u32);
+
 /// A task that may yield.
 struct Victim<'a> {
     key: &'a TaskKey,
-    priority: u32,
+    rank: TaskRank,
     ran: Duration,
     need: ResourceVector,
     reserved: ResourceVector,
@@ -54,13 +57,14 @@
     fn victim<'k>(&self, key: &'k TaskKey, now: Instant) -> Option<Victim<'k>> {
         let placement: &TaskPlacement = self.state.placements.get(key)?;
         let (spec, step, _) = self.state.step(&key.step)?;
-        let priority = self.state.config.queues.get(&spec.queue)?.priority;
+        let excess = self.state.jobs.get(&key.step.job)?.excess;
+        let rank = (excess, self.state.config.queues.get(&spec.queue)?.priority);
         let PlacementPhase::Running(since) = placement.phase else { return None };
         let ran = now.saturating_duration_since(since);
         let cheap = step.checkpoints || ran < LITTLE_WORK;
-        let yields = priority > self.priority && !step.lasting && !step.gang && cheap;
+        let yields = rank > self.rank && !step.lasting && !step.gang && cheap;
         let (need, reserved) = (step.need, step.reserved());
-        (yields && placement.stopping.is_none()).then_some(Victim { key, priority, ran, need, reserved })
+        (yields && placement.stopping.is_none()).then_some(Victim { key, rank, ran, need, reserved })
     }
 }
 
@@ -72,7 +76,7 @@
     mut free: ResourceVector,
     gives: impl Fn(&Victim<'_>) -> ResourceVector,
 ) -> (Vec<TaskKey>, bool) {
-    victims.sort_by(|left, right| right.priority.cmp(&left.priority).then(left.ran.cmp(&right.ran)));
+    victims.sort_by(|left, right| right.rank.cmp(&left.rank).then(left.ran.cmp(&right.ran)));
     let mut chosen = Vec::new();
     for victim in victims {
         if wanted.fits(free) {
--- a/src/tasks/cell/config_feed.rs
+++ b/src/tasks/cell/config_feed.rs
@@ -54,7 +54,8 @@
                 self.tell_claim(ClaimMessage::ZonesClosed(closed.clone())).await;
             }
             if let Some(newer) = newer {
-                log::info!(version = newer.version; "configuration is in force");
+                log::info!(version = newer.version, queues = newer.queues.len(), teams:? = newer.teams;
+                    "configuration is in force");
                 self.tell_intake(IntakeMessage::Configured(newer.clone())).await;
                 self.tell_claim(ClaimMessage::Configured(newer.clone())).await;
                 config = Some(newer);
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -373,7 +373,8 @@
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
         let (limit, permit, room) = summary.waits;
-        log::info!(open_jobs = summary.open_jobs, ready_steps = summary.ready_steps,
+        log::info!(open_jobs = summary.open_jobs,
+            excess_jobs = summary.excess_jobs, ready_steps = summary.ready_steps,
             asking_steps = summary.asking_steps, waiting_tasks = summary.waiting_tasks,
             placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks,
             steps_at_limit = limit, steps_without_permit = permit, steps_without_room = room;
