--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -8,6 +8,10 @@
 
 /// How long the state of a closed job can be asked for.
 const CLOSED_KEPT: Duration = Duration::from_secs(150);
+/// Time between passes for each waiting step, so that passes take a few percent of a core at most.
+const PASS_PAUSE: Duration = Duration::from_micros(150);
+/// Waiting steps that lengthen the time between passes; more of them bring it to 30 ms at most.
+const MOST_COLLECTED: u32 = 200;
 /// Time within which all members of a gang must be confirmed, before the others give up waiting for them.
 const GANG_CONFIRM: Duration = Duration::from_millis(1_800);
 
@@ -15,6 +19,9 @@
 #[derive(Default)]
 pub struct CellScheduler {
     state: CellState,
+    /// Whether something has changed since the last pass over the waiting steps.
+    changed: bool,
+    last_pass: Option<Instant>,
 }
 
 impl CellScheduler {
@@ -23,11 +30,13 @@
     pub fn new(inherited_lease_over: Instant) -> Self {
         let mut state = CellState::default();
         state.inherited_lease_over = Some(inherited_lease_over);
-        Self { state }
+        Self { state, changed: false, last_pass: None }
     }
 
     /// Notes one event; [`Self::decide`] says what follows.
     pub fn handle(&mut self, event: CellEvent, now: Instant) {
+        // A start that went as planned gives nothing to decide.
+        self.changed |= !matches!(event, CellEvent::StartAnswered(_, _, _, OrderOutcome::Accepted));
         match event {
             CellEvent::Configured(config) => self.configure(config),
             CellEvent::ZonesClosed(zones) => self.close_zones(zones),
@@ -65,12 +74,25 @@
 
     /// Returns all that is to be done since the last call; with `may_start`, decides which tasks start.
     pub fn decide(&mut self, may_start: bool, now: Instant) -> Vec<CellEffect> {
-        if may_start {
+        if may_start && self.next_pass(now).is_some_and(|due| now >= due) {
+            self.changed = false;
+            self.last_pass = Some(now);
             StartPass::new(&mut self.state, now).run();
         }
         std::mem::take(&mut self.state.effects)
     }
 
+    /// Returns when [`Self::decide`] has to be called again, if at all; a pass over many waiting steps takes long, so
+    /// that changes are collected before the next one.
+    #[must_use]
+    pub fn next_pass(&self, now: Instant) -> Option<Instant> {
+        if !self.changed {
+            return None;
+        }
+        let steps = u32::try_from(self.state.ready.len()).unwrap_or(u32::MAX).min(MOST_COLLECTED);
+        Some(self.last_pass.map_or(now, |last| last + PASS_PAUSE * steps))
+    }
+
     /// Applies a record of an earlier owner; nothing is done in turn.
     pub fn replay(&mut self, record: CellRecord, now: Instant) {
         match record {
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -133,7 +133,9 @@
         let mut summary = tokio::time::interval(SUMMARY_INTERVAL);
         summary.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let due = state.scheduler.next_pass(Instant::now());
             tokio::select! {
+                () = sleep_until(due) => {}
                 progress = state.log.progress() => {
                     if let Err(end) = self.note_append(&mut state, progress).await {
                         return end;
@@ -448,6 +450,14 @@
     }
 }
 
+/// Waits for a time; for ever if there is none.
+async fn sleep_until(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Answers a question whose asker may have gone away.
 fn answer<T>(reply: oneshot::Sender<T>, value: T) {
     if reply.send(value).is_err() {
