--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -4,7 +4,7 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobLateness, JobStatus,
     OccurrenceState, PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepSpec, StepState,
-    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState,
+    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
 };
 use crate::prelude::*;
 
@@ -14,6 +14,10 @@
 const SHORT_RUN: Duration = Duration::from_secs(2);
 /// Time in which the start of a task has to be recorded and sent.
 const ORDER_LIFE: Duration = Duration::from_millis(800);
+/// Wait of a task that yielded before it starts again; it doubles each time.
+const EVICTION_BACKOFF: Duration = Duration::from_millis(400);
+/// Doublings of that wait at most, so that it stays near three seconds.
+const MOST_EVICTION_DOUBLINGS: u32 = 3;
 /// Objectives after which a completed job earns nothing.
 const LATEST_OBJECTIVES: u32 = 3;
 /// Time between two stops of the same run, which may have got lost.
@@ -45,6 +49,8 @@
     pub rates: SubmitRate,
     /// Run times of the queues.
     pub run_times: RunTimes,
+    /// What teams keep free for urgent tasks.
+    pub headroom: YieldHeadroom,
     /// What all listed workers hold.
     pub capacity: ResourceVector,
     /// Wall clock since 1970 at the last tick.
@@ -320,6 +326,18 @@
         self.effects.push(CellEffect::Stop(StopOrder { worker, task: key.clone(), run, reason }));
     }
 
+    /// Stops a run for a more urgent one; its task waits longer each time before it starts again.
+    pub fn evict(&mut self, key: &TaskKey, reason: &'static str, now: Instant) {
+        if let Some(state) = self.step_mut(&key.step)
+            && let Some(task) = state.tasks.get_mut(key.index as usize)
+        {
+            let wait = EVICTION_BACKOFF * 2u32.pow(task.evictions.min(MOST_EVICTION_DOUBLINGS));
+            task.evictions += 1;
+            task.not_before = Some(now + wait);
+        }
+        self.stop(key, reason, now);
+    }
+
     /// Counts the room that a run gives back once it has stopped.
     fn count_stopping(&mut self, key: &TaskKey, slot: u32) {
         let Some(reserved) = self.step(&key.step).map(|(_, step, _)| step.reserved()) else { return };
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -139,7 +139,10 @@
             return (waiting, waiting);
         }
         let held = self.team_held.get(&spec.team).copied().unwrap_or_default();
-        let room = self.state.shares.room(&spec.team).minus(held);
+        let urgent = step.lasting || step.gang || state.order.is_some_and(|order| order.priority == 0);
+        let kept =
+            if urgent { ResourceVector::default() } else { self.state.headroom.kept(&spec.team, self.now) };
+        let room = self.state.shares.room(&spec.team).minus(held).minus(kept);
         let room = if step.need.fits(room) { step.need.count_in(room) } else { 0 };
         let allowed = u32::try_from(room).unwrap_or(u32::MAX).min(waiting);
         (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
@@ -168,7 +171,7 @@
         for victim in victims.into_iter().take(self.victims_left) {
             self.victims_left -= 1;
             self.count_stopping(&victim, &team);
-            self.state.stop(&victim, "yields_in_team", self.now);
+            self.state.evict(&victim, "yields_in_team", self.now);
         }
     }
 
@@ -179,6 +182,7 @@
             let sum = stopping.entry(team.clone()).or_default();
             *sum = sum.plus(need);
         }
+        self.state.headroom.note(team, need, self.now);
     }
 
     /// Returns what the tasks of a team use that are being stopped.
@@ -394,7 +398,7 @@
         let Some(victims) = search.find_on(candidate.slot, wanted, self.now) else { return 0 };
         self.victims_left = self.victims_left.saturating_sub(victims.len());
         for victim in victims {
-            self.state.stop(&victim, "yields_to_urgent", self.now);
+            self.state.evict(&victim, "yields_to_urgent", self.now);
         }
         1
     }
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -14,6 +14,8 @@
     pub checkpoint: Option<CheckpointId>,
     /// Whether it is done.
     pub done: bool,
+    /// Stops for more urgent tasks.
+    pub evictions: u32,
     /// Stops because it was slow.
     pub moves: u32,
     /// Lasting tasks that end early are started again only after this time.
