--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -42,6 +42,8 @@
     Start(StartOrder),
     /// Stop a task.
     Stop(StopOrder),
+    /// Callers may be told the final state of a job.
+    Publish(JobId),
     /// Tell a worker that the ends of this life of it are recorded up to the number.
     Acknowledge(WorkerId, WorkerBirth, EndNumber),
     /// Ask the advisor which of the workers may run a step.
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -496,6 +496,7 @@
             job.status = JobStatus::Completed;
             job.closed_at = Some(now);
             self.effects.push(CellEffect::Record(CellRecord::Closed(id.clone(), JobStatus::Completed)));
+            self.effects.push(CellEffect::Publish(id.clone()));
         }
     }
 
@@ -505,6 +506,7 @@
         job.status = status;
         job.closed_at = Some(now);
         self.effects.push(CellEffect::Record(CellRecord::Closed(id.clone(), status)));
+        self.effects.push(CellEffect::Publish(id.clone()));
         self.clear_waiting(id);
         self.stop_all(id, now);
     }
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -85,6 +85,8 @@
     log: TermLog<CellEffect>,
     links: FastMap<WorkerId, (mpsc::Sender<LinkMessage>, CancellationToken)>,
     listings: FastMap<WorkerId, WorkerListing>,
+    /// Jobs whose final state is not stored, so that another owner could come to a different one.
+    unpublished: FastSet<JobId>,
     /// When the newest answered read of each partition of submissions was sent.
     jobs_read: Vec<Instant>,
 }
@@ -203,7 +205,7 @@
         let log = TermLog::new(self.store.clone(), self.token);
         let (links, listings) = (FastMap::default(), FastMap::default());
         let jobs_read = vec![now; ends.len()];
-        (OwnerState { scheduler, log, links, listings, jobs_read }, ends)
+        (OwnerState { scheduler, log, links, listings, unpublished: FastSet::default(), jobs_read }, ends)
     }
 
     /// Reads a whole topic and returns the offset after it.
@@ -279,6 +281,9 @@
             match effect {
                 CellEffect::Record(record) => {
                     log_record(&record);
+                    if let CellRecord::Closed(job, _) = &record {
+                        state.unpublished.insert(job.clone());
+                    }
                     match serde_json::to_vec(&record) {
                         Ok(value) => state.log.record(Bytes::from(value)),
                         Err(error) => log::error!(error:%; "record cannot be written"),
@@ -389,6 +394,9 @@
 
     fn inspect(&self, job: &str) -> JobAnswer {
         match self.scheduler.status(job) {
+            Some(status) if status.is_final() && self.unpublished.contains(job) => {
+                JobAnswer::Known(JobStatus::Running)
+            }
             Some(status) => JobAnswer::Known(status),
             None if self.is_current() => JobAnswer::Missing,
             None => JobAnswer::Unready,
@@ -436,6 +444,10 @@
                     reason = order.reason; "task is stopped");
                 (order.worker.clone(), LinkMessage::Stop(order))
             }
+            CellEffect::Publish(job) => {
+                self.unpublished.remove(&job);
+                return;
+            }
             CellEffect::Acknowledge(worker, born, number) => (worker, LinkMessage::Acknowledge(born, number)),
             _ => return,
         };
