--- a/src/kernel/cell/submit_rate.rs
+++ b/src/kernel/cell/submit_rate.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
-/// Time over which a team may use up what it did not submit before.
-const BURST: Duration = Duration::from_secs(2);
+/// Time over which a team may use up what it did not submit before; bursts of some seconds are owed service.
+const BURST: Duration = Duration::from_secs(30);
 
 /// How much each team submits, against the jobs per second that it is owed.
 #[derive(Clone, Debug, Default)]
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -40,9 +40,6 @@
 /// Longest wait for the answer of the owner before it is asked again.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Longest wait for a record to be stored by the owner's process.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Where the owner of the cell is reached.
 #[derive(Clone, Debug)]
 pub enum OwnerRoute {
@@ -86,7 +83,7 @@
                     let (mut client, request) = (client.clone(), request.clone());
                     async move { client.inspect(request).await }
                 };
-                let reply = repeat(call, ASK_TIMEOUT, until).await?;
+                let reply = repeat(call, until).await?;
                 Ok(decode_answer(reply.state()))
             }
         }
@@ -109,29 +106,30 @@
                     let (mut client, request) = (client.clone(), request.clone());
                     async move { client.count(request).await }
                 };
-                Ok(Some(repeat(call, ASK_TIMEOUT, until).await?.jobs))
+                Ok(Some(repeat(call, until).await?.jobs))
             }
         }
     }
 }
 
-/// Hands a record to the owner's process, which stores it; again until the time if that cannot be reached.
-///
-/// # Errors
+/// Hands a record to the owner's process, which stores it.
 ///
-/// Returns why the record may or may not be stored.
+/// It is sent once: a call that is not answered may have its effect later, so the answer to a second one would not
+/// show that the record is not stored.
 pub async fn relay(
     client: &CellClient<Channel>,
     record: &[u8],
     until: Instant,
 ) -> Result<RelayOutcome, String> {
-    let call = || {
-        let left = until.saturating_duration_since(Instant::now());
-        let time_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let (mut client, request) = (client.clone(), RelayRequest { record: record.to_vec(), time_ms });
-        async move { client.relay(request).await }
-    };
-    Ok(repeat(call, RELAY_TIMEOUT, until).await?.outcome())
+    let left = until.saturating_duration_since(Instant::now());
+    let time_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let mut client = client.clone();
+    let call = client.relay(RelayRequest { record: record.to_vec(), time_ms });
+    match tokio::time::timeout(left, call).await {
+        Ok(Ok(reply)) => Ok(reply.into_inner().outcome()),
+        Ok(Err(status)) => Err(status.message().to_owned()),
+        Err(_) => Err("owner is too slow".to_owned()),
+    }
 }
 
 /// Asks the processes at the addresses who owns the cell; returns the newest owner that they know.
@@ -159,12 +157,12 @@
     tokio::time::timeout_at(until.into(), asked).await.unwrap_or_else(|_| Err("owner is too slow".to_owned()))
 }
 
-async fn repeat<T, F>(mut call: impl FnMut() -> F, timeout: Duration, until: Instant) -> Result<T, String>
+async fn repeat<T, F>(mut call: impl FnMut() -> F, until: Instant) -> Result<T, String>
 where
     F: Future<Output = Result<Response<T>, Status>>,
 {
     loop {
-        let fault = match tokio::time::timeout(timeout, call()).await {
+        let fault = match tokio::time::timeout(ASK_TIMEOUT, call()).await {
             Ok(Ok(response)) => return Ok(response.into_inner()),
             Ok(Err(status)) => status.message().to_owned(),
             Err(_) => "owner is too slow".to_owned(),
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -24,9 +24,9 @@
 const APPEND_RETRY: Duration = Duration::from_millis(100);
 /// Time for which a record that was surely not stored is tried again before its caller is refused; less than half of
 /// the time that callers of the platform wait, so that they can try again.
-const REFUSED_FOR: Duration = Duration::from_millis(1_350);
+const REFUSED_FOR: Duration = Duration::from_millis(700);
 /// Outage of the store after which callers are refused at once, as it will hardly end while they wait.
-const OUTAGE: Duration = Duration::from_secs(6);
+const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Bounds on the time after which a refused caller may come back.
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// See [`SHORTEST_RETRY_AFTER`]; callers repeat a call only a few times, so their attempts have to span an outage.
