--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -4,7 +4,7 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobLateness, JobStatus,
     OccurrenceState, PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepSpec, StepState,
-    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
+    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -12,6 +12,8 @@
 const RESTART_BACKOFF: Duration = Duration::from_millis(500);
 /// Run time below which the end of a lasting task counts as soon.
 const SHORT_RUN: Duration = Duration::from_secs(2);
+/// Part of the expected rest of a job that has to fit before its objective; expectations are often too long.
+const HOPEFUL_REST_PERCENT: u32 = 70;
 /// Time in which the start of a task has to be recorded and sent.
 const ORDER_LIFE: Duration = Duration::from_millis(800);
 /// Wait of a task that yielded before it starts again; it doubles each time.
@@ -49,8 +51,6 @@
     pub rates: SubmitRate,
     /// Run times of the queues.
     pub run_times: RunTimes,
-    /// What teams keep free for urgent tasks.
-    pub headroom: YieldHeadroom,
     /// What all listed workers hold.
     pub capacity: ResourceVector,
     /// Wall clock since 1970 at the last tick.
@@ -150,13 +150,15 @@
         let priority = self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
         let objective = self.objective(&job.spec);
         let age = self.wall.saturating_sub(job.spec.due(key.occurrence));
-        let lateness = match age {
-            age if age < objective => JobLateness::InTime,
-            age if age < objective * LATEST_OBJECTIVES => JobLateness::Late,
+        let rest = job.spec.estimated_rest(key.step);
+        let rest = self.run_times.expect(&job.spec.queue, rest).unwrap_or(rest);
+        // A job that can hardly be complete in time gives way to those that can, or all of them would be late.
+        let lateness = match age + rest * HOPEFUL_REST_PERCENT / 100 {
+            end if end < objective => JobLateness::InTime,
+            end if end < objective * LATEST_OBJECTIVES => JobLateness::Late,
             _ => JobLateness::Worthless,
         };
         let begun = now.checked_sub(age).unwrap_or(now);
-        let rest = job.spec.estimated_rest(key.step);
         let latest_start = (begun + objective).checked_sub(rest).unwrap_or(begun);
         StepOrder { priority, excess: job.excess, lateness, latest_start }
     }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -31,7 +31,6 @@
 mod victim_search;
 mod worker_lease;
 mod worker_look;
-mod yield_headroom;
 
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
 pub use cell_effect::{CellEffect, StartOrder, StopOrder};
@@ -61,4 +60,3 @@
 pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::WorkerLease;
 pub use worker_look::{EndCause, EndedRun, RunningRun, WorkerLook};
-pub use yield_headroom::YieldHeadroom;
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -28,8 +28,6 @@
     /// The present time.
     pub now: Instant,
     held: FastMap<u32, ResourceVector>,
-    /// What waiting steps of a team will take of its limit.
-    team_held: FastMap<TeamId, ResourceVector>,
     /// What each team uses with tasks that are being stopped.
     team_stopping: Option<FastMap<TeamId, ResourceVector>>,
     /// Teams of which nothing more can yield in this pass, by the rank that asked.
@@ -71,7 +69,6 @@
             state,
             now,
             held: FastMap::default(),
-            team_held: FastMap::default(),
             team_stopping: None,
             team_spent: FastMap::default(),
             ranks: FastMap::default(),
@@ -138,23 +135,17 @@
         if spec.team.is_empty() {
             return (waiting, waiting);
         }
-        let held = self.team_held.get(&spec.team).copied().unwrap_or_default();
-        let urgent = step.lasting || step.gang || state.order.is_some_and(|order| order.priority == 0);
-        let kept =
-            if urgent { ResourceVector::default() } else { self.state.headroom.kept(&spec.team, self.now) };
-        let room = self.state.shares.room(&spec.team).minus(held).minus(kept);
+        let room = self.state.shares.room(&spec.team);
         let room = if step.need.fits(room) { step.need.count_in(room) } else { 0 };
         let allowed = u32::try_from(room).unwrap_or(u32::MAX).min(waiting);
         (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
     }
 
-    /// Keeps a part of the limit of a team for missing tasks, and stops less urgent tasks of the team for them.
+    /// Stops less urgent tasks of a team at its limit for missing tasks.
     fn make_room_in_team(&mut self, key: &StepKey, rank: TaskRank, missing: u32) {
         let Some((spec, step, _)) = self.state.step(key) else { return };
         let team = spec.team.clone();
         let wanted = step.need.times(u64::from(missing));
-        let wanted = wanted.plus(self.team_held.get(&team).copied().unwrap_or_default());
-        self.team_held.insert(team.clone(), wanted);
         let spent = self.team_spent.get(&team).is_some_and(|spent| rank >= *spent);
         if spent || self.victims_left == 0 {
             return;
@@ -182,7 +173,6 @@
             let sum = stopping.entry(team.clone()).or_default();
             *sum = sum.plus(need);
         }
-        self.state.headroom.note(team, need, self.now);
     }
 
     /// Returns what the tasks of a team use that are being stopped.
