Test the cell's decisions, serve its metrics

The tests found two faults: a gang that never fits kept room for ever, and one task of a worker yielded at a time.

--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -339,25 +339,42 @@
 
     /// Keeps room for the tasks that are missing, and stops less urgent tasks if there is not enough.
     fn make_room(&mut self, placed: &PlacedStep<'_>, candidates: &[Candidate], missing: u32) {
+        if !self.could_fit(placed, candidates) {
+            return;
+        }
         let mut left = missing;
         for candidate in candidates {
-            if left == 0 {
-                return;
-            }
             if !self.is_hopeful(placed, candidate.slot) {
                 continue;
             }
-            let room = self.room_soon(placed, candidate);
-            let room = if room > 0 { room } else { self.evict(placed, candidate) };
-            let kept = room.min(left);
-            if kept > 0 {
+            let mut most = candidate.most;
+            while left > 0 && most > 0 {
+                let room = self.room_soon(placed, candidate);
+                let room = if room > 0 { room } else { self.evict(placed, candidate) };
+                let kept = room.min(left).min(most);
+                if kept == 0 {
+                    break;
+                }
                 let held = self.held.entry(candidate.slot).or_default();
                 *held = held.plus(placed.reserved.times(u64::from(kept)));
                 left -= kept;
+                most -= kept;
             }
         }
     }
 
+    /// Whether the workers hold all tasks of a gang when they are empty; one that never fits must keep no room.
+    fn could_fit(&self, placed: &PlacedStep<'_>, candidates: &[Candidate]) -> bool {
+        if self.state.step(placed.key).is_none_or(|(_, step, _)| !step.gang) {
+            return true;
+        }
+        let holds = candidates.iter().filter_map(|candidate| {
+            let capacity = self.state.worker(candidate.slot)?.listing.capacity;
+            Some(placed.reserved.count_in(capacity).min(u64::from(candidate.most)))
+        });
+        holds.sum::<u64>() >= u64::from(placed.wanted)
+    }
+
     /// Whether the step may soon start on the worker: it holds a permit for it, or is getting one.
     fn is_hopeful(&self, placed: &PlacedStep<'_>, slot: u32) -> bool {
         if placed.rule.permits.is_none() {
--- a/src/tasks/cell/advice.rs
+++ b/src/tasks/cell/advice.rs
@@ -10,6 +10,7 @@
 
 use crate::kernel::cell::{CellEvent, PermitRule, StepKey};
 use crate::prelude::*;
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ports::AdvisorPort;
 
@@ -78,12 +79,13 @@
     waiting: BinaryHeap<Reverse<(u32, QuestionNumber)>>,
     next: QuestionNumber,
     owner: Option<mpsc::Sender<OwnerMessage>>,
+    metrics: CellMetrics,
 }
 
 impl AdviceTask {
     /// Returns the task of a process that reaches the advisor by the port.
     #[must_use]
-    pub fn new(port: Option<AdvisorPort>, inbox: mpsc::Sender<AdviceMessage>) -> Self {
+    pub fn new(port: Option<AdvisorPort>, inbox: mpsc::Sender<AdviceMessage>, metrics: CellMetrics) -> Self {
         Self {
             port,
             inbox,
@@ -92,6 +94,7 @@
             waiting: BinaryHeap::new(),
             next: 0,
             owner: None,
+            metrics,
         }
     }
 
@@ -186,6 +189,9 @@
         if let Some(helper) = open.helper.and_then(|helper| self.helpers.get_mut(&helper)) {
             helper.busy = None;
         }
+        self.metrics.question_seconds.observe(open.arrived.elapsed().as_secs_f64());
+        let label = if result.is_ok() { "answered" } else { "failed" };
+        self.metrics.questions.with_label_values(&[label]).inc();
         let AdviceQuestion { step, rule, workers, .. } = open.question;
         let event = match result {
             Ok(granted) => {
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advice::AdviceMessage;
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
 use crate::tasks::cell::peer::{self, AssistSession, OwnerRoute};
 use crate::tasks::cell::ports::{
@@ -75,6 +76,8 @@
     pub advisor: Option<AdvisorPort>,
     /// The task that asks the advisor for this owner.
     pub advice: mpsc::Sender<AdviceMessage>,
+    /// Counters.
+    pub metrics: CellMetrics,
     /// The inbox of this task.
     pub inbox: mpsc::Sender<ClaimMessage>,
     /// Where the owner is reached.
@@ -262,6 +265,7 @@
             advice: self.advice.clone(),
             config: state.config.clone(),
             closed: state.closed.clone(),
+            metrics: self.metrics.clone(),
         };
         let stop = term.clone();
         actix_rt::spawn(async move { task.run(inbox, stop).await });
--- a/src/tasks/cell/config_feed.rs
+++ b/src/tasks/cell/config_feed.rs
@@ -8,6 +8,7 @@
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::claim::ClaimMessage;
 use crate::tasks::cell::intake::IntakeMessage;
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::ports::{CellAdapter, OperatorChange, StorePort, TopicPage};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 
@@ -24,6 +25,8 @@
     pub intake: mpsc::Sender<IntakeMessage>,
     /// The task that follows the ownership.
     pub claim: mpsc::Sender<ClaimMessage>,
+    /// Counters.
+    pub metrics: CellMetrics,
 }
 
 impl ConfigFeed {
@@ -56,6 +59,7 @@
             if let Some(newer) = newer {
                 log::info!(version = newer.version, queues = newer.queues.len(), teams:? = newer.teams;
                     "configuration is in force");
+                self.metrics.config_version.set(i64::try_from(newer.version).unwrap_or(i64::MAX));
                 self.tell_intake(IntakeMessage::Configured(newer.clone())).await;
                 self.tell_claim(ClaimMessage::Configured(newer.clone())).await;
                 config = Some(newer);
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::kernel::cell::{CellConfig, GraphSpec, JobStatus, QueueRule, RepeatSchedule, StepSpec};
 use crate::prelude::*;
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::JobAnswer;
 use crate::tasks::cell::peer::OwnerRoute;
 use crate::tasks::cell::submit_queue::SubmitQueue;
@@ -130,6 +131,8 @@
     pub route: watch::Receiver<OwnerRoute>,
     /// The configuration.
     pub config: Option<Arc<CellConfig>>,
+    /// Counters.
+    pub metrics: CellMetrics,
 }
 
 impl IntakeTask {
@@ -155,6 +158,7 @@
     fn admit(&mut self, call: CellCall, reply: oneshot::Sender<CellReply>) {
         match self.plan(&call) {
             Ok(plan) => {
+                self.metrics.calls.with_label_values(&["admitted"]).inc();
                 let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
                 let until = Instant::now() + deadline.saturating_sub(ANSWER_TIME);
                 match plan {
@@ -176,6 +180,7 @@
                 }
             }
             Err(refusal) => {
+                self.metrics.calls.with_label_values(&["refused"]).inc();
                 log::info!(path = &*call.path, reason:% = refusal; "call is refused");
                 let wait = matches!(refusal, CellRefusal::NoConfiguration).then_some(RETRY_AFTER);
                 respond(reply, CellReply::Refused(refusal, wait));
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -8,6 +8,7 @@
 
 use crate::kernel::cell::{CellEvent, OrderOutcome, StartOrder, StopOrder, WorkerLease};
 use crate::prelude::*;
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ports::{LookCall, LookOutcome, OrderAnswer, WorkerPort};
 
@@ -41,6 +42,8 @@
     pub lease: WorkerLease,
     /// Where answers go.
     pub owner: mpsc::Sender<OwnerMessage>,
+    /// Counters.
+    pub metrics: CellMetrics,
 }
 
 /// An order that was answered.
@@ -137,9 +140,11 @@
     async fn note_order(&mut self, answer: LinkAnswer) {
         let (event, clock) = match answer {
             LinkAnswer::Start(order, answer) => {
+                self.count("start", answer.outcome);
                 (CellEvent::StartAnswered(order.task, order.run, order.worker, answer.outcome), answer)
             }
             LinkAnswer::Stop(order, answer) => {
+                self.count("stop", answer.outcome);
                 (CellEvent::StopAnswered(order.task, order.run, order.worker, answer.outcome), answer)
             }
         };
@@ -191,6 +196,10 @@
         }
     }
 
+    fn count(&self, kind: &str, outcome: OrderOutcome) {
+        self.metrics.orders.with_label_values(&[kind, &outcome.to_string()]).inc();
+    }
+
     async fn tell(&self, message: OwnerMessage) {
         // The owner drops its inbox only when its term is over, which also ends this link.
         if self.owner.send(message).await.is_err() {
--- /dev/null
+++ b/src/tasks/cell/metrics.rs
@@ -0,0 +1,136 @@
+//! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
+
+use prometheus::{
+    Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder, exponential_buckets,
+};
+
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::log_pipe;
+use crate::plugins::http;
+
+/// Smallest bucket of the histograms in seconds; each further one is twice as large.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+/// Buckets of the histograms, up to 33 s.
+const BUCKETS: usize = 16;
+
+/// Counters and histograms that the tasks add to.
+#[derive(Clone)]
+pub struct CellMetrics {
+    registry: Registry,
+    /// Answered calls of callers by result.
+    pub calls: IntCounterVec,
+    /// Time from a submission or cancellation to its answer, in seconds.
+    pub store_seconds: Histogram,
+    /// Orders to workers by kind and outcome.
+    pub orders: IntCounterVec,
+    /// Ended runs by cause.
+    pub ends: IntCounterVec,
+    /// Stopped runs by reason.
+    pub stops: IntCounterVec,
+    /// Appends of the owner by result.
+    pub appends: IntCounterVec,
+    /// Time of an append of the owner in seconds.
+    pub append_seconds: Histogram,
+    /// Questions to the placement advisor by result.
+    pub questions: IntCounterVec,
+    /// Time from a question to its answer in seconds, with the time that it waited.
+    pub question_seconds: Histogram,
+    /// Time of a pass over the waiting steps in seconds.
+    pub pass_seconds: Histogram,
+    /// 1 while this process owns the cell.
+    pub owner: IntGauge,
+    /// Jobs that are not in a final state, as far as this process owns the cell.
+    pub open_jobs: IntGauge,
+    /// Tasks that wait to be placed, as far as this process owns the cell.
+    pub waiting_tasks: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+}
+
+impl CellMetrics {
+    /// Returns counters at zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two counters have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let histogram = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS)?;
+            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        registry.register(Box::new(log_pipe::dropped_lines()))?;
+        Ok(Self {
+            calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
+            store_seconds: histogram(
+                "godwithaven_call_store_seconds",
+                "Time from a submission or cancellation to its answer",
+            )?,
+            orders: counter("godwithaven_orders_total", "Orders to workers", &["kind", "outcome"])?,
+            ends: counter("godwithaven_run_ends_total", "Ended runs", &["cause"])?,
+            stops: counter("godwithaven_run_stops_total", "Stopped runs", &["reason"])?,
+            appends: counter("godwithaven_owner_appends_total", "Appends of the owner", &["result"])?,
+            append_seconds: histogram("godwithaven_owner_append_seconds", "Time of an append of the owner")?,
+            questions: counter(
+                "godwithaven_advisor_questions_total",
+                "Questions to the advisor",
+                &["result"],
+            )?,
+            question_seconds: histogram(
+                "godwithaven_advisor_question_seconds",
+                "Time from a question to the advisor to its answer",
+            )?,
+            pass_seconds: histogram("godwithaven_pass_seconds", "Time of a pass over the waiting steps")?,
+            owner: gauge("godwithaven_owner", "1 while this process owns the cell")?,
+            open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
+            waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
+            config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
+            registry,
+        })
+    }
+
+    /// Serves the metrics until the token is cancelled.
+    pub async fn serve(self, listener: TcpListener, token: CancellationToken) {
+        let registry = self.registry;
+        http::serve(listener, token, move |request| {
+            let response = respond(&registry, request.path());
+            async move { response }
+        })
+        .await;
+    }
+}
+
+fn respond(registry: &Registry, path: &str) -> Response<Bytes> {
+    if path != "/metrics" {
+        return Response::with_body(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    match TextEncoder::new().encode_to_string(&registry.gather()) {
+        Ok(text) => {
+            let mut response = Response::with_body(StatusCode::OK, Bytes::from(text));
+            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+            response
+        }
+        Err(error) => {
+            log::error!(error:%; "metrics cannot be written");
+            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -5,6 +5,7 @@
 pub mod config_feed;
 pub mod intake;
 pub mod link;
+pub mod metrics;
 pub mod owner;
 pub mod peer;
 pub mod ports;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -14,6 +14,7 @@
 use crate::tasks::cell::advice::{AdviceMessage, AdviceQuestion};
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::{LinkMessage, WorkerLink};
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StorePort, TopicPage};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::{CELL_TOPIC, TermLog, TermProgress};
@@ -77,6 +78,8 @@
     pub config: Option<Arc<CellConfig>>,
     /// Zones that are out of service.
     pub closed: FastSet<ZoneId>,
+    /// Counters.
+    pub metrics: CellMetrics,
 }
 
 /// State of a term once everything was recovered.
@@ -97,11 +100,15 @@
 impl OwnerTask {
     /// Runs until the token is cancelled or the term is over; returns why it is over.
     pub async fn run(self, mut messages: mpsc::Receiver<OwnerMessage>, token: CancellationToken) -> TermEnd {
+        self.metrics.owner.set(1);
         let ended = tokio::select! {
             () = token.cancelled() => "stopped".to_owned(),
             ended = self.serve(&mut messages, &token) => ended,
         };
         token.cancel();
+        self.metrics.owner.set(0);
+        self.metrics.open_jobs.set(0);
+        self.metrics.waiting_tasks.set(0);
         log::info!(token = self.token, reason = &*ended; "ownership ended");
         ended
     }
@@ -150,7 +157,7 @@
                 }
                 Some(message) = jobs.recv() => state.note_jobs(message),
                 Some(message) = listings.recv() => self.note_listings(&mut state, message),
-                _ = summary.tick() => state.log_summary(),
+                _ = summary.tick() => state.summarise(&self.metrics),
                 _ = tick.tick() => {
                     let event = CellEvent::Tick(clock::since_1970());
                     state.scheduler.handle(event, Instant::now());
@@ -277,10 +284,19 @@
 
     /// Decides, and does or queues what follows.
     async fn carry_out(&self, state: &mut OwnerState, token: &CancellationToken) {
-        for effect in state.scheduler.decide(!state.log.is_stalled(), Instant::now()) {
+        let started = Instant::now();
+        let passes = state.scheduler.next_pass(started).is_some_and(|due| started >= due);
+        let effects = state.scheduler.decide(!state.log.is_stalled(), started);
+        if passes {
+            self.metrics.pass_seconds.observe(started.elapsed().as_secs_f64());
+        }
+        for effect in effects {
             match effect {
                 CellEffect::Record(record) => {
                     log_record(&record);
+                    if let CellRecord::Ended(_, _, cause, _) = &record {
+                        self.metrics.ends.with_label_values(&[&cause.to_string()]).inc();
+                    }
                     if let CellRecord::Closed(job, _) = &record {
                         state.unpublished.insert(job.clone());
                     }
@@ -303,7 +319,12 @@
                         stop.cancel();
                     }
                 }
-                effect => state.log.wait(effect),
+                effect => {
+                    if let CellEffect::Stop(order) = &effect {
+                        self.metrics.stops.with_label_values(&[order.reason]).inc();
+                    }
+                    state.log.wait(effect);
+                }
             }
         }
         for effect in state.log.flush() {
@@ -323,6 +344,7 @@
             port: (self.adapter.worker)(listing),
             lease: WorkerLease::new(LEASE, Instant::now() + LEASE + DEPOSED_TIME),
             owner: self.inbox.clone(),
+            metrics: self.metrics.clone(),
         };
         actix_rt::spawn(link.run(inbox, stop.clone()));
         state.links.insert(listing.worker.clone(), (sender, stop));
@@ -334,13 +356,16 @@
         progress: TermProgress<CellEffect>,
     ) -> Result<(), TermEnd> {
         match progress {
-            TermProgress::Stored { released, fresh } => {
+            TermProgress::Stored { released, fresh, took } => {
+                self.metrics.appends.with_label_values(&["stored"]).inc();
+                self.metrics.append_seconds.observe(took.as_secs_f64());
                 for effect in released {
                     state.send(effect, fresh).await;
                 }
                 Ok(())
             }
             TermProgress::Repeated(outcome) => {
+                self.metrics.appends.with_label_values(&["repeated"]).inc();
                 log::warn!(token = self.token, outcome:%; "append is repeated");
                 Ok(())
             }
@@ -373,8 +398,10 @@
         Ok(())
     }
 
-    fn log_summary(&self) {
+    fn summarise(&self, metrics: &CellMetrics) {
         let summary = self.scheduler.summary(Instant::now());
+        metrics.open_jobs.set(i64::try_from(summary.open_jobs).unwrap_or(i64::MAX));
+        metrics.waiting_tasks.set(i64::try_from(summary.waiting_tasks).unwrap_or(i64::MAX));
         for (service, pool) in &summary.pools {
             log::info!(service = &**service, listed = pool.listed, open = pool.open,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -15,6 +15,7 @@
 use crate::tasks::cell::claim::{ClaimMessage, ClaimTask, OWNER_SILENCE};
 use crate::tasks::cell::config_feed::ConfigFeed;
 use crate::tasks::cell::intake::{IntakeTask, JOB_PARTITIONS};
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::peer::{self, CellService, OwnerRoute};
 use crate::tasks::cell::ports::{CellAdapter, CellFront};
 use crate::tasks::cell::settings::CellSettings;
@@ -53,6 +54,9 @@
         let listener = bind(settings.front).await?;
         let ready = bind(settings.ready).await?;
         let peer_listener = bind(settings.peer).await?;
+        let metrics_listener = bind(settings.metrics).await?;
+        let metrics = CellMetrics::new().map_err(|error| SettingFault { text: error.to_string() })?;
+        let pages = metrics.clone();
         let incarnation =
             getrandom::u64().map_err(|error| SettingFault { text: format!("no random numbers: {error}") })?;
         let process: ProcessId = format!("{}.{incarnation:016x}", settings.vm).into();
@@ -65,15 +69,23 @@
         let (advice, advice_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (route, routes) = watch::channel(OwnerRoute::Unknown);
 
-        let feed = ConfigFeed { adapter, store: store.clone(), intake: intake.clone(), claim: claim.clone() };
+        actix_rt::spawn(pages.serve(metrics_listener, token.clone()));
+        let feed = ConfigFeed {
+            adapter,
+            store: store.clone(),
+            intake: intake.clone(),
+            claim: claim.clone(),
+            metrics: metrics.clone(),
+        };
         actix_rt::spawn(feed.run(token.clone()));
         let task = IntakeTask {
-            queue: SubmitQueue::new(store.clone(), partition(&settings)),
+            queue: SubmitQueue::new(store.clone(), partition(&settings), metrics.clone()),
             route: routes.clone(),
             config: None,
+            metrics: metrics.clone(),
         };
         actix_rt::spawn(task.run(intake_inbox, token.clone()));
-        let task = AdviceTask::new(advisor.clone(), advice.clone());
+        let task = AdviceTask::new(advisor.clone(), advice.clone(), metrics.clone());
         actix_rt::spawn(task.run(advice_inbox, token.clone()));
         let service = CellService {
             process: process.clone(),
@@ -90,6 +102,7 @@
             store,
             advisor,
             advice,
+            metrics,
             inbox: claim.clone(),
             route,
             watch: ClaimWatch::new(OWNER_SILENCE, patience(&settings)),
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -13,6 +13,7 @@
 use crate::tasks::cell::intake::{
     CellRefusal, CellReply, JOB_TOPIC, JobRecord, respond, unavailable, unavailable_for,
 };
+use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::peer;
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
 
@@ -59,14 +60,24 @@
     flight: Option<(Vec<QueuedRecord>, LocalBoxFuture<'static, AppendOutcome>)>,
     retry_at: Option<Instant>,
     probed: Option<Instant>,
+    metrics: CellMetrics,
 }
 
 impl SubmitQueue {
     /// Returns an empty queue for a partition.
     #[must_use]
-    pub fn new(store: StorePort, partition: PartitionNumber) -> Self {
+    pub fn new(store: StorePort, partition: PartitionNumber, metrics: CellMetrics) -> Self {
         let health = StoreHealth::default();
-        Self { store, partition, health, waiting: Vec::new(), flight: None, retry_at: None, probed: None }
+        Self {
+            store,
+            partition,
+            health,
+            waiting: Vec::new(),
+            flight: None,
+            retry_at: None,
+            probed: None,
+            metrics,
+        }
     }
 
     /// Adds a record; its caller is answered once it is stored, surely not stored, or `until` has passed.
@@ -168,6 +179,7 @@
                 let took = now.saturating_duration_since(record.added).as_millis();
                 log::info!(job = &*record.id, kind = record.kind, partition = self.partition, offset = offset,
                     took_ms = took; "call is stored");
+                self.metrics.store_seconds.observe(record.added.elapsed().as_secs_f64());
                 respond(record.reply, CellReply::Stored);
             }
             return;
--- a/src/tasks/cell/term_log.rs
+++ b/src/tasks/cell/term_log.rs
@@ -48,6 +48,8 @@
         released: Vec<T>,
         /// Whether the answer is recent enough to show that this process is still the owner.
         fresh: bool,
+        /// Time since the records were first sent.
+        took: Duration,
     },
     /// It is repeated.
     Repeated(AppendOutcome),
@@ -123,11 +125,13 @@
         let Some(flight) = self.flight.take() else { return std::future::pending().await };
         match outcome {
             AppendOutcome::Stored(_) => {
-                TermProgress::Stored { fresh: is_fresh(flight.sent), released: flight.waiting }
+                let (fresh, took) = (is_fresh(flight.sent), flight.begun.elapsed());
+                TermProgress::Stored { fresh, took, released: flight.waiting }
             }
             // The answer to the first attempt was lost.
             AppendOutcome::OutOfSequence(expected) if expected == self.sequence + 1 => {
-                TermProgress::Stored { fresh: false, released: flight.waiting }
+                let took = flight.begun.elapsed();
+                TermProgress::Stored { fresh: false, took, released: flight.waiting }
             }
             AppendOutcome::Refused(_) | AppendOutcome::Unknown(_) => {
                 self.send(flight.records, flight.waiting, flight.begun, RETRY_WAIT);
--- /dev/null
+++ b/tests/cell_scheduler.rs
@@ -0,0 +1,409 @@
+//! Guards the decisions about jobs of several steps.
+
+mod fixture_cell;
+
+use std::time::Duration;
+
+use fixture_cell::{BORN, EPOCH, cell, cell_with, config, job, look, running, step, submit, worker};
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{
+    CellEvent, CellRecord, EndCause, JobStatus, OrderOutcome, PermitRule, RepeatSchedule, StepSpec, TaskKey,
+    WorkerLook,
+};
+use googletest::prelude::*;
+
+/// A step that starts before its input exists would work on nothing.
+#[gtest]
+fn a_step_starts_after_the_steps_before_it() -> Result<()> {
+    let mut driver = cell(2);
+    let second = StepSpec { after: vec![0], ..step(1) };
+    submit(&mut driver, job("j", "urgent", vec![step(2), second]));
+    let before = driver.started_tasks();
+
+    driver.end("j.0.0.0", EndCause::Done);
+    let between = driver.started_tasks().len();
+    driver.end("j.0.0.1", EndCause::Done);
+
+    verify_that!(before, unordered_elements_are![eq("j.0.0.0"), eq("j.0.0.1")])?;
+    verify_that!(between, eq(2))?;
+    verify_that!(driver.started_tasks(), contains(eq("j.0.1.0")))?;
+    driver.end("j.0.1.0", EndCause::Done);
+    verify_that!(driver.scheduler.status("j"), some(eq(JobStatus::Completed)))
+}
+
+/// A start that is not recorded first is unknown to the next owner, which would start the task again.
+#[gtest]
+fn a_start_is_recorded_before_it_is_ordered() -> Result<()> {
+    let mut driver = cell(1);
+
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    verify_that!(driver.order, eq(&vec!["record", "start"]))
+}
+
+/// A repeated submission that counts as another job would run everything twice.
+#[gtest]
+fn a_repeated_submission_is_one_job() -> Result<()> {
+    let mut driver = cell(1);
+
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    verify_that!(driver.starts.len(), eq(1))
+}
+
+/// Workers do not guard their capacity, so one task too many overloads them.
+#[gtest]
+fn no_worker_gets_more_than_it_holds() -> Result<()> {
+    let mut driver = cell(2);
+
+    submit(&mut driver, job("j", "urgent", vec![step(40)]));
+
+    verify_that!(driver.starts.len(), eq(16))?;
+    verify_that!(driver.running_on("w0").len(), eq(8))
+}
+
+/// A team above its limit takes what belongs to others.
+#[gtest]
+fn no_team_runs_more_than_its_limit() -> Result<()> {
+    let mut driver = cell(4);
+    let mut spec = job("j", "urgent", vec![step(40)]);
+    spec.team = "blue".into();
+
+    submit(&mut driver, spec);
+
+    verify_that!(driver.starts.len(), eq(24))
+}
+
+/// An order that is not answered may take effect later, so the task must not start elsewhere before it is barred.
+#[gtest]
+fn an_unanswered_start_is_barred_before_the_task_starts_again() -> Result<()> {
+    let mut driver = cell(2);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    let order = driver.started("j.0.0.0").or_fail()?;
+    let (task, worker) = (order.task.clone(), order.worker.clone());
+    driver.handle(CellEvent::StartAnswered(task.clone(), 1, worker.clone(), OrderOutcome::Unknown));
+    driver.now += Duration::from_millis(10);
+
+    driver.handle(CellEvent::Looked(worker.clone(), look(driver.now, vec![], vec![])));
+    let (stops, starts) = (driver.stops.len(), driver.starts.len());
+    driver.handle(CellEvent::StopAnswered(task, 1, worker.clone(), OrderOutcome::Accepted));
+    driver.now += Duration::from_millis(10);
+    driver.handle(CellEvent::Looked(worker, look(driver.now, vec![], vec![])));
+
+    verify_that!((stops, starts), eq((1, 1)))?;
+    verify_that!(driver.started("j.0.0.0").map(|order| order.run), some(eq(2)))
+}
+
+/// A job whose task always fails would be tried for ever.
+#[gtest]
+fn a_job_fails_after_the_attempts_of_its_queue() -> Result<()> {
+    let mut driver = cell(2);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    driver.end("j.0.0.0", EndCause::Failed);
+    let between = driver.scheduler.status("j");
+    driver.end("j.0.0.0", EndCause::Failed);
+
+    verify_that!(between, some(eq(JobStatus::Running)))?;
+    verify_that!(driver.scheduler.status("j"), some(eq(JobStatus::Failed)))?;
+    verify_that!(driver.starts.len(), eq(2))
+}
+
+/// A service that is not restarted stays away until somebody notices.
+#[gtest]
+fn a_lasting_task_starts_again_however_it_ends() -> Result<()> {
+    let mut driver = cell(2);
+    submit(&mut driver, job("j", "urgent", vec![StepSpec { lasting: true, ..step(1) }]));
+
+    for cause in [EndCause::Done, EndCause::Failed, EndCause::Failed, EndCause::Lapsed] {
+        driver.end("j.0.0.0", cause);
+        driver.pass(1_000);
+    }
+
+    verify_that!(driver.started("j.0.0.0").map(|order| order.run), some(eq(5)))?;
+    verify_that!(driver.scheduler.status("j"), some(eq(JobStatus::Running)))
+}
+
+/// A part of a gang holds workers and does nothing.
+#[gtest]
+fn a_gang_starts_whole_or_not_at_all() -> Result<()> {
+    let mut driver = cell(2);
+    let gang = |tasks| StepSpec { gang: true, need: ResourceVector::new(8_000, 0, 0), ..step(tasks) };
+
+    submit(&mut driver, job("large", "urgent", vec![gang(3)]));
+    submit(&mut driver, job("small", "urgent", vec![gang(2)]));
+
+    verify_that!(driver.started_tasks(), unordered_elements_are![eq("small.0.0.0"), eq("small.0.0.1")])
+}
+
+/// Members of a gang find each other by the run number.
+#[gtest]
+fn a_broken_gang_starts_again_with_one_run_number() -> Result<()> {
+    let mut driver = cell(2);
+    let gang = StepSpec { gang: true, need: ResourceVector::new(8_000, 0, 0), ..step(2) };
+    submit(&mut driver, job("j", "urgent", vec![gang]));
+
+    driver.end("j.0.0.0", EndCause::Lapsed);
+    let alone = driver.starts.len();
+    driver.end("j.0.0.1", EndCause::Stopped);
+
+    verify_that!(alone, eq(2))?;
+    let runs: Vec<u64> = driver.starts.iter().map(|order| order.run).collect();
+    verify_that!(runs, eq(&vec![1, 1, 2, 2]))
+}
+
+/// The members end together, and the ends of some may get lost with their workers.
+#[gtest]
+fn one_end_stands_for_a_whole_gang() -> Result<()> {
+    let mut driver = cell(2);
+    let gang = StepSpec { gang: true, need: ResourceVector::new(8_000, 0, 0), ..step(2) };
+    submit(&mut driver, job("j", "urgent", vec![gang]));
+
+    driver.end("j.0.0.1", EndCause::Done);
+
+    verify_that!(driver.scheduler.status("j"), some(eq(JobStatus::Completed)))
+}
+
+/// Urgent work that waits for batch work to end is late.
+#[gtest]
+fn tasks_that_checkpoint_yield_to_urgent_ones() -> Result<()> {
+    let mut driver = cell(1);
+    let batch = StepSpec { checkpoints: true, ..step(8) };
+    submit(&mut driver, job("b", "batch", vec![batch]));
+    driver.pass(2_000);
+
+    submit(&mut driver, job("u", "urgent", vec![step(2)]));
+
+    verify_that!(driver.stops.len(), eq(2))?;
+    verify_that!(driver.stops.iter().all(|order| order.reason == "yields_to_urgent"), eq(true))
+}
+
+/// Stopping a task that saves nothing throws its work away.
+#[gtest]
+fn tasks_without_checkpoints_do_not_yield() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("b", "batch", vec![step(8)]));
+    driver.pass(2_000);
+
+    submit(&mut driver, job("u", "urgent", vec![step(2)]));
+
+    verify_that!(driver.stops.len(), eq(0))
+}
+
+/// The urgent work of a team must not wait behind its own batch work for its limit.
+#[gtest]
+fn tasks_of_a_team_at_its_limit_yield_to_its_urgent_ones() -> Result<()> {
+    let mut driver = cell(4);
+    let mut batch = job("b", "batch", vec![StepSpec { checkpoints: true, ..step(24) }]);
+    batch.team = "blue".into();
+    let mut urgent = job("u", "urgent", vec![step(3)]);
+    urgent.team = "blue".into();
+    submit(&mut driver, batch);
+    driver.pass(2_000);
+
+    submit(&mut driver, urgent);
+
+    verify_that!(driver.stops.len(), eq(3))?;
+    verify_that!(driver.stops.iter().all(|order| order.reason == "yields_in_team"), eq(true))
+}
+
+/// After a crash a worker runs nothing of what it ran, so waiting for ends would last for ever.
+#[gtest]
+fn tasks_of_a_worker_that_was_born_anew_start_again() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    let reborn = WorkerLook { born: BORN + Duration::from_secs(1), ..look(driver.now, vec![], vec![]) };
+    driver.handle(CellEvent::Looked("w0".into(), reborn));
+
+    verify_that!(driver.started("j.0.0.0").map(|order| order.run), some(eq(2)))
+}
+
+/// A worker that is only cut off still runs its tasks while its lease lasts.
+#[gtest]
+fn tasks_of_a_silent_worker_start_again_once_its_lease_is_over() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    let mut listings = vec![worker("w0"), worker("w1")];
+    listings[1].zone = "b".into();
+    driver.handle(CellEvent::WorkersListed(listings));
+    let over = driver.now + Duration::from_secs(5);
+
+    driver.handle(CellEvent::Silent("w0".into(), over));
+    driver.pass(3_000);
+    let early = driver.starts.len();
+    driver.pass(3_000);
+
+    verify_that!(early, eq(1))?;
+    verify_that!(
+        driver.started("j.0.0.0").map(|order| (&*order.worker == "w1", order.run)),
+        some(eq((true, 2)))
+    )
+}
+
+/// A new owner that starts again what runs doubles it; one that adopts what is gone loses it.
+#[gtest]
+fn a_new_owner_adopts_what_runs_and_starts_what_does_not() -> Result<()> {
+    let mut old = cell(2);
+    let spec = job("j", "urgent", vec![step(3)]);
+    submit(&mut old, spec.clone());
+    old.end("j.0.0.2", EndCause::Done);
+    let records = old.records.clone();
+    let mut new = cell(0);
+    new.answers_first_look = false;
+    submit(&mut new, spec);
+    for record in records {
+        new.scheduler.replay(record, new.now);
+    }
+    new.scheduler.end_replay();
+    let lost = old.started("j.0.0.1").or_fail()?.worker;
+    let kept = old.started("j.0.0.0").or_fail()?.worker;
+
+    new.scheduler.handle(CellEvent::WorkersListed(vec![worker("w0"), worker("w1")]), new.now);
+    let kept_run = if kept == lost { vec![] } else { vec![running("j.0.0.0", 1, 10)] };
+    new.scheduler.handle(CellEvent::Looked(kept.clone(), look(new.now, kept_run, vec![])), new.now);
+    new.scheduler.handle(CellEvent::Looked(lost, look(new.now, vec![], vec![])), new.now);
+    new.pass(100);
+
+    verify_that!(kept == old.started("j.0.0.1").or_fail()?.worker, eq(false))?;
+    verify_that!(new.started_tasks(), eq(&vec!["j.0.0.1".to_owned()]))?;
+    verify_that!(new.started("j.0.0.1").map(|order| order.run), some(eq(2)))
+}
+
+/// Failures of the past say nothing about workers now; suspending them all stops a recovered cell for seconds.
+#[gtest]
+fn a_new_owner_suspends_no_worker_for_replayed_failures() -> Result<()> {
+    let mut driver = cell(1);
+    for number in 0..6 {
+        let id = format!("j{number}");
+        submit(&mut driver, job(&id, "urgent", vec![step(1)]));
+        let task = TaskKey::parse(&format!("{id}.0.0.0")).or_fail()?;
+        driver.scheduler.replay(CellRecord::Ended(task, 1, EndCause::Failed, None), driver.now);
+    }
+
+    driver.scheduler.end_replay();
+    submit(&mut driver, job("last", "urgent", vec![step(1)]));
+
+    verify_that!(driver.started_tasks(), contains(eq("last.0.0.0")))
+}
+
+/// A cancelled job that runs on wastes workers, and one whose cancellation is read first must never start.
+#[gtest]
+fn a_cancelled_job_stops_and_never_starts() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    driver.handle(CellEvent::Cancelled("j".into()));
+    driver.handle(CellEvent::Cancelled("early".into()));
+    submit(&mut driver, job("early", "urgent", vec![step(1)]));
+
+    verify_that!(driver.stops.len(), eq(1))?;
+    verify_that!(driver.starts.len(), eq(1))?;
+    verify_that!(driver.scheduler.status("early"), some(eq(JobStatus::Cancelled)))
+}
+
+/// Work that starts before it is due runs on inputs that are not there yet.
+#[gtest]
+fn an_occurrence_starts_when_it_is_due() -> Result<()> {
+    let mut driver = cell(1);
+    let mut spec = job("j", "urgent", vec![step(1)]);
+    let first = EPOCH + Duration::from_secs(5);
+    spec.schedule = Some(RepeatSchedule { first, interval: Duration::from_secs(10), count: 2 });
+
+    submit(&mut driver, spec);
+    driver.pass(3_000);
+    let early = driver.starts.len();
+    driver.pass(3_000);
+    let first = driver.started_tasks();
+    driver.pass(10_000);
+
+    verify_that!(early, eq(0))?;
+    verify_that!(first, eq(&vec!["j.0.0.0".to_owned()]))?;
+    verify_that!(driver.started_tasks().len(), eq(2))
+}
+
+/// Work on a worker that leaves, or in a zone that is out of service, is lost or breaks the operators' order.
+#[gtest]
+fn nothing_starts_on_leaving_workers_and_in_closed_zones() -> Result<()> {
+    let mut leaving = worker("w0");
+    leaving.draining = true;
+    let mut closed = worker("w1");
+    closed.zone = "b".into();
+    let mut driver = cell_with(config(None), vec![leaving, closed]);
+    driver.handle(CellEvent::ZonesClosed(["b".into()].into_iter().collect()));
+
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    let while_closed = driver.starts.len();
+    driver.handle(CellEvent::ZonesClosed([].into_iter().collect()));
+
+    verify_that!(while_closed, eq(0))?;
+    verify_that!(driver.started("j.0.0.0").map(|order| order.worker.to_string()), some(eq("w1")))
+}
+
+/// Workers refuse tasks without a valid permit, and each refused start costs time.
+#[gtest]
+fn tasks_start_only_on_permitted_workers() -> Result<()> {
+    let validity = Duration::from_secs(2);
+    let rule = PermitRule { decision: Duration::ZERO, each: Duration::ZERO, validity };
+    let mut driver = cell_with(config(Some(rule)), vec![worker("denied"), worker("w1")]);
+
+    submit(&mut driver, job("j", "urgent", vec![step(12)]));
+    let first = driver.starts.clone();
+    driver.pass(5_000);
+    for index in 0..8 {
+        driver.end(&format!("j.0.0.{index}"), EndCause::Done);
+    }
+
+    verify_that!(first.len(), eq(8))?;
+    verify_that!(
+        driver.starts.iter().all(|order| &*order.worker == "w1" && order.ticket.is_some()),
+        eq(true)
+    )?;
+    verify_that!(driver.starts.len(), eq(12))?;
+    verify_that!(driver.asked[0].1, eq(2))?;
+    verify_that!(driver.asked.iter().skip(1).all(|(_, workers)| *workers == 1), eq(true))
+}
+
+/// Tasks that must not share a worker fail together with it.
+#[gtest]
+fn at_most_the_allowed_tasks_of_a_step_share_a_worker() -> Result<()> {
+    let mut driver = cell(2);
+
+    submit(&mut driver, job("j", "urgent", vec![StepSpec { most_per_worker: Some(2), ..step(6) }]));
+
+    verify_that!(driver.starts.len(), eq(4))?;
+    verify_that!(driver.running_on("w0").len(), eq(2))
+}
+
+/// A task that stands still holds its job until somebody looks.
+#[gtest]
+fn a_run_far_slower_than_its_siblings_moves() -> Result<()> {
+    let mut driver = cell(2);
+    submit(&mut driver, job("j", "urgent", vec![step(3)]));
+    driver.pass(1_000);
+    driver.end("j.0.0.0", EndCause::Done);
+    driver.end("j.0.0.1", EndCause::Done);
+    let slow = driver.started("j.0.0.2").or_fail()?;
+
+    for _ in 0..4 {
+        driver.pass(1_000);
+        let seen = look(driver.now, vec![running("j.0.0.2", 1, 5)], vec![]);
+        driver.handle(CellEvent::Looked(slow.worker.clone(), seen));
+    }
+
+    verify_that!(driver.stops.iter().any(|order| order.reason == "too_slow"), eq(true))
+}
+
+/// Callers that see a final state which is not stored may see another one after the owner changes.
+#[gtest]
+fn a_final_state_is_published_after_its_record() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    driver.order.clear();
+
+    driver.end("j.0.0.0", EndCause::Done);
+
+    let closed = CellRecord::Closed("j".into(), JobStatus::Completed);
+    verify_that!(driver.records.last(), some(eq(&closed)))
+}
--- /dev/null
+++ b/tests/fixture_cell/mod.rs
@@ -0,0 +1,228 @@
+//! A cell whose workers, store and advisor do at once what they are told, for tests of decisions.
+
+#![allow(dead_code, reason = "each test program uses a part of the fixture")]
+
+use std::time::{Duration, Instant};
+
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{
+    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, EndCause, EndedRun, GraphSpec,
+    OrderOutcome, PermitRule, QueueRule, RunningRun, StartOrder, StepSpec, StopOrder, TaskKey, TeamRule,
+    WorkerListing, WorkerLook,
+};
+use godwithaven::prelude::FastMap;
+
+/// Wall clock at the start of each test, since 1970.
+pub const EPOCH: Duration = Duration::from_secs(1_000_000);
+/// Start of the life of each worker.
+pub const BORN: Duration = Duration::from_secs(999_000);
+
+/// A scheduler with what it asked for so far.
+pub struct CellDriver {
+    pub scheduler: CellScheduler,
+    pub start: Instant,
+    pub now: Instant,
+    pub records: Vec<CellRecord>,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<StopOrder>,
+    pub asked: Vec<(String, usize)>,
+    pub order: Vec<&'static str>,
+    /// Whether workers answer their first look at once, with nothing running.
+    pub answers_first_look: bool,
+    ends: FastMap<String, u64>,
+}
+
+impl CellDriver {
+    /// Lets time pass and decides.
+    pub fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        let wall = EPOCH + self.now.duration_since(self.start);
+        self.handle(CellEvent::Tick(wall));
+    }
+
+    /// Handles an event and carries out what follows, until nothing does.
+    pub fn handle(&mut self, event: CellEvent) {
+        self.scheduler.handle(event, self.now);
+        loop {
+            // Passes over waiting steps are a little apart.
+            self.now += Duration::from_millis(35);
+            let effects = self.scheduler.decide(true, self.now);
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: CellEffect) {
+        match effect {
+            CellEffect::Record(record) => {
+                self.order.push("record");
+                self.records.push(record);
+            }
+            CellEffect::Start(order) => {
+                self.order.push("start");
+                let (task, run, worker) = (order.task.clone(), order.run, order.worker.clone());
+                self.starts.push(order);
+                let event = CellEvent::StartAnswered(task, run, worker, OrderOutcome::Accepted);
+                self.scheduler.handle(event, self.now);
+            }
+            CellEffect::Stop(order) => self.stops.push(order),
+            CellEffect::AskPermits { step, rule, workers, .. } => {
+                self.asked.push((step.to_string(), workers.len()));
+                let granted = workers.iter().filter(|worker| !worker.starts_with("denied"));
+                let granted = granted.map(|worker| (worker.clone(), "ticket".into())).collect();
+                let event =
+                    CellEvent::PermitsGranted { step, asked: workers.clone(), granted, valid: rule.validity };
+                self.scheduler.handle(event, self.now);
+            }
+            CellEffect::Watch(listing) if self.answers_first_look => {
+                let look = look(self.now, Vec::new(), Vec::new());
+                self.scheduler.handle(CellEvent::Looked(listing.worker, look), self.now);
+            }
+            CellEffect::Watch(_)
+            | CellEffect::Unwatch(_)
+            | CellEffect::Acknowledge(..)
+            | CellEffect::Publish(_) => {}
+        }
+    }
+
+    /// Lets the newest start of a task end.
+    pub fn end(&mut self, task: &str, cause: EndCause) {
+        let order = self.started(task).expect("the task was started");
+        let number = self.ends.entry(order.worker.to_string()).or_default();
+        *number += 1;
+        let key = TaskKey::parse(task).expect("the name is valid");
+        let ended = EndedRun { number: *number, task: key, run: order.run, cause, checkpoint: None };
+        let running = self.running_on(&order.worker).into_iter().filter(|run| run.task.to_string() != task);
+        let look = look(self.now, running.collect(), vec![ended]);
+        self.handle(CellEvent::Looked(order.worker, look));
+    }
+
+    /// Returns the newest start of a task.
+    pub fn started(&self, task: &str) -> Option<StartOrder> {
+        self.starts.iter().rev().find(|order| order.task.to_string() == task).cloned()
+    }
+
+    /// Returns what the scheduler counts on a worker, as the worker would report it.
+    pub fn running_on(&self, worker: &str) -> Vec<RunningRun> {
+        let state = self.scheduler.state();
+        let slot = state.slot(worker).expect("the worker is known");
+        let placed = state.placements.iter().filter(|(_, placement)| placement.slot == slot);
+        placed.map(|(task, placement)| running(&task.to_string(), placement.run, 10)).collect()
+    }
+
+    /// Returns the names of the tasks that were started, in order.
+    pub fn started_tasks(&self) -> Vec<String> {
+        self.starts.iter().map(|order| order.task.to_string()).collect()
+    }
+}
+
+/// Returns a running run.
+pub fn running(task: &str, run: u64, percent: u32) -> RunningRun {
+    let task = TaskKey::parse(task).expect("the name is valid");
+    RunningRun { task, run, checkpoint: None, percent, figure: 0 }
+}
+
+/// Returns a look that was asked now.
+pub fn look(asked: Instant, running: Vec<RunningRun>, ended: Vec<EndedRun>) -> WorkerLook {
+    WorkerLook { asked, born: BORN, running, ended }
+}
+
+/// Returns a cell with `workers` workers of 8 cores, 8 GiB and 4 accelerators.
+pub fn cell(workers: usize) -> CellDriver {
+    cell_with(config(None), (0..workers).map(|number| worker(&format!("w{number}"))).collect())
+}
+
+/// Returns a cell with a configuration and workers that were heard.
+pub fn cell_with(config: CellConfig, workers: Vec<WorkerListing>) -> CellDriver {
+    let start = Instant::now();
+    let mut driver = CellDriver {
+        scheduler: CellScheduler::new(start),
+        start,
+        now: start,
+        records: Vec::new(),
+        starts: Vec::new(),
+        stops: Vec::new(),
+        asked: Vec::new(),
+        order: Vec::new(),
+        answers_first_look: true,
+        ends: FastMap::default(),
+    };
+    driver.pass(0);
+    driver.handle(CellEvent::Configured(config.into()));
+    driver.handle(CellEvent::WorkersListed(workers));
+    driver
+}
+
+/// Returns a worker of 8 cores, 8 GiB and 4 accelerators.
+pub fn worker(name: &str) -> WorkerListing {
+    WorkerListing {
+        worker: name.into(),
+        address: "127.0.0.1:1".into(),
+        service: "planner".into(),
+        zone: "a".into(),
+        capacity: ResourceVector::new(8_000, 8_192, 4),
+        labels: vec!["kind".into(), "r1".into()],
+        rack: Some("r1".into()),
+        draining: false,
+    }
+}
+
+/// Returns a configuration with the queues `urgent` and `batch`, and the team `blue` with a limit of 24 cores.
+pub fn config(permits: Option<PermitRule>) -> CellConfig {
+    let queue = |priority| QueueRule {
+        service: "planner".into(),
+        priority,
+        max_attempts: 2,
+        stretch: 2.0,
+        target: Duration::from_secs(1),
+        permits,
+        open: false,
+        host: "host".into(),
+        prefix: format!("/q{priority}/").into(),
+    };
+    let limit = ResourceVector::new(24_000, 0, 0);
+    CellConfig {
+        version: 1,
+        queues: [("urgent".into(), queue(0)), ("batch".into(), queue(2))].into_iter().collect(),
+        teams: [
+            ("blue".into(), TeamRule { weight: 10, limit }),
+            ("red".into(), TeamRule { weight: 10, limit: ResourceVector::default() }),
+        ]
+        .into_iter()
+        .collect(),
+        keys: FastMap::default(),
+        body_limit: 1 << 18,
+    }
+}
+
+/// Returns a step of tasks that each take one core for about a second.
+pub fn step(tasks: u32) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: ResourceVector::new(1_000, 100, 0),
+        estimate: Duration::from_secs(1),
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a job of the team `red`.
+pub fn job(id: &str, queue: &str, steps: Vec<StepSpec>) -> GraphSpec {
+    GraphSpec {
+        id: id.into(),
+        queue: queue.into(),
+        team: "red".into(),
+        payload: "text".into(),
+        steps,
+        schedule: None,
+        submitted: EPOCH,
+    }
+}
+
+/// Submits a job.
+pub fn submit(driver: &mut CellDriver, spec: GraphSpec) {
+    driver.handle(CellEvent::Submitted(spec.into()));
+}
