--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -145,7 +145,13 @@
     fn order_of(&self, key: &StepKey, now: Instant) -> StepOrder {
         let Some(job) = self.jobs.get(&key.job) else {
             let lateness = JobLateness::Worthless;
-            return StepOrder { priority: u32::MAX, excess: true, lateness, latest_start: now };
+            return StepOrder {
+                excess: true,
+                priority: u32::MAX,
+                worthless: true,
+                latest_start: now,
+                lateness,
+            };
         };
         let priority = self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
         let objective = self.objective(&job.spec);
@@ -159,8 +165,13 @@
             _ => JobLateness::Worthless,
         };
         let begun = now.checked_sub(age).unwrap_or(now);
-        let latest_start = (begun + objective).checked_sub(rest).unwrap_or(begun);
-        StepOrder { priority, excess: job.excess, lateness, latest_start }
+        let limit = match lateness {
+            JobLateness::InTime => objective,
+            JobLateness::Late | JobLateness::Worthless => objective * LATEST_OBJECTIVES,
+        };
+        let latest_start = (begun + limit).checked_sub(rest).unwrap_or(begun);
+        let worthless = lateness == JobLateness::Worthless;
+        StepOrder { excess: job.excess, priority, worthless, latest_start, lateness }
     }
 
     /// Returns the time within which a job should be complete.
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -37,10 +37,13 @@
     pub excess: bool,
     /// Priority of its queue.
     pub priority: u32,
+    /// Whether even a late completion of the job earns nothing.
+    pub worthless: bool,
+    /// When the step has to start so that its job is complete by the next limit that it can still meet: its objective,
+    /// or the time after which a late completion earns nothing.
+    pub latest_start: Instant,
     /// How much of its worth the job has lost by being late.
     pub lateness: JobLateness,
-    /// When the step has to start so that its job is complete in time.
-    pub latest_start: Instant,
 }
 
 /// How much of its worth a job has lost by being late.
