Play sessions of callers against fakes of the platform

Store, workers and advisor of the platform as small stand-ins; sessions over sockets: the whole path, an owner that stops, an outage of the store, settings and foreign records.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod endpoint;
 pub mod invariant;
 pub mod logservice;
+pub mod platform;
 pub mod relay;
 pub mod server;
 pub mod worker;
--- /dev/null
+++ b/tests/cell_session.rs
@@ -0,0 +1,243 @@
+//! Entry processes over sockets against the fakes of the platform: whole sessions of callers.
+
+use std::time::{Duration, Instant};
+
+use godwithaven::prelude::{FastMap, FastSet};
+use godwithaven::tasks::cell::ports::CellAdapter;
+use godwithaven::tasks::cell::process::CellProcess;
+use godwithaven_standins::platform::{AdvisorStandin, PlatformWorker, StoreStandin, WorkerEvent};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for what a session expects; far above what it takes, as machines may be busy.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The platform with its workers, and what these saw.
+struct Platform {
+    store: StoreStandin,
+    advisor: AdvisorStandin,
+    events: mpsc::UnboundedReceiver<WorkerEvent>,
+    directory: std::path::PathBuf,
+    token: CancellationToken,
+}
+
+async fn platform(name: &str, workers: usize) -> Platform {
+    let token = CancellationToken::new();
+    let store = StoreStandin::start(token.clone()).await.expect("a port is free");
+    let advisor = AdvisorStandin::start(token.clone()).await.expect("a port is free");
+    let (sender, events) = mpsc::unbounded_channel();
+    for number in 0..workers {
+        let name = format!("w{number}");
+        PlatformWorker::start(&name, &store, sender.clone(), token.clone()).await.expect("a port is free");
+    }
+    store.publish("keyed.op", "config", &configuration().to_string()).await;
+    let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&directory).expect("the directory can be made");
+    Platform { store, advisor, events, directory, token }
+}
+
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "q", "host": "host.example", "path_prefix": "/jobs/", "priority": 0, "service": "planner",
+            "max_attempts": 2, "stretch": 2.0, "target_latency_ms": 500, "public": false,
+            "advice": {"decision_ms": 1.0, "each_ms": 0.1, "validity_ms": 2_000},
+        }],
+        "services": [{"name": "planner"}],
+        "limits": {"max_body_bytes": 262_144},
+        "tenants": [{"name": "blue", "api_keys": ["secret"], "weight": 10, "maximum": {"cpu": 0}}],
+    })
+}
+
+/// Starts an entry process on the ports from `first` on and returns it with the address for callers.
+async fn entry(platform: &Platform, name: &str, first: u16) -> (CellProcess, String) {
+    let (store, advisor) = (platform.store.address, platform.advisor.address);
+    let (ready, control, internal) = (first + 1, first + 2, first + 3);
+    let settings = format!(
+        "node={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{first}\nlisten.ready=127.0.0.1:{ready}\n\
+         listen.control=127.0.0.1:{control}\ninternal_ports={internal},{internal}\nplatform.address={store}\n\
+         advice={advisor}\nlimits.cpu_share=0.25\nbounds.max_hold_ms=10000\nbounds.grace_s=6\nunknown.field=1\n"
+    );
+    let path = platform.directory.join(format!("{name}.conf"));
+    std::fs::write(&path, settings).expect("the file can be written");
+    let (adapter, _) = CellAdapter::find(|_| Some(String::new())).expect("the adapter is linked");
+    let settings = (adapter.load)(&path.to_string_lossy()).expect("the settings are valid");
+    let process = CellProcess::start(adapter, settings).await.expect("the ports are free");
+    (process, format!("http://127.0.0.1:{first}"))
+}
+
+/// Calls until the answer has one of the statuses, and returns it.
+async fn call(method: &str, url: &str, body: Option<Value>, wanted: &[u16]) -> (u16, Value) {
+    let client = awc::Client::default();
+    let started = Instant::now();
+    loop {
+        let request = client.request(method.parse().expect("a method"), url).timeout(Duration::from_secs(3));
+        let request = request.insert_header(("Host", "host.example")).insert_header(("Api-Key", "secret"));
+        let sent = match &body {
+            Some(body) => request.send_json(body).await,
+            None => request.send().await,
+        };
+        if let Ok(mut response) = sent {
+            let status = response.status().as_u16();
+            let body = response.body().await.unwrap_or_default();
+            let body = serde_json::from_slice(&body).unwrap_or_default();
+            if wanted.contains(&status) || started.elapsed() > PATIENCE {
+                return (status, body);
+            }
+        }
+        assert!(started.elapsed() < PATIENCE, "no answer from {url}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Waits until a job has the state, and returns the state that it has.
+async fn await_state(url: &str, wanted: &str) -> String {
+    let started = Instant::now();
+    loop {
+        let (_, body) = call("GET", url, None, &[200, 410]).await;
+        let state = body["state"].as_str().unwrap_or("gone").to_owned();
+        if state == wanted || started.elapsed() > PATIENCE {
+            return state;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn job(text: &str) -> Value {
+    json!({"spec": text, "steps": [
+        {"count": 3, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100},
+        {"count": 2, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100, "after": [0]},
+    ]})
+}
+
+/// Returns tasks that ran twice at once, or again after they were done.
+fn doubled(events: &mut mpsc::UnboundedReceiver<WorkerEvent>) -> Vec<String> {
+    let (mut running, mut done) = (FastMap::<String, u32>::default(), FastSet::default());
+    let mut doubled = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        match event {
+            WorkerEvent::Started(task, _) => {
+                let count = running.entry(task.clone()).or_default();
+                *count += 1;
+                if *count > 1 || done.contains(&task) {
+                    doubled.push(task);
+                }
+            }
+            WorkerEvent::Ended(task, _, finished) => {
+                running.entry(task.clone()).and_modify(|count| *count -= 1);
+                if finished {
+                    done.insert(task);
+                }
+            }
+        }
+    }
+    doubled
+}
+
+/// Guards the whole path: a call is stored, its tasks run in order and its state is told at any process.
+#[gtest]
+#[actix_rt::test]
+async fn a_job_runs_and_every_process_tells_its_state() -> Result<()> {
+    let mut platform = platform("whole_path", 2).await;
+    let (_first, near) = entry(&platform, "e1", 28_100).await;
+    let (_second, far) = entry(&platform, "e2", 28_110).await;
+    let path = "/jobs/00000000000000a1";
+
+    let (accepted, _) = call("POST", &format!("{near}{path}"), Some(job("ms=50")), &[200]).await;
+    let (repeated, _) = call("POST", &format!("{far}{path}"), Some(job("ms=50")), &[200]).await;
+    let state = await_state(&format!("{far}{path}"), "completed").await;
+    let (unknown, _) = call("GET", &format!("{near}/jobs/00000000000000ff"), None, &[410]).await;
+    let (pending_status, pending) = call("GET", &format!("{far}/jobs/"), None, &[200]).await;
+    let (no_queue, _) = call("GET", &format!("{near}/other/00000000000000a1"), None, &[404]).await;
+    let (bad, _) = call("POST", &format!("{near}/jobs/xyz"), Some(job("")), &[400]).await;
+    let doubled = doubled(&mut platform.events);
+    platform.token.cancel();
+
+    verify_that!((accepted, repeated), eq((200, 200)))?;
+    verify_that!(state, eq("completed"))?;
+    verify_that!((unknown, no_queue, bad), eq((410, 404, 400)))?;
+    verify_that!((pending_status, pending["pending"].as_u64()), eq((200, Some(0))))?;
+    verify_that!(doubled, is_empty())
+}
+
+/// Guards against a job that is lost or run twice when its owner stops and another process takes over.
+#[gtest]
+#[actix_rt::test]
+async fn a_job_goes_on_when_its_owner_stops() -> Result<()> {
+    let mut platform = platform("owner_stops", 2).await;
+    let (first, near) = entry(&platform, "e1", 28_120).await;
+    let path = "/jobs/00000000000000b1";
+    call("POST", &format!("{near}{path}"), Some(job("ms=1500")), &[200]).await;
+    let running = await_state(&format!("{near}{path}"), "running").await;
+    let (_second, far) = entry(&platform, "e2", 28_130).await;
+
+    first.stop().await;
+    let state = await_state(&format!("{far}{path}"), "completed").await;
+    let doubled = doubled(&mut platform.events);
+    platform.token.cancel();
+
+    verify_that!(running, eq("running"))?;
+    verify_that!(state, eq("completed"))?;
+    verify_that!(doubled, is_empty())
+}
+
+/// Guards against jobs that are accepted without being stored, and against running work that an outage breaks off.
+#[gtest]
+#[actix_rt::test]
+async fn an_outage_of_the_store_refuses_calls_and_breaks_nothing_off() -> Result<()> {
+    let mut platform = platform("store_down", 1).await;
+    let (_process, near) = entry(&platform, "e1", 28_140).await;
+    let url = |id: &str| format!("{near}/jobs/{id}");
+    call("POST", &url("00000000000000c1"), Some(job("ms=300")), &[200]).await;
+    await_state(&url("00000000000000c1"), "running").await;
+
+    platform.store.set_down(true);
+    let (refused, _) = call("POST", &url("00000000000000c2"), Some(job("ms=10")), &[503]).await;
+    platform.store.set_down(false);
+    let kept = await_state(&url("00000000000000c1"), "completed").await;
+    let (status, _) = call("GET", &url("00000000000000c2"), None, &[410]).await;
+    let doubled = doubled(&mut platform.events);
+    platform.token.cancel();
+
+    verify_that!(refused, eq(503))?;
+    verify_that!(kept, eq("completed"))?;
+    verify_that!(status, eq(410))?;
+    verify_that!(doubled, is_empty())
+}
+
+/// Guards against settings that are only partly checked, so that an operator mends them one by one.
+#[gtest]
+fn a_settings_file_reports_all_its_faults_at_once() -> Result<()> {
+    let (adapter, _) = CellAdapter::find(|_| Some(String::new())).or_fail()?;
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("faults.conf");
+    std::fs::write(&path, "node=e1\nlisten.front=nowhere\ninternal_ports=9\nseeds=x\n")?;
+
+    let fault = (adapter.load)(&path.to_string_lossy()).err().or_fail()?.to_string();
+
+    for part in
+        ["zone is missing", "listen.front=nowhere", "internal_ports=9", "seeds: x", "platform.address"]
+    {
+        verify_that!(fault, contains_substring(part))?;
+    }
+    Ok(())
+}
+
+/// Guards against entries of other writers that are taken for workers or configurations.
+#[gtest]
+fn foreign_records_name_no_worker_and_no_configuration() -> Result<()> {
+    let (adapter, _) = CellAdapter::find(|_| Some(String::new())).or_fail()?;
+    let entries: [&[u8]; 4] = [
+        b"\xff\xfe",
+        br#"{"service":"s"}"#,
+        br#"{"service":"s","address":"a","zone":"z","state":"resting","capacity":{}}"#,
+        br#"{"service":5,"address":"a","zone":"z","state":"ready","capacity":{}}"#,
+    ];
+
+    let listed = entries.iter().filter(|entry| (adapter.worker_listing)("w", entry).is_ok()).count();
+    let configured = (adapter.operator_change)("config", b"{\"version\":\"x\"}").is_ok();
+
+    verify_that!((listed, configured), eq((0, false)))
+}
