--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -7,6 +7,7 @@
 
 /// A worker of the cell.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "the conditions are independent of each other")]
 pub struct CellWorker {
     /// What the platform last listed.
     pub listing: WorkerListing,
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -231,12 +231,12 @@
         candidates: &[Candidate],
     ) -> Vec<(Candidate, Option<PermitTicket>)> {
         let Some((_, _, state)) = self.state.step(placed.key) else { return Vec::new() };
-        let permit = |candidate: &Candidate| match placed.rule.permits {
-            None => Some((candidate.clone(), None)),
-            Some(_) => {
-                let ticket = state.permits.ticket(candidate.slot, self.now)?.clone();
-                Some((candidate.clone(), Some(ticket)))
+        let permit = |candidate: &Candidate| {
+            if placed.rule.permits.is_none() {
+                return Some((candidate.clone(), None));
             }
+            let ticket = state.permits.ticket(candidate.slot, self.now)?.clone();
+            Some((candidate.clone(), Some(ticket)))
         };
         candidates.iter().filter(|candidate| candidate.count > 0).filter_map(permit).collect()
     }
@@ -313,7 +313,7 @@
         let lacks = |candidate: &&Candidate| state.permits.ticket(candidate.slot, now + margin).is_none();
         let mut slots: Vec<&Candidate> = candidates.iter().filter(lacks).collect();
         let known = |candidate: &Candidate| state.permits.is_known_good(candidate.slot);
-        let any_known = candidates.iter().any(|candidate| known(candidate));
+        let any_known = candidates.iter().any(known);
         let useful = slots.iter().any(|candidate| candidate.count > 0) || rank <= RENEWED_AHEAD;
         if slots.is_empty() || !useful {
             return;
--- a/src/kernel/cell/step_spec.rs
+++ b/src/kernel/cell/step_spec.rs
@@ -13,7 +13,7 @@
     pub need: ResourceVector,
     /// Rough estimate of the run time of a task.
     pub estimate: Duration,
-    /// Earlier steps whose tasks must all be done first.
+    /// Steps that this one depends on, by index.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub after: Vec<u32>,
     /// Whether tasks save their progress.
--- a/src/kernel/cell/straggler_watch.rs
+++ b/src/kernel/cell/straggler_watch.rs
@@ -22,7 +22,7 @@
 /// Stops of one task for being slow.
 const MOST_MOVES: u32 = 2;
 /// Time for which a worker with slow runs is used last.
-const SLOW_FOR: Duration = Duration::from_millis(4_000);
+const SLOW_FOR: Duration = Duration::from_secs(4);
 
 /// Finds runs that are far slower than they should be and lets them start again elsewhere.
 pub struct StragglerWatch<'a> {
--- a/src/kernel/cell/victim_search.rs
+++ b/src/kernel/cell/victim_search.rs
@@ -82,9 +82,9 @@
         if wanted.fits(free) {
             break;
         }
-        let given = gives(&victim);
-        if helps(wanted.minus(free), given) {
-            free = free.plus(given);
+        let amount = gives(&victim);
+        if helps(wanted.minus(free), amount) {
+            free = free.plus(amount);
             chosen.push(victim.key.clone());
         }
     }
--- a/src/log_pipe.rs
+++ b/src/log_pipe.rs
@@ -91,7 +91,7 @@
         if let Err(error) = self.chunks.try_send(full) {
             let (std::sync::mpsc::TrySendError::Full(lost)
             | std::sync::mpsc::TrySendError::Disconnected(lost)) = error;
-            DROPPED_LINES.inc_by(lost.iter().filter(|byte| **byte == b'\n').count() as u64);
+            DROPPED_LINES.inc_by(lost.split(|byte| *byte == b'\n').skip(1).count() as u64);
         }
     }
 }
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -30,7 +30,7 @@
 }
 
 impl CallFault {
-    fn new(reason: impl ToString) -> Self {
+    fn new(reason: impl std::fmt::Display) -> Self {
         Self { reason: reason.to_string(), unsent: false }
     }
 }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -49,6 +49,7 @@
 }
 
 #[derive(Deserialize)]
+#[expect(clippy::struct_field_names, reason = "as the platform writes them")]
 struct AdviceBody {
     decision_ms: f64,
     each_ms: f64,
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -133,7 +133,7 @@
         CellReply::Refused(refusal, wait) => {
             let mut response = json(status(&refusal), &RefusalBody { error: refusal.to_string() });
             if let Some(wait) = wait {
-                let seconds = HeaderValue::from(wait.as_millis().div_ceil(1_000) as u64);
+                let seconds = HeaderValue::from(wait.as_secs() + u64::from(wait.subsec_nanos() > 0));
                 response.headers_mut().insert(RETRY_AFTER, seconds);
             }
             response
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,4 +1,4 @@
-//! The platform's settings file: lines of the form `a.b=value`.
+//! The platform's settings file, which has one setting on each line: `name.part=value`.
 
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -73,10 +73,12 @@
 async fn append(client: awc::Client, base: Rc<str>, call: AppendCall) -> AppendOutcome {
     let mut url = format!("{base}/log-append?topic={}&part={}", call.topic, call.partition);
     if let Some(at) = call.at {
-        url += &format!("&at={at}");
+        append_query(&mut url, "at", &at);
     }
     if let Some(stamp) = &call.stamp {
-        url += &format!("&producer={}&epoch={}&seq={}", stamp.writer, stamp.epoch, stamp.sequence);
+        append_query(&mut url, "producer", &stamp.writer);
+        append_query(&mut url, "epoch", &stamp.epoch);
+        append_query(&mut url, "seq", &stamp.sequence);
     }
     let mut body = Vec::with_capacity(call.records.iter().map(|record| record.len() + 4).sum());
     for record in &call.records {
@@ -119,7 +121,7 @@
 ) -> Result<TopicPage, ReadFault> {
     let mut url = format!("{base}/log-read?topic={topic}&part={partition}&from={from}");
     if !wait.is_zero() {
-        url += &format!("&wait_ms={}", wait.as_millis());
+        append_query(&mut url, "wait_ms", &wait.as_millis());
     }
     let answer = calls::send(client.get(url), Vec::new(), wait + READ_TIMEOUT).await.map_err(failed)?;
     match answer.status {
@@ -169,7 +171,7 @@
     loop {
         let mut url = format!("{base}/log-newest?topic={topic}&part=0");
         if let Some(key) = records.last().and_then(|record| record.key.clone()) {
-            url += &format!("&after={}", escape(&key));
+            append_query(&mut url, "after", &escape(&key));
         }
         let answer = calls::send(client.get(url), Vec::new(), READ_TIMEOUT).await.map_err(failed)?;
         if answer.status != StatusCode::OK {
@@ -194,6 +196,13 @@
     ReadFault::Failed(fault.reason)
 }
 
+fn append_query(url: &mut String, name: &str, value: &dyn std::fmt::Display) {
+    url.push('&');
+    url.push_str(name);
+    url.push('=');
+    url.push_str(&value.to_string());
+}
+
 fn escape(key: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~');
     key.bytes()
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -24,7 +24,7 @@
 /// Time without a sign of life after which the owner is replaced.
 pub const OWNER_SILENCE: Duration = Duration::from_millis(1_700);
 /// How long the store may wait for claims before it answers an empty page.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+const READ_WAIT: Duration = Duration::from_secs(1);
 /// Wait after a read that failed.
 const READ_RETRY: Duration = Duration::from_millis(200);
 /// Time between looks at whether to claim.
@@ -34,7 +34,7 @@
 /// Time without a read of the log after which other processes are asked; more than a read that waits takes.
 const UNREAD: Duration = Duration::from_millis(1_300);
 /// Longest wait for an append of a claim.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the task is told.
 #[derive(Debug)]
@@ -126,7 +126,7 @@
                     let pause = self.note_page(page, &mut state, &token);
                     read = self.read(pause);
                 }
-                outcome = pending(&mut state.claiming) => self.note_claim(outcome, &mut state),
+                outcome = pending(&mut state.claiming) => self.note_claim(&outcome, &mut state),
                 _ = renew.tick() => self.renew(&state),
                 _ = check.tick() => self.check(&mut state),
                 _ = ask.tick() => self.ask_peers(),
@@ -324,7 +324,7 @@
         });
     }
 
-    fn note_claim(&mut self, outcome: AppendOutcome, state: &mut ClaimState) {
+    fn note_claim(&mut self, outcome: &AppendOutcome, state: &mut ClaimState) {
         state.claiming = None;
         if !matches!(outcome, AppendOutcome::Stored(_)) {
             log::info!(process = &*self.process, outcome:%; "claim is not taken");
--- a/src/tasks/cell/config_feed.rs
+++ b/src/tasks/cell/config_feed.rs
@@ -13,7 +13,7 @@
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 
 /// How long the store may wait for changes before it answers an empty page.
-const CHANGE_WAIT: Duration = Duration::from_millis(1_000);
+const CHANGE_WAIT: Duration = Duration::from_secs(1);
 
 /// The task that follows the operators.
 pub struct ConfigFeed {
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -149,14 +149,14 @@
                         self.queue.add(&record, until, None, reply);
                     }
                     Some(IntakeMessage::Ready(reply)) => respond(reply, self.config.is_some()),
-                    Some(IntakeMessage::Call(call, reply)) => self.admit(call, reply),
+                    Some(IntakeMessage::Call(call, reply)) => self.admit(&call, reply),
                 },
             }
         }
     }
 
-    fn admit(&mut self, call: CellCall, reply: oneshot::Sender<CellReply>) {
-        match self.plan(&call) {
+    fn admit(&mut self, call: &CellCall, reply: oneshot::Sender<CellReply>) {
+        match self.plan(call) {
             Ok(plan) => {
                 self.metrics.calls.with_label_values(&["admitted"]).inc();
                 let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -256,11 +256,13 @@
 }
 
 /// Returns the refusal of a call of which nothing was done.
+#[must_use]
 pub fn unavailable(id: &str, reason: &str) -> CellReply {
     unavailable_for(id, reason, RETRY_AFTER)
 }
 
 /// Returns the refusal of a call of which nothing was done, and when its caller may come back.
+#[must_use]
 pub fn unavailable_for(id: &str, reason: &str, wait: Duration) -> CellReply {
     log::info!(id = id, reason = reason; "call is not answered");
     CellReply::Refused(CellRefusal::Unavailable(reason.to_owned()), Some(wait))
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -13,11 +13,11 @@
 use crate::tasks::cell::ports::{LookCall, LookOutcome, OrderAnswer, WorkerPort};
 
 /// How long a worker may wait for an end before it answers a look.
-const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+const LOOK_WAIT: Duration = Duration::from_secs(1);
 /// Wait before a worker that did not answer is looked at again.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// Longest wait for the owner to record ends before the worker is looked at again to keep its lease.
-const ACKNOWLEDGE_WAIT: Duration = Duration::from_millis(1_000);
+const ACKNOWLEDGE_WAIT: Duration = Duration::from_secs(1);
 
 /// What a link is told.
 #[derive(Debug)]
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -30,7 +30,7 @@
 /// Messages that are handled before the next decision.
 const BATCH: usize = 256;
 /// How long the store may wait for submissions before it answers an empty page.
-const SUBMISSION_WAIT: Duration = Duration::from_millis(1_000);
+const SUBMISSION_WAIT: Duration = Duration::from_secs(1);
 /// Time between reads of the registrations of workers.
 const LISTING_PAUSE: Duration = Duration::from_millis(400);
 /// Age of the newest read of submissions up to which a job that is not known does not exist.
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -116,6 +116,10 @@
 ///
 /// It is sent once: a call that is not answered may have its effect later, so the answer to a second one would not
 /// show that the record is not stored.
+///
+/// # Errors
+///
+/// Returns why it is not known whether the record is stored.
 pub async fn relay(
     client: &CellClient<Channel>,
     record: &[u8],
@@ -188,14 +192,11 @@
 
 impl CellService {
     fn owner(&self) -> Result<mpsc::Sender<OwnerMessage>, Status> {
-        match &*self.route.borrow() {
-            OwnerRoute::Local(_, owner) => Ok(owner.clone()),
-            _ => {
-                let details = self.process.as_bytes().to_vec().into();
-                let text = "this process does not own the cell";
-                Err(Status::with_details(Code::FailedPrecondition, text, details))
-            }
+        if let OwnerRoute::Local(_, owner) = &*self.route.borrow() {
+            return Ok(owner.clone());
         }
+        let details = self.process.as_bytes().to_vec().into();
+        Err(Status::with_details(Code::FailedPrecondition, "this process does not own the cell", details))
     }
 }
 
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -33,7 +33,7 @@
 /// See [`SHORTEST_RETRY_AFTER`]; callers repeat a call only a few times, so their attempts have to span an outage.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Time between calls that are sent to a store that takes nothing.
-const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest group in bytes, a quarter of what the platform's store takes in one call.
 const GROUP_BYTES: usize = 512 << 10;
 
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -123,7 +123,7 @@
             return server::json(status, &body);
         }
         tokio::time::sleep(STEP).await;
-        order = OrderBody { last_seen, fencing_token, ..OrderBody::default() };
+        order = OrderBody { fencing_token, last_seen, ..OrderBody::default() };
     }
 }
 
@@ -135,20 +135,20 @@
                 message = messages.recv() => {
                     let Some(WorkerMessage(path, order, reply)) = message else { return };
                     self.end_due();
-                    let _ = reply.send(self.obey(&path, order));
+                    let _ = reply.send(self.obey(&path, &order));
                 }
                 _ = step.tick() => self.end_due(),
             }
         }
     }
 
-    fn obey(&mut self, path: &str, order: OrderBody) -> (StatusCode, Value) {
+    fn obey(&mut self, path: &str, order: &OrderBody) -> (StatusCode, Value) {
         if order.fencing_token < self.token {
             return (StatusCode::CONFLICT, json!({"clock_ms": self.clock(), "reason": "fence"}));
         }
         self.token = order.fencing_token;
         match path {
-            "/api/run-start" => self.start(&order),
+            "/api/run-start" => self.start(order),
             "/api/run-stop" => {
                 let barred = self.barred.entry(order.task.clone()).or_default();
                 *barred = (*barred).max(order.run);
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -7,15 +7,15 @@
 
 const SILENCE: Duration = Duration::from_millis(1_700);
 
-fn record(kind: ClaimKind, process: &str) -> Option<ClaimRecord> {
-    Some(ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into() })
+fn record(kind: ClaimKind, process: &str) -> ClaimRecord {
+    ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into() }
 }
 
 /// Returns a watch that has read a claim of `p1` at `now`.
 fn owned(now: Instant) -> ClaimWatch {
     let mut watch = ClaimWatch::new(SILENCE, Duration::ZERO);
     watch.note_read(now);
-    watch.note(0, record(ClaimKind::Claim, "p1"), now);
+    watch.note(0, Some(record(ClaimKind::Claim, "p1")), now);
     watch
 }
 
@@ -67,9 +67,9 @@
         let now = start + Duration::from_millis(step * 500);
         watch.note_read(now);
         claims.push(watch.should_claim(now));
-        watch.note(step, record(ClaimKind::Renew, "p1"), now);
+        watch.note(step, Some(record(ClaimKind::Renew, "p1")), now);
     }
-    let silent = read_until(&mut watch, start + Duration::from_millis(3_000), 1_000);
+    let silent = read_until(&mut watch, start + Duration::from_secs(3), 1_000);
 
     verify_that!(claims, each(eq(&false)))?;
     verify_that!(watch.should_claim(silent), eq(true))
@@ -81,7 +81,7 @@
     let start = Instant::now();
     let mut watch = owned(start);
 
-    watch.note(1, record(ClaimKind::Release, "p1"), start);
+    watch.note(1, Some(record(ClaimKind::Release, "p1")), start);
     watch.note_read(start);
 
     verify_that!(watch.should_claim(start), eq(true))
@@ -99,7 +99,7 @@
     };
 
     let told = watch.note_told(newer);
-    let changed = watch.note(4, record(ClaimKind::Claim, "p2"), start);
+    let changed = watch.note(4, Some(record(ClaimKind::Claim, "p2")), start);
 
     verify_that!((told, changed), eq((true, false)))?;
     verify_that!(watch.owner().map(|owner| owner.token), some(eq(9)))
