--- a/src/kernel/cell/step_spec.rs
+++ b/src/kernel/cell/step_spec.rs
@@ -37,7 +37,7 @@
     /// Whether a task may run more than once at the same time.
     #[serde(skip_serializing_if = "is_false")]
     pub copies: bool,
-    /// Whether tasks run until the job is cancelled and are restarted however they end.
+    /// Whether tasks have no end of their own: each is restarted until the job is cancelled.
     #[serde(skip_serializing_if = "is_false")]
     pub lasting: bool,
     /// What the tasks execute.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -45,9 +45,7 @@
     object.insert("time_ms".into(), unix_ms().into());
     object.insert("level".into(), record.level().as_str().to_lowercase().into());
     object.insert("message".into(), record.args().to_string().into());
-    let mut visitor = PairVisitor(|key: &str, value: &str| {
-        object.insert(key.to_owned(), value.into());
-    });
+    let mut visitor = JsonVisitor(&mut object);
     let _ = record.key_values().visit(&mut visitor);
     serde_json::Value::Object(object).to_string()
 }
@@ -60,3 +58,19 @@
         Ok(())
     }
 }
+
+/// Writes numbers and truth values as such, so that readers can compare them.
+struct JsonVisitor<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for JsonVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_i64(), value.to_bool()) {
+            (Some(number), ..) => number.into(),
+            (None, Some(number), _) => number.into(),
+            (None, None, Some(truth)) => truth.into(),
+            (None, None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -1,6 +1,7 @@
 //! Decides for the cell during one term of ownership.
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -115,10 +116,10 @@
 
     async fn serve(&self, messages: &mut mpsc::Receiver<OwnerMessage>, token: &CancellationToken) -> TermEnd {
         let started = Instant::now();
-        if let Err(end) = self.fence().await {
-            return end;
-        }
-        let (mut state, ends) = self.recover().await;
+        let (mut state, ends) = match self.recover().await {
+            Ok(recovered) => recovered,
+            Err(end) => return end,
+        };
         log::info!(token = self.token, took_ms:? = started.elapsed().as_millis(); "cell recovered");
         if self.advice.send(AdviceMessage::Own(self.inbox.clone())).await.is_err() {
             log::error!("task of the placement advisor has ended");
@@ -182,7 +183,16 @@
     }
 
     /// Rebuilds the state of the cell from the store; returns the offsets from which submissions are read on.
-    async fn recover(&self) -> (OwnerState, Vec<LogOffset>) {
+    async fn recover(&self) -> Result<(OwnerState, Vec<LogOffset>), TermEnd> {
+        // All reads are sent at once, as each takes long while the store is slow; the owner's own records are read
+        // only once no earlier owner can add to them.
+        let jobs = (0..JOB_PARTITIONS).map(|partition| self.read_all(JOB_TOPIC, partition));
+        let cell = async {
+            self.fence().await?;
+            Ok::<_, TermEnd>(self.read_all(CELL_TOPIC, 0).await)
+        };
+        let (jobs, cell) = tokio::join!(join_all(jobs), cell);
+        let (records, _) = cell?;
         let now = Instant::now();
         let mut scheduler = CellScheduler::new(now + LEASE + DEPOSED_TIME);
         scheduler.handle(CellEvent::Tick(clock::since_1970()), now);
@@ -190,46 +200,48 @@
             scheduler.handle(CellEvent::Configured(config.clone()), now);
         }
         scheduler.handle(CellEvent::ZonesClosed(self.closed.clone()), now);
-        let mut cancelled = Vec::new();
-        let mut ends = Vec::new();
-        for partition in 0..JOB_PARTITIONS {
-            let end = self.read_all(JOB_TOPIC, partition, |value| match serde_json::from_slice(value) {
-                Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(Arc::new(spec)), now),
-                Ok(JobRecord::Cancel(job)) => cancelled.push(job),
-                Err(error) => log::warn!(topic = JOB_TOPIC, error:%; "record cannot be read"),
-            });
-            ends.push(end.await);
+        let (mut cancelled, mut ends) = (Vec::new(), Vec::new());
+        for (values, end) in jobs {
+            ends.push(end);
+            for value in values {
+                match serde_json::from_slice(&value) {
+                    Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
+                    Ok(JobRecord::Cancel(job)) => cancelled.push(job),
+                    Err(error) => log::warn!(topic = JOB_TOPIC, error:%; "record cannot be read"),
+                }
+            }
+        }
+        for value in records {
+            match serde_json::from_slice::<CellRecord>(&value) {
+                Ok(record) => scheduler.replay(record, now),
+                Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be read"),
+            }
         }
-        self.read_all(CELL_TOPIC, 0, |value| match serde_json::from_slice::<CellRecord>(value) {
-            Ok(record) => scheduler.replay(record, now),
-            Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be read"),
-        })
-        .await;
         scheduler.end_replay();
         for job in cancelled {
             scheduler.handle(CellEvent::Cancelled(job), now);
         }
-        let log = TermLog::new(self.store.clone(), self.token);
-        let (links, listings) = (FastMap::default(), FastMap::default());
-        let jobs_read = vec![now; ends.len()];
-        (OwnerState { scheduler, log, links, listings, unpublished: FastSet::default(), jobs_read }, ends)
+        let state = OwnerState {
+            scheduler,
+            log: TermLog::new(self.store.clone(), self.token),
+            links: FastMap::default(),
+            listings: FastMap::default(),
+            unpublished: FastSet::default(),
+            jobs_read: vec![now; ends.len()],
+        };
+        Ok((state, ends))
     }
 
-    /// Reads a whole topic and returns the offset after it.
-    async fn read_all(
-        &self,
-        topic: &'static str,
-        partition: PartitionNumber,
-        mut apply: impl FnMut(&[u8]),
-    ) -> LogOffset {
-        let mut next = 0;
+    /// Reads a whole partition and returns its values and the offset after them.
+    async fn read_all(&self, topic: &'static str, partition: PartitionNumber) -> (Vec<Bytes>, LogOffset) {
+        let (mut values, mut next) = (Vec::new(), 0);
         loop {
             match (self.store.read)(topic, partition, next, Duration::ZERO).await {
                 Ok(page) => {
-                    page.records.iter().for_each(|record| apply(&record.value));
+                    values.extend(page.records.into_iter().map(|record| record.value));
                     next = page.next;
                     if next >= page.end {
-                        return next;
+                        return (values, next);
                     }
                 }
                 Err(ReadFault::Expired(first)) => next = first,
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -40,6 +40,9 @@
 /// Longest wait for the answer of the owner before it is asked again.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Part of a caller's time that is left for the answer of the owner's process, which is a refusal only if it comes.
+const RELAY_MARGIN: Duration = Duration::from_millis(200);
+
 /// Where the owner of the cell is reached.
 #[derive(Clone, Debug)]
 pub enum OwnerRoute {
@@ -126,7 +129,8 @@
     until: Instant,
 ) -> Result<RelayOutcome, String> {
     let left = until.saturating_duration_since(Instant::now());
-    let time_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let time = left.saturating_sub(RELAY_MARGIN);
+    let time_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let mut client = client.clone();
     let call = client.relay(RelayRequest { record: record.to_vec(), time_ms });
     match tokio::time::timeout(left, call).await {
