Follow the store's speed with timeouts, let late signs of life not count

Cause: with writes stored up to 6 s late, signs of life of an owner that was cut off kept others from claiming for 3 s; each lost answer of the store cost 1.5 s.

--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -3,6 +3,7 @@
 //! A cell is everything that one owner process decides for. The owner records each start and each end in its log
 //! before it acts on it, so that another process can take over by replaying the log.
 
+mod call_timing;
 mod cell_config;
 mod cell_effect;
 mod cell_event;
@@ -32,6 +33,7 @@
 mod worker_lease;
 mod worker_look;
 
+pub use call_timing::CallTiming;
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
 pub use cell_effect::{CellEffect, StartOrder, StopOrder};
 pub use cell_event::{CellEvent, OrderOutcome, WorkerListing};
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -17,7 +17,7 @@
 /// Connections to one worker: one look that waits, and orders.
 const CONNECTIONS: usize = 8;
 /// Longest wait for the answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a look beyond the wait for an end.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Header that names the worker that a call is for.
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -336,7 +336,8 @@
         if state.term.is_none() {
             return;
         }
-        let call = (self.store.append)(self.call(ClaimKind::Renew, None));
+        // At the end that is known now, so that a sign of life that is stored late does not count.
+        let call = (self.store.append)(self.call(ClaimKind::Renew, Some(self.watch.end())));
         actix_rt::spawn(async move {
             let outcome = call.await;
             if !matches!(outcome, AppendOutcome::Stored(_)) {
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use tonic::transport::Channel;
 
-use crate::kernel::cell::StoreHealth;
+use crate::kernel::cell::{CallTiming, StoreHealth};
 use crate::prelude::*;
 use crate::proto::cell::RelayOutcome;
 use crate::proto::cell::cell_client::CellClient;
@@ -17,8 +17,10 @@
 use crate::tasks::cell::peer;
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
 
-/// Longest wait for one append; a repeated one does no harm, as jobs are known by their ids.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Bounds on the wait for one append; a repeated one does no harm, as jobs are known by their ids.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(300);
+/// See [`SHORTEST_TIMEOUT`]; the store needs up to a second when it is slow.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Shortest wait for one append whose callers have little time left.
 const SHORTEST_APPEND: Duration = Duration::from_millis(150);
 /// Wait before an append is repeated.
@@ -56,6 +58,8 @@
     store: StorePort,
     partition: PartitionNumber,
     health: StoreHealth,
+    timing: CallTiming,
+    sent: Instant,
     waiting: Vec<QueuedRecord>,
     flight: Option<(Vec<QueuedRecord>, LocalBoxFuture<'static, AppendOutcome>)>,
     retry_at: Option<Instant>,
@@ -68,10 +72,13 @@
     #[must_use]
     pub fn new(store: StorePort, partition: PartitionNumber, metrics: CellMetrics) -> Self {
         let health = StoreHealth::default();
+        let timing = CallTiming::new(SHORTEST_TIMEOUT, LONGEST_TIMEOUT);
         Self {
             store,
             partition,
             health,
+            timing,
+            sent: Instant::now(),
             waiting: Vec::new(),
             flight: None,
             retry_at: None,
@@ -165,8 +172,9 @@
             records: group.iter().map(|record| record.value.clone()).collect(),
             at: None,
             stamp: None,
-            timeout: left.clamp(SHORTEST_APPEND, APPEND_TIMEOUT),
+            timeout: left.max(SHORTEST_APPEND).min(self.timing.timeout()),
         };
+        self.sent = Instant::now();
         let call = (self.store.append)(call);
         self.flight = Some((group, call.boxed_local()));
     }
@@ -175,6 +183,7 @@
         let now = Instant::now();
         if let AppendOutcome::Stored(offset) = outcome {
             self.health.succeed();
+            self.timing.answer(now.saturating_duration_since(self.sent));
             for record in group {
                 let took = now.saturating_duration_since(record.added).as_millis();
                 log::info!(job = &*record.id, kind = record.kind, partition = self.partition, offset = offset,
@@ -187,6 +196,9 @@
         self.health.fail(now);
         log::info!(records = group.len(), outcome:%; "append of submissions failed");
         let unsure = !matches!(outcome, AppendOutcome::Refused(_));
+        if unsure {
+            self.timing.miss();
+        }
         let group =
             group.into_iter().map(|record| QueuedRecord { unsure: record.unsure || unsure, ..record });
         let (relayed, kept): (Vec<_>, Vec<_>) = group.partition(|record| record.relay.is_some());
--- a/src/tasks/cell/term_log.rs
+++ b/src/tasks/cell/term_log.rs
@@ -4,6 +4,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
+use crate::kernel::cell::CallTiming;
 use crate::prelude::*;
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort, WriterStamp};
 
@@ -11,8 +12,10 @@
 pub const CELL_TOPIC: &str = "cell";
 /// Name of the owner as a writer, in all its lives.
 const WRITER: &str = "owner";
-/// Longest wait for an append before it is repeated; the store recognises the repetition.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Bounds on the wait for an append before it is repeated; the store recognises the repetition.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// See [`SHORTEST_TIMEOUT`]; the store needs up to a second when it is slow.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Wait before an append is repeated.
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 /// Time without an answer after which no more starts are decided.
@@ -24,6 +27,7 @@
 pub struct TermLog<T> {
     store: StorePort,
     token: FencingToken,
+    timing: CallTiming,
     sequence: u64,
     records: Vec<Bytes>,
     waiting: Vec<T>,
@@ -61,7 +65,8 @@
     /// Returns the log of a term.
     #[must_use]
     pub const fn new(store: StorePort, token: FencingToken) -> Self {
-        Self { store, token, sequence: 0, records: Vec::new(), waiting: Vec::new(), flight: None }
+        let timing = CallTiming::new(SHORTEST_TIMEOUT, LONGEST_TIMEOUT);
+        Self { store, token, timing, sequence: 0, records: Vec::new(), waiting: Vec::new(), flight: None }
     }
 
     /// Adds a record.
@@ -105,7 +110,7 @@
             records: records.clone(),
             at: None,
             stamp: Some(WriterStamp { writer: WRITER, epoch: self.token, sequence: self.sequence }),
-            timeout: APPEND_TIMEOUT,
+            timeout: self.timing.timeout(),
         };
         let append = self.store.append.clone();
         let result = async move {
@@ -125,6 +130,7 @@
         let Some(flight) = self.flight.take() else { return std::future::pending().await };
         match outcome {
             AppendOutcome::Stored(_) => {
+                self.timing.answer(flight.sent.0.elapsed());
                 let (fresh, took) = (is_fresh(flight.sent), flight.begun.elapsed());
                 TermProgress::Stored { fresh, took, released: flight.waiting }
             }
@@ -134,6 +140,9 @@
                 TermProgress::Stored { fresh: false, took, released: flight.waiting }
             }
             AppendOutcome::Refused(_) | AppendOutcome::Unknown(_) => {
+                if matches!(outcome, AppendOutcome::Unknown(_)) {
+                    self.timing.miss();
+                }
                 self.send(flight.records, flight.waiting, flight.begun, RETRY_WAIT);
                 TermProgress::Repeated(outcome)
             }
@@ -152,7 +161,7 @@
             records: Vec::new(),
             at: None,
             stamp: Some(WriterStamp { writer: WRITER, epoch: token, sequence: 0 }),
-            timeout: APPEND_TIMEOUT,
+            timeout: LONGEST_TIMEOUT,
         }
     }
 }
