--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -22,10 +22,10 @@
 /// What a worker saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerEvent {
-    /// A run began.
-    Started(String, u64),
-    /// A run ended; whether its work is done.
-    Ended(String, u64, bool),
+    /// A run began: the worker, the task and the run.
+    Started(String, String, u64),
+    /// A run ended: the worker, the task, the run and whether its work is done.
+    Ended(String, String, u64, bool),
 }
 
 #[derive(Default, Deserialize)]
@@ -182,7 +182,7 @@
             let ends = Instant::now() + time.map_or(RUN_TIME, Duration::from_millis);
             self.running.insert(order.task.clone(), RunState { run: order.run, ends });
             self.barred.insert(order.task.clone(), order.run);
-            let _ = self.events.send(WorkerEvent::Started(order.task.clone(), order.run));
+            let _ = self.events.send(WorkerEvent::Started(self.name.clone(), order.task.clone(), order.run));
         }
         (StatusCode::OK, json!({"clock_ms": self.clock()}))
     }
@@ -201,7 +201,12 @@
         self.last += 1;
         self.finished.push((self.last, task.to_owned(), state.run, how));
         log::debug!(worker = &*self.name, task = task, how = how; "run ended");
-        let _ = self.events.send(WorkerEvent::Ended(task.to_owned(), state.run, how == "done"));
+        let _ = self.events.send(WorkerEvent::Ended(
+            self.name.clone(),
+            task.to_owned(),
+            state.run,
+            how == "done",
+        ));
     }
 
     fn clock(&self) -> u64 {
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -1,68 +1,21 @@
 //! Entry processes over sockets against the fakes of the platform: whole sessions of callers.
 
+mod fixture_platform;
+
 use std::time::{Duration, Instant};
 
-use godwithaven::prelude::{FastMap, FastSet};
+use fixture_platform::{Platform, RunTally, job, platform, settings};
 use godwithaven::tasks::cell::ports::CellAdapter;
 use godwithaven::tasks::cell::process::CellProcess;
-use godwithaven_standins::platform::{AdvisorStandin, PlatformWorker, StoreStandin, WorkerEvent};
 use googletest::prelude::*;
-use serde_json::{Value, json};
-use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
+use serde_json::Value;
 
 /// Longest wait for what a session expects; far above what it takes, as machines may be busy.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The platform with its workers, and what these saw.
-struct Platform {
-    store: StoreStandin,
-    advisor: AdvisorStandin,
-    events: mpsc::UnboundedReceiver<WorkerEvent>,
-    directory: std::path::PathBuf,
-    token: CancellationToken,
-}
-
-async fn platform(name: &str, workers: usize) -> Platform {
-    let token = CancellationToken::new();
-    let store = StoreStandin::start(token.clone()).await.expect("a port is free");
-    let advisor = AdvisorStandin::start(token.clone()).await.expect("a port is free");
-    let (sender, events) = mpsc::unbounded_channel();
-    for number in 0..workers {
-        let name = format!("w{number}");
-        PlatformWorker::start(&name, &store, sender.clone(), token.clone()).await.expect("a port is free");
-    }
-    store.publish("keyed.op", "config", &configuration().to_string()).await;
-    let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::create_dir_all(&directory).expect("the directory can be made");
-    Platform { store, advisor, events, directory, token }
-}
-
-fn configuration() -> Value {
-    json!({
-        "version": 1,
-        "routes": [{
-            "name": "q", "host": "host.example", "path_prefix": "/jobs/", "priority": 0, "service": "planner",
-            "max_attempts": 2, "stretch": 2.0, "target_latency_ms": 500, "public": false,
-            "advice": {"decision_ms": 1.0, "each_ms": 0.1, "validity_ms": 2_000},
-        }],
-        "services": [{"name": "planner"}],
-        "limits": {"max_body_bytes": 262_144},
-        "tenants": [{"name": "blue", "api_keys": ["secret"], "weight": 10, "maximum": {"cpu": 0}}],
-    })
-}
-
 /// Starts an entry process on the ports from `first` on and returns it with the address for callers.
 async fn entry(platform: &Platform, name: &str, first: u16) -> (CellProcess, String) {
-    let (store, advisor) = (platform.store.address, platform.advisor.address);
-    let (ready, control, internal) = (first + 1, first + 2, first + 3);
-    let settings = format!(
-        "node={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{first}\nlisten.ready=127.0.0.1:{ready}\n\
-         listen.control=127.0.0.1:{control}\ninternal_ports={internal},{internal}\nplatform.address={store}\n\
-         advice={advisor}\nlimits.cpu_share=0.25\nbounds.max_hold_ms=10000\nbounds.grace_s=6\nunknown.field=1\n"
-    );
-    let path = platform.directory.join(format!("{name}.conf"));
-    std::fs::write(&path, settings).expect("the file can be written");
+    let path = settings(platform, name, first);
     let (adapter, _) = CellAdapter::find(|_| Some(String::new())).expect("the adapter is linked");
     let settings = (adapter.load)(&path.to_string_lossy()).expect("the settings are valid");
     let process = CellProcess::start(adapter, settings).await.expect("the ports are free");
@@ -106,37 +59,6 @@
     }
 }
 
-fn job(text: &str) -> Value {
-    json!({"spec": text, "steps": [
-        {"count": 3, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100},
-        {"count": 2, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100, "after": [0]},
-    ]})
-}
-
-/// Returns tasks that ran twice at once, or again after they were done.
-fn doubled(events: &mut mpsc::UnboundedReceiver<WorkerEvent>) -> Vec<String> {
-    let (mut running, mut done) = (FastMap::<String, u32>::default(), FastSet::default());
-    let mut doubled = Vec::new();
-    while let Ok(event) = events.try_recv() {
-        match event {
-            WorkerEvent::Started(task, _) => {
-                let count = running.entry(task.clone()).or_default();
-                *count += 1;
-                if *count > 1 || done.contains(&task) {
-                    doubled.push(task);
-                }
-            }
-            WorkerEvent::Ended(task, _, finished) => {
-                running.entry(task.clone()).and_modify(|count| *count -= 1);
-                if finished {
-                    done.insert(task);
-                }
-            }
-        }
-    }
-    doubled
-}
-
 /// Guards the whole path: a call is stored, its tasks run in order and its state is told at any process.
 #[gtest]
 #[actix_rt::test]
@@ -153,14 +75,14 @@
     let (pending_status, pending) = call("GET", &format!("{far}/jobs/"), None, &[200]).await;
     let (no_queue, _) = call("GET", &format!("{near}/other/00000000000000a1"), None, &[404]).await;
     let (bad, _) = call("POST", &format!("{near}/jobs/xyz"), Some(job("")), &[400]).await;
-    let doubled = doubled(&mut platform.events);
+    let tally = RunTally::of(&mut platform.events);
     platform.token.cancel();
 
     verify_that!((accepted, repeated), eq((200, 200)))?;
     verify_that!(state, eq("completed"))?;
     verify_that!((unknown, no_queue, bad), eq((410, 404, 400)))?;
     verify_that!((pending_status, pending["pending"].as_u64()), eq((200, Some(0))))?;
-    verify_that!(doubled, is_empty())
+    verify_that!(tally.doubled, is_empty())
 }
 
 /// Guards against a job that is lost or run twice when its owner stops and another process takes over.
@@ -176,12 +98,12 @@
 
     first.stop().await;
     let state = await_state(&format!("{far}{path}"), "completed").await;
-    let doubled = doubled(&mut platform.events);
+    let tally = RunTally::of(&mut platform.events);
     platform.token.cancel();
 
     verify_that!(running, eq("running"))?;
     verify_that!(state, eq("completed"))?;
-    verify_that!(doubled, is_empty())
+    verify_that!(tally.doubled, is_empty())
 }
 
 /// Guards against jobs that are accepted without being stored, and against running work that an outage breaks off.
@@ -199,13 +121,13 @@
     platform.store.set_down(false);
     let kept = await_state(&url("00000000000000c1"), "completed").await;
     let (status, _) = call("GET", &url("00000000000000c2"), None, &[410]).await;
-    let doubled = doubled(&mut platform.events);
+    let tally = RunTally::of(&mut platform.events);
     platform.token.cancel();
 
     verify_that!(refused, eq(503))?;
     verify_that!(kept, eq("completed"))?;
     verify_that!(status, eq(410))?;
-    verify_that!(doubled, is_empty())
+    verify_that!(tally.doubled, is_empty())
 }
 
 /// Guards against settings that are only partly checked, so that an operator mends them one by one.
--- /dev/null
+++ b/tests/fixture_platform/mod.rs
@@ -0,0 +1,127 @@
+//! Fakes of the users' platform, and a tally of what their workers saw.
+
+#![allow(dead_code, reason = "each test program uses a part of the fixture")]
+
+use std::path::PathBuf;
+
+use godwithaven::prelude::{FastMap, FastSet};
+use godwithaven_standins::platform::{AdvisorStandin, PlatformWorker, StoreStandin, WorkerEvent};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Tasks of one core that a worker holds.
+const WORKER_TASKS: usize = 8;
+
+/// The platform with its workers, and what these saw.
+pub struct Platform {
+    pub store: StoreStandin,
+    pub advisor: AdvisorStandin,
+    pub events: mpsc::UnboundedReceiver<WorkerEvent>,
+    pub directory: PathBuf,
+    pub token: CancellationToken,
+}
+
+/// Starts the platform with a number of workers.
+pub async fn platform(name: &str, workers: usize) -> Platform {
+    let token = CancellationToken::new();
+    let store = StoreStandin::start(token.clone()).await.expect("a port is free");
+    let advisor = AdvisorStandin::start(token.clone()).await.expect("a port is free");
+    let (sender, events) = mpsc::unbounded_channel();
+    for number in 0..workers {
+        let name = format!("w{number}");
+        PlatformWorker::start(&name, &store, sender.clone(), token.clone()).await.expect("a port is free");
+    }
+    store.publish("keyed.op", "config", &configuration().to_string()).await;
+    let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&directory).expect("the directory can be made");
+    Platform { store, advisor, events, directory, token }
+}
+
+/// Returns a configuration with one queue and one team.
+pub fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "q", "host": "host.example", "path_prefix": "/jobs/", "priority": 0, "service": "planner",
+            "max_attempts": 2, "stretch": 2.0, "target_latency_ms": 500, "public": false,
+            "advice": {"decision_ms": 1.0, "each_ms": 0.1, "validity_ms": 2_000},
+        }],
+        "services": [{"name": "planner"}],
+        "limits": {"max_body_bytes": 262_144},
+        "tenants": [{"name": "blue", "api_keys": ["secret"], "weight": 10, "maximum": {"cpu": 0}}],
+    })
+}
+
+/// Writes the settings of an entry process on the ports from `first` on, and returns their path.
+pub fn settings(platform: &Platform, name: &str, first: u16) -> PathBuf {
+    let (store, advisor) = (platform.store.address, platform.advisor.address);
+    let (ready, control, internal) = (first + 1, first + 2, first + 3);
+    let settings = format!(
+        "node={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{first}\nlisten.ready=127.0.0.1:{ready}\n\
+         listen.control=127.0.0.1:{control}\ninternal_ports={internal},{internal}\nplatform.address={store}\n\
+         advice={advisor}\nlimits.cpu_share=0.25\nbounds.max_hold_ms=10000\nbounds.grace_s=6\nunknown.field=1\n"
+    );
+    let path = platform.directory.join(format!("{name}.conf"));
+    std::fs::write(&path, settings).expect("the file can be written");
+    path
+}
+
+/// Returns a job of two steps with five tasks.
+pub fn job(text: &str) -> Value {
+    json!({"spec": text, "steps": [
+        {"count": 3, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100},
+        {"count": 2, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 100, "after": [0]},
+    ]})
+}
+
+/// What the workers saw so far.
+#[derive(Debug, Default)]
+pub struct RunTally {
+    /// Tasks that ran twice at once, or again after they were done.
+    pub doubled: Vec<String>,
+    /// Workers that ran more than they hold.
+    pub overfull: Vec<String>,
+    /// Tasks that are done.
+    pub done: FastSet<String>,
+    running: FastMap<String, u32>,
+    by_worker: FastMap<String, usize>,
+}
+
+impl RunTally {
+    /// Returns the tally of all events so far.
+    pub fn of(events: &mut mpsc::UnboundedReceiver<WorkerEvent>) -> Self {
+        let mut tally = Self::default();
+        tally.take(events);
+        tally
+    }
+
+    /// Adds further events.
+    pub fn take(&mut self, events: &mut mpsc::UnboundedReceiver<WorkerEvent>) {
+        while let Ok(event) = events.try_recv() {
+            match event {
+                WorkerEvent::Started(worker, task, _) => self.start(worker, task),
+                WorkerEvent::Ended(worker, task, _, finished) => {
+                    self.running.entry(task.clone()).and_modify(|count| *count -= 1);
+                    self.by_worker.entry(worker).and_modify(|count| *count -= 1);
+                    if finished {
+                        self.done.insert(task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, worker: String, task: String) {
+        let count = self.running.entry(task.clone()).or_default();
+        *count += 1;
+        if *count > 1 || self.done.contains(&task) {
+            self.doubled.push(task);
+        }
+        let held = self.by_worker.entry(worker.clone()).or_default();
+        *held += 1;
+        if *held > WORKER_TASKS {
+            self.overfull.push(worker);
+        }
+    }
+}
