--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -4,7 +4,7 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobLateness, JobStatus,
     OccurrenceState, PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepSpec, StepState,
-    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState,
+    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
 };
 use crate::prelude::*;
 
@@ -51,6 +51,8 @@
     pub rates: SubmitRate,
     /// Run times of the queues.
     pub run_times: RunTimes,
+    /// What teams keep free for urgent tasks.
+    pub headroom: YieldHeadroom,
     /// What all listed workers hold.
     pub capacity: ResourceVector,
     /// Wall clock since 1970 at the last tick.
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -32,6 +32,7 @@
 mod victim_search;
 mod worker_lease;
 mod worker_look;
+mod yield_headroom;
 
 pub use call_timing::CallTiming;
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
@@ -62,3 +63,4 @@
 pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::WorkerLease;
 pub use worker_look::{EndCause, EndedRun, RunningRun, WorkerLook};
+pub use yield_headroom::YieldHeadroom;
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -135,12 +135,20 @@
         if spec.team.is_empty() {
             return (waiting, waiting);
         }
+        let urgent = step.lasting || step.gang || state.order.is_some_and(|order| order.priority == 0);
         let room = self.state.shares.room(&spec.team);
+        let room = if urgent { room } else { room.minus(self.headroom(&spec.team)) };
         let room = if step.need.fits(room) { step.need.count_in(room) } else { 0 };
         let allowed = u32::try_from(room).unwrap_or(u32::MAX).min(waiting);
         (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
     }
 
+    /// Returns how much of its limit a team keeps free for urgent tasks.
+    fn headroom(&self, team: &TeamId) -> ResourceVector {
+        let limit = self.state.config.teams.get(team).map(|rule| rule.limit).unwrap_or_default();
+        self.state.headroom.kept(team, limit, self.now)
+    }
+
     /// Stops less urgent tasks of a team at its limit for missing tasks.
     fn make_room_in_team(&mut self, key: &StepKey, rank: TaskRank, missing: u32) {
         let Some((spec, step, _)) = self.state.step(key) else { return };
@@ -173,6 +181,7 @@
             let sum = stopping.entry(team.clone()).or_default();
             *sum = sum.plus(need);
         }
+        self.state.headroom.note(team, need, self.now);
     }
 
     /// Returns what the tasks of a team use that are being stopped.
