Look less often at idle workers, compare a window of workers for each step

Cause: at 300 own VMs and 3,001 workers the owner used its whole quarter of a core (23%), on looks and on comparing all workers for each waiting step.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -179,6 +179,7 @@
             worker.listed &= named.contains(&worker.listing.worker);
         }
         self.state.pools.clear();
+        self.state.racks.clear();
         self.state.capacity = ResourceVector::default();
         for listing in listings {
             self.list_worker(listing, now);
@@ -193,6 +194,9 @@
         let open = !self.state.closed_zones.contains(&listing.zone);
         self.state.capacity = self.state.capacity.plus(listing.capacity);
         self.state.pools.entry(listing.service.clone()).or_default().push(slot);
+        if let Some(rack) = &listing.rack {
+            self.state.racks.entry(rack.clone()).or_default().push(slot);
+        }
         let Some(worker) = self.state.worker_mut(slot) else { return };
         worker.listed = true;
         worker.zone_open = open;
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -37,6 +37,8 @@
     slots: FastMap<WorkerId, u32>,
     /// Slots of the listed workers of each service.
     pub pools: FastMap<ServiceId, Vec<u32>>,
+    /// Slots of the listed workers of each rack.
+    pub racks: FastMap<RackId, Vec<u32>>,
     /// Accepted jobs, and closed ones for a time.
     pub jobs: FastMap<JobId, CellJob>,
     /// Jobs that were cancelled before their submission was read, by the time of that.
--- a/src/kernel/cell/permit_book.rs
+++ b/src/kernel/cell/permit_book.rs
@@ -36,6 +36,12 @@
         self.asking = true;
     }
 
+    /// Returns the number of workers that the advisor was asked about.
+    #[must_use]
+    pub fn verdicts(&self) -> usize {
+        self.verdicts.len()
+    }
+
     /// Whether a question is open.
     #[must_use]
     pub const fn is_asking(&self) -> bool {
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -1,4 +1,7 @@
 use std::cmp::Reverse;
+use std::hash::{BuildHasher, BuildHasherDefault};
+
+use rustc_hash::FxHasher;
 
 use crate::kernel::cell::{
     CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey, TaskRank,
@@ -8,6 +11,8 @@
 
 /// Most workers that one question to the advisor may name.
 const MOST_ASKED: usize = 40;
+/// Workers of a service that are compared for one step; more of them cost time and give hardly better places.
+const WINDOW: usize = 128;
 /// Steps that are looked at in one pass, so that a long queue does not slow it down.
 const MOST_STEPS: usize = 300;
 /// Waiting steps of a service whose permits are renewed ahead, so that room that becomes free is used at once.
@@ -206,7 +211,13 @@
         let Some(pool) = self.state.pools.get(&placed.rule.service) else { return Vec::new() };
         let with_permits = placed.rule.permits.is_some();
         let mut candidates = Vec::new();
-        for slot in pool {
+        let near =
+            step.rack.as_ref().and_then(|rack| self.state.racks.get(rack)).map_or(&[][..], |slots| slots);
+        let of_service = |slot: &&u32| {
+            self.state.worker(**slot).is_some_and(|worker| worker.listing.service == placed.rule.service)
+        };
+        let window = search_window(placed.key, pool, state.permits.verdicts());
+        for slot in window.chain(near.iter().filter(of_service)) {
             let Some(worker) = self.state.worker(*slot) else { continue };
             let capacity = worker.listing.capacity;
             if !placed.reserved.fits(capacity) || !worker.is_open(self.now) || !worker.suits(step) {
@@ -230,6 +241,7 @@
             candidates.push(Candidate { slow, far, score, slot: *slot, count, most });
         }
         candidates.sort_unstable();
+        candidates.dedup_by_key(|candidate| candidate.slot);
         candidates
     }
 
@@ -420,6 +432,15 @@
     }
 }
 
+/// Returns a part of a pool, the same one for a step at each pass; it grows with the verdicts of the advisor.
+fn search_window<'p>(key: &StepKey, pool: &'p [u32], verdicts: usize) -> impl Iterator<Item = &'p u32> {
+    let size = WINDOW + verdicts * 2;
+    let hash = BuildHasherDefault::<FxHasher>::default().hash_one(key);
+    let from = usize::try_from(hash % pool.len().max(1) as u64).unwrap_or_default();
+    let from = if pool.len() <= size { 0 } else { from };
+    pool[from..].iter().chain(&pool[..from]).take(size)
+}
+
 /// Scores a worker for a step; the highest comes first.
 fn score(step: &StepSpec, free: ResourceVector, capacity: ResourceVector) -> i64 {
     let part = |free: u64, whole: u64| {
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -12,8 +12,10 @@
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ports::{LookCall, LookOutcome, OrderAnswer, WorkerPort};
 
-/// How long a worker may wait for an end before it answers a look.
+/// How long a worker may wait for an end before it answers a look; its answer also tells how far its tasks are.
 const LOOK_WAIT: Duration = Duration::from_secs(1);
+/// The same for a worker without tasks, the longest that the platform's workers wait.
+const IDLE_LOOK_WAIT: Duration = Duration::from_secs(2);
 /// Wait before a worker that did not answer is looked at again.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// Longest wait for the owner to record ends before the worker is looked at again to keep its lease.
@@ -59,6 +61,8 @@
     reported: EndNumber,
     /// Whether the last look was answered.
     answered: bool,
+    /// Whether it named no task.
+    idle: bool,
     /// When the next look is sent, if not at once.
     not_before: Option<Instant>,
 }
@@ -67,8 +71,14 @@
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<LinkMessage>, token: CancellationToken) {
         let mut orders: FuturesUnordered<LocalBoxFuture<'static, LinkAnswer>> = FuturesUnordered::new();
-        let mut looks =
-            LookState { born: None, acknowledged: 0, reported: 0, answered: false, not_before: None };
+        let mut looks = LookState {
+            born: None,
+            acknowledged: 0,
+            reported: 0,
+            answered: false,
+            idle: false,
+            not_before: None,
+        };
         let mut look: Option<LocalBoxFuture<'static, LookOutcome>> = None;
         loop {
             let pause = looks.pause();
@@ -103,6 +113,7 @@
     ) {
         match message {
             LinkMessage::Start(order) => {
+                looks.idle = false;
                 let Some(lease) = self.lease.grant(Instant::now()) else {
                     let answer = OrderAnswer { outcome: OrderOutcome::NotSent, clock: None };
                     orders.push(Box::pin(async move { LinkAnswer::Start(order, answer) }));
@@ -130,7 +141,11 @@
         let now = Instant::now();
         let lease = if looks.answered { self.lease.grant(now) } else { None };
         // The first look learns the clock at once; one that waits for nothing new returns at once anyway.
-        let wait = if looks.answered { LOOK_WAIT } else { Duration::ZERO };
+        let wait = match (looks.answered, looks.idle) {
+            (false, _) => Duration::ZERO,
+            (true, false) => LOOK_WAIT,
+            (true, true) => IDLE_LOOK_WAIT,
+        };
         // Another life may answer, whose ends have the same numbers.
         let acknowledged = if looks.answered { looks.acknowledged } else { 0 };
         let call = LookCall { token: self.token, acknowledged, lease, wait };
@@ -166,6 +181,7 @@
                 }
                 self.lease.note_clock(clock, now);
                 looks.answered = true;
+                looks.idle = look.running.is_empty();
                 looks.reported = look.ended.iter().map(|end| end.number).max().unwrap_or_default();
                 if looks.reported > 0 {
                     looks.not_before = Some(now + ACKNOWLEDGE_WAIT);
