Wait longer for appends of submissions while the store is slow

Calls go to the owner's process only if the store refuses or misses twice; eight partitions take submissions.

--- a/src/kernel/cell/call_timing.rs
+++ b/src/kernel/cell/call_timing.rs
@@ -36,6 +36,12 @@
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + took.mul_f64(NEWEST);
     }
 
+    /// Returns how many answers in a row did not come.
+    #[must_use]
+    pub const fn misses(&self) -> u32 {
+        self.failures
+    }
+
     /// Notes that no answer came in time.
     pub const fn miss(&mut self) {
         self.failures = self.failures.saturating_add(1);
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -15,7 +15,7 @@
 /// Topic of submissions and cancellations.
 pub const JOB_TOPIC: &str = "jobs";
 /// Partitions of the topic, so that many processes can append at once while the store is slow.
-pub const JOB_PARTITIONS: PartitionNumber = 4;
+pub const JOB_PARTITIONS: PartitionNumber = 8;
 /// Part of the caller's time that is left for the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time of a call that names no deadline.
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -18,9 +18,11 @@
 use crate::tasks::cell::ports::{AppendCall, AppendOutcome, StorePort};
 
 /// Bounds on the wait for one append; a repeated one does no harm, as jobs are known by their ids.
-const SHORTEST_TIMEOUT: Duration = Duration::from_millis(300);
-/// See [`SHORTEST_TIMEOUT`]; the store needs up to a second when it is slow.
-const LONGEST_TIMEOUT: Duration = Duration::from_millis(1_300);
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(900);
+/// See [`SHORTEST_TIMEOUT`]; while the store is slow, a repetition only lengthens its queue.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(2_400);
+/// Appends in a row without an answer after which the store counts as out of reach, and not only as slow.
+const MOST_MISSES: u32 = 2;
 /// Shortest wait for one append whose callers have little time left.
 const SHORTEST_APPEND: Duration = Duration::from_millis(150);
 /// Wait before an append is repeated.
@@ -60,6 +62,8 @@
     health: StoreHealth,
     timing: CallTiming,
     sent: Instant,
+    /// Whether the store refuses this process or is out of its reach, so that another one may do better.
+    turned_away: bool,
     waiting: Vec<QueuedRecord>,
     flight: Option<(Vec<QueuedRecord>, LocalBoxFuture<'static, AppendOutcome>)>,
     retry_at: Option<Instant>,
@@ -79,6 +83,7 @@
             health,
             timing,
             sent: Instant::now(),
+            turned_away: false,
             waiting: Vec::new(),
             flight: None,
             retry_at: None,
@@ -111,8 +116,8 @@
         let record = QueuedRecord { id, kind, value, added: now, until, unsure: false, relay, reply };
         let failing = self.health.failing_for(now);
         // Some calls go on to the store, to find out when the outage ends.
-        let probes =
-            failing.is_zero() || (self.flight.is_none() && self.waiting.is_empty() && self.may_probe(now));
+        let idle = self.flight.is_none() && self.waiting.is_empty();
+        let probes = !self.turned_away || (idle && self.may_probe(now));
         if probes {
             self.waiting.push(record);
         } else if record.relay.is_some() {
@@ -183,6 +188,7 @@
         let now = Instant::now();
         if let AppendOutcome::Stored(offset) = outcome {
             self.health.succeed();
+            self.turned_away = false;
             self.timing.answer(now.saturating_duration_since(self.sent));
             for record in group {
                 let took = now.saturating_duration_since(record.added).as_millis();
@@ -199,9 +205,12 @@
         if unsure {
             self.timing.miss();
         }
+        self.turned_away = !unsure || self.timing.misses() >= MOST_MISSES;
+        let turned_away = self.turned_away;
         let group =
             group.into_iter().map(|record| QueuedRecord { unsure: record.unsure || unsure, ..record });
-        let (relayed, kept): (Vec<_>, Vec<_>) = group.partition(|record| record.relay.is_some());
+        let (relayed, kept): (Vec<_>, Vec<_>) =
+            group.partition(|record| turned_away && record.relay.is_some());
         for record in relayed {
             actix_rt::spawn(record.hand_over(self.wait(now)));
         }
