--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,9 +2,9 @@
 
 use crate::kernel::ShareLedger;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobLateness, JobStatus,
-    OccurrenceState, PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepSpec, StepState,
-    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
+    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobStatus, OccurrenceState,
+    PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepRanking, StepSpec, StepState, StopOrder,
+    SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
 };
 use crate::prelude::*;
 
@@ -12,16 +12,12 @@
 const RESTART_BACKOFF: Duration = Duration::from_millis(500);
 /// Run time below which the end of a lasting task counts as soon.
 const SHORT_RUN: Duration = Duration::from_secs(2);
-/// Part of the expected rest of a job that has to fit before its objective; expectations are often too long.
-const HOPEFUL_REST_PERCENT: u32 = 70;
 /// Time in which the start of a task has to be recorded and sent.
 const ORDER_LIFE: Duration = Duration::from_millis(800);
 /// Wait of a task that yielded before it starts again; it doubles each time.
 const EVICTION_BACKOFF: Duration = Duration::from_millis(400);
 /// Doublings of that wait at most, so that it stays near three seconds.
 const MOST_EVICTION_DOUBLINGS: u32 = 3;
-/// Objectives after which a completed job earns nothing.
-const LATEST_OBJECTIVES: u32 = 3;
 /// Time between two stops of the same run, which may have got lost.
 const STOP_RETRY: Duration = Duration::from_millis(400);
 
@@ -135,7 +131,7 @@
             .collect();
         for step in due {
             let key = StepKey { job: id.clone(), occurrence, step };
-            let order = self.order_of(&key, now);
+            let order = StepRanking { state: self }.order(&key, now);
             if let Some(state) = self.step_mut(&key) {
                 state.order = Some(order);
                 if !state.waiting.is_empty() {
@@ -145,52 +141,12 @@
         }
     }
 
-    /// Returns the place of a step in the order of starts.
-    fn order_of(&self, key: &StepKey, now: Instant) -> StepOrder {
-        let Some(job) = self.jobs.get(&key.job) else {
-            let lateness = JobLateness::Worthless;
-            return StepOrder {
-                excess: true,
-                priority: u32::MAX,
-                worthless: true,
-                latest_start: now,
-                lateness,
-            };
-        };
-        let priority = self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
-        let objective = self.objective(&job.spec);
-        let age = self.wall.saturating_sub(job.spec.due(key.occurrence));
-        let rest = job.spec.estimated_rest(key.step);
-        let rest = self.run_times.expect(&job.spec.queue, rest).unwrap_or(rest);
-        // A job that can hardly be complete in time gives way to those that can, or all of them would be late.
-        let lateness = match age + rest * HOPEFUL_REST_PERCENT / 100 {
-            end if end < objective => JobLateness::InTime,
-            end if end < objective * LATEST_OBJECTIVES => JobLateness::Late,
-            _ => JobLateness::Worthless,
-        };
-        let begun = now.checked_sub(age).unwrap_or(now);
-        let limit = match lateness {
-            JobLateness::InTime => objective,
-            JobLateness::Late | JobLateness::Worthless => objective * LATEST_OBJECTIVES,
-        };
-        let latest_start = (begun + limit).checked_sub(rest).unwrap_or(begun);
-        let worthless = lateness == JobLateness::Worthless;
-        StepOrder { excess: job.excess, priority, worthless, latest_start, lateness }
-    }
-
-    /// Returns the time within which a job should be complete.
-    fn objective(&self, spec: &GraphSpec) -> Duration {
-        let Some(rule) = self.config.queues.get(&spec.queue) else { return Duration::ZERO };
-        let chain = spec.estimated_chain().as_secs_f64() * rule.stretch;
-        rule.target + Duration::try_from_secs_f64(chain).unwrap_or_default()
-    }
-
     /// Moves ready steps back whose jobs have become late since they were ordered.
     pub fn demote_late(&mut self, now: Instant) {
         let stale: Vec<(StepOrder, StepKey, StepOrder)> = self
             .ready
             .iter()
-            .map(|(order, key)| (*order, key.clone(), self.order_of(key, now)))
+            .map(|(order, key)| (*order, key.clone(), StepRanking { state: self }.order(key, now)))
             .filter(|(old, _, new)| old.lateness < new.lateness)
             .collect();
         for (old, key, new) in stale {
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod metrics;
 pub mod owner;
+mod owner_state;
 pub mod peer;
 pub mod ports;
 pub mod process;
