--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -54,8 +54,6 @@
     pub teams: FastMap<TeamId, TeamRule>,
     /// Teams by key.
     pub keys: FastMap<Arc<str>, TeamId>,
-    /// Largest body of a call in bytes.
-    pub body_limit: usize,
 }
 
 impl CellConfig {
--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -1,6 +1,19 @@
 use crate::kernel::cell::{CellRecord, PermitRule, StepKey, TaskKey, WorkerListing};
 use crate::prelude::*;
 
+/// What a start was decided by, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartInputs {
+    /// Version of the configuration.
+    pub config: BundleVersion,
+    /// Age of the worker's newest report.
+    pub report_age: Duration,
+    /// Time since the job became known.
+    pub waited: Duration,
+    /// What was free on the worker.
+    pub free: ResourceVector,
+}
+
 /// Starts a task on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartOrder {
@@ -16,6 +29,8 @@
     pub checkpoint: Option<CheckpointId>,
     /// Ticket by which the worker accepts the task.
     pub ticket: Option<PermitTicket>,
+    /// What it was decided by.
+    pub inputs: StartInputs,
     /// Time after which the order is not sent, as its ticket or its reasons no longer hold.
     pub expires: Instant,
 }
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -3,8 +3,8 @@
 use crate::kernel::ShareLedger;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndCause, GraphSpec, JobStatus, OccurrenceState,
-    PlacementPhase, RunTimes, StartOrder, StepKey, StepOrder, StepRanking, StepSpec, StepState, StopOrder,
-    SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
+    PlacementPhase, RunTimes, StartInputs, StartOrder, StepKey, StepOrder, StepRanking, StepSpec, StepState,
+    StopOrder, SubmitRate, TaskKey, TaskPlacement, TaskState, YieldHeadroom,
 };
 use crate::prelude::*;
 
@@ -164,6 +164,7 @@
         let Some(task) = state.tasks.get(key.index as usize) else { return };
         let payload = spec.payload.clone();
         let (run, checkpoint) = (task.last_run + 1, task.checkpoint.clone());
+        let Some(inputs) = self.inputs(key, slot, now) else { return };
         let Some(worker) = self.worker(slot).map(|worker| worker.listing.worker.clone()) else { return };
         self.effects.push(CellEffect::Record(CellRecord::Started(key.clone(), run, worker.clone())));
         let order = StartOrder {
@@ -173,12 +174,25 @@
             payload,
             checkpoint,
             ticket,
+            inputs,
             expires: now + ORDER_LIFE,
         };
         self.effects.push(CellEffect::Start(order));
         self.occupy(key, TaskPlacement::new(slot, run, PlacementPhase::Starting, now));
     }
 
+    /// Returns what a start is decided by.
+    fn inputs(&self, key: &TaskKey, slot: u32, now: Instant) -> Option<StartInputs> {
+        let worker = self.worker(slot)?;
+        let since = |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        Some(StartInputs {
+            config: self.config.version,
+            report_age: since(worker.looked_at),
+            waited: since(self.jobs.get(&key.step.job).map(|job| job.known_since)),
+            free: worker.free(),
+        })
+    }
+
     /// Starts all tasks of a gang with one run number, on the given workers.
     pub fn start_gang(&mut self, key: &StepKey, slots: &[(u32, Option<PermitTicket>)], now: Instant) {
         let Some(state) = self.step_mut(key) else { return };
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -19,6 +19,8 @@
     pub zone_open: bool,
     /// Whether it has answered a look and not been silent since.
     pub heard: bool,
+    /// When its newest report was asked for.
+    pub looked_at: Option<Instant>,
     /// When every lease that it may have is over.
     pub lease_over: Instant,
     /// Its present life.
@@ -47,6 +49,7 @@
             watched: false,
             zone_open: true,
             heard: false,
+            looked_at: None,
             lease_over,
             born: None,
             used: ResourceVector::default(),
--- a/src/kernel/cell/look_fold.rs
+++ b/src/kernel/cell/look_fold.rs
@@ -18,6 +18,9 @@
     pub fn apply(&mut self, look: WorkerLook) {
         let born = look.born;
         self.note_life(born);
+        if let Some(worker) = self.state.worker_mut(self.slot) {
+            worker.looked_at = Some(look.asked);
+        }
         let mut last = 0;
         for end in look.ended {
             last = last.max(end.number);
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -37,7 +37,7 @@
 
 pub use call_timing::CallTiming;
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
-pub use cell_effect::{CellEffect, StartOrder, StopOrder};
+pub use cell_effect::{CellEffect, StartInputs, StartOrder, StopOrder};
 pub use cell_event::{CellEvent, OrderOutcome, WorkerListing};
 pub use cell_job::{CellJob, OccurrenceState};
 pub use cell_record::CellRecord;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -11,8 +11,6 @@
 const CONFIG_KEY: &str = "config";
 /// Prefix of the keys of zones that are out of service.
 const ZONE_PREFIX: &str = "evacuate/";
-/// Largest body of a call if the configuration names no limit, in bytes.
-const DEFAULT_BODY_LIMIT: usize = 256 << 10;
 
 #[derive(Deserialize)]
 struct ConfigBody {
@@ -23,8 +21,6 @@
     /// Teams.
     #[serde(default)]
     tenants: Vec<TenantBody>,
-    #[serde(default)]
-    limits: LimitsBody,
 }
 
 #[derive(Deserialize)]
@@ -68,12 +64,6 @@
     maximum: ResourceBody,
 }
 
-#[derive(Default, Deserialize)]
-struct LimitsBody {
-    #[serde(default)]
-    max_body_bytes: Option<usize>,
-}
-
 /// Reads a change; an empty value says that the key was removed.
 pub fn operator_change(key: &str, value: &[u8]) -> Result<OperatorChange, String> {
     if let Some(zone) = key.strip_prefix(ZONE_PREFIX) {
@@ -95,7 +85,6 @@
             keys: keys.collect(),
             queues: body.routes.into_iter().map(queue).collect(),
             teams: body.tenants.into_iter().map(team).collect(),
-            body_limit: body.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_LIMIT),
         }
     }
 }
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -13,6 +13,7 @@
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
 use crate::tasks::cell::peer::{self, AssistSession, OwnerRoute};
+use crate::tasks::cell::pending::pending;
 use crate::tasks::cell::ports::{
     AdvisorPort, AppendCall, AppendOutcome, CellAdapter, PageFuture, ReadFault, StorePort, TopicPage,
 };
@@ -82,6 +83,8 @@
     pub inbox: mpsc::Sender<ClaimMessage>,
     /// Where the owner is reached.
     pub route: watch::Sender<OwnerRoute>,
+    /// Longest lease that the platform's workers accept.
+    pub longest_lease: Duration,
     /// The log of claims.
     pub watch: ClaimWatch,
     /// Addresses of processes that may know the owner when the log cannot be read.
@@ -265,6 +268,7 @@
             advice: self.advice.clone(),
             config: state.config.clone(),
             closed: state.closed.clone(),
+            longest_lease: self.longest_lease,
             metrics: self.metrics.clone(),
         };
         let stop = term.clone();
@@ -359,10 +363,3 @@
         AppendCall { topic: CLAIM_TOPIC, partition: 0, records, at, stamp: None, timeout: APPEND_TIMEOUT }
     }
 }
-
-async fn pending<T>(call: &mut Option<LocalBoxFuture<'static, T>>) -> T {
-    match call {
-        Some(call) => call.await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -181,7 +181,8 @@
             }
             Err(refusal) => {
                 self.metrics.calls.with_label_values(&["refused"]).inc();
-                log::info!(path = &*call.path, reason:% = refusal; "call is refused");
+                let config = self.config.as_ref().map_or(0, |config| config.version);
+                log::info!(path = &*call.path, config = config, reason:% = refusal; "call is refused");
                 let wait = matches!(refusal, CellRefusal::NoConfiguration).then_some(RETRY_AFTER);
                 respond(reply, CellReply::Refused(refusal, wait));
             }
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
+use crate::tasks::cell::pending::pending;
 use crate::tasks::cell::ports::{LookCall, LookOutcome, OrderAnswer, WorkerPort};
 
 /// How long a worker may wait for an end before it answers a look; its answer also tells how far its tasks are.
@@ -92,7 +93,7 @@
                     self.handle(message, &mut looks, &orders);
                 }
                 Some(answer) = orders.next(), if !orders.is_empty() => self.note_order(answer).await,
-                outcome = wait_for(&mut look) => {
+                outcome = pending(&mut look) => {
                     look = None;
                     if !self.note_look(outcome, &mut looks).await {
                         return;
@@ -231,10 +232,3 @@
         (!left.is_zero()).then_some(left)
     }
 }
-
-async fn wait_for<T>(call: &mut Option<LocalBoxFuture<'static, T>>) -> T {
-    match call {
-        Some(call) => call.await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod owner;
 mod owner_state;
 pub mod peer;
+mod pending;
 pub mod ports;
 pub mod process;
 pub mod settings;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -7,7 +7,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, JobStatus, WorkerLease, WorkerListing,
+    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, JobStatus, StartOrder, WorkerLease,
+    WorkerListing,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -75,6 +76,8 @@
     pub config: Option<Arc<CellConfig>>,
     /// Zones that are out of service.
     pub closed: FastSet<ZoneId>,
+    /// Longest lease that the platform's workers accept.
+    pub longest_lease: Duration,
     /// Counters.
     pub metrics: CellMetrics,
 }
@@ -152,6 +155,10 @@
         }
     }
 
+    fn lease(&self) -> Duration {
+        LEASE.min(self.longest_lease)
+    }
+
     /// Makes the store refuse records of all earlier owners.
     async fn fence(&self) -> Result<(), TermEnd> {
         loop {
@@ -178,7 +185,7 @@
         let (jobs, cell) = tokio::join!(join_all(jobs), cell);
         let (records, _) = cell?;
         let now = Instant::now();
-        let mut scheduler = CellScheduler::new(now + LEASE + DEPOSED_TIME);
+        let mut scheduler = CellScheduler::new(now + self.lease() + DEPOSED_TIME);
         scheduler.handle(CellEvent::Tick(clock::since_1970()), now);
         if let Some(config) = &self.config {
             scheduler.handle(CellEvent::Configured(config.clone()), now);
@@ -316,6 +323,9 @@
                     }
                 }
                 effect => {
+                    if let CellEffect::Start(order) = &effect {
+                        log_start(order);
+                    }
                     if let CellEffect::Stop(order) = &effect {
                         self.metrics.stops.with_label_values(&[order.reason]).inc();
                     }
@@ -338,7 +348,7 @@
             worker: listing.worker.clone(),
             token: self.token,
             port: (self.adapter.worker)(listing),
-            lease: WorkerLease::new(LEASE, Instant::now() + LEASE + DEPOSED_TIME),
+            lease: WorkerLease::new(self.lease(), Instant::now() + self.lease() + DEPOSED_TIME),
             owner: self.inbox.clone(),
             metrics: self.metrics.clone(),
         };
@@ -378,11 +388,22 @@
     }
 }
 
+fn log_start(order: &StartOrder) {
+    let inputs = &order.inputs;
+    log::info!(task:% = order.task, run = order.run, worker = &*order.worker, config = inputs.config,
+        report_age_ms = milliseconds(inputs.report_age), waited_ms = milliseconds(inputs.waited),
+        free:% = inputs.free, permit = order.ticket.is_some(), checkpoint = order.checkpoint.is_some();
+        "task is started");
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn log_record(record: &CellRecord) {
     match record {
-        CellRecord::Started(task, run, worker) => {
-            log::info!(task:%, run = *run, worker = &**worker; "task is started");
-        }
+        // Logged with its inputs as the order is made.
+        CellRecord::Started(..) => {}
         CellRecord::Ended(task, run, cause, _) => {
             log::info!(task:%, run = *run, cause:%; "task has ended");
         }
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -3,8 +3,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::JobStatus;
-use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, OrderOutcome, WorkerListing};
+use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, JobStatus, OrderOutcome, WorkerListing};
 use crate::prelude::*;
 use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::LinkMessage;
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -106,12 +106,14 @@
             inbox: claim.clone(),
             route,
             watch: ClaimWatch::new(OWNER_SILENCE, patience(&settings)),
+            longest_lease: settings.longest_lease,
             peers: settings.peers.iter().filter(|peer| **peer != own).cloned().collect(),
         };
         actix_rt::spawn(task.run(claim_inbox, token.clone()));
         let front = CellFront { listener, ready, intake, leaving: leaving.clone(), token: closing.clone() };
         let front = actix_rt::spawn((adapter.serve)(front));
-        log::info!(process = &*process, platform = adapter.name, listen:% = settings.front;
+        log::info!(process = &*process, platform = adapter.name, zone = &*settings.zone,
+            listen:% = settings.front;
             "entry process started");
         Ok(Self { process, settings, claim, leaving, closing, token, front })
     }
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use fixture_platform::{Platform, RunTally, job, platform, settings};
+use fixture_platform::{Platform, RunTally, free_ports, job, platform, settings};
 use godwithaven::tasks::cell::ports::CellAdapter;
 use godwithaven::tasks::cell::process::CellProcess;
 use googletest::prelude::*;
@@ -13,8 +13,9 @@
 /// Longest wait for what a session expects; far above what it takes, as machines may be busy.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// Starts an entry process on the ports from `first` on and returns it with the address for callers.
-async fn entry(platform: &Platform, name: &str, first: u16) -> (CellProcess, String) {
+/// Starts an entry process and returns it with the address for callers.
+async fn entry(platform: &Platform, name: &str) -> (CellProcess, String) {
+    let first = free_ports(4);
     let path = settings(platform, name, first);
     let (adapter, _) = CellAdapter::find(|_| Some(String::new())).expect("the adapter is linked");
     let settings = (adapter.load)(&path.to_string_lossy()).expect("the settings are valid");
@@ -64,8 +65,8 @@
 #[actix_rt::test]
 async fn a_job_runs_and_every_process_tells_its_state() -> Result<()> {
     let mut platform = platform("whole_path", 2).await;
-    let (_first, near) = entry(&platform, "e1", 28_100).await;
-    let (_second, far) = entry(&platform, "e2", 28_110).await;
+    let (_first, near) = entry(&platform, "e1").await;
+    let (_second, far) = entry(&platform, "e2").await;
     let path = "/jobs/00000000000000a1";
 
     let (accepted, _) = call("POST", &format!("{near}{path}"), Some(job("ms=50")), &[200]).await;
@@ -90,11 +91,11 @@
 #[actix_rt::test]
 async fn a_job_goes_on_when_its_owner_stops() -> Result<()> {
     let mut platform = platform("owner_stops", 2).await;
-    let (first, near) = entry(&platform, "e1", 28_120).await;
+    let (first, near) = entry(&platform, "e1").await;
     let path = "/jobs/00000000000000b1";
     call("POST", &format!("{near}{path}"), Some(job("ms=1500")), &[200]).await;
     let running = await_state(&format!("{near}{path}"), "running").await;
-    let (_second, far) = entry(&platform, "e2", 28_130).await;
+    let (_second, far) = entry(&platform, "e2").await;
 
     first.stop().await;
     let state = await_state(&format!("{far}{path}"), "completed").await;
@@ -111,7 +112,7 @@
 #[actix_rt::test]
 async fn an_outage_of_the_store_refuses_calls_and_breaks_nothing_off() -> Result<()> {
     let mut platform = platform("store_down", 1).await;
-    let (_process, near) = entry(&platform, "e1", 28_140).await;
+    let (_process, near) = entry(&platform, "e1").await;
     let url = |id: &str| format!("{near}/jobs/{id}");
     call("POST", &url("00000000000000c1"), Some(job("ms=300")), &[200]).await;
     await_state(&url("00000000000000c1"), "running").await;
--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -8,15 +8,13 @@
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
-use fixture_platform::{Platform, RunTally, job, platform, settings};
+use fixture_platform::{Platform, RunTally, free_ports, job, platform, settings};
 use googletest::prelude::*;
 
 /// Entry processes of one run.
 const PROCESSES: u16 = 3;
 /// Ports for each entry process.
 const PORTS: u16 = 4;
-/// First port of all runs; each seed has its own range, so that several can run side by side.
-const FIRST_PORT: u16 = 29_000;
 /// Longest wait for all jobs to be complete after the last fault; a lease lasts 6.5 s.
 const SETTLE: Duration = Duration::from_secs(60);
 
@@ -97,8 +95,8 @@
 
 impl SoakRun {
     async fn begin(seed: u64) -> Self {
-        let platform = platform(&format!("soak_{seed}"), 3).await;
-        let base = FIRST_PORT + u16::try_from(seed % 100).unwrap_or_default() * PROCESSES * PORTS;
+        let platform = platform(&format!("soak_{seed}_{}", std::process::id()), 3).await;
+        let base = free_ports(PROCESSES * PORTS);
         let processes = (0..PROCESSES).map(|number| SoakProcess {
             name: format!("e{number}"),
             first: base + number * PORTS,
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -195,7 +195,6 @@
         .into_iter()
         .collect(),
         keys: FastMap::default(),
-        body_limit: 1 << 18,
     }
 }
 
--- a/tests/fixture_platform/mod.rs
+++ b/tests/fixture_platform/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses a part of the fixture")]
 
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use godwithaven::prelude::{FastMap, FastSet};
 use godwithaven_standins::platform::{AdvisorStandin, PlatformWorker, StoreStandin, WorkerEvent};
@@ -10,6 +11,10 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+/// First of the ports that tests may use, and how many there are.
+const FIRST_PORT: u16 = 20_000;
+/// See [`FIRST_PORT`].
+const PORT_RANGE: u16 = 12_000;
 /// Tasks of one core that a worker holds.
 const WORKER_TASKS: usize = 8;
 
@@ -53,6 +58,21 @@
     })
 }
 
+/// Returns the first of several ports that are free, below those that the system gives to connections.
+///
+/// Processes of a session start again at the same ports, and two programs may run the tests side by side.
+pub fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let spread = u16::try_from(std::process::id() % 400).unwrap_or_default() * 24;
+    loop {
+        let first = FIRST_PORT + (spread + NEXT.fetch_add(count, Ordering::Relaxed)) % PORT_RANGE;
+        let free = |port| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if (first..first + count).all(free) {
+            return first;
+        }
+    }
+}
+
 /// Writes the settings of an entry process on the ports from `first` on, and returns their path.
 pub fn settings(platform: &Platform, name: &str, first: u16) -> PathBuf {
     let (store, advisor) = (platform.store.address, platform.advisor.address);
