--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct ClaimWatch {
     silence: Duration,
-    patience: Duration,
+    claim_delay: Duration,
     owner: Option<CellOwner>,
     released: bool,
     /// Whether this process cannot reach the owner.
@@ -32,13 +32,13 @@
 }
 
 impl ClaimWatch {
-    /// Returns a watch that claims after an owner was silent for `silence`; `patience` is added for processes
+    /// Returns a watch that claims after an owner was silent for `silence`; `claim_delay` is added for processes
     /// that should claim only if no other does.
     #[must_use]
-    pub const fn new(silence: Duration, patience: Duration) -> Self {
+    pub const fn new(silence: Duration, claim_delay: Duration) -> Self {
         Self {
             silence,
-            patience,
+            claim_delay,
             owner: None,
             released: false,
             suspected: false,
@@ -143,10 +143,10 @@
         }
         let quiet = self.quiet_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         match self.owner {
-            None => quiet >= self.patience,
-            Some(_) if self.released => quiet >= self.patience / 2,
-            Some(_) if self.suspected => quiet >= SUSPECTED_SILENCE.min(self.silence) + self.patience,
-            Some(_) => quiet >= self.silence + self.patience,
+            None => quiet >= self.claim_delay,
+            Some(_) if self.released => quiet >= self.claim_delay / 2,
+            Some(_) if self.suspected => quiet >= SUSPECTED_SILENCE.min(self.silence) + self.claim_delay,
+            Some(_) => quiet >= self.silence + self.claim_delay,
         }
     }
 
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -121,7 +121,7 @@
         if let Some(permits) = placed.rule.permits {
             self.ask(&placed, permits, &candidates, rank);
         }
-        let permitted = candidates.iter().any(|candidate| self.is_hopeful(&placed, candidate.slot));
+        let permitted = candidates.iter().any(|candidate| self.may_start_soon(&placed, candidate.slot));
         self.note_wait(key, if permitted { StepWait::Room } else { StepWait::Permit });
         self.make_room(&placed, &candidates, missing);
     }
@@ -365,7 +365,7 @@
         }
         let mut left = missing;
         for candidate in candidates {
-            if !self.is_hopeful(placed, candidate.slot) {
+            if !self.may_start_soon(placed, candidate.slot) {
                 continue;
             }
             let mut most = candidate.most;
@@ -397,7 +397,7 @@
     }
 
     /// Whether the step may soon start on the worker: it holds a permit for it, or is getting one.
-    fn is_hopeful(&self, placed: &PlacedStep<'_>, slot: u32) -> bool {
+    fn may_start_soon(&self, placed: &PlacedStep<'_>, slot: u32) -> bool {
         if placed.rule.permits.is_none() {
             return true;
         }
--- a/src/kernel/cell/step_ranking.rs
+++ b/src/kernel/cell/step_ranking.rs
@@ -4,7 +4,7 @@
 /// Objectives after which a completed job earns nothing.
 const LATEST_OBJECTIVES: u32 = 3;
 /// Part of the expected rest of a job that has to fit before its objective; expectations are often too long.
-const HOPEFUL_REST_PERCENT: u32 = 70;
+const EXPECTED_REST_PERCENT: u32 = 70;
 
 /// Ranks ready steps by urgency, and by what their jobs can still earn.
 pub struct StepRanking<'a> {
@@ -17,11 +17,11 @@
     #[must_use]
     pub fn order(&self, key: &StepKey, now: Instant) -> StepOrder {
         let Some(job) = self.state.jobs.get(&key.job) else {
-            let lateness = JobLateness::Worthless;
+            let lateness = JobLateness::Expired;
             return StepOrder {
                 excess: true,
                 priority: u32::MAX,
-                worthless: true,
+                expired: true,
                 latest_start: now,
                 lateness,
             };
@@ -32,19 +32,19 @@
         let rest = job.spec.estimated_rest(key.step);
         let rest = self.state.run_times.expect(&job.spec.queue, rest).unwrap_or(rest);
         // A job that can hardly be complete in time gives way to those that can, or all of them would be late.
-        let lateness = match age + rest * HOPEFUL_REST_PERCENT / 100 {
+        let lateness = match age + rest * EXPECTED_REST_PERCENT / 100 {
             end if end < objective => JobLateness::InTime,
             end if end < objective * LATEST_OBJECTIVES => JobLateness::Late,
-            _ => JobLateness::Worthless,
+            _ => JobLateness::Expired,
         };
         let begun = now.checked_sub(age).unwrap_or(now);
         let limit = match lateness {
             JobLateness::InTime => objective,
-            JobLateness::Late | JobLateness::Worthless => objective * LATEST_OBJECTIVES,
+            JobLateness::Late | JobLateness::Expired => objective * LATEST_OBJECTIVES,
         };
         let latest_start = (begun + limit).checked_sub(rest).unwrap_or(begun);
-        let worthless = lateness == JobLateness::Worthless;
-        StepOrder { excess: job.excess, priority, worthless, latest_start, lateness }
+        let expired = lateness == JobLateness::Expired;
+        StepOrder { excess: job.excess, priority, expired, latest_start, lateness }
     }
 
     /// Returns the time within which a job should be complete.
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -38,7 +38,7 @@
     /// Priority of its queue.
     pub priority: u32,
     /// Whether even a late completion of the job earns nothing.
-    pub worthless: bool,
+    pub expired: bool,
     /// When the step has to start so that its job is complete by the next limit that it can still meet: its objective,
     /// or the time after which a late completion earns nothing.
     pub latest_start: Instant,
@@ -54,7 +54,7 @@
     /// Most: its objective has passed.
     Late,
     /// All: even a late completion earns nothing.
-    Worthless,
+    Expired,
 }
 
 /// Why tasks of a ready step wait.
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -24,9 +24,9 @@
 /// Part of a core below which a process leaves the cell to processes with more.
 const SMALL_CPU_SHARE: f64 = 0.25;
 /// Time that a process with little processor time leaves to others before it claims the cell.
-const SMALL_PATIENCE: Duration = Duration::from_millis(900);
+const SMALL_CLAIM_DELAY: Duration = Duration::from_millis(900);
 /// Range over which processes that could claim at once are spread.
-const PATIENCE_SPREAD_MS: u64 = 300;
+const CLAIM_SPREAD_MS: u64 = 300;
 /// How long callers may still reach a process that is leaving; the balancer notices within two checks of 1 s.
 const LEAVE_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the grace time that is left for the exit itself.
@@ -105,7 +105,7 @@
             metrics,
             inbox: claim.clone(),
             route,
-            watch: ClaimWatch::new(OWNER_SILENCE, patience(&settings)),
+            watch: ClaimWatch::new(OWNER_SILENCE, claim_delay(&settings)),
             longest_lease: settings.longest_lease,
             peers: settings.peers.iter().filter(|peer| **peer != own).cloned().collect(),
         };
@@ -158,9 +158,9 @@
 }
 
 /// Returns how long this process leaves a free cell to others.
-fn patience(settings: &CellSettings) -> Duration {
-    let spread = Duration::from_millis(hash(&settings.vm) % PATIENCE_SPREAD_MS);
-    if settings.cpu_share < SMALL_CPU_SHARE { SMALL_PATIENCE + spread } else { spread }
+fn claim_delay(settings: &CellSettings) -> Duration {
+    let spread = Duration::from_millis(hash(&settings.vm) % CLAIM_SPREAD_MS);
+    if settings.cpu_share < SMALL_CPU_SHARE { SMALL_CLAIM_DELAY + spread } else { spread }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, SettingFault> {
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 /// Longest wait for what a session expects; far above what it takes, as machines may be busy.
-const PATIENCE: Duration = Duration::from_secs(30);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Starts an entry process and returns it with the address for callers.
 async fn entry(platform: &Platform, name: &str) -> (CellProcess, String) {
@@ -38,11 +38,11 @@
             let status = response.status().as_u16();
             let body = response.body().await.unwrap_or_default();
             let body = serde_json::from_slice(&body).unwrap_or_default();
-            if wanted.contains(&status) || started.elapsed() > PATIENCE {
+            if wanted.contains(&status) || started.elapsed() > ANSWER_TIMEOUT {
                 return (status, body);
             }
         }
-        assert!(started.elapsed() < PATIENCE, "no answer from {url}");
+        assert!(started.elapsed() < ANSWER_TIMEOUT, "no answer from {url}");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
@@ -53,7 +53,7 @@
     loop {
         let (_, body) = call("GET", url, None, &[200, 410]).await;
         let state = body["state"].as_str().unwrap_or("gone").to_owned();
-        if state == wanted || started.elapsed() > PATIENCE {
+        if state == wanted || started.elapsed() > ANSWER_TIMEOUT {
             return state;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
