--- a/src/log_pipe.rs
+++ b/src/log_pipe.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::logging::json_line;
+use crate::logging::typed_json_line;
 use crate::prelude::*;
 
 /// Lines that wait to be collected.
@@ -37,7 +37,7 @@
         let (sender, lines) = mpsc::channel(LINE_CAPACITY);
         let output = fern::Output::call(move |record| {
             // A full queue drops the line; the next chunk says how many are missing.
-            if sender.try_send(json_line(record)).is_err() {
+            if sender.try_send(typed_json_line(record)).is_err() {
                 DROPPED_LINES.inc();
             }
         });
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -38,16 +38,31 @@
     line
 }
 
-/// Returns a record as one JSON object.
+/// Returns a record as one JSON object whose values are texts.
 #[must_use]
 pub fn json_line(record: &log::Record<'_>) -> String {
+    let mut object = json_object(record);
+    let mut visitor = PairVisitor(|key: &str, value: &str| {
+        object.insert(key.to_owned(), value.into());
+    });
+    let _ = record.key_values().visit(&mut visitor);
+    serde_json::Value::Object(object).to_string()
+}
+
+/// Returns a record as one JSON object in which numbers and truth values stay what they are.
+#[must_use]
+pub fn typed_json_line(record: &log::Record<'_>) -> String {
+    let mut object = json_object(record);
+    let _ = record.key_values().visit(&mut JsonVisitor(&mut object));
+    serde_json::Value::Object(object).to_string()
+}
+
+fn json_object(record: &log::Record<'_>) -> serde_json::Map<String, serde_json::Value> {
     let mut object = serde_json::Map::new();
     object.insert("time_ms".into(), unix_ms().into());
     object.insert("level".into(), record.level().as_str().to_lowercase().into());
     object.insert("message".into(), record.args().to_string().into());
-    let mut visitor = JsonVisitor(&mut object);
-    let _ = record.key_values().visit(&mut visitor);
-    serde_json::Value::Object(object).to_string()
+    object
 }
 
 struct PairVisitor<F>(F);
