Count recovered submissions as read when their reads were sent

A new owner took all submissions as read at the time when its recovery ended; reads and the fold before that take seconds on a busy process.

--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -183,7 +183,7 @@
             Ok::<_, TermEnd>(self.read_all(CELL_TOPIC, 0).await)
         };
         let (jobs, cell) = tokio::join!(join_all(jobs), cell);
-        let (records, _) = cell?;
+        let (records, ..) = cell?;
         let now = Instant::now();
         let mut scheduler = CellScheduler::new(now + self.lease() + DEPOSED_TIME);
         scheduler.handle(CellEvent::Tick(clock::since_1970()), now);
@@ -191,9 +191,11 @@
             scheduler.handle(CellEvent::Configured(config.clone()), now);
         }
         scheduler.handle(CellEvent::ZonesClosed(self.closed.clone()), now);
-        let (mut cancelled, mut ends) = (Vec::new(), Vec::new());
-        for (values, end) in jobs {
+        let (mut cancelled, mut ends, mut jobs_read) = (Vec::new(), Vec::new(), Vec::new());
+        for (values, end, started) in jobs {
             ends.push(end);
+            // Reading and folding the rest takes long on a busy process, in which further jobs are accepted.
+            jobs_read.push(started);
             for value in values {
                 match serde_json::from_slice(&value) {
                     Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
@@ -218,21 +220,26 @@
             links: FastMap::default(),
             listings: FastMap::default(),
             unpublished: FastSet::default(),
-            jobs_read: vec![now; ends.len()],
+            jobs_read,
         };
         Ok((state, ends))
     }
 
-    /// Reads a whole partition and returns its values and the offset after them.
-    async fn read_all(&self, topic: &'static str, partition: PartitionNumber) -> (Vec<Bytes>, LogOffset) {
+    /// Reads a whole partition; returns its values, the offset after them and when the last read was sent.
+    async fn read_all(
+        &self,
+        topic: &'static str,
+        partition: PartitionNumber,
+    ) -> (Vec<Bytes>, LogOffset, Instant) {
         let (mut values, mut next) = (Vec::new(), 0);
         loop {
+            let started = Instant::now();
             match (self.store.read)(topic, partition, next, Duration::ZERO).await {
                 Ok(page) => {
                     values.extend(page.records.into_iter().map(|record| record.value));
                     next = page.next;
                     if next >= page.end {
-                        return (values, next);
+                        return (values, next, started);
                     }
                 }
                 Err(ReadFault::Expired(first)) => next = first,
