Lift the throttle of tasks that a new owner finds

Cause: a reclaim throttles its victims to 10% before it stops them.

Ruled out: a lost end or a start that is never made; the task runs on w2 when the test gives up, under its first name.

Change: an owner that adopts a running task of normal priority, which alone is reclaimed, sets it back to 100%.

--- a/src/kernel/report_fold.rs
+++ b/src/kernel/report_fold.rs
@@ -130,12 +130,21 @@
         let mut placed = PlacedTask::new(self.vm.clone(), &job.spec, index, self.now);
         placed.need = report.need;
         placed.expected_end = job.spec.run_time.map(|run_time| self.now + run_time);
+        let reclaimable = placed.priority == PriorityClass::Normal;
         self.state.occupy(report.task.clone(), placed);
         if stop {
             self.state.stop(&report.task, StopReason::JobEnded);
+        } else if reclaimable {
+            self.lift_throttle(&report.task);
         }
     }
 
+    /// Ends a throttle that an earlier owner may have set for a reclaim that this owner does not know of.
+    fn lift_throttle(&mut self, task: &TaskId) {
+        let lift = WorkerCommand::Throttle { task: task.clone(), percent: 100 };
+        self.state.effects.push(ScheduleEffect::Command(self.vm.clone(), lift));
+    }
+
     fn adopt_stray(&mut self, report: &TaskReport, job: JobId, index: u32) {
         let placed = PlacedTask {
             vm: self.vm.clone(),
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -258,6 +258,24 @@
     expect_that!(started[0].1, eq("blue/load#0@458752"));
 }
 
+/// Guards against a task that stays throttled for good because the owner that reclaimed its room was replaced before
+/// it stopped the task or gave the reclaim up.
+#[gtest]
+fn a_new_owner_lifts_the_throttle_of_tasks_it_finds() {
+    // Arrange
+    let mut shard = unheard_shard(1, Instant::now() + Duration::from_secs(32));
+    let spec = std::sync::Arc::new(batch("blue/load", 1, 1_000));
+    shard.scheduler.inherit(&spec, false);
+    shard.running.push(("w0".into(), "blue/load#0@3".into(), "blue".into(), spec.need));
+
+    // Act
+    shard.sync("w0");
+
+    // Assert
+    let lift = WorkerCommand::Throttle { task: "blue/load#0@3".into(), percent: 100 };
+    expect_that!(shard.pending, contains(eq(&("w0".to_owned(), lift))));
+}
+
 /// Guards against starting inherited tasks again that run on a worker which the VM list lost meanwhile.
 #[gtest]
 fn inherited_jobs_wait_for_workers_that_left_the_list() {
