Leave the cell of a lost owner to processes with more processor time

Cause: a process with 0.12 of a core became owner of a cell of 350 workers. Once the end of an owner was known because another life of its process answered, the delay of small processes was compared with the silence of the old owner, which had long passed, so small and large processes raced. On 43 VMs 35 are small. One small owner took 4.7 s to recover and 5 s for one round of decisions; leases of lasting tasks lapsed and were restarted 11 s later.

Change: the delay counts from when the end of the owner is known. An owner with little processor time hands the cell over once a process with twice as much reaches it and its term is 4 s old. Processes name their processor time in the first message of the stream to the owner.

--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -22,7 +22,8 @@
     silence: Duration,
     claim_delay: Duration,
     owner: Option<CellOwner>,
-    released: bool,
+    /// Since when this process knows that the owner is gone.
+    released: Option<Instant>,
     /// Whether this process cannot reach the owner.
     suspected: bool,
     end: LogOffset,
@@ -40,7 +41,7 @@
             silence,
             claim_delay,
             owner: None,
-            released: false,
+            released: None,
             suspected: false,
             end: 0,
             quiet_since: None,
@@ -83,7 +84,7 @@
                 }
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
-                self.released = false;
+                self.released = None;
                 self.suspected = false;
                 self.quiet_since = Some(now);
                 true
@@ -93,7 +94,7 @@
                 false
             }
             ClaimKind::Release if self.is_owner(&record.process) => {
-                self.released = true;
+                self.released.get_or_insert(now);
                 false
             }
             ClaimKind::Renew | ClaimKind::Release => false,
@@ -105,7 +106,7 @@
         let newer = self.owner.as_ref().is_none_or(|known| known.token < owner.token);
         if newer {
             self.owner = Some(owner);
-            (self.released, self.suspected) = (false, false);
+            (self.released, self.suspected) = (None, false);
         }
         newer
     }
@@ -118,9 +119,9 @@
     }
 
     /// Notes that another life of the owner's process answers, so that the owner of the token is gone.
-    pub fn note_gone(&mut self, token: FencingToken) {
+    pub fn note_gone(&mut self, token: FencingToken, now: Instant) {
         if self.owner.as_ref().is_some_and(|owner| owner.token == token) {
-            self.released = true;
+            self.released.get_or_insert(now);
         }
     }
 
@@ -142,9 +143,12 @@
             return false;
         }
         let quiet = self.quiet_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        // The owner may have been silent for long before its end is known, so the silence says nothing here.
+        if let Some(released) = self.released {
+            return now.saturating_duration_since(released) >= self.claim_delay;
+        }
         match self.owner {
             None => quiet >= self.claim_delay,
-            Some(_) if self.released => quiet >= self.claim_delay / 2,
             Some(_) if self.suspected => quiet >= SUSPECTED_SILENCE.min(self.silence) + self.claim_delay,
             Some(_) => quiet >= self.silence + self.claim_delay,
         }
@@ -153,6 +157,7 @@
     /// Notes that a claim was refused because another record came first.
     pub fn note_lost_race(&mut self, now: Instant) {
         self.quiet_since = Some(now);
+        self.released = self.released.map(|_| now);
     }
 
     fn is_owner(&self, process: &ProcessId) -> bool {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 
+use crate::kernel::cell::Millicores;
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::cell::settings::CellSettings;
@@ -57,6 +58,13 @@
         addresses
     }
 
+    /// Returns the processor time of this process.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "nobody has that many cores")]
+    fn processor(&mut self) -> Millicores {
+        let share: f64 = self.parse("limits.cpu_share", 1.0);
+        (share * 1_000.0).round() as Millicores
+    }
+
     /// Returns the first port that entry processes may use among themselves.
     fn internal_port(&mut self) -> u16 {
         let text = self.text("internal_ports");
@@ -95,7 +103,7 @@
         peers: lines.addresses("seeds"),
         metrics: SocketAddr::from((ip, metrics_port)),
         store: lines.text("platform.address").into(),
-        cpu_share: lines.parse("limits.cpu_share", 1.0),
+        processor: lines.processor(),
         longest_lease: lines.milliseconds("bounds.max_hold_ms"),
         grace: Duration::from_secs(lines.parse("bounds.grace_s", 6)),
     };
--- a/src/proto/cell.rs
+++ b/src/proto/cell.rs
@@ -73,6 +73,9 @@
     pub failed: bool,
     #[prost(message, repeated, tag = "3")]
     pub granted: ::prost::alloc::vec::Vec<AdvisorGrant>,
+    /// Processor time of the sender in thousandths of a core; only in the first message of a stream.
+    #[prost(uint64, optional, tag = "4")]
+    pub millicores: ::core::option::Option<u64>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/src/tasks/cell/advice.rs
+++ b/src/tasks/cell/advice.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::{CellEvent, PermitRule, StepKey};
+use crate::kernel::cell::{CellEvent, HelperNumber, PermitRule, StepKey};
 use crate::prelude::*;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
@@ -21,8 +21,6 @@
 
 /// Number of a question, unique within the task.
 pub type QuestionNumber = u64;
-/// Number of a process that asks, unique within the task.
-pub type HelperNumber = u64;
 
 /// A question to the advisor.
 #[derive(Clone, Debug)]
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -6,7 +6,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::{CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch};
+use crate::kernel::cell::{
+    CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, HelperNumber,
+    Millicores,
+};
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advice::AdviceMessage;
@@ -48,6 +51,10 @@
     Told(CellOwner),
     /// Whether the owner of a token can be reached.
     Reach(FencingToken, OwnerReach),
+    /// Another process with this processor time reaches the owner in this process.
+    HelperJoined(HelperNumber, Millicores),
+    /// It no longer does.
+    HelperLeft(HelperNumber),
     /// Give the cell up and never claim it again.
     Leave(oneshot::Sender<()>),
 }
@@ -87,6 +94,10 @@
     pub longest_lease: Duration,
     /// The log of claims.
     pub watch: ClaimWatch,
+    /// Processes with more processor time.
+    pub handover: HandoverWatch,
+    /// Processor time of this process.
+    pub processor: Millicores,
     /// Addresses of processes that may know the owner when the log cannot be read.
     pub peers: Vec<Arc<str>>,
 }
@@ -131,7 +142,7 @@
                 }
                 outcome = pending(&mut state.claiming) => self.note_claim(&outcome, &mut state),
                 _ = renew.tick() => self.renew(&state),
-                _ = check.tick() => self.check(&mut state),
+                _ = check.tick() => self.check(&mut state).await,
                 _ = ask.tick() => self.ask_peers(),
             }
         }
@@ -151,7 +162,7 @@
                 match reach {
                     OwnerReach::Reached => self.watch.note_reach(claim, true),
                     OwnerReach::Unreachable => self.watch.note_reach(claim, false),
-                    OwnerReach::Replaced => self.watch.note_gone(claim),
+                    OwnerReach::Replaced => self.watch.note_gone(claim, Instant::now()),
                 }
                 return;
             }
@@ -161,8 +172,17 @@
                 }
                 return;
             }
+            ClaimMessage::HelperJoined(helper, processor) => {
+                self.handover.note_helper(helper, processor);
+                return;
+            }
+            ClaimMessage::HelperLeft(helper) => {
+                self.handover.forget_helper(helper);
+                return;
+            }
             ClaimMessage::Leave(done) => {
-                self.leave(state).await;
+                state.leaving = true;
+                self.release(state).await;
                 if done.send(()).is_err() {
                     log::debug!("nobody waits for the end of the ownership");
                 }
@@ -176,8 +196,8 @@
         }
     }
 
-    async fn leave(&self, state: &mut ClaimState) {
-        state.leaving = true;
+    /// Ends the present term of this process, if there is one.
+    async fn release(&self, state: &mut ClaimState) {
         let Some((_, term)) = state.term.take() else { return };
         term.cancel();
         let outcome = (self.store.append)(self.call(ClaimKind::Release, None)).await;
@@ -240,7 +260,7 @@
     }
 
     /// Starts or ends what this process does for the present owner.
-    fn follow_owner(&self, state: &mut ClaimState, token: &CancellationToken) {
+    fn follow_owner(&mut self, state: &mut ClaimState, token: &CancellationToken) {
         let Some(owner) = self.watch.owner().cloned() else { return };
         if let Some((_, term)) = state.term.take() {
             term.cancel();
@@ -257,7 +277,12 @@
         self.route.send_replace(route);
     }
 
-    fn start_term(&self, owner: &CellOwner, state: &mut ClaimState, token: &CancellationToken) -> OwnerRoute {
+    fn start_term(
+        &mut self,
+        owner: &CellOwner,
+        state: &mut ClaimState,
+        token: &CancellationToken,
+    ) -> OwnerRoute {
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let term = token.child_token();
         let task = OwnerTask {
@@ -271,6 +296,7 @@
             longest_lease: self.longest_lease,
             metrics: self.metrics.clone(),
         };
+        self.handover.note_term(Instant::now());
         let stop = term.clone();
         actix_rt::spawn(async move { task.run(inbox, stop).await });
         state.term = Some((sender.clone(), term));
@@ -291,17 +317,22 @@
             owner: owner.clone(),
             advisor: self.advisor.clone(),
             claim: self.inbox.clone(),
+            processor: self.processor,
         };
         actix_rt::spawn(session.run(stop.clone()));
         state.assisting = Some(stop);
         OwnerRoute::Remote(owner.clone(), client)
     }
 
-    fn check(&self, state: &mut ClaimState) {
+    async fn check(&self, state: &mut ClaimState) {
         // A term that ended on its own was taken by another process, whose claim is read soon.
         if state.term.as_ref().is_some_and(|(_, term)| term.is_cancelled()) {
             state.term = None;
         }
+        if state.term.is_some() && self.handover.should_hand_over(Instant::now()) {
+            log::info!(process = &*self.process; "cell is handed over to a process with more processor time");
+            self.release(state).await;
+        }
         if state.leaving || state.claiming.is_some() || state.term.is_some() || state.config.is_none() {
             return;
         }
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -11,7 +11,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Code, Request, Response, Status, Streaming};
 
-use crate::kernel::cell::{CellOwner, JobStatus, StepKey};
+use crate::kernel::cell::{CellOwner, JobStatus, Millicores, StepKey};
 use crate::prelude::*;
 use crate::proto::cell::cell_client::CellClient;
 use crate::proto::cell::cell_server::{Cell, CellServer};
@@ -190,6 +190,8 @@
     pub route: watch::Receiver<OwnerRoute>,
     /// The task that asks the advisor.
     pub advice: mpsc::Sender<AdviceMessage>,
+    /// The task that follows the ownership.
+    pub claim: mpsc::Sender<ClaimMessage>,
     /// The task that admits calls.
     pub intake: mpsc::Sender<IntakeMessage>,
 }
@@ -262,9 +264,12 @@
         let (output, questions) = mpsc::channel(ASSIST_CAPACITY);
         let gone = || Status::unavailable("the process is stopping");
         self.advice.send(AdviceMessage::Join(helper, output)).await.map_err(|_| gone())?;
-        let (advice, mut answers) = (self.advice.clone(), request.into_inner());
+        let (advice, claim, mut answers) = (self.advice.clone(), self.claim.clone(), request.into_inner());
         tokio::spawn(async move {
             while let Some(Ok(answer)) = answers.next().await {
+                if let Some(millicores) = answer.millicores {
+                    tell_claim(&claim, ClaimMessage::HelperJoined(helper, millicores)).await;
+                }
                 if answer.number == 0 {
                     continue;
                 }
@@ -273,6 +278,7 @@
                     return;
                 }
             }
+            tell_claim(&claim, ClaimMessage::HelperLeft(helper)).await;
             if advice.send(AdviceMessage::Leave(helper)).await.is_err() {
                 log::debug!("process is stopping");
             }
@@ -309,6 +315,8 @@
     pub advisor: Option<AdvisorPort>,
     /// The task that follows the ownership.
     pub claim: mpsc::Sender<ClaimMessage>,
+    /// Processor time of this process.
+    pub processor: Millicores,
 }
 
 impl AssistSession {
@@ -337,14 +345,13 @@
     }
 
     async fn tell(&self, reach: OwnerReach) {
-        if self.claim.send(ClaimMessage::Reach(self.owner.token, reach)).await.is_err() {
-            log::debug!("process is stopping");
-        }
+        tell_claim(&self.claim, ClaimMessage::Reach(self.owner.token, reach)).await;
     }
 
     async fn answer_questions(&self) -> Result<(), Status> {
         let (answers, stream) = mpsc::channel(ASSIST_CAPACITY);
-        let first = AdvisorAnswer { number: 0, failed: false, granted: Vec::new() };
+        let first =
+            AdvisorAnswer { number: 0, failed: false, granted: Vec::new(), millicores: Some(self.processor) };
         answers.send(first).await.map_err(|_| Status::internal("stream is closed"))?;
         let mut client = self.client.clone();
         let mut questions = client.assist(ReceiverStream::new(stream)).await?.into_inner();
@@ -363,6 +370,12 @@
     }
 }
 
+async fn tell_claim(claim: &mpsc::Sender<ClaimMessage>, message: ClaimMessage) {
+    if claim.send(message).await.is_err() {
+        log::debug!("process is stopping");
+    }
+}
+
 fn encode_grants(number: u64, result: Result<Vec<(WorkerId, PermitTicket)>, String>) -> AdvisorAnswer {
     match result {
         Ok(granted) => {
@@ -370,11 +383,16 @@
                 worker: worker.to_string(),
                 ticket: ticket.to_string(),
             };
-            AdvisorAnswer { number, failed: false, granted: granted.into_iter().map(grant).collect() }
+            AdvisorAnswer {
+                number,
+                failed: false,
+                granted: granted.into_iter().map(grant).collect(),
+                millicores: None,
+            }
         }
         Err(reason) => {
             log::info!(question = number, reason = &*reason; "advisor gave no answer");
-            AdvisorAnswer { number, failed: true, granted: Vec::new() }
+            AdvisorAnswer { number, failed: true, granted: Vec::new(), millicores: None }
         }
     }
 }
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::ClaimWatch;
+use crate::kernel::cell::{ClaimWatch, HandoverWatch, SMALL_PROCESS};
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -21,8 +21,6 @@
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::submit_queue::SubmitQueue;
 
-/// Part of a core below which a process leaves the cell to processes with more.
-const SMALL_CPU_SHARE: f64 = 0.25;
 /// Time that a process with little processor time leaves to others before it claims the cell.
 const SMALL_CLAIM_DELAY: Duration = Duration::from_millis(900);
 /// Range over which processes that could claim at once are spread.
@@ -91,9 +89,11 @@
             process: process.clone(),
             route: routes,
             advice: advice.clone(),
+            claim: claim.clone(),
             intake: intake.clone(),
         };
         actix_rt::spawn(peer::serve(peer_listener, service, token.clone()));
+        let processor = settings.processor;
         let own: Arc<str> = settings.peer.to_string().into();
         let task = ClaimTask {
             process: process.clone(),
@@ -106,6 +106,8 @@
             inbox: claim.clone(),
             route,
             watch: ClaimWatch::new(OWNER_SILENCE, claim_delay(&settings)),
+            handover: HandoverWatch::new(processor),
+            processor,
             longest_lease: settings.longest_lease,
             peers: settings.peers.iter().filter(|peer| **peer != own).cloned().collect(),
         };
@@ -160,7 +162,7 @@
 /// Returns how long this process leaves a free cell to others.
 fn claim_delay(settings: &CellSettings) -> Duration {
     let spread = Duration::from_millis(hash(&settings.vm) % CLAIM_SPREAD_MS);
-    if settings.cpu_share < SMALL_CPU_SHARE { SMALL_CLAIM_DELAY + spread } else { spread }
+    if settings.processor < SMALL_PROCESS { SMALL_CLAIM_DELAY + spread } else { spread }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, SettingFault> {
--- a/src/tasks/cell/settings.rs
+++ b/src/tasks/cell/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::kernel::cell::Millicores;
 use crate::prelude::*;
 
 /// Settings of an entry process that serves a cell, as the platform gives them.
@@ -25,8 +26,8 @@
     pub store: Arc<str>,
     /// Address of the placement advisor, `ip:port`; `None` if there is none.
     pub advisor: Option<Arc<str>>,
-    /// Part of a core that the process may use.
-    pub cpu_share: f64,
+    /// Processor time that the process may use.
+    pub processor: Millicores,
     /// Longest lease that a worker accepts.
     pub longest_lease: Duration,
     /// Time in which a process has to exit after it was asked to stop.
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use godwithaven::kernel::cell::{ClaimKind, ClaimRecord, ClaimWatch, StoreHealth, SubmitRate, WorkerLease};
+use godwithaven::kernel::cell::{
+    ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
+};
 use googletest::prelude::*;
 
 const SILENCE: Duration = Duration::from_millis(1_700);
@@ -87,6 +89,46 @@
     verify_that!(watch.should_claim(start), eq(true))
 }
 
+/// A process with little processor time that claims the cell as fast as the others is the owner in most cases where
+/// most processes are small, and then decides too slowly for the whole fleet.
+#[gtest]
+fn a_small_process_leaves_the_cell_of_a_lost_owner_to_larger_ones() -> Result<()> {
+    let start = Instant::now();
+    let delay = Duration::from_millis(900);
+    let mut watch = ClaimWatch::new(SILENCE, delay);
+    watch.note_read(start);
+    watch.note(0, Some(record(ClaimKind::Claim, "p1")), start);
+
+    let lost = read_until(&mut watch, start, 1_200);
+    watch.note_gone(1, lost);
+    let early = watch.should_claim(lost + Duration::from_millis(200));
+    let later = lost + delay;
+    watch.note_read(later);
+
+    verify_that!(early, eq(false))?;
+    verify_that!(watch.should_claim(later), eq(true))
+}
+
+/// An owner with little processor time must not keep the cell for good once a larger process is back.
+#[gtest]
+fn a_small_owner_hands_the_cell_over_to_a_larger_process() -> Result<()> {
+    let start = Instant::now();
+    let mut watch = HandoverWatch::new(120);
+    watch.note_term(start);
+    let later = start + Duration::from_secs(5);
+
+    let alone = watch.should_hand_over(later);
+    watch.note_helper(1, 120);
+    let among_equals = watch.should_hand_over(later);
+    watch.note_helper(2, 500);
+
+    verify_that!((alone, among_equals), eq((false, false)))?;
+    verify_that!(watch.should_hand_over(start + Duration::from_secs(1)), eq(false))?;
+    verify_that!(watch.should_hand_over(later), eq(true))?;
+    watch.forget_helper(2);
+    verify_that!(watch.should_hand_over(later), eq(false))
+}
+
 /// Claims read late, after another process told of a newer owner, must not bring the old one back.
 #[gtest]
 fn an_older_claim_does_not_replace_a_newer_owner() -> Result<()> {
