Lose no message to the owner when many wait

Cause: the owner handles up to 256 messages before it decides. The loop took a 257th from the inbox before it ended and dropped it. Under load this lost one event in 257: an answer of the advisor (its step then waits for the answer for good), an answer to an order, a look or a question of another process.

Change: the batch is an iterator with `take`, which does not ask for a message beyond its last one.

--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -3,6 +3,7 @@
 pub mod advice;
 pub mod claim;
 pub mod config_feed;
+pub mod inbox;
 pub mod intake;
 pub mod link;
 pub mod metrics;
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -5,6 +5,7 @@
 
 use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, JobStatus, OrderOutcome, WorkerListing};
 use crate::prelude::*;
+use crate::tasks::cell::inbox;
 use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::LinkMessage;
 use crate::tasks::cell::metrics::CellMetrics;
@@ -36,9 +37,7 @@
         first: OwnerMessage,
         messages: &mut mpsc::Receiver<OwnerMessage>,
     ) -> Result<(), TermEnd> {
-        let mut next = Some(first);
-        for _ in 0..BATCH {
-            let Some(message) = next else { break };
+        for message in inbox::batch(first, messages, BATCH) {
             match message {
                 OwnerMessage::Event(event) => self.scheduler.handle(event, Instant::now()),
                 OwnerMessage::Fenced(worker) => return Err(format!("{worker} knows a newer owner")),
@@ -48,7 +47,6 @@
                     answer(reply, self.is_current().then_some(count));
                 }
             }
-            next = messages.try_recv().ok();
         }
         Ok(())
     }
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -1,11 +1,14 @@
-//! Guards who owns the cell, how long leases may last, and how submissions are counted.
+//! Guards who owns the cell, how long leases may last, how submissions are counted, and that the owner loses no
+//! message.
 
 use std::time::{Duration, Instant};
 
 use godwithaven::kernel::cell::{
     ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
 };
+use godwithaven::tasks::cell::inbox;
 use googletest::prelude::*;
+use tokio::sync::mpsc;
 
 const SILENCE: Duration = Duration::from_millis(1_700);
 
@@ -202,3 +205,19 @@
     verify_that!(during, eq(Duration::from_secs(2)))?;
     verify_that!(health.failing_for(start + Duration::from_secs(3)), eq(Duration::ZERO))
 }
+
+/// A message that is taken from a full inbox and not handled is lost: a step whose permits it brought never starts.
+#[gtest]
+fn a_full_batch_leaves_further_messages_in_the_inbox() -> Result<()> {
+    let (sender, mut messages) = mpsc::channel(8);
+    for number in 1..=5 {
+        sender.try_send(number)?;
+    }
+
+    let first: Vec<u32> = inbox::batch(0, &mut messages, 3).collect();
+    let next = messages.try_recv()?;
+    let rest: Vec<u32> = inbox::batch(next, &mut messages, 3).collect();
+
+    verify_that!(first, elements_are![eq(&0), eq(&1), eq(&2)])?;
+    verify_that!(rest, elements_are![eq(&3), eq(&4), eq(&5)])
+}
