Tell the story of an id from the logs of several processes

`godwithaven explain log ID [FILE]...` reads logs from files or standard input and prints the lines about a job, task, request or worker in the order of their times, with the changes of the owner and of the configuration meanwhile.

Cause: docs/OPERATIONS.md had a pipeline of grep, jq and sort for it, which also matched ids that only begin alike and left out the changes of the owner that explain a gap. The reading is a module of the library (`log_story`), the command only opens files and prints.

Ruled out: asking the entry processes, as `explain job` does; they forget, and the process in question may be gone.

Guarded by a test with the logs of two processes, a cut line and an id that begins alike.

--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -94,6 +94,13 @@
                 /// Operators' address of an entry process; repeat for several.
                 repeated --entry address: String
             }
+            /// Tell from logs what happened to a job, task, request or worker.
+            cmd log {
+                /// Its id.
+                required id: String
+                /// Log of one process; otherwise, or for -, standard input.
+                repeated file: PathBuf
+            }
             /// Explain a request to a service.
             cmd request {
                 /// Id of the request, TEAM/ID.
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -14,6 +14,7 @@
 mod log_tail;
 mod operators;
 mod publish;
+mod story;
 mod summary;
 mod table;
 mod tally;
@@ -64,6 +65,7 @@
         GodwithavenCmd::Endpoints(endpoints) => summary::endpoints(&endpoints.entry, json).await?,
         GodwithavenCmd::Explain(command) => match command.subcommand {
             ExplainCmd::Job(job) => explain::job(&job, json).await?,
+            ExplainCmd::Log(log) => story::tell(&log, json)?,
             ExplainCmd::Request(request) => explain::request(&request, json).await?,
         },
     }
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -30,6 +30,8 @@
         ("godwithaven status --colour", 2),
         ("godwithaven explain job blue", 2),
         ("godwithaven explain job ../status", 2),
+        ("godwithaven explain log a1 absent.log", 1),
+        ("godwithaven explain log", 2),
     ];
     for (line, code) in cases {
         let printed = fixture::shell(&dir, line, &[]).await;
@@ -156,3 +158,36 @@
                     ~ version = 1 -> 2\n~ zones.a.state = \"in\" -> \"out\"\n";
     expect_that!(printed.out, eq(expected));
 }
+
+/// Guards against a story with lines of other jobs, out of order, or without the change of owner that explains a gap.
+#[gtest]
+#[actix_rt::test]
+async fn the_story_of_a_job_is_told_from_the_logs_of_several_processes() {
+    let dir = fixture::directory("story");
+    let owner = [
+        r#"{"time_ms":1500,"level":"info","message":"task is started","task":"a1.0.0.0","run":1}"#,
+        r#"{"time_ms":1600,"level":"info","message":"task is started","task":"a12.0.0.0","run":1}"#,
+        "a line that was cut {",
+        r#"{"time_ms":3000,"level":"info","message":"job is closed","job":"a1","status":"completed"}"#,
+    ];
+    let other = [
+        r#"{"time_ms":900,"level":"info","message":"cell recovered","token":1}"#,
+        r#"{"time_ms":1000,"level":"info","message":"call is stored","job":"a1"}"#,
+        r#"{"time_ms":2000,"level":"info","message":"cell recovered","token":7}"#,
+    ];
+    fs::write(dir.join("front-1.log"), owner.join("\n")).unwrap();
+    fs::write(dir.join("front-2.log"), other.join("\n")).unwrap();
+
+    let printed = fixture::shell(&dir, "godwithaven explain log a1 front-1.log front-2.log", &[]).await;
+    let piped = fixture::shell(&dir, "cat front-1.log | godwithaven explain log a1.0.0.0", &[]).await;
+    let unknown = fixture::shell(&dir, "godwithaven explain log b7 front-1.log", &[]).await;
+
+    let story = "1.000 front-2 call is stored job=a1\n\
+                 1.500 front-1 task is started run=1 task=a1.0.0.0\n\
+                 2.000 front-2 cell recovered token=7\n\
+                 3.000 front-1 job is closed job=a1 status=completed\n";
+    expect_that!((printed.code, printed.out.as_str()), eq((0, story)));
+    expect_that!(printed.err, contains_substring("1 lines are no log lines"));
+    expect_that!(piped.out, eq("1.500 - task is started run=1 task=a1.0.0.0\n"));
+    expect_that!((unknown.code, unknown.err.as_str()), (eq(1), contains_substring("no log line names it")));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod kernel;
 pub mod log_pipe;
+pub mod log_story;
 pub mod logging;
 mod platform;
 pub mod plugins;
--- /dev/null
+++ b/src/log_story.rs
@@ -0,0 +1,118 @@
+//! Puts the log lines of several processes about one id in order.
+
+use std::io::BufRead;
+
+use serde_json::{Map, Value};
+
+use crate::prelude::*;
+
+/// Fields that every line has and that a story shows in other places.
+const COMMON_FIELDS: [&str; 3] = ["time_ms", "level", "message"];
+/// Messages about the whole cell that explain gaps in the story of an id.
+const CONTEXT: [&str; 4] =
+    ["cell recovered", "ownership ended", "configuration is in force", "zones out of service have changed"];
+
+/// The lines about one id.
+///
+/// ```
+/// use godwithaven::log_story::LogStory;
+///
+/// let log = r#"{"time_ms":2000,"message":"job is closed","job":"a1","status":"completed"}"#;
+/// let mut story = LogStory::new("a1");
+/// story.read("front-1", log.as_bytes())?;
+/// assert_eq!(story.lines()[0].to_string(), "2.000 front-1 job is closed job=a1 status=completed");
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct LogStory {
+    id: String,
+    lines: Vec<StoryLine>,
+    context: Vec<StoryLine>,
+    /// Lines that are not log lines.
+    pub unread: usize,
+}
+
+/// A log line with the process that wrote it.
+#[derive(Clone, Debug, PartialEq, derive_more::Display)]
+#[display("{}.{:03} {source} {message}{}", at.as_secs(), at.subsec_millis(), pairs(fields))]
+pub struct StoryLine {
+    /// Wall clock of the process since 1970.
+    pub at: Duration,
+    /// The process.
+    pub source: String,
+    /// What happened.
+    pub message: String,
+    /// The other fields.
+    pub fields: Map<String, Value>,
+}
+
+impl LogStory {
+    /// Returns an empty story of a job, step, task, request or worker.
+    #[must_use]
+    pub fn new(id: &str) -> Self {
+        Self { id: id.to_owned(), ..Self::default() }
+    }
+
+    /// Adds the lines of a log that name the id. Text before a line's object names the process instead of `source`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log cannot be read.
+    pub fn read(&mut self, source: &str, log: impl BufRead) -> std::io::Result<()> {
+        for line in log.split(b'\n') {
+            let line = line?;
+            let line = String::from_utf8_lossy(&line);
+            if line.trim().is_empty() {
+                continue;
+            }
+            match parse(source, &line) {
+                Some(line) if self.names_id(&line) => self.lines.push(line),
+                Some(line) if CONTEXT.contains(&line.message.as_str()) => self.context.push(line),
+                Some(_) => {}
+                None => self.unread += 1,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the lines in the order of their times, with what happened to the whole cell between the first and the
+    /// last of them.
+    #[must_use]
+    pub fn lines(&self) -> Vec<&StoryLine> {
+        let times = || self.lines.iter().map(|line| line.at);
+        let (Some(first), Some(last)) = (times().min(), times().max()) else { return Vec::new() };
+        let context = self.context.iter().filter(|line| (first..=last).contains(&line.at));
+        let mut lines: Vec<&StoryLine> = self.lines.iter().chain(context).collect();
+        lines.sort_by_key(|line| line.at);
+        lines
+    }
+
+    /// Whether a field is the id, or a part of it as a task is of its job.
+    fn names_id(&self, line: &StoryLine) -> bool {
+        line.fields.values().filter_map(Value::as_str).any(|text| {
+            text.strip_prefix(self.id.as_str())
+                .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '#']))
+        })
+    }
+}
+
+fn parse(source: &str, line: &str) -> Option<StoryLine> {
+    let object = line.find('{')?;
+    let mut fields: Map<String, Value> = serde_json::from_str(line[object..].trim_end()).ok()?;
+    let at = fields.get("time_ms").and_then(|at| at.as_u64().or_else(|| at.as_str()?.parse().ok()))?;
+    let message = fields.get("message")?.as_str()?.to_owned();
+    for field in COMMON_FIELDS {
+        fields.remove(field);
+    }
+    let named = line[..object].split_whitespace().last();
+    let source = named.unwrap_or(source).to_owned();
+    Some(StoryLine { at: Duration::from_millis(at), source, message, fields })
+}
+
+fn pairs(fields: &Map<String, Value>) -> String {
+    let pair = |(name, value): (&String, &Value)| match value {
+        Value::String(text) => format!(" {name}={text}"),
+        value => format!(" {name}={value}"),
+    };
+    fields.iter().map(pair).collect()
+}
