Look at the workers of a full service for 40 steps a pass only

Cause: a pass looked at the first 300 ready steps and searched the workers of their service for each, also when all of them found no room.

Change: after 40 steps of a service that found no room or no permit, its others are skipped in this pass; up to 4,000 ready steps are gone through. Two thirds of the time at least is left between passes, by the time of the last one.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -12,6 +12,8 @@
 const PASS_PAUSE: Duration = Duration::from_micros(150);
 /// Waiting steps that lengthen the time between passes; more of them bring it to 30 ms at most.
 const MOST_COLLECTED: u32 = 200;
+/// Pause after a pass in relation to the time that it took, so that looks and orders are not held up by passes.
+const PAUSE_OF_PASS: u32 = 2;
 /// Time within which all members of a gang must be confirmed, before the others give up waiting for them.
 const GANG_CONFIRM: Duration = Duration::from_millis(1_800);
 /// Images of a job that are written in the time for which the store keeps records, so that one of them is always kept.
@@ -26,6 +28,8 @@
     /// Whether something has changed since the last pass over the waiting steps.
     changed: bool,
     last_pass: Option<Instant>,
+    /// How long the last pass took.
+    pass_time: Duration,
     /// Age of the records of a job at which an image of it is written.
     image_interval: Option<Duration>,
 }
@@ -36,7 +40,7 @@
     pub fn new(inherited_lease_over: Instant) -> Self {
         let mut state = CellState::default();
         state.inherited_lease_over = Some(inherited_lease_over);
-        Self { state, changed: false, last_pass: None, image_interval: None }
+        Self { state, changed: false, last_pass: None, pass_time: Duration::ZERO, image_interval: None }
     }
 
     /// Returns the scheduler for a store that drops records of this age.
@@ -103,7 +107,13 @@
             return None;
         }
         let steps = u32::try_from(self.state.ready.len()).unwrap_or(u32::MAX).min(MOST_COLLECTED);
-        Some(self.last_pass.map_or(now, |last| last + PASS_PAUSE * steps))
+        let pause = (PASS_PAUSE * steps).max(self.pass_time * PAUSE_OF_PASS);
+        Some(self.last_pass.map_or(now, |last| last + pause))
+    }
+
+    /// Notes how long the last pass took.
+    pub const fn note_pass(&mut self, took: Duration) {
+        self.pass_time = took;
     }
 
     /// Applies a record of an earlier owner; nothing is done in turn.
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -14,7 +14,10 @@
 /// Workers of a service that are compared for one step; more of them cost time and give hardly better places.
 const WINDOW: usize = 128;
 /// Steps that are looked at in one pass, so that a long queue does not slow it down.
-const MOST_STEPS: usize = 300;
+const MOST_STEPS: usize = 4_000;
+/// Steps of a service that find no room or no permit in one pass, after which its others are not looked at: the search
+/// over its workers costs most of a pass, and they would find no room either.
+const MOST_BLOCKED: usize = 40;
 /// Waiting steps of a service whose permits are renewed ahead, so that room that becomes free is used at once.
 const RENEWED_AHEAD: usize = 8;
 /// Rest of a permit's time at which it is renewed ahead.
@@ -37,7 +40,8 @@
     team_stopping: Option<FastMap<TeamId, ResourceVector>>,
     /// Teams of which nothing more can yield in this pass, by the rank that asked.
     team_spent: FastMap<TeamId, TaskRank>,
-    ranks: FastMap<ServiceId, usize>,
+    /// Steps of each service that found no room or no permit.
+    blocked: FastMap<ServiceId, usize>,
     victims_left: usize,
 }
 
@@ -76,7 +80,7 @@
             held: FastMap::default(),
             team_stopping: None,
             team_spent: FastMap::default(),
-            ranks: FastMap::default(),
+            blocked: FastMap::default(),
             victims_left: MOST_VICTIMS,
         }
     }
@@ -92,7 +96,11 @@
 
     fn place(&mut self, key: &StepKey) {
         let Some((spec, step, state)) = self.state.step(key) else { return };
-        let Some(rule) = self.state.config.queues.get(&spec.queue).cloned() else { return };
+        let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
+        if self.blocked.get(&rule.service).is_some_and(|blocked| *blocked >= MOST_BLOCKED) {
+            return;
+        }
+        let rule = rule.clone();
         if step.gang && state.placed > 0 {
             return;
         }
@@ -115,9 +123,9 @@
             return;
         }
         let candidates = if started > 0 { self.candidates(&placed) } else { candidates };
-        let rank = self.ranks.entry(placed.rule.service.clone()).or_default();
-        *rank += 1;
-        let rank = *rank;
+        let blocked = self.blocked.entry(placed.rule.service.clone()).or_default();
+        *blocked += 1;
+        let rank = *blocked;
         if let Some(permits) = placed.rule.permits {
             self.ask(&placed, permits, &candidates, rank);
         }
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -302,7 +302,9 @@
         let passes = state.scheduler.next_pass(started).is_some_and(|due| started >= due);
         let effects = state.scheduler.decide(!state.log.is_stalled(), started);
         if passes {
-            self.metrics.pass_seconds.observe(started.elapsed().as_secs_f64());
+            let took = started.elapsed();
+            state.scheduler.note_pass(took);
+            self.metrics.pass_seconds.observe(took.as_secs_f64());
         }
         for effect in effects {
             match effect {
--- a/tests/cell_scheduler.rs
+++ b/tests/cell_scheduler.rs
@@ -9,8 +9,8 @@
 };
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
-    CellEvent, CellRecord, EndCause, JobStatus, OrderOutcome, PermitRule, RepeatSchedule, StepKey, StepSpec,
-    TaskKey, WorkerLook,
+    CellEvent, CellRecord, EndCause, JobStatus, OrderOutcome, PermitRule, QueueRule, RepeatSchedule, StepKey,
+    StepSpec, TaskKey, WorkerListing, WorkerLook,
 };
 use googletest::prelude::*;
 
@@ -319,6 +319,26 @@
     verify_that!(new.scheduler.status("j"), some(eq(JobStatus::Completed)))
 }
 
+/// A long queue of urgent work that finds no room must not keep the free workers of another service waiting.
+#[gtest]
+fn a_full_service_does_not_hold_up_another_one() -> Result<()> {
+    let mut rules = config(None);
+    let other = QueueRule { service: "model".into(), ..rules.queues["batch"].clone() };
+    rules.queues.insert("batch".into(), other);
+    let free = WorkerListing { service: "model".into(), ..worker("free") };
+    let mut driver = cell_with(rules, vec![worker("full"), free]);
+    for number in 0..400 {
+        driver.scheduler.handle(
+            CellEvent::Submitted(job(&format!("u{number}"), "urgent", vec![step(1)]).into()),
+            driver.now,
+        );
+    }
+
+    submit(&mut driver, job("b", "batch", vec![step(1)]));
+
+    verify_that!(driver.started("b.0.0.0").map(|order| order.worker.to_string()), some(eq("free")))
+}
+
 /// Failures of the past say nothing about workers now; suspending them all stops a recovered cell for seconds.
 #[gtest]
 fn a_new_owner_suspends_no_worker_for_replayed_failures() -> Result<()> {
