Count blocked steps by the kind of worker that they need

Cause: found in review. After 40 steps of a service without room the others of that service were skipped, also those that need another label or no accelerators, for which there may be room. And the age of a job's records was kept as a monotonic time, which a VM that was started less than that age ago cannot express.

Change: the 40 are counted by service, label and whether accelerators are needed. The age of the records is counted by the wall clock from the submission, as the store counts it.

Ruled out: counting by the size of the need as well; earlier steps keep room for themselves, so later ones of any size seldom start.

--- a/src/kernel/cell/cell_job.rs
+++ b/src/kernel/cell/cell_job.rs
@@ -27,8 +27,8 @@
     pub placed: u32,
     /// Whether its team had submitted more than it is owed.
     pub excess: bool,
-    /// When the store took the oldest record that tells all of it: its submission, or an image.
-    pub recorded_at: Instant,
+    /// When all of it was last recorded, since 1970: its submission, or an image.
+    pub recorded_at: Duration,
     /// When it reached a final state.
     pub closed_at: Option<Instant>,
 }
@@ -36,7 +36,8 @@
 impl CellJob {
     /// Returns a job that was just accepted.
     #[must_use]
-    pub const fn new(spec: Arc<GraphSpec>, now: Instant, excess: bool) -> Self {
+    pub fn new(spec: Arc<GraphSpec>, now: Instant, excess: bool) -> Self {
+        let recorded_at = spec.submitted;
         Self {
             spec,
             status: JobStatus::Queued,
@@ -45,17 +46,11 @@
             next_occurrence: 0,
             placed: 0,
             excess,
-            recorded_at: now,
+            recorded_at,
             closed_at: None,
         }
     }
 
-    /// Returns when it was submitted, by the wall clock; the present time if that is not known.
-    #[must_use]
-    pub fn submitted_at(&self, wall: Duration, now: Instant) -> Instant {
-        now.checked_sub(wall.saturating_sub(self.spec.submitted)).unwrap_or(now)
-    }
-
     /// Whether all occurrences are complete.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -242,9 +242,7 @@
         let weight = self.state.config.teams.get(&spec.team).map_or(u32::MAX, |team| team.weight.max(1));
         let excess = self.state.rates.exceeds(&spec.team, weight, spec.submitted);
         let id = spec.id.clone();
-        let mut job = CellJob::new(spec, now, excess);
-        job.recorded_at = job.submitted_at(self.state.wall, now);
-        self.state.jobs.insert(id.clone(), job);
+        self.state.jobs.insert(id.clone(), CellJob::new(spec, now, excess));
         if self.state.early_cancels.remove(&id).is_some() {
             self.state.close(&id, JobStatus::Cancelled, now);
             return;
@@ -368,7 +366,7 @@
         for id in scheduled {
             self.activate_due(&id, now);
         }
-        self.keep_old_jobs(now);
+        self.keep_old_jobs();
         self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_KEPT);
         self.state.jobs.retain(|_, job| {
             job.closed_at.is_none_or(|at| job.placed > 0 || now.saturating_duration_since(at) < CLOSED_KEPT)
@@ -376,14 +374,15 @@
     }
 
     /// Records what is known of jobs whose records the store will drop.
-    fn keep_old_jobs(&mut self, now: Instant) {
+    fn keep_old_jobs(&mut self) {
         let Some(interval) = self.image_interval else { return };
-        let old = |job: &&CellJob| now.saturating_duration_since(job.recorded_at) >= interval;
+        let wall = self.state.wall;
+        let old = |job: &&CellJob| wall.saturating_sub(job.recorded_at) >= interval;
         let due = self.state.jobs.values().filter(old).take(IMAGES_PER_TICK);
         let images: Vec<JobImage> = due.map(|job| JobImage::of(&self.state, job)).collect();
         for image in images {
             if let Some(job) = self.state.jobs.get_mut(&image.spec.id) {
-                job.recorded_at = now;
+                job.recorded_at = wall;
             }
             self.state.effects.push(CellEffect::Record(CellRecord::Kept(Box::new(image))));
         }
--- a/src/kernel/cell/job_image.rs
+++ b/src/kernel/cell/job_image.rs
@@ -86,7 +86,6 @@
         let id = self.spec.id.clone();
         state.forget_job(&id);
         let mut job = CellJob::new(self.spec.clone(), now, self.excess);
-        job.recorded_at = job.submitted_at(state.wall, now);
         job.status = self.status;
         job.closed_at = self.status.is_final().then_some(now);
         job.next_occurrence = self.next_occurrence;
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -15,8 +15,8 @@
 const WINDOW: usize = 128;
 /// Steps that are looked at in one pass, so that a long queue does not slow it down.
 const MOST_STEPS: usize = 4_000;
-/// Steps of a service that find no room or no permit in one pass, after which its others are not looked at: the search
-/// over its workers costs most of a pass, and they would find no room either.
+/// Steps that find no room or no permit in one pass, after which others that need the same kind of worker are not looked
+/// at: the search over the workers costs most of a pass, and they would find no room either.
 const MOST_BLOCKED: usize = 40;
 /// Waiting steps of a service whose permits are renewed ahead, so that room that becomes free is used at once.
 const RENEWED_AHEAD: usize = 8;
@@ -40,8 +40,8 @@
     team_stopping: Option<FastMap<TeamId, ResourceVector>>,
     /// Teams of which nothing more can yield in this pass, by the rank that asked.
     team_spent: FastMap<TeamId, TaskRank>,
-    /// Steps of each service that found no room or no permit.
-    blocked: FastMap<ServiceId, usize>,
+    /// Steps that found no room or no permit, by the kind of worker that they need.
+    blocked: FastMap<WorkerDemand, usize>,
     victims_left: usize,
 }
 
@@ -61,6 +61,21 @@
     most: u32,
 }
 
+/// The kind of worker that a step needs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct WorkerDemand {
+    service: ServiceId,
+    label: Option<LabelId>,
+    accelerators: bool,
+}
+
+impl WorkerDemand {
+    fn of(step: &StepSpec, rule: &QueueRule) -> Self {
+        let accelerators = step.need.accelerators > 0;
+        Self { service: rule.service.clone(), label: step.label.clone(), accelerators }
+    }
+}
+
 /// A step that is being placed.
 struct PlacedStep<'a> {
     key: &'a StepKey,
@@ -97,7 +112,8 @@
     fn place(&mut self, key: &StepKey) {
         let Some((spec, step, state)) = self.state.step(key) else { return };
         let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
-        if self.blocked.get(&rule.service).is_some_and(|blocked| *blocked >= MOST_BLOCKED) {
+        let demand = WorkerDemand::of(step, rule);
+        if self.blocked.get(&demand).is_some_and(|blocked| *blocked >= MOST_BLOCKED) {
             return;
         }
         let rule = rule.clone();
@@ -123,7 +139,7 @@
             return;
         }
         let candidates = if started > 0 { self.candidates(&placed) } else { candidates };
-        let blocked = self.blocked.entry(placed.rule.service.clone()).or_default();
+        let blocked = self.blocked.entry(demand).or_default();
         *blocked += 1;
         let rank = *blocked;
         if let Some(permits) = placed.rule.permits {
