--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -12,8 +12,9 @@
 const PASS_PAUSE: Duration = Duration::from_micros(150);
 /// Waiting steps that lengthen the time between passes; more of them bring it to 30 ms at most.
 const MOST_COLLECTED: u32 = 200;
-/// Pause after a pass in relation to the time that it took, so that looks and orders are not held up by passes.
-const PAUSE_OF_PASS: u32 = 2;
+/// Time from one pass to the next as a multiple of what the last one took, so that passes leave half of the time at least
+/// to looks and orders.
+const PASS_SPACING: u32 = 2;
 /// Time within which all members of a gang must be confirmed, before the others give up waiting for them.
 const GANG_CONFIRM: Duration = Duration::from_millis(1_800);
 /// Images of a job that are written in the time for which the store keeps records, so that one of them is always kept.
@@ -107,7 +108,7 @@
             return None;
         }
         let steps = u32::try_from(self.state.ready.len()).unwrap_or(u32::MAX).min(MOST_COLLECTED);
-        let pause = (PASS_PAUSE * steps).max(self.pass_time * PAUSE_OF_PASS);
+        let pause = (PASS_PAUSE * steps).max(self.pass_time * PASS_SPACING);
         Some(self.last_pass.map_or(now, |last| last + pause))
     }
 
