Drop no error of a log line or a header, and share the check of answers

The checks at the start of the answers to starts and stops were written twice.

Change: a log line says in `field_error` why its fields are not complete; unreadable headers and processes that do not answer leave a line. Headers that cannot be read still count as missing. `CellScheduler::is_current` checks both kinds of answers.

Ruled out: answering such headers with 400; a key that is no text is an unknown key, which has its own answer. Results of sends to tasks that have ended are still dropped in the tasks of the own interface; that is not changed here.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -72,10 +72,14 @@
                 }
             }
             CellEvent::StartAnswered(task, run, worker, outcome) => {
-                self.note_start(&task, run, &worker, outcome, now);
+                if self.is_current(&task, run, &worker, outcome, now) {
+                    self.note_start(&task, outcome, now);
+                }
             }
             CellEvent::StopAnswered(task, run, worker, outcome) => {
-                self.note_stop(&task, run, &worker, outcome, now);
+                if self.is_current(&task, run, &worker, outcome, now) {
+                    self.note_stop(&task, outcome, now);
+                }
             }
             CellEvent::Looked(worker, look) => self.look(&worker, look, now),
             CellEvent::Silent(worker, lease_over) => {
@@ -289,23 +293,32 @@
         }
     }
 
-    fn note_start(
+    /// Whether an answer is about the run that counts, and comes from the life of the worker that it was started on; if
+    /// another life answers, all that ran there is given up.
+    fn is_current(
         &mut self,
         task: &TaskKey,
         run: RunNumber,
         worker: &str,
         outcome: OrderOutcome,
         now: Instant,
-    ) {
-        let Some(placement) = self.state.placements.get_mut(task).filter(|known| known.run == run) else {
-            return;
-        };
+    ) -> bool {
+        let counts = self.state.placements.get(task).is_some_and(|placement| placement.run == run);
+        if counts && outcome == OrderOutcome::Replaced {
+            self.lose_worker(worker, now);
+            return false;
+        }
+        counts
+    }
+
+    fn note_start(&mut self, task: &TaskKey, outcome: OrderOutcome, now: Instant) {
+        let Some(placement) = self.state.placements.get_mut(task) else { return };
         let slot = placement.slot;
         match outcome {
             OrderOutcome::Accepted => placement.phase = PlacementPhase::Running(now),
             OrderOutcome::Unknown => placement.phase = PlacementPhase::Unsure(now),
-            OrderOutcome::Fenced => {}
-            OrderOutcome::Replaced => self.lose_worker(worker, now),
+            // The term ends, or the worker was given up before.
+            OrderOutcome::Fenced | OrderOutcome::Replaced => {}
             OrderOutcome::NoPermit | OrderOutcome::NoRoom | OrderOutcome::Refused | OrderOutcome::NotSent => {
                 if outcome == OrderOutcome::NoPermit
                     && let Some(state) = self.state.step_mut(&task.step)
@@ -317,21 +330,11 @@
         }
     }
 
-    fn note_stop(
-        &mut self,
-        task: &TaskKey,
-        run: RunNumber,
-        worker: &str,
-        outcome: OrderOutcome,
-        now: Instant,
-    ) {
-        let Some(placement) = self.state.placements.get_mut(task).filter(|known| known.run == run) else {
-            return;
-        };
-        match outcome {
-            OrderOutcome::Accepted => placement.stop_confirmed = Some(now),
-            OrderOutcome::Replaced => self.lose_worker(worker, now),
-            _ => {}
+    fn note_stop(&mut self, task: &TaskKey, outcome: OrderOutcome, now: Instant) {
+        if outcome == OrderOutcome::Accepted
+            && let Some(placement) = self.state.placements.get_mut(task)
+        {
+            placement.stop_confirmed = Some(now);
         }
     }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,12 +1,13 @@
 //! Structured log lines on standard error.
 
-use std::fmt::Write as _;
-
 use log::kv::{Error, Key, Value, VisitSource};
 
 use crate::clock::unix_ms;
 use crate::settings::LogFormat;
 
+/// Field that says why the fields of a line are not complete; a logger cannot log that itself.
+const FIELD_ERROR: &str = "field_error";
+
 /// Starts logging for the whole program; later calls change nothing.
 pub fn start(format: LogFormat, level: log::LevelFilter) {
     let line = match format {
@@ -18,8 +19,10 @@
         .level_for("godwithaven", level)
         .format(move |out, _message, record| out.finish(format_args!("{}", line(record))))
         .chain(std::io::stderr());
-    // A second start in one program, as in tests, keeps the first logger.
-    let _ = dispatch.apply();
+    if let Err(error) = dispatch.apply() {
+        // A second start in one program, as in tests, keeps the first logger.
+        log::debug!(error:%; "logging has started before");
+    }
 }
 
 /// Returns a record as `key=value` pairs.
@@ -32,9 +35,11 @@
         record.args().to_string()
     );
     let mut visitor = PairVisitor(|key: &str, value: &str| {
-        let _ = write!(line, " {key}={value:?}");
+        line.extend([" ", key, "=", &format!("{value:?}")]);
     });
-    let _ = record.key_values().visit(&mut visitor);
+    if let Err(error) = record.key_values().visit(&mut visitor) {
+        (visitor.0)(FIELD_ERROR, &error.to_string());
+    }
     line
 }
 
@@ -45,7 +50,9 @@
     let mut visitor = PairVisitor(|key: &str, value: &str| {
         object.insert(key.to_owned(), value.into());
     });
-    let _ = record.key_values().visit(&mut visitor);
+    if let Err(error) = record.key_values().visit(&mut visitor) {
+        (visitor.0)(FIELD_ERROR, &error.to_string());
+    }
     serde_json::Value::Object(object).to_string()
 }
 
@@ -53,7 +60,9 @@
 #[must_use]
 pub fn typed_json_line(record: &log::Record<'_>) -> String {
     let mut object = json_object(record);
-    let _ = record.key_values().visit(&mut JsonVisitor(&mut object));
+    if let Err(error) = record.key_values().visit(&mut JsonVisitor(&mut object)) {
+        object.insert(FIELD_ERROR.to_owned(), error.to_string().into());
+    }
     serde_json::Value::Object(object).to_string()
 }
 
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -111,19 +111,40 @@
         }
         _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
     };
-    let header = |name: &str| request.headers().get(name)?.to_str().ok();
-    let host = header(HOST.as_str()).unwrap_or_default();
+    let host = header(request, HOST.as_str()).unwrap_or_default();
     // A port is not part of the name.
     let host = host.split_once(':').map_or(host, |(host, _)| host);
     Ok(CellCall {
         host: host.into(),
         path: request.path().into(),
-        key: header(KEY).map(Into::into),
-        deadline: header(DEADLINE).and_then(|text| text.parse().ok()).map(Duration::from_millis),
+        key: header(request, KEY).map(Into::into),
+        deadline: header(request, DEADLINE).and_then(deadline),
         action,
     })
 }
 
+/// Returns a header; one that is no text counts as missing.
+fn header<'r>(request: &'r Request, name: &str) -> Option<&'r str> {
+    match request.headers().get(name)?.to_str() {
+        Ok(text) => Some(text),
+        Err(error) => {
+            log::info!(path = request.path(), header = name, error:%; "header cannot be read");
+            None
+        }
+    }
+}
+
+/// Reads how long a caller waits, in milliseconds; one that cannot be read counts as missing.
+fn deadline(text: &str) -> Option<Duration> {
+    match text.parse() {
+        Ok(millis) => Some(Duration::from_millis(millis)),
+        Err(error) => {
+            log::info!(header = DEADLINE, value = text, error:%; "header cannot be read");
+            None
+        }
+    }
+}
+
 fn encode(reply: CellReply) -> Response<Bytes> {
     match reply {
         CellReply::Stored => json(StatusCode::OK, &EmptyBody {}),
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -143,13 +143,22 @@
 /// Asks the processes at the addresses who owns the cell; returns the newest owner that they know.
 pub async fn locate(addresses: Vec<Arc<str>>) -> Option<CellOwner> {
     let asked = addresses.into_iter().map(|address| async move {
-        let mut client = connect(&address).ok()?;
-        let reply = tokio::time::timeout(ASK_TIMEOUT, client.locate(LocateRequest {})).await.ok()?.ok()?;
-        let LocateReply { token, process, address } = reply.into_inner();
-        (token > 0).then(|| CellOwner { process: process.into(), address: address.into(), token })
+        let answer = locate_at(&address).await;
+        // Some of the addresses are those of processes that are gone.
+        answer.inspect_err(
+            |reason| log::debug!(address = &*address, reason = &**reason; "process does not answer"),
+        )
     });
     let known = futures_util::future::join_all(asked).await;
-    known.into_iter().flatten().max_by_key(|owner| owner.token)
+    known.into_iter().filter_map(Result::ok).flatten().max_by_key(|owner| owner.token)
+}
+
+async fn locate_at(address: &str) -> Result<Option<CellOwner>, String> {
+    let mut client = connect(address).map_err(|error| error.to_string())?;
+    let answer = tokio::time::timeout(ASK_TIMEOUT, client.locate(LocateRequest {})).await;
+    let reply = answer.map_err(|error| error.to_string())?.map_err(|status| status.message().to_owned())?;
+    let LocateReply { token, process, address } = reply.into_inner();
+    Ok((token > 0).then(|| CellOwner { process: process.into(), address: address.into(), token }))
 }
 
 async fn ask<T>(
