Skip odd entries of the shared lists and refuse jobs that no owner can hold

Cause: one entry of another writer stopped the lists for all processes. A keyed record that is shorter than its key, or an item of the list of newest records that cannot be parsed, failed the whole page, which was read again for ever; the VM list of the own interface had the same fault. Registrations with port 70000, port 0, a host name or a capacity of 2^64-1 were taken for workers. A submission with a count of 2^32-1, an estimate of 1e22 ms or a million overdue occurrences ended the owner by panic or lack of memory, and each owner after it, as the submission is stored. One of 300 kB made the process resend the group that it was in and answer 503 to all of it. Ruled out: nested brackets in unknown fields (serde_json skips them without recursion) and numbers out of range in known ones (only that entry failed).

--- a/src/kernel/cell/cell_job.rs
+++ b/src/kernel/cell/cell_job.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::kernel::cell::{GraphSpec, JobStatus, StepState};
+use crate::kernel::cell::{GraphSpec, JobStatus, MAX_TASKS_PER_JOB, StepState};
 use crate::prelude::*;
 
 /// State of one occurrence of a job.
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Whether another occurrence may open while the present ones are open. Many occurrences of a job that
+    /// was submitted late are due at once; their tasks together must not exceed those of the largest job.
+    #[must_use]
+    pub fn may_open_occurrence(&self) -> bool {
+        let open = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        open == 0 || open.saturating_add(1).saturating_mul(self.spec.tasks()) <= MAX_TASKS_PER_JOB
+    }
+
     /// Whether all occurrences have become due and none is kept any more. A complete occurrence is kept
     /// while a run of the job is placed.
     #[must_use]
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -293,7 +293,7 @@
         while let Some(job) = self.state.jobs.get(id).filter(|job| !job.status.is_final()) {
             let next = job.next_occurrence;
             let due = job.spec.schedule.is_none() || job.spec.due(next) <= self.state.unix_time;
-            if next >= job.spec.occurrences() || !due {
+            if next >= job.spec.occurrences() || !due || !job.may_open_occurrence() {
                 return;
             }
             self.state.activate_occurrence(id, next, now);
--- a/src/kernel/cell/graph_spec.rs
+++ b/src/kernel/cell/graph_spec.rs
@@ -3,6 +3,14 @@
 use crate::kernel::cell::StepSpec;
 use crate::prelude::*;
 
+/// Longest estimated run time of a task. Longer ones would exceed the range of time once they are multiplied.
+pub const MAX_ESTIMATE: Duration = Duration::from_secs(366 * 24 * 3_600);
+/// Largest number of tasks in one occurrence of a job, as on the project's own interface. The owner keeps a
+/// state for each of them.
+pub const MAX_TASKS_PER_JOB: u32 = 10_000;
+/// Largest number of steps of a job. The rank of a step takes a look at each of them.
+const MAX_STEPS_PER_JOB: usize = 500;
+
 /// Schedule of a job that runs several times at a fixed interval.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RepeatSchedule {
@@ -37,6 +45,12 @@
 }
 
 impl GraphSpec {
+    /// Returns the number of tasks of one occurrence, at most `u32::MAX`.
+    #[must_use]
+    pub fn tasks(&self) -> u32 {
+        self.steps.iter().fold(0, |sum, step| sum.saturating_add(step.tasks))
+    }
+
     /// Returns the number of times that the steps run.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
@@ -85,10 +99,19 @@
         if self.steps.is_empty() {
             return Some("the job has no steps".to_owned());
         }
+        if self.steps.len() > MAX_STEPS_PER_JOB {
+            return Some(format!("the job has {} steps, at most {MAX_STEPS_PER_JOB}", self.steps.len()));
+        }
+        if self.tasks() > MAX_TASKS_PER_JOB {
+            return Some(format!("the job has {} tasks, at most {MAX_TASKS_PER_JOB}", self.tasks()));
+        }
         for (index, step) in self.steps.iter().enumerate() {
             if step.tasks == 0 {
                 return Some(format!("step {index} has no tasks"));
             }
+            if step.estimate > MAX_ESTIMATE {
+                return Some(format!("the estimated run time of step {index} is out of range"));
+            }
             if let Some(after) = step.after.iter().find(|after| **after as usize >= index) {
                 return Some(format!("step {index} depends on step {after}, which is not an earlier one"));
             }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-use crate::kernel::cell::{CellConfig, PermitRule, QueueRule, TeamRule};
+use crate::kernel::cell::{CellConfig, MAX_ESTIMATE, PermitRule, QueueRule, TeamRule};
 use crate::platform::workers::ResourceBody;
 use crate::prelude::*;
 use crate::tasks::cell::ports::OperatorChange;
@@ -11,6 +11,9 @@
 const CONFIG_KEY: &str = "config";
 /// Prefix of the keys that mark zones as out of service, followed by the name of the zone.
 const ZONE_PREFIX: &str = "evacuate/";
+/// Largest accepted factor on the estimated critical path of a job, so that objectives stay within the range
+/// of time.
+const MAX_STRETCH: f64 = 1e6;
 
 #[derive(Deserialize)]
 struct ConfigBody {
@@ -97,7 +100,7 @@
         service: body.service,
         priority: body.priority,
         max_attempts: body.max_attempts,
-        stretch: body.stretch,
+        stretch: body.stretch.clamp(0.0, MAX_STRETCH),
         target: milliseconds(body.target_latency_ms),
         permits,
         open_to_all: body.public,
@@ -114,7 +117,8 @@
     (body.name, TeamRule { weight, limit: body.maximum.into() })
 }
 
-/// Converts milliseconds to a duration; negative and invalid numbers give zero.
-fn milliseconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default()
+/// Converts milliseconds to a duration of at most [`MAX_ESTIMATE`]; negative and invalid numbers give zero.
+pub fn milliseconds(value: f64) -> Duration {
+    let seconds = (value / 1_000.0).min(MAX_ESTIMATE.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use crate::kernel::cell::{RepeatSchedule, StepSpec};
+use crate::platform::config::milliseconds;
 use crate::prelude::*;
 use crate::tasks::cell::intake::JobSubmission;
 
@@ -76,8 +77,6 @@
 impl From<StepBody> for StepSpec {
     fn from(body: StepBody) -> Self {
         let non_empty = |text: &Arc<str>| !text.is_empty();
-        // Negative and invalid numbers give zero.
-        let milliseconds = |value: f64| Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default();
         Self {
             tasks: body.count,
             need: ResourceVector::new(body.cpu, body.mem_mb, body.gpu),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,6 +8,7 @@
 use bytes::{Buf, BufMut, Bytes};
 use futures_util::FutureExt;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::platform::calls::{self, CallFault, CallResponse};
 use crate::plugins::http;
@@ -47,7 +48,8 @@
 
 #[derive(Deserialize)]
 struct NewestReply {
-    items: Vec<NewestItem>,
+    /// Parsed one by one, so that an item that cannot be read does not hide the others.
+    items: Vec<Box<RawValue>>,
     has_more: bool,
     end: LogOffset,
 }
@@ -145,6 +147,9 @@
 /// Decodes the body of a `log-read` response, whose integers are big-endian. It starts with two `u64`: the
 /// offset after the newest record, then that of the oldest retained one. A `u32` with its size precedes each
 /// record; the first record is at `from`, or at the oldest retained offset if that is higher.
+///
+/// A record of a keyed topic without a readable key has none in the page, as any writer may have left it
+/// there and the records after it count.
 fn decode_page(mut body: Bytes, keyed: bool, from: LogOffset) -> Result<TopicPage, String> {
     if body.len() < 16 {
         return Err("page is too short".to_owned());
@@ -158,7 +163,7 @@
         if body.len() < length {
             return Err("record is cut off".to_owned());
         }
-        records.push(decode_record(body.split_to(length), keyed, offset)?);
+        records.push(decode_record(body.split_to(length), keyed, offset));
         offset += 1;
     }
     Ok(TopicPage { records, next: offset, end })
@@ -166,25 +171,26 @@
 
 /// Decodes a record; in a keyed topic it consists of the length of the key in one byte, the key and the
 /// value.
-fn decode_record(mut value: Bytes, keyed: bool, offset: LogOffset) -> Result<TopicRecord, String> {
+fn decode_record(mut value: Bytes, keyed: bool, offset: LogOffset) -> TopicRecord {
     if !keyed {
-        return Ok(TopicRecord { offset, key: None, value });
+        return TopicRecord { offset, key: None, value };
     }
     let length = if value.is_empty() { 0 } else { usize::from(value.get_u8()) };
     if value.len() < length {
-        return Err("key is cut off".to_owned());
+        log::warn!(offset = offset, bytes = value.len(); "keyed record is shorter than its key");
+        return TopicRecord { offset, key: None, value };
     }
     let key = String::from_utf8_lossy(&value.split_to(length)).as_ref().into();
-    Ok(TopicRecord { offset, key: Some(key), value })
+    TopicRecord { offset, key: Some(key), value }
 }
 
 async fn newest(client: awc::Client, base: Rc<str>, topic: &'static str) -> Result<TopicPage, ReadFault> {
     let mut records: Vec<TopicRecord> = Vec::new();
-    let mut end = None;
+    let (mut end, mut after): (Option<LogOffset>, Option<Arc<str>>) = (None, None);
     loop {
         let mut url = format!("{base}/log-newest?topic={topic}&part=0");
-        if let Some(key) = records.last().and_then(|record| record.key.clone()) {
-            append_query(&mut url, "after", &escape(&key));
+        if let Some(key) = &after {
+            append_query(&mut url, "after", &escape(key));
         }
         let response =
             calls::send(client.get(url), Vec::new(), READ_TIMEOUT_MARGIN).await.map_err(read_fault)?;
@@ -195,16 +201,29 @@
         // The pages do not form a consistent snapshot, so changes since the first page are read again from
         // its end.
         let end = *end.get_or_insert(reply.end);
-        let more = reply.has_more && !reply.items.is_empty();
-        for item in reply.items {
-            // A value that is not valid Base64 counts as empty, that is, as removed.
-            let value = STANDARD.decode(&item.value).unwrap_or_default();
-            let (key, value) = (Some(item.key.into()), value.into());
-            records.push(TopicRecord { offset: item.offset, key, value });
-        }
-        if !more {
+        let page: Vec<TopicRecord> = reply.items.iter().filter_map(|item| decode_item(topic, item)).collect();
+        let last = page.last().and_then(|record| record.key.clone());
+        records.extend(page);
+        // Without a further key to continue from, the same page would come again.
+        if !reply.has_more || last.is_none() || last == after {
             return Ok(TopicPage { records, next: end, end });
         }
+        after = last;
+    }
+}
+
+/// Decodes an item of a list; one that cannot be read is logged and left out. A value that is not valid
+/// Base64 counts as empty, that is, as removed.
+fn decode_item(topic: &str, item: &RawValue) -> Option<TopicRecord> {
+    match serde_json::from_str::<NewestItem>(item.get()) {
+        Ok(NewestItem { key, value, offset }) => {
+            let value = STANDARD.decode(&value).unwrap_or_default();
+            Some(TopicRecord { offset, key: Some(key.into()), value: value.into() })
+        }
+        Err(error) => {
+            log::warn!(topic = topic, error:%; "item of a list cannot be read");
+            None
+        }
     }
 }
 
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,5 +1,6 @@
 //! Parsing of worker registrations, and the calls to workers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use awc::http::StatusCode;
@@ -24,6 +25,9 @@
 /// Header with the name of the worker that a call is meant for. A process at the same address that is not
 /// that worker rejects the call with status 421.
 const EXPECT_INSTANCE_HEADER: &str = "Expect-Instance";
+/// Largest plausible amount of one resource of a worker: four million cores, or four PiB of memory. A larger
+/// one would outweigh the real workers in every sum.
+const MAX_WORKER_CAPACITY: u64 = u32::MAX as u64;
 
 /// Amounts of resources as the platform writes them.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
@@ -46,7 +50,7 @@
 #[derive(Deserialize)]
 struct RegistrationBody {
     service: ServiceId,
-    address: Arc<str>,
+    address: SocketAddr,
     zone: ZoneId,
     state: ServerState,
     capacity: ResourceBody,
@@ -129,12 +133,20 @@
 /// Parses the registration of a worker, whose name is the key.
 pub fn parse_worker_registration(key: &str, value: &[u8]) -> Result<WorkerListing, String> {
     let body: RegistrationBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    if body.address.port() == 0 {
+        return Err(format!("{} has no port", body.address));
+    }
+    let capacity = ResourceVector::from(body.capacity);
+    let limit = ResourceVector::new(MAX_WORKER_CAPACITY, MAX_WORKER_CAPACITY, MAX_WORKER_CAPACITY);
+    if let Some(dimension) = capacity.lacking(limit) {
+        return Err(format!("capacity of {dimension} is out of range: {capacity}"));
+    }
     Ok(WorkerListing {
         worker: key.into(),
-        address: body.address,
+        address: body.address.to_string().into(),
         service: body.service,
         zone: body.zone,
-        capacity: body.capacity.into(),
+        capacity,
         rack: body.labels.get(1).cloned(),
         labels: body.labels,
         draining: body.state == ServerState::Draining,
--- a/src/plugins/directory_http.rs
+++ b/src/plugins/directory_http.rs
@@ -1,11 +1,13 @@
 //! Directory adapter: reads the platform's list of VMs over HTTP/1.1.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_http::StatusCode;
 use actix_http::header::{ETAG, IF_NONE_MATCH};
 use futures_util::FutureExt;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::kernel::{EndpointVm, WorkerVm};
 use crate::plugins::http;
@@ -19,22 +21,32 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a reply.
 const MAX_LIST_BYTES: usize = 64 << 20;
+/// Maximum amount of one resource of a worker; a larger one would outweigh the real workers in every sum.
+const MAX_CAPACITY: u64 = u32::MAX as u64;
 
 /// The whole list in `vms`, or what `changed` and was `removed` since the version `since`.
+///
+/// The VMs are parsed one by one, so that an entry that cannot be read does not hide the others.
 #[derive(Deserialize)]
 struct ListReply {
     #[serde(default)]
-    vms: Option<Vec<ListedVm>>,
+    vms: Option<Vec<Box<RawValue>>>,
     #[serde(default)]
     version: Option<String>,
     #[serde(default)]
     since: Option<String>,
     #[serde(default)]
-    changed: Vec<ListedVm>,
+    changed: Vec<Box<RawValue>>,
     #[serde(default)]
     removed: Vec<VmId>,
 }
 
+/// The name of a VM, also if the rest of its entry cannot be read.
+#[derive(Deserialize)]
+struct VmName {
+    vm: VmId,
+}
+
 #[derive(Deserialize)]
 struct ListedVm {
     vm: VmId,
@@ -43,7 +55,7 @@
     rack: RackId,
     role: String,
     state: String,
-    address: String,
+    address: SocketAddr,
     #[serde(default)]
     cores: u64,
     #[serde(default)]
@@ -90,14 +102,40 @@
         response.json::<ListReply>().limit(MAX_LIST_BYTES).await.map_err(|error| error.to_string())?;
     let cursor = ListCursor { tag, version: reply.version.take().filter(|version| is_url_safe(version)) };
     if let Some(vms) = reply.vms {
-        return Ok(ListRead::Whole(group_by_role(vms), cursor));
+        return Ok(ListRead::Whole(group_by_role(parse_vms(&vms)), cursor));
     }
     if reply.since.is_none() || reply.since != known.version || cursor.version.is_none() {
         return Err("the reply has neither the whole VM list nor changes since the known version".into());
     }
-    let changed = reply.changed.iter().map(|vm| vm.vm.clone());
-    let names = changed.chain(reply.removed).collect();
-    Ok(ListRead::Changes(ListChanges { ids: names, changed: group_by_role(reply.changed) }, cursor))
+    // A changed VM whose entry cannot be read counts as removed.
+    let names = reply.changed.iter().filter_map(|vm| serde_json::from_str::<VmName>(vm.get()).ok());
+    let names = names.map(|name| name.vm).chain(reply.removed).collect();
+    let changed = group_by_role(parse_vms(&reply.changed));
+    Ok(ListRead::Changes(ListChanges { ids: names, changed }, cursor))
+}
+
+/// Returns the VMs whose entries can be read; the others are logged and left out.
+fn parse_vms(entries: &[Box<RawValue>]) -> Vec<ListedVm> {
+    let mut vms = Vec::with_capacity(entries.len());
+    for entry in entries {
+        match parse_vm(entry) {
+            Ok(vm) => vms.push(vm),
+            Err(reason) => log::warn!(reason = &*reason; "entry of the VM list is ignored"),
+        }
+    }
+    vms
+}
+
+fn parse_vm(entry: &RawValue) -> Result<ListedVm, String> {
+    let vm: ListedVm = serde_json::from_str(entry.get()).map_err(|error| error.to_string())?;
+    if vm.address.port() == 0 {
+        return Err(format!("{} has no port", vm.address));
+    }
+    let capacity = ResourceVector::new(vm.cores, vm.memory_mib, vm.accelerators);
+    match capacity.lacking(ResourceVector::new(MAX_CAPACITY, MAX_CAPACITY, MAX_CAPACITY)) {
+        Some(dimension) => Err(format!("{} of {} is out of range", dimension, vm.vm)),
+        None => Ok(vm),
+    }
 }
 
 /// Whether a version can be part of a URL without being escaped.
@@ -109,16 +147,17 @@
     let mut list = VmList::default();
     for vm in vms {
         let leaving = vm.state != "live";
+        let address = vm.address.to_string();
         match vm.role.as_str() {
             "entry" => {
-                list.entries.push(EntryVm { vm: vm.vm, region: vm.region, address: vm.address, leaving });
+                list.entries.push(EntryVm { vm: vm.vm, region: vm.region, address, leaving });
             }
             "worker" => list.workers.push(WorkerVm {
                 vm: vm.vm,
                 zone: vm.zone,
                 region: vm.region,
                 rack: vm.rack,
-                address: vm.address,
+                address,
                 capacity: ResourceVector::new(vm.cores.saturating_mul(1_000), vm.memory_mib, vm.accelerators),
                 leaving,
             }),
@@ -126,7 +165,7 @@
                 vm: vm.vm,
                 zone: vm.zone,
                 service: vm.service.into(),
-                address: vm.address,
+                address,
                 slots: vm.slots,
                 connections: vm.connections,
                 leaving,
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -36,6 +36,21 @@
     Cancel(JobId),
 }
 
+impl JobRecord {
+    /// Decodes a stored record.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the record is no record of this topic, or its job is one that no owner can hold.
+    pub fn decode(value: &[u8]) -> Result<Self, String> {
+        let record: Self = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        match &record {
+            Self::Submit(spec) => spec.validation_error().map_or(Ok(record), Err),
+            Self::Cancel(_) => Ok(record),
+        }
+    }
+}
+
 /// A job as a caller submits it, without its id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobSubmission {
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -17,7 +17,9 @@
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
-use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
+use crate::tasks::cell::ports::{
+    AppendOutcome, CellAdapter, MAX_RECORD_BYTES, ReadFault, StoreClient, TopicPage,
+};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::{AppendProgress, CELL_TOPIC, TermLog};
 
@@ -34,9 +36,6 @@
 const SUBMISSION_LONG_POLL: Duration = Duration::from_secs(1);
 /// Pause between two reads of the worker registrations.
 const REGISTRATION_READ_PAUSE: Duration = Duration::from_millis(400);
-/// Largest record that the platform's store accepts; only the snapshot of a job with thousands of running
-/// tasks is larger.
-const MAX_RECORD_BYTES: usize = 262_144;
 /// Delay before a failed call to the store is retried during recovery.
 const RECOVERY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -214,7 +213,7 @@
             // replaying the rest takes long, and jobs that are accepted meanwhile are missing here.
             submissions_read_at.push(started);
             for value in values {
-                match serde_json::from_slice(&value) {
+                match JobRecord::decode(&value) {
                     Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
                     Ok(JobRecord::Cancel(job)) => cancelled.push(job),
                     Err(error) => log::warn!(topic = JOB_TOPIC, error:%; "record cannot be decoded"),
@@ -332,6 +331,7 @@
                         state.unpublished.insert(job.clone());
                     }
                     match serde_json::to_vec(&record) {
+                        // Only the snapshot of a job with thousands of running tasks is that large.
                         Ok(value) if value.len() > MAX_RECORD_BYTES => {
                             log::error!(bytes = value.len(); "record is too large for the store, dropped");
                         }
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -99,7 +99,7 @@
         };
         let now = Instant::now();
         for record in page.records {
-            match serde_json::from_slice(&record.value) {
+            match JobRecord::decode(&record.value) {
                 Ok(JobRecord::Submit(spec)) => {
                     self.scheduler.handle(CellEvent::Submitted(Arc::new(spec)), now);
                 }
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -22,7 +22,7 @@
 };
 use crate::tasks::cell::advisor::AdvisorMessage;
 use crate::tasks::cell::claim::{ClaimMessage, OwnerLiveness};
-use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage};
+use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage, JobRecord};
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage};
 use crate::tasks::cell::ports::AdvisorClient;
 
@@ -244,8 +244,7 @@
 
     async fn relay(&self, request: Request<RelayRequest>) -> Result<Response<RelayReply>, Status> {
         let request = request.into_inner();
-        let record = serde_json::from_slice(&request.record)
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let record = JobRecord::decode(&request.record).map_err(Status::invalid_argument)?;
         let deadline = Instant::now() + Duration::from_millis(request.time_ms);
         let (reply, answer) = oneshot::channel();
         let stopping = || Status::unavailable("the process is stopping");
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -102,6 +102,9 @@
     Failed(String),
 }
 
+/// Largest record that the platform's store accepts.
+pub const MAX_RECORD_BYTES: usize = 262_144;
+
 /// Future of a read.
 pub type PageFuture = LocalBoxFuture<'static, Result<TopicPage, ReadFault>>;
 
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -15,7 +15,7 @@
 };
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::peer;
-use crate::tasks::cell::ports::{AppendOutcome, AppendRequest, StoreClient};
+use crate::tasks::cell::ports::{AppendOutcome, AppendRequest, MAX_RECORD_BYTES, StoreClient};
 
 /// Shortest adaptive timeout of an append; a repeated append does no harm, as jobs are identified by their
 /// ids.
@@ -115,6 +115,13 @@
             JobRecord::Cancel(job) => (job.clone(), "cancel"),
         };
         let value = match serde_json::to_vec(record) {
+            // The store would reject the whole group, again at each repetition.
+            Ok(value) if value.len() > MAX_RECORD_BYTES => {
+                let reason = format!("the call takes {} bytes, at most {MAX_RECORD_BYTES}", value.len());
+                log::info!(id = &*id, reason = &*reason; "call is refused");
+                respond(reply, CellReply::Refused(CellRefusal::BadRequest(reason), None));
+                return;
+            }
             Ok(value) => Bytes::from(value),
             Err(error) => {
                 respond(reply, refuse_unavailable(&id, &error.to_string()));
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -138,6 +138,28 @@
     verify_that!(tally.duplicated, is_empty())
 }
 
+/// Guards against one submission that the store does not take and that makes the process refuse every other
+/// call for as long as it repeats the append.
+#[gtest]
+#[actix_rt::test]
+async fn a_submission_too_large_for_the_store_is_refused_alone() -> Result<()> {
+    let platform = start_platform("large_submission", 1).await;
+    let (_process, base_url) = start_entry(&platform, "e1").await;
+    let url = |id: &str| format!("{base_url}/jobs/{id}");
+    call("POST", &url("00000000000000d1"), Some(job("ms=10")), &[200]).await;
+
+    let large_url = url("00000000000000d2");
+    let large = call("POST", &large_url, Some(job(&"x".repeat(300_000))), &[200, 400, 503]);
+    let small_url = url("00000000000000d3");
+    let small = call("POST", &small_url, Some(job("ms=10")), &[200, 503, 504]);
+    let ((large, _), (small, _)) = tokio::join!(large, small);
+    let (state, _) = call("GET", &url("00000000000000d2"), None, &[200, 410]).await;
+    platform.token.cancel();
+
+    verify_that!((large, small), eq((400, 200)))?;
+    verify_that!(state, eq(410))
+}
+
 /// Guards against a check of the settings that stops at the first fault, so that operators find them one by
 /// one.
 #[gtest]
