Read submissions again after fencing, and on after records have expired

Cause: a new owner read the submissions while the former one was not fenced yet. A job that was stored, started and completed in between, which takes seconds while the store is slow, was unknown when its records were replayed: they were dropped, the end was acknowledged to the worker, and the job ran again once its submission was read. Second, if records of a submission partition expired unread, nobody followed it for the rest of the term. Change: each partition is read on from where the first read ended once earlier owners are fenced; a follower goes on from the first retained record. Result: a_job_completed_before_the_fence_is_known_after_recovery answered queued and now completed; a_partition_is_followed_on_after_records_have_expired failed and passes.

--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -1,7 +1,8 @@
 //! Owns the state of the cell and makes its scheduling decisions during one term of ownership.
 
 use bytes::Bytes;
-use futures_util::future::join_all;
+use futures_util::FutureExt;
+use futures_util::future::try_join_all;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -89,6 +90,15 @@
     pub metrics: CellMetrics,
 }
 
+/// The records of a partition from an offset to its end.
+struct PartitionRead {
+    values: Vec<Bytes>,
+    /// The offset after the last record.
+    next: LogOffset,
+    /// When the last read was sent.
+    sent_at: Instant,
+}
+
 /// Reason why a term of ownership ended, for logs.
 pub type TermEnd = String;
 
@@ -128,9 +138,7 @@
                     wait: SUBMISSION_LONG_POLL,
                     pause: Duration::ZERO,
                 };
-                // If records expire before they are read, this ends, and the submissions of the partition
-                // are stale until the end of the term.
-                tail.follow(next, &store, &sender, &stop).await;
+                tail.follow_retained(next, &store, &sender, &stop).await;
             });
         }
         let (sender, mut registrations) = mpsc::channel(CHANNEL_CAPACITY);
@@ -189,15 +197,15 @@
     /// Rebuilds the state of the cell from the store; returns it with the offset of each partition from which
     /// further submissions are read.
     async fn recover(&self) -> Result<(OwnerState, Vec<LogOffset>), TermEnd> {
-        // All reads are sent at once, as each takes long while the store is slow. The records of earlier
-        // owners are read only after fencing, when no earlier owner can append any more.
-        let jobs = (0..JOB_PARTITIONS).map(|partition| self.read_all(JOB_TOPIC, partition));
+        // Reads are sent as early as possible, as each takes long while the store is slow. The records of
+        // earlier owners are read only after fencing, when no earlier owner can append any more.
+        let fence = self.fence().shared();
+        let jobs = (0..JOB_PARTITIONS).map(|partition| self.read_submissions(partition, fence.clone()));
         let cell = async {
-            self.fence().await?;
-            Ok::<_, TermEnd>(self.read_all(CELL_TOPIC, 0).await)
+            fence.clone().await?;
+            Ok::<_, TermEnd>(self.read_all(CELL_TOPIC, 0, 0).await)
         };
-        let (jobs, cell) = tokio::join!(join_all(jobs), cell);
-        let (records, ..) = cell?;
+        let (jobs, cell) = tokio::try_join!(try_join_all(jobs), cell)?;
         let now = Instant::now();
         let mut scheduler = CellScheduler::new(now + self.lease() + DEPOSED_LEASE_MARGIN)
             .with_log_retention(self.log_retention);
@@ -207,12 +215,12 @@
         }
         scheduler.handle(CellEvent::ZonesClosed(self.closed_zones.clone()), now);
         let (mut cancelled, mut next_offsets, mut submissions_read_at) = (Vec::new(), Vec::new(), Vec::new());
-        for (values, end, started) in jobs {
-            next_offsets.push(end);
+        for read in jobs {
+            next_offsets.push(read.next);
             // The time at which the read was sent and not the present time: on a busy process, reading and
             // replaying the rest takes long, and jobs that are accepted meanwhile are missing here.
-            submissions_read_at.push(started);
-            for value in values {
+            submissions_read_at.push(read.sent_at);
+            for value in read.values {
                 match JobRecord::decode(&value) {
                     Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
                     Ok(JobRecord::Cancel(job)) => cancelled.push(job),
@@ -220,7 +228,7 @@
                 }
             }
         }
-        for value in records {
+        for value in cell.values {
             match serde_json::from_slice::<CellRecord>(&value) {
                 Ok(record) => scheduler.replay(record, now),
                 Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be decoded"),
@@ -241,22 +249,37 @@
         Ok((state, next_offsets))
     }
 
-    /// Reads a whole partition; returns its values, the offset after them and the time at which the last read
-    /// was sent.
+    /// Reads a whole partition of submissions, and what was added to it until earlier owners were fenced. A
+    /// run in their records thus belongs to a job that this owner knows; otherwise it would drop the records
+    /// and run the job again.
+    async fn read_submissions(
+        &self,
+        partition: PartitionNumber,
+        fence: impl Future<Output = Result<(), TermEnd>>,
+    ) -> Result<PartitionRead, TermEnd> {
+        let mut read = self.read_all(JOB_TOPIC, partition, 0).await;
+        fence.await?;
+        let later = self.read_all(JOB_TOPIC, partition, read.next).await;
+        read.values.extend(later.values);
+        Ok(PartitionRead { values: read.values, ..later })
+    }
+
+    /// Reads a partition from an offset to its end.
     async fn read_all(
         &self,
         topic: &'static str,
         partition: PartitionNumber,
-    ) -> (Vec<Bytes>, LogOffset, Instant) {
-        let (mut values, mut next) = (Vec::new(), 0);
+        from: LogOffset,
+    ) -> PartitionRead {
+        let (mut values, mut next) = (Vec::new(), from);
         loop {
-            let started = Instant::now();
+            let sent_at = Instant::now();
             match (self.store.read)(topic, partition, next, Duration::ZERO).await {
                 Ok(page) => {
                     values.extend(page.records.into_iter().map(|record| record.value));
                     next = page.next;
                     if next >= page.end {
-                        return (values, next, started);
+                        return PartitionRead { values, next, sent_at };
                     }
                 }
                 Err(ReadFault::Expired(first)) => next = first,
--- a/src/tasks/cell/tail.rs
+++ b/src/tasks/cell/tail.rs
@@ -55,7 +55,7 @@
                         return;
                     }
                     // If records expired before they were read, a new snapshot makes up for them.
-                    if !self.follow(next, &store, &output, &token).await {
+                    if self.follow(next, &store, &output, &token).await.is_none() {
                         return;
                     }
                 }
@@ -69,20 +69,38 @@
         }
     }
 
-    /// Sends records from an offset on; returns `true` if it ended because the next records have expired,
-    /// `false` if it was stopped.
+    /// Sends records from an offset on until the token is cancelled or the receiver is dropped. Records that
+    /// have expired before they were read are lost, and those after them are sent.
+    pub async fn follow_retained(
+        self,
+        from: LogOffset,
+        store: &StoreClient,
+        output: &mpsc::Sender<TailMessage>,
+        token: &CancellationToken,
+    ) {
+        let mut next = from;
+        while let Some(first) = self.follow(next, store, output, token).await {
+            log::error!(topic = self.topic, partition = self.partition, from = next, first = first;
+                "records have expired before they were read");
+            // An offset that does not rise must not make this loop spin.
+            next = first.max(next + 1);
+        }
+    }
+
+    /// Sends records from an offset on; returns the first retained offset if it ended because the next
+    /// records have expired, `None` if it was stopped.
     pub async fn follow(
         self,
         from: LogOffset,
         store: &StoreClient,
         output: &mpsc::Sender<TailMessage>,
         token: &CancellationToken,
-    ) -> bool {
+    ) -> Option<LogOffset> {
         let mut next = from;
         loop {
             let started = Instant::now();
             let page = tokio::select! {
-                () = token.cancelled() => return false,
+                () = token.cancelled() => return None,
                 page = (store.read)(self.topic, self.partition, next, self.wait) => page,
             };
             let (message, pause) = match page {
@@ -90,11 +108,11 @@
                     next = page.next;
                     (TailMessage::Page(self.partition, page, started), self.pause)
                 }
-                Err(ReadFault::Expired(_)) => return true,
+                Err(ReadFault::Expired(first)) => return Some(first),
                 Err(fault) => (TailMessage::Failed(fault.to_string()), READ_RETRY_DELAY),
             };
             if output.send(message).await.is_err() {
-                return false;
+                return None;
             }
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -1,14 +1,22 @@
 //! Tests of the parts around the cell's owner: the claim watch, handovers, worker leases, submission rates,
 //! store health and message batches.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use godwithaven::kernel::cell::{
     ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
 };
 use godwithaven::tasks::cell::inbox;
+use godwithaven::tasks::cell::ports::{AppendOutcome, PageFuture, ReadFault, StoreClient, TopicPage};
+use godwithaven::tasks::cell::tail::{TailMessage, TopicTail};
 use googletest::prelude::*;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Reads a partition of a topic from an offset on, as in a [`StoreClient`].
+type PageReader = Rc<dyn Fn(&'static str, u32, u64, Duration) -> PageFuture>;
 
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
@@ -231,3 +239,44 @@
     verify_that!(first, elements_are![eq(&0), eq(&1), eq(&2)])?;
     verify_that!(rest, elements_are![eq(&3), eq(&4), eq(&5)])
 }
+
+/// Guards against submissions that nobody reads for the rest of a term, once records of a partition have
+/// expired before they were read.
+#[gtest]
+#[actix_rt::test]
+async fn a_partition_is_followed_on_after_records_have_expired() -> Result<()> {
+    const FIRST_RETAINED: u64 = 10;
+    let read: PageReader = Rc::new(|_, _, from, _| {
+        let page = if from < FIRST_RETAINED {
+            Err(ReadFault::Expired(FIRST_RETAINED))
+        } else {
+            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1 })
+        };
+        std::future::ready(page).boxed_local()
+    });
+    let store = StoreClient {
+        append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
+        read,
+        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
+    };
+    let (sender, mut messages) = mpsc::channel(1);
+    let token = CancellationToken::new();
+    let tail = TopicTail { topic: "jobs", partition: 3, wait: Duration::ZERO, pause: Duration::ZERO };
+    let stop = token.clone();
+
+    actix_rt::spawn(async move { tail.follow_retained(2, &store, &sender, &stop).await });
+    let first = messages.recv().await;
+    let second = messages.recv().await;
+    token.cancel();
+
+    verify_that!(page_end(first), some(eq((3, 11))))?;
+    verify_that!(page_end(second), some(eq((3, 12))))
+}
+
+/// Returns the partition and the end of a page.
+fn page_end(message: Option<TailMessage>) -> Option<(u32, u64)> {
+    match message? {
+        TailMessage::Page(partition, page, _) => Some((partition, page.next)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/tests/cell_recovery.rs
@@ -0,0 +1,126 @@
+//! Tests of what a new owner learns from the store while the former one still acts.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{CellRecord, EndCause, GraphSpec, JobStatus, StepSpec, TaskKey};
+use godwithaven::prelude::FastSet;
+use godwithaven::tasks::cell::intake::JobRecord;
+use godwithaven::tasks::cell::metrics::CellMetrics;
+use godwithaven::tasks::cell::owner::{JobAnswer, OwnerMessage, OwnerTask};
+use godwithaven::tasks::cell::ports::{
+    AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage, TopicRecord,
+};
+use googletest::prelude::*;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+const JOB: &str = "00000000000000a1";
+/// Longest wait for the state of the job, far above the usual time.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+fn job() -> GraphSpec {
+    let need = ResourceVector::new(1_000, 100, 0);
+    GraphSpec {
+        id: JOB.into(),
+        queue: "q".into(),
+        team: "".into(),
+        payload: "x".into(),
+        steps: vec![StepSpec { tasks: 1, need, ..StepSpec::default() }],
+        schedule: None,
+        submitted: Duration::from_secs(1_000_000),
+    }
+}
+
+/// Returns a page of records from offset 0; reads from later offsets are empty.
+fn page(values: Vec<Vec<u8>>, from: u64) -> TopicPage {
+    let end = values.len() as u64;
+    let record = |(offset, value): (u64, Vec<u8>)| TopicRecord { offset, key: None, value: value.into() };
+    let records = (0..).zip(values).skip(usize::try_from(from).unwrap_or(usize::MAX)).map(record);
+    TopicPage { records: records.collect(), next: end, end }
+}
+
+/// Returns a store in which a job is stored, started and completed by the former owner after the new owner
+/// has read the submissions for the first time and before it has fenced the former one.
+fn store_with_a_late_job() -> StoreClient {
+    let is_fenced = Rc::new(Cell::new(false));
+    let fence = is_fenced.clone();
+    let append = move |request: AppendRequest| {
+        let fence = fence.clone();
+        async move {
+            if request.topic == "cell" && request.records.is_empty() {
+                // Longer than the first reads of the submissions take.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                fence.set(true);
+            }
+            AppendOutcome::Stored(0)
+        }
+        .boxed_local()
+    };
+    let read = move |topic: &'static str, partition, from, wait| {
+        let is_fenced = is_fenced.get();
+        async move {
+            tokio::time::sleep(wait).await;
+            let task = TaskKey::parse(&format!("{JOB}.0.0.0")).expect("the name is valid");
+            let values = match topic {
+                "jobs" if is_fenced && partition == 0 => {
+                    vec![serde_json::to_vec(&JobRecord::Submit(job())).expect("the job is serialized")]
+                }
+                "cell" => vec![
+                    serde_json::to_vec(&CellRecord::Started(task.clone(), 1, "w0".into())),
+                    serde_json::to_vec(&CellRecord::Ended(task, 1, EndCause::Done, None)),
+                ]
+                .into_iter()
+                .map(|value| value.expect("the record is serialized"))
+                .collect(),
+                _ => Vec::new(),
+            };
+            Ok(page(values, from))
+        }
+        .boxed_local()
+    };
+    StoreClient {
+        append: Rc::new(append),
+        read: Rc::new(read),
+        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
+    }
+}
+
+/// Guards against tasks that run again: a job that is stored, started and completed by the former owner while
+/// the new one recovers is unknown when its records are replayed, and would start anew once its submission is
+/// read.
+#[gtest]
+#[actix_rt::test]
+async fn a_job_completed_before_the_fence_is_known_after_recovery() -> Result<()> {
+    let (owner, inbox) = mpsc::channel(64);
+    let (advisor_sender, _advisor_inbox) = mpsc::channel(64);
+    let token = CancellationToken::new();
+    let task = OwnerTask {
+        token: 2,
+        adapter: CellAdapter::find(|_| Some(String::new())).or_fail()?.0,
+        store: store_with_a_late_job(),
+        own_sender: owner.clone(),
+        advisor_sender,
+        config: None,
+        closed_zones: FastSet::default(),
+        longest_lease: Duration::from_secs(10),
+        log_retention: Duration::from_secs(300),
+        metrics: CellMetrics::new().or_fail()?,
+    };
+    let stop = token.clone();
+    actix_rt::spawn(async move { task.run(inbox, stop).await });
+
+    let started = Instant::now();
+    let mut answer = JobAnswer::Missing;
+    while !matches!(answer, JobAnswer::Known(_)) && started.elapsed() < WAIT_TIMEOUT {
+        let (reply, state) = oneshot::channel();
+        owner.send(OwnerMessage::Inspect(JOB.into(), reply)).await.or_fail()?;
+        answer = state.await.or_fail()?;
+    }
+    token.cancel();
+
+    verify_that!(answer, eq(JobAnswer::Known(JobStatus::Completed)))
+}
