--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -14,6 +14,19 @@
     pub used: ResourceVector,
 }
 
+/// Number of ready steps by the reason why their tasks wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaitSummary {
+    /// Steps that wait for the limit of their team.
+    pub team_limit: usize,
+    /// Steps that no worker can run.
+    pub worker: usize,
+    /// Steps that wait for a permit.
+    pub permit: usize,
+    /// Steps that wait for room.
+    pub room: usize,
+}
+
 /// Load of a cell at one moment, for logs and metrics.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CellSummary {
@@ -25,9 +38,8 @@
     pub ready_steps: usize,
     /// Number of ready steps with an open permit request to the advisor.
     pub requesting_steps: usize,
-    /// Number of ready steps with the wait reasons [`StepWait::TeamLimit`], [`StepWait::Permit`] and
-    /// [`StepWait::Room`], in this order.
-    pub waits: (usize, usize, usize),
+    /// Number of ready steps by wait reason.
+    pub waits: WaitSummary,
     /// Number of tasks in ready steps that wait to be placed.
     pub waiting_tasks: usize,
     /// Number of placed tasks.
@@ -57,7 +69,12 @@
             excess_jobs: state.jobs.values().filter(|job| job.excess && !job.status.is_final()).count(),
             ready_steps: steps.len(),
             requesting_steps: steps.iter().filter(|step| step.permit_cache.has_open_request()).count(),
-            waits: (count(StepWait::TeamLimit), count(StepWait::Permit), count(StepWait::Room)),
+            waits: WaitSummary {
+                team_limit: count(StepWait::TeamLimit),
+                worker: count(StepWait::Worker),
+                permit: count(StepWait::Permit),
+                room: count(StepWait::Room),
+            },
             waiting_tasks: steps.iter().map(|step| step.waiting.len()).sum(),
             placed_tasks: state.placements.len(),
             unconfirmed_tasks: state
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -53,7 +53,7 @@
 pub use cell_record::CellRecord;
 pub use cell_scheduler::CellScheduler;
 pub use cell_state::CellState;
-pub use cell_summary::{CellSummary, PoolSummary};
+pub use cell_summary::{CellSummary, PoolSummary, WaitSummary};
 pub use cell_worker::CellWorker;
 pub use claim_record::{ClaimKind, ClaimRecord};
 pub use claim_watch::{CellOwner, ClaimWatch};
--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -161,11 +161,20 @@
         if let Some(permit_rule) = pending.rule.permits {
             self.request_permits(&pending, permit_rule, &candidates, blocked_position);
         }
-        let permitted = candidates.iter().any(|candidate| self.may_start_soon(&pending, candidate.slot));
-        self.set_wait_reason(key, if permitted { StepWait::Room } else { StepWait::Permit });
+        self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
         self.reserve_or_preempt(&pending, &candidates, missing);
     }
 
+    /// Returns why tasks of a step wait that the limit of the team allows.
+    fn wait_reason(&self, pending: &PendingStep<'_>, candidates: &[Candidate]) -> StepWait {
+        let unasked = self.state.step(pending.key).is_none_or(|(_, _, state)| state.permit_cache.is_empty());
+        if candidates.is_empty() && unasked {
+            return StepWait::Worker;
+        }
+        let permitted = candidates.iter().any(|candidate| self.may_start_soon(pending, candidate.slot));
+        if permitted { StepWait::Room } else { StepWait::Permit }
+    }
+
     fn set_wait_reason(&mut self, key: &StepKey, wait: StepWait) {
         if let Some(state) = self.state.step_mut(key) {
             state.wait_reason = Some(wait);
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -66,8 +66,12 @@
     /// every waiting task is in its backoff.
     #[display("team_limit")]
     TeamLimit,
-    /// The step has no valid permit for a worker, and none is expected soon; also if no worker can run the
-    /// step.
+    /// No worker on which tasks may start has the labels and the capacity that the step needs, or each of
+    /// them has as many tasks of the step as it may have.
+    #[display("worker")]
+    Worker,
+    /// The step has no valid permit for a worker, and none is expected soon; also if all workers that could
+    /// run the step are denied.
     #[display("permit")]
     Permit,
     /// No worker with a permit has room.
--- a/src/kernel/fleet_view.rs
+++ b/src/kernel/fleet_view.rs
@@ -7,8 +7,7 @@
 
 /// Maximum number of workers with room that are scored in one zone.
 const MAX_CANDIDATES_PER_ZONE: u32 = 8;
-/// Number of workers without room in a zone after which a search skips the rest of the current bucket of the
-/// index. The count starts anew after each skip.
+/// Number of workers without room in a bucket of the index after which a search skips the rest of the bucket.
 const MISSES_PER_BUCKET_SKIP: u32 = 8;
 /// Maximum number of workers examined in one zone per search.
 const MAX_EXAMINED_PER_ZONE: u32 = 256;
@@ -153,7 +152,10 @@
         let rotation = usize::try_from(self.workers_examined).unwrap_or(0);
         for zone in zone_numbers {
             let (mut compared, mut examined, mut misses) = (0, 0, 0);
-            self.index.search(zone, need, policy.spread, rotation, |slot| {
+            self.index.search(zone, need, policy.spread, rotation, |slot, visited| {
+                if visited == 0 {
+                    misses = 0;
+                }
                 if compared >= MAX_CANDIDATES_PER_ZONE || examined >= MAX_EXAMINED_PER_ZONE {
                     choice.search_truncated = true;
                     return SearchStep::Stop;
@@ -163,7 +165,7 @@
                 if let Some(reason) = state.rejection_reason(need) {
                     count_reason(&mut choice.rejected, reason);
                     misses += 1;
-                    if misses % MISSES_PER_BUCKET_SKIP == 0 {
+                    if misses >= MISSES_PER_BUCKET_SKIP {
                         choice.search_truncated = true;
                         return SearchStep::NextBucket;
                     }
@@ -213,7 +215,7 @@
         };
         reserved.iter().all(|slot| take(*slot) == SearchStep::Next);
         for zone in 0..u32::try_from(self.zone_numbers.len()).unwrap_or(u32::MAX) {
-            self.index.search(zone, need, true, 0, &mut take);
+            self.index.search(zone, need, true, 0, |slot, _| take(slot));
         }
         self.workers_examined += examined;
         (chosen.len() == wanted).then_some(chosen)
--- a/src/kernel/free_index.rs
+++ b/src/kernel/free_index.rs
@@ -72,7 +72,8 @@
         self.buckets.range(low..=high).rev().flat_map(|(_, bucket)| bucket.iter().copied())
     }
 
-    /// Calls `visit` for the workers of a zone that may have room.
+    /// Calls `visit` for the workers of a zone that may have room, with the number of workers of the same
+    /// bucket that were visited before.
     ///
     /// Workers without accelerators come first. Among workers with, or without, accelerators, the fullest
     /// come first, or the emptiest if `emptiest_first`. `rotation` shifts the start within each bucket, so
@@ -83,7 +84,7 @@
         need: ResourceVector,
         emptiest_first: bool,
         rotation: usize,
-        mut visit: impl FnMut(u32) -> SearchStep,
+        mut visit: impl FnMut(u32, usize) -> SearchStep,
     ) {
         let (cores, memory) = (bit_length(need.cores_milli), bit_length(need.memory_mib));
         for accelerated in [false, true] {
@@ -98,8 +99,8 @@
                     continue;
                 }
                 let start = rotation % bucket.len();
-                for slot in bucket[start..].iter().chain(&bucket[..start]) {
-                    match visit(*slot) {
+                for (visited, slot) in bucket[start..].iter().chain(&bucket[..start]).enumerate() {
+                    match visit(*slot, visited) {
                         SearchStep::Next => {}
                         SearchStep::NextBucket => break,
                         SearchStep::Stop => return,
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -32,9 +32,11 @@
     /// When all leases granted by earlier owners have expired. Until then, inherited jobs wait for workers
     /// that have not been synced.
     old_leases_end: Instant,
-    /// Whether stops or placements were left over, so that the caller should send another
+    /// Whether lease checks, stops or placements were left over, so that the caller should send another
     /// [`ScheduleEvent::Tick`] soon.
     pub backlog: bool,
+    /// Whether lease checks were left over at the last tick.
+    lease_backlog: bool,
     /// Total number of workers examined by placement searches.
     pub workers_examined: u64,
     /// Total number of placement attempts for classes of waiting tasks.
@@ -59,6 +61,7 @@
             bundle_fresh_until: None,
             old_leases_end,
             backlog: false,
+            lease_backlog: false,
             workers_examined: 0,
             classes_tried: 0,
         }
@@ -271,7 +274,7 @@
         }
         self.state.retry_cursor =
             self.state.retry_cursor.and_then(|from| self.state.queue.unblock_next(from));
-        self.check_leases(now);
+        self.lease_backlog = self.check_leases(now);
         for job in self.mover.take_due(now) {
             self.move_infeasible_job(&job);
         }
@@ -280,11 +283,13 @@
         self.reclaim.advance(&mut self.state, &mut self.gang, now);
     }
 
-    /// Declares lost the tasks of workers whose lease has expired.
-    fn check_leases(&mut self, now: Instant) {
+    /// Declares lost the tasks of workers whose lease has expired; returns whether further checks may be due.
+    fn check_leases(&mut self, now: Instant) -> bool {
         for _ in 0..MAX_LEASE_CHECKS_PER_TICK {
             let due = self.state.lease_checks.first().is_some_and(|(due, _)| *due <= now);
-            let Some((_, vm)) = due.then(|| self.state.lease_checks.pop_first()).flatten() else { return };
+            let Some((_, vm)) = due.then(|| self.state.lease_checks.pop_first()).flatten() else {
+                return false;
+            };
             let Some(slot) = self.state.fleet.slot(&vm) else { continue };
             let Some(worker) = self.state.fleet.get(slot) else { continue };
             let Some(end) = worker.lease_end else { continue };
@@ -294,9 +299,7 @@
             }
             self.expire_lease(slot, now);
         }
-        // Overdue checks wait for the next tick: this assignment has no effect, because `place_tasks` sets
-        // the flag anew in the same call.
-        self.backlog = true;
+        true
     }
 
     fn expire_lease(&mut self, slot: u32, now: Instant) {
@@ -384,7 +387,7 @@
         }
         self.state.drain_stops(MAX_STOPS_PER_CALL);
         self.state.shares.refresh(now, self.state.fleet.capacity);
-        let mut more = !self.state.stop_backlog.is_empty();
+        let mut more = self.lease_backlog || !self.state.stop_backlog.is_empty();
         let bundle_is_fresh = self.bundle_fresh_until.is_none_or(|until| now < until);
         let stale_owners_excluded = self.state.timing.supports_fencing || now >= self.old_leases_end;
         if let Some(bundle) = self.bundle.clone().filter(|_| bundle_is_fresh && stale_owners_excluded) {
--- a/src/log_pipe.rs
+++ b/src/log_pipe.rs
@@ -1,12 +1,11 @@
 //! Asynchronous logging to standard output, as processes that serve a cell use it. It does not block the
-//! process while it runs: if the reader of the output is too slow, lines are dropped and counted. Only the
-//! end of [`LogPipe::run`] waits for the reader.
+//! process: if the reader of the output is too slow, lines are dropped and counted.
 
 use std::io::Write;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
 use log::LevelFilter;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::logging::typed_json_line;
@@ -18,6 +17,9 @@
 const MAX_QUEUED_CHUNKS: usize = 8;
 /// Time between two chunks; a longer time wakes the writer thread less often.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for the reader of the output at the end of the process; lines that it has not read by then are
+/// lost.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size from which a chunk is sent to the writer thread at once.
 const FLUSH_BYTES: usize = 64 << 10;
 
@@ -25,7 +27,8 @@
 pub struct LogPipe {
     lines: mpsc::Receiver<String>,
     chunks: SyncSender<Vec<u8>>,
-    writer: std::thread::JoinHandle<()>,
+    /// Resolved when the writer thread has ended.
+    writer_ended: oneshot::Receiver<()>,
 }
 
 impl LogPipe {
@@ -47,13 +50,18 @@
             fern::Dispatch::new().level(LevelFilter::Warn).level_for("godwithaven", level).chain(output);
         dispatch.apply().map_err(|error| error.to_string())?;
         let (chunks, received) = sync_channel(MAX_QUEUED_CHUNKS);
-        let writer =
-            std::thread::Builder::new().name("log".to_owned()).spawn(move || write_chunks(&received));
-        Ok(Self { lines, chunks, writer: writer.map_err(|error| error.to_string())? })
+        let (ended, writer_ended) = oneshot::channel();
+        let writer = std::thread::Builder::new().name("log".to_owned()).spawn(move || {
+            write_chunks(&received);
+            // The receiver is gone if the process did not wait that long.
+            let _ = ended.send(());
+        });
+        writer.map_err(|error| error.to_string())?;
+        Ok(Self { lines, chunks, writer_ended })
     }
 
-    /// Writes log lines until the token is cancelled, then the queued ones. Then blocks the calling thread
-    /// until the writer thread has ended, which it does not while a write to standard output blocks.
+    /// Writes log lines until the token is cancelled, then the queued ones. Waits for the writer thread for at
+    /// most `END_TIMEOUT`, as a write blocks for as long as nobody reads the output.
     pub async fn run(mut self, token: CancellationToken) {
         let mut chunk = Vec::new();
         let mut interval = tokio::time::interval(FLUSH_INTERVAL);
@@ -82,8 +90,10 @@
         }
         self.send_chunk(&mut chunk);
         drop(self.chunks);
-        if self.writer.join().is_err() {
-            eprintln!("the log writer thread panicked");
+        match tokio::time::timeout(END_TIMEOUT, self.writer_ended).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => eprintln!("the log writer thread panicked"),
+            Err(_) => eprintln!("the last log lines are lost: nobody reads standard output"),
         }
     }
 
--- a/src/plugins/directory_http.rs
+++ b/src/plugins/directory_http.rs
@@ -17,7 +17,7 @@
 
 inventory::submit!(AdapterEntry::Directory(DirectoryAdapter { name: "directory_http", connect }));
 
-/// Time limit until the response head of a read of the list; reading the body has none.
+/// Time limit until the response head of a read of the list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a reply.
 const MAX_LIST_BYTES: usize = 64 << 20;
@@ -98,8 +98,8 @@
         return Err(format!("status {}", response.status()));
     }
     let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok()).map(str::to_owned);
-    let mut reply =
-        response.json::<ListReply>().limit(MAX_LIST_BYTES).await.map_err(|error| error.to_string())?;
+    let body = http::read_answer(&mut response, MAX_LIST_BYTES).await?;
+    let mut reply: ListReply = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
     let cursor = ListCursor { tag, version: reply.version.take().filter(|version| is_url_safe(version)) };
     if let Some(vms) = reply.vms {
         return Ok(ListRead::Whole(group_by_role(parse_vms(&vms)), cursor));
--- a/src/plugins/http.rs
+++ b/src/plugins/http.rs
@@ -5,9 +5,10 @@
 
 use actix_http::{HttpService, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use awc::{Client, Connector};
+use awc::error::PayloadError;
+use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -26,8 +27,11 @@
 /// Maximum time that a stopping server waits for its connections to close.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum time between two parts of the body of a response.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Returns a client with at most `connections` connections to one host, whose requests time out unless the
-/// head of the response arrives within `timeout`. Reading the body of a response has no time limit.
+/// head of the response arrives within `timeout`; [`read_answer`] reads the body.
 #[must_use]
 pub fn client(connections: usize, timeout: Duration) -> Client {
     let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(connections);
@@ -54,6 +58,30 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
+/// Reads the body of a response, of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns the reason if the body is longer, breaks off, or makes no progress for `BODY_STALL_TIMEOUT`. A long
+/// body may take longer than that altogether.
+pub async fn read_answer<S>(response: &mut ClientResponse<S>, limit: usize) -> Result<Bytes, String>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut body = BytesMut::new();
+    loop {
+        let chunk = match tokio::time::timeout(BODY_STALL_TIMEOUT, response.next()).await {
+            Ok(Some(chunk)) => chunk.map_err(|error| error.to_string())?,
+            Ok(None) => return Ok(body.freeze()),
+            Err(_) => return Err(format!("body of the response stalls after {} bytes", body.len())),
+        };
+        if body.len() + chunk.len() > limit {
+            return Err(format!("body of the response is longer than {limit} bytes"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+}
+
 /// Reads a request body of at most `limit` bytes; `None` if it is longer or incomplete.
 pub async fn read_body(request: &mut Request, limit: usize) -> Option<Bytes> {
     let mut payload = request.take_payload();
--- a/src/plugins/log_http.rs
+++ b/src/plugins/log_http.rs
@@ -14,10 +14,12 @@
 /// Stream that holds the records of all entry processes in one total order.
 const STREAM: &str = "control";
 /// Time limit until the response head, added to the time that a read waits for records; a slow log service
-/// can need 5 s. Reading the response body has no time limit.
+/// can need 5 s.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Maximum number of connections; a slow log service has several overlapping reads and one append in flight.
 const MAX_CONNECTIONS: usize = 12;
+/// Maximum size of the reply to an append.
+const MAX_APPEND_REPLY_BYTES: usize = 64 << 10;
 /// Maximum size of a read's reply, which has up to [`LogPage::MAX_GROUPS`] groups of records.
 const MAX_PAGE_BYTES: usize = 512 << 20;
 
@@ -62,7 +64,8 @@
     if !response.status().is_success() {
         return Err(LogFault(format!("status {}", response.status())));
     }
-    let reply: AppendReply = response.json().await.map_err(fault)?;
+    let body = http::read_answer(&mut response, MAX_APPEND_REPLY_BYTES).await.map_err(LogFault)?;
+    let reply: AppendReply = serde_json::from_slice(&body).map_err(fault)?;
     Ok(reply.offset)
 }
 
@@ -77,7 +80,8 @@
     if !response.status().is_success() {
         return Err(LogFault(format!("status {}", response.status())));
     }
-    let reply: ReadReply = response.json().limit(MAX_PAGE_BYTES).await.map_err(fault)?;
+    let body = http::read_answer(&mut response, MAX_PAGE_BYTES).await.map_err(LogFault)?;
+    let reply: ReadReply = serde_json::from_slice(&body).map_err(fault)?;
     let decode = |record: ReadRecord| (record.offset, serde_json::from_str(&record.body).ok());
     let groups = reply.records.into_iter().map(decode).collect();
     Ok(LogPage { first: reply.first, next: reply.next, groups })
--- a/src/plugins/worker_http.rs
+++ b/src/plugins/worker_http.rs
@@ -137,7 +137,11 @@
     if status != 200 && status != 409 {
         return SyncResult::Unknown(format!("status {status}"));
     }
-    match response.json::<SyncReply>().limit(MAX_REPLY_BYTES).await {
+    let body = match http::read_answer(&mut response, MAX_REPLY_BYTES).await {
+        Ok(body) => body,
+        Err(reason) => return SyncResult::Unknown(reason),
+    };
+    match serde_json::from_slice::<SyncReply>(&body) {
         Ok(reply) if status == 409 => SyncResult::Fenced(reply.token),
         Ok(reply) if reply.stamp.is_none() => SyncResult::Unknown("the answer has no stamp".into()),
         Ok(reply) if reply.unchanged.is_none() => SyncResult::FullReport(decode(reply)),
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -63,12 +63,13 @@
             log::info!(service = &**service, listed = pool.listed, open = pool.schedulable,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
-        let (limit, permit, room) = summary.waits;
+        let waits = summary.waits;
         log::info!(open_jobs = summary.open_jobs,
             excess_jobs = summary.excess_jobs, ready_steps = summary.ready_steps,
             asking_steps = summary.requesting_steps, waiting_tasks = summary.waiting_tasks,
             placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks,
-            steps_at_limit = limit, steps_without_permit = permit, steps_without_room = room;
+            steps_at_limit = waits.team_limit, steps_without_worker = waits.worker,
+            steps_without_permit = waits.permit, steps_without_room = waits.room;
             "load of the cell");
     }
 
--- a/src/tasks/forward.rs
+++ b/src/tasks/forward.rs
@@ -2,7 +2,7 @@
 //! changes.
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tonic::Status;
 use tonic::transport::Channel;
 
@@ -41,17 +41,44 @@
         Self { call, deadline, may_have_run: false }
     }
 
+    /// Notes the reply to an attempt, after which the request may be sent again.
+    pub fn note_reply(&mut self, reply: &FrontReply) {
+        let may_have_run =
+            matches!(reply, FrontReply::Refused(refusal) if refusal.run == ExecutionStatus::MayHaveRun);
+        self.may_have_run |= may_have_run;
+    }
+
     /// Answers the caller. A refusal given here never says `not_run` if an earlier attempt may have run.
-    pub fn finish(self, mut reply: FrontReply) {
-        if let FrontReply::Refused(refusal) = &mut reply
-            && self.may_have_run
-        {
-            refusal.run = ExecutionStatus::MayHaveRun;
-        }
-        let _ = self.call.reply.send(reply);
+    pub fn finish(self, reply: FrontReply) {
+        let _ = self.call.reply.send(after_attempts(self.may_have_run, reply));
+    }
+
+    /// Returns the request for a router of this process, and a future that passes the router's reply on to
+    /// the caller as [`Self::finish`] does.
+    pub fn redirect(mut self, now: Instant) -> (RoutedCall, impl Future<Output = ()>) {
+        let (reply, answer) = oneshot::channel();
+        let caller = std::mem::replace(&mut self.call.reply, reply);
+        self.call.deadline = Some(self.deadline.saturating_duration_since(now));
+        let may_have_run = self.may_have_run;
+        let answered = async move {
+            let reply = answer.await.unwrap_or_else(|_| dropped_request());
+            let _ = caller.send(after_attempts(may_have_run, reply));
+        };
+        (self.call, answered)
     }
 }
 
+/// Returns the reply to a request after earlier attempts: no refusal says `not_run` if one of them may have
+/// run.
+fn after_attempts(may_have_run: bool, mut reply: FrontReply) -> FrontReply {
+    if let FrontReply::Refused(refusal) = &mut reply
+        && may_have_run
+    {
+        refusal.run = ExecutionStatus::MayHaveRun;
+    }
+    reply
+}
+
 /// Sends a request to its owner and answers the caller. If the request may be sent again before its deadline,
 /// it goes back to the peer task after a delay instead.
 pub async fn forward_call(
@@ -63,9 +90,7 @@
         Some(client) => send_call(client, &pending).await,
         None => (unreachable_owner(), true),
     };
-    let may_have_run =
-        matches!(&reply, FrontReply::Refused(refusal) if refusal.run == ExecutionStatus::MayHaveRun);
-    pending.may_have_run |= may_have_run;
+    pending.note_reply(&reply);
     let jitter_ms = rendezvous::hash(&[&pending.call.request]) % 100;
     let delay = MIN_RETRY_DELAY + Duration::from_millis(jitter_ms);
     let before_deadline = Instant::now() + delay < pending.deadline && !pending.call.reply.is_closed();
@@ -132,6 +157,11 @@
     FrontReply::Refused(RequestRefusal::not_run(RefusalReason::NoOwner, text))
 }
 
+fn dropped_request() -> FrontReply {
+    let text = "the process is stopping and has dropped the request";
+    FrontReply::Refused(RequestRefusal::may_have_run(RefusalReason::Stopping, text))
+}
+
 fn decode_reply(reply: ForwardReply) -> FrontReply {
     match reply.reply {
         Some(forward_reply::Reply::Answer(answer)) => FrontReply::Answer {
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -284,14 +284,15 @@
         actix_rt::spawn(forward_call(self.client(owner), pending, self.outputs.peer.clone()));
     }
 
-    fn retry_forward(&self, mut pending: PendingForward) {
+    fn retry_forward(&self, pending: PendingForward) {
         match self.owner_by_shard.get(&pending.call.shard) {
             Some(owner) if *owner == self.process => {
-                // The router sends its reply to the caller directly, not through `PendingForward::finish`.
-                pending.call.deadline = Some(pending.deadline.saturating_duration_since(Instant::now()));
+                let (call, answered) = pending.redirect(Instant::now());
                 let admission = self.outputs.admission.clone();
                 actix_rt::spawn(async move {
-                    let _ = admission.send(AdmissionMessage::Forwarded(Box::new(pending.call))).await;
+                    // A call that cannot be passed on is dropped, and its caller is answered all the same.
+                    let _ = admission.send(AdmissionMessage::Forwarded(Box::new(call))).await;
+                    answered.await;
                 });
             }
             Some(owner) => self.forward(owner, pending),
--- a/tests/cell_scheduler.rs
+++ b/tests/cell_scheduler.rs
@@ -11,7 +11,7 @@
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
     CellEvent, CellRecord, CommandOutcome, EndCause, JobStatus, PermitRule, PollReport, QueueRule,
-    RepeatSchedule, StepKey, StepSpec, TaskKey, WorkerListing,
+    RepeatSchedule, StepKey, StepSpec, TaskKey, WaitSummary, WorkerListing,
 };
 use googletest::prelude::*;
 
@@ -484,9 +484,32 @@
     verify_that!(driver.stops.iter().any(|command| command.reason == "too_slow"), eq(true))
 }
 
+/// Guards against operators who are told that steps wait for a permit while no worker can run them, or their
+/// queue needs no permit at all.
+#[gtest]
+fn a_step_that_no_worker_can_run_waits_for_a_worker() -> Result<()> {
+    let labelled = StepSpec { label: Some("other".into()), ..step(1) };
+    let permits = PermitRule {
+        decision_time: Duration::from_millis(10),
+        time_per_worker: Duration::from_millis(1),
+        validity: Duration::from_secs(5),
+    };
+    let mut without_permits = cell(1);
+    let mut with_permits = cell_with(config(Some(permits)), vec![worker("w0")]);
+    let mut denied = cell_with(config(Some(permits)), vec![worker("denied0")]);
+
+    submit(&mut without_permits, job("j", "urgent", vec![labelled.clone()]));
+    submit(&mut with_permits, job("j", "urgent", vec![labelled]));
+    submit(&mut denied, job("j", "urgent", vec![step(1)]));
+    denied.advance(100);
+
+    let waits = |driver: &CellDriver| driver.scheduler.summary(driver.now).waits;
+    let worker = WaitSummary { worker: 1, ..WaitSummary::default() };
+    verify_that!((waits(&without_permits), waits(&with_permits)), eq((worker, worker)))?;
+    verify_that!(waits(&denied), eq(WaitSummary { permit: 1, ..WaitSummary::default() }))
+}
+
 /// Callers that see a final state before it is stored may see a different one after a change of the owner.
-/// This test checks that the final state of a completed job is recorded; the fixture ignores the
-/// publication itself.
 #[gtest]
 fn a_final_state_is_published_after_its_record() -> Result<()> {
     let mut driver = cell(1);
@@ -496,7 +519,8 @@
     driver.end("j.0.0.0", EndCause::Done);
 
     let closed = CellRecord::Closed("j".into(), JobStatus::Completed);
-    verify_that!(driver.records.last(), some(eq(&closed)))
+    verify_that!(driver.records.last(), some(eq(&closed)))?;
+    verify_that!(driver.effect_order, eq(&vec!["record", "record", "publish"]))
 }
 
 /// Returns the scheduler's state of all tasks: the last run, the number of failures, and which run is placed.
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -1,6 +1,6 @@
 //! A cell scheduler for tests of its decisions, with workers that accept each start at once and an advisor
-//! that answers each permit request at once. Records, starts and stops are collected; publications,
-//! acknowledgements and the ends of watches are ignored.
+//! that answers each permit request at once. Records, starts and stops are collected; acknowledgements and the
+//! ends of watches are ignored.
 
 #![allow(dead_code, reason = "each test program uses a part of the fixture")]
 
@@ -31,7 +31,7 @@
     pub stops: Vec<StopCommand>,
     /// Step and number of workers of each permit request.
     pub permit_requests: Vec<(String, usize)>,
-    /// Kinds of the records and starts, in the order in which they were emitted.
+    /// Kinds of the records, starts and publications, in the order in which they were emitted.
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
     pub answers_first_poll: bool,
@@ -92,10 +92,8 @@
                 let report = report(self.now, Vec::new(), Vec::new());
                 self.scheduler.handle(CellEvent::WorkerPolled(listing.worker, report), self.now);
             }
-            CellEffect::Watch(_)
-            | CellEffect::Unwatch(_)
-            | CellEffect::Acknowledge(..)
-            | CellEffect::Publish(_) => {}
+            CellEffect::Publish(_) => self.effect_order.push("publish"),
+            CellEffect::Watch(_) | CellEffect::Unwatch(_) | CellEffect::Acknowledge(..) => {}
         }
     }
 
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -404,3 +404,31 @@
     let outcome = JobOutcome::Failed("result of blue/load#0@1".into());
     expect_that!(outcomes(&shard.effects, "blue/load"), elements_are![eq(&outcome)]);
 }
+
+/// Guards against tasks of lost workers that stay placed until the next tick, once more leases expire at the
+/// same time than one tick checks.
+#[gtest]
+fn leases_that_expire_together_are_checked_without_waiting_for_a_tick() {
+    // Arrange
+    let mut shard = shard(600);
+    shard.accept(batch("blue/load", 600, 60_000));
+    shard.run(Duration::from_secs(1));
+    let vms: Vec<String> = shard.workers.iter().map(|listed| listed.vm.to_string()).collect();
+    for vm in vms {
+        shard.send_event(ScheduleEvent::SyncFailed(vm.as_str().into()));
+    }
+    shard.now += TIMING.lease * 2;
+
+    // Act
+    shard.send_event(ScheduleEvent::Tick);
+    let mut slices = 1;
+    while shard.scheduler.backlog && slices < 10 {
+        shard.send_event(ScheduleEvent::Tick);
+        slices += 1;
+    }
+
+    // Assert
+    let summary = shard.scheduler.summary("r1/0".into());
+    expect_that!(slices, gt(1));
+    expect_that!((summary.used, summary.waiting), eq((ResourceVector::default(), 600)));
+}
