Let steps with time left wait for room, and count blocked steps by priority

Gangs of the class above it preempted batch tasks as soon as they were ready, though they had seconds left. 12,026 of 47,447 runs were stopped; each needs a new permit, which kept the advisor busy while a third of the cores were free. Second, a pass ended after 40 blocked steps of any priority that need the same kind of worker, so that gangs without room hid smaller steps of a lower one.

--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -4,8 +4,8 @@
 use rustc_hash::FxHasher;
 
 use crate::kernel::cell::{
-    CellEffect, CellState, PermitRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey, TaskRank,
-    VictimSearch,
+    CellEffect, CellState, PermitRule, PreemptionRule, QueueRule, StepKey, StepSpec, StepWait, TaskKey,
+    TaskRank, VictimSearch,
 };
 use crate::prelude::*;
 
@@ -16,8 +16,8 @@
 const SEARCH_WINDOW_WORKERS: usize = 128;
 /// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
 const MAX_STEPS_PER_PASS: usize = 4_000;
-/// Blocked steps, which found no room or no permit, after which a pass skips further steps that need the same
-/// kind of worker. The search over the workers costs most of a pass, and the skipped steps would hardly find
+/// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same priority
+/// that need the same kind of worker. The search over the workers costs most of a pass, and the skipped steps would hardly find
 /// room or a permit either.
 const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
 /// Blocked steps per kind of worker whose permits are renewed before they expire, so that capacity that
@@ -72,18 +72,21 @@
     allowed_by_worker_limit: u32,
 }
 
-/// The kind of worker that a step needs; steps with the same demand compete for the same workers.
+/// The kind of worker that a step needs, and its priority. Steps with the same demand compete for the same
+/// workers; those of a lower priority are often smaller and may fit where others do not.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct WorkerDemand {
     service: ServiceId,
     label: Option<LabelId>,
     accelerators: bool,
+    priority: u32,
 }
 
 impl WorkerDemand {
     fn of(step: &StepSpec, rule: &QueueRule) -> Self {
         let accelerators = step.need.accelerators > 0;
-        Self { service: rule.service.clone(), label: step.label.clone(), accelerators }
+        let (service, label) = (rule.service.clone(), step.label.clone());
+        Self { service, label, accelerators, priority: rule.priority }
     }
 }
 
@@ -96,6 +99,8 @@
     task_capacity: ResourceVector,
     /// Number of tasks to start, as far as the limit of the team allows.
     wanted_tasks: u32,
+    /// Whether less urgent tasks may be preempted for the step now.
+    may_preempt: bool,
 }
 
 impl<'a> StartPass<'a> {
@@ -135,15 +140,16 @@
         }
         let (task_capacity, gang) = (step.occupied_capacity(), step.gang);
         let task_rank = (state.rank.is_some_and(|step_rank| step_rank.excess), rule.priority);
+        let may_preempt = PreemptionRule::of(step, &rule, state.rank).may_preempt(self.now);
         let (waiting, wanted_tasks) = self.count_startable(key);
-        if wanted_tasks < waiting {
+        if wanted_tasks < waiting && may_preempt {
             self.preempt_in_team(key, task_rank, waiting - wanted_tasks);
         }
         if wanted_tasks == 0 {
             self.set_wait_reason(key, StepWait::TeamLimit);
             return;
         }
-        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks };
+        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
         let candidates = self.candidates(&pending);
         let started = if gang {
             self.start_gang(&pending, &candidates)
@@ -441,7 +447,7 @@
     }
 
     /// Reserves room for the tasks that could not start, so that less urgent steps do not take it. Preempts
-    /// less urgent tasks where there is not enough room.
+    /// less urgent tasks where there is not enough room, if the step may.
     fn reserve_or_preempt(&mut self, pending: &PendingStep<'_>, candidates: &[Candidate], missing: u32) {
         if !self.fits_on_empty_workers(pending, candidates) {
             return;
@@ -503,7 +509,7 @@
     /// Preempts less urgent tasks on the worker so that one task of the step fits; returns the number of
     /// tasks that will fit, 0 or 1.
     fn preempt(&mut self, pending: &PendingStep<'_>, candidate: &Candidate) -> u32 {
-        if self.preemptions_left == 0 {
+        if self.preemptions_left == 0 || !pending.may_preempt {
             return 0;
         }
         let reserved = self.reserved_by_worker.get(&candidate.slot).copied().unwrap_or_default();
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -179,7 +179,7 @@
     }
 }
 
-/// Returns a configuration with the queues `urgent` and `batch`, the team `blue` with a limit of 24 cores,
+/// Returns a configuration with the queues `urgent`, `middle` and `batch`, the team `blue` with a limit of 24 cores,
 /// and the team `red` without a limit.
 pub fn config(permits: Option<PermitRule>) -> CellConfig {
     let queue = |priority| QueueRule {
@@ -196,7 +196,10 @@
     let limit = ResourceVector::new(24_000, 0, 0);
     CellConfig {
         version: 1,
-        queues: [("urgent".into(), queue(0)), ("batch".into(), queue(2))].into_iter().collect(),
+        queues: [("urgent", 0), ("middle", 1), ("batch", 2)]
+            .into_iter()
+            .map(|(name, priority)| (name.into(), queue(priority)))
+            .collect(),
         teams: [
             ("blue".into(), TeamRule { weight: 10, limit }),
             ("red".into(), TeamRule { weight: 10, limit: ResourceVector::default() }),
