--- a/src/kernel/cell/start_pass.rs
+++ b/src/kernel/cell/start_pass.rs
@@ -16,9 +16,9 @@
 const SEARCH_WINDOW_WORKERS: usize = 128;
 /// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
 const MAX_STEPS_PER_PASS: usize = 4_000;
-/// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same priority
-/// that need the same kind of worker. The search over the workers costs most of a pass, and the skipped steps would hardly find
-/// room or a permit either.
+/// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same
+/// priority that need the same kind of worker. The search over the workers costs most of a pass, and the
+/// skipped steps would hardly find room or a permit either.
 const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
 /// Blocked steps per kind of worker whose permits are renewed before they expire, so that capacity that
 /// becomes free is used at once.
