Skip no retained record after an expiry, and keep one bound on capacities

The bound on a worker's capacity stood in two adapters. Change: it asks from the higher of the two offsets again after a delay; the bound is a constant of ResourceVector. Result: an_expiry_without_a_higher_offset_skips_no_record failed and passes.

--- a/src/kernel/resource_vector.rs
+++ b/src/kernel/resource_vector.rs
@@ -17,6 +17,9 @@
 }
 
 impl ResourceVector {
+    /// Largest plausible capacity of one worker. A larger one would outweigh the real workers in every sum.
+    pub const MAX_CAPACITY: Self = Self::new(u32::MAX as u64, u32::MAX as u64, u32::MAX as u64);
+
     /// Returns a vector of the given amounts.
     #[must_use]
     pub const fn new(cores_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -25,9 +25,6 @@
 /// Header with the name of the worker that a call is meant for. A process at the same address that is not
 /// that worker rejects the call with status 421.
 const EXPECT_INSTANCE_HEADER: &str = "Expect-Instance";
-/// Largest plausible amount of one resource of a worker: four million cores, or four PiB of memory. A larger
-/// one would outweigh the real workers in every sum.
-const MAX_WORKER_CAPACITY: u64 = u32::MAX as u64;
 
 /// Amounts of resources as the platform writes them.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
@@ -137,8 +134,7 @@
         return Err(format!("{} has no port", body.address));
     }
     let capacity = ResourceVector::from(body.capacity);
-    let limit = ResourceVector::new(MAX_WORKER_CAPACITY, MAX_WORKER_CAPACITY, MAX_WORKER_CAPACITY);
-    if let Some(dimension) = capacity.lacking(limit) {
+    if let Some(dimension) = capacity.lacking(ResourceVector::MAX_CAPACITY) {
         return Err(format!("capacity of {dimension} is out of range: {capacity}"));
     }
     Ok(WorkerListing {
--- a/src/plugins/directory_http.rs
+++ b/src/plugins/directory_http.rs
@@ -21,8 +21,6 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a reply.
 const MAX_LIST_BYTES: usize = 64 << 20;
-/// Maximum amount of one resource of a worker; a larger one would outweigh the real workers in every sum.
-const MAX_CAPACITY: u64 = u32::MAX as u64;
 
 /// The whole list in `vms`, or what `changed` and was `removed` since the version `since`.
 ///
@@ -132,7 +130,7 @@
         return Err(format!("{} has no port", vm.address));
     }
     let capacity = ResourceVector::new(vm.cores, vm.memory_mib, vm.accelerators);
-    match capacity.lacking(ResourceVector::new(MAX_CAPACITY, MAX_CAPACITY, MAX_CAPACITY)) {
+    match capacity.lacking(ResourceVector::MAX_CAPACITY) {
         Some(dimension) => Err(format!("{} of {} is out of range", dimension, vm.vm)),
         None => Ok(vm),
     }
--- a/src/tasks/cell/tail.rs
+++ b/src/tasks/cell/tail.rs
@@ -82,8 +82,9 @@
         while let Some(first) = self.follow(next, store, output, token).await {
             log::error!(topic = self.topic, partition = self.partition, from = next, first = first;
                 "records have expired before they were read");
-            // An offset that does not rise must not make this loop spin.
-            next = first.max(next + 1);
+            // Never skips a record that is retained, whatever offset the store names.
+            next = first.max(next);
+            tokio::time::sleep(READ_RETRY_DELAY).await;
         }
     }
 
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -254,11 +254,7 @@
         };
         std::future::ready(page).boxed_local()
     });
-    let store = StoreClient {
-        append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
-        read,
-        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
-    };
+    let store = store_with(read);
     let (sender, mut messages) = mpsc::channel(1);
     let token = CancellationToken::new();
     let tail = TopicTail { topic: "jobs", partition: 3, wait: Duration::ZERO, pause: Duration::ZERO };
@@ -273,6 +269,42 @@
     verify_that!(page_end(second), some(eq((3, 12))))
 }
 
+/// Guards against a submission that is passed over because the store names an offset that is not above the
+/// one that was asked for.
+#[gtest]
+#[actix_rt::test]
+async fn an_expiry_without_a_higher_offset_skips_no_record() -> Result<()> {
+    let expired = Rc::new(std::cell::Cell::new(false));
+    let read: PageReader = Rc::new(move |_, _, from, _| {
+        let page = if expired.replace(true) {
+            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1 })
+        } else {
+            Err(ReadFault::Expired(0))
+        };
+        std::future::ready(page).boxed_local()
+    });
+    let store = store_with(read);
+    let (sender, mut messages) = mpsc::channel(1);
+    let token = CancellationToken::new();
+    let tail = TopicTail { topic: "jobs", partition: 3, wait: Duration::ZERO, pause: Duration::ZERO };
+    let stop = token.clone();
+
+    actix_rt::spawn(async move { tail.follow_retained(7, &store, &sender, &stop).await });
+    let first = messages.recv().await;
+    token.cancel();
+
+    verify_that!(page_end(first), some(eq((3, 8))))
+}
+
+/// Returns a store of which only partitions can be read.
+fn store_with(read: PageReader) -> StoreClient {
+    StoreClient {
+        append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
+        read,
+        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
+    }
+}
+
 /// Returns the partition and the end of a page.
 fn page_end(message: Option<TailMessage>) -> Option<(u32, u64)> {
     match message? {
