Damage records of other writers at random against the cell's decoders

Cause: the decoders of registrations, configurations and submissions had examples only. Change: a property test with 2,000 edits of valid records: no panic, no worker without an address or of implausible size, no job beyond the bounds.

--- a/tests/cell_input.rs
+++ b/tests/cell_input.rs
@@ -9,10 +9,14 @@
 use bytes::Bytes;
 use fixture_cell::{START_UNIX_TIME, cell, cell_with, job as graph_job, step, submit, worker};
 use fixture_platform::{Platform, start_platform, write_settings};
-use godwithaven::kernel::cell::{GraphSpec, RepeatSchedule, StepSpec};
-use godwithaven::tasks::cell::intake::{CallAction, CellReply, IntakeMessage, JobSubmission};
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{GraphSpec, MAX_ESTIMATE, MAX_TASKS_PER_JOB, RepeatSchedule, StepSpec};
+use godwithaven::tasks::cell::intake::{CallAction, CellReply, IntakeMessage, JobRecord, JobSubmission};
 use godwithaven::tasks::cell::ports::{CellAdapter, FrontEndContext, OperatorChange, StoreClient, TopicPage};
 use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, Strategy, any, prop};
+use proptest::prop_assert;
+use proptest::test_runner::{RngAlgorithm, RngSeed, TestRunner};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -219,3 +223,67 @@
     verify_that!(fault, none())?;
     verify_that!(driver.started("j.0.0.0"), some(anything()))
 }
+
+fn runner() -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })
+}
+
+/// Returns a valid ASCII text in which up to 11 bytes at one position are replaced by pieces of JSON.
+fn damaged(valid: String) -> impl Strategy<Value = Vec<u8>> {
+    let pieces = prop::sample::select(vec![
+        "",
+        "0",
+        "-1",
+        "70000",
+        "1e400",
+        "18446744073709551616",
+        "null",
+        "{}",
+        "[[[[",
+        "\"\"",
+        "\\ud800",
+        "\u{0}",
+    ]);
+    let edit = (any::<prop::sample::Index>(), 0..12_usize, pieces, any::<Vec<u8>>());
+    edit.prop_map(move |(position, removed, piece, noise)| {
+        let start = position.index(valid.len());
+        let end = (start + removed).min(valid.len());
+        let tail = &valid.as_bytes()[end..];
+        let noise = if noise.len() > 90 { &noise[..4] } else { &[][..] };
+        [&valid.as_bytes()[..start], piece.as_bytes(), noise, tail].concat()
+    })
+}
+
+/// Guards against bytes of another writer that make a decoder panic, or pass as a worker without an address, a
+/// configuration with endless times, or a job that no owner can hold.
+#[gtest]
+fn damaged_records_never_panic_and_never_pass_as_usable() -> Result<()> {
+    let config = r#"{"version":2,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"s","stretch":2.5,
+        "target_latency_ms":500,"priority":1,"max_attempts":2}],"tenants":[{"name":"red","api_keys":["k"],"weight":3}]}"#;
+    let job = serde_json::to_string(&JobRecord::Submit(job_of(vec![step(3)]))).or_fail()?;
+    let texts = (damaged(registration("none", "")), damaged(config.to_owned()), damaged(job));
+
+    let result = runner().run(&texts, |(worker, config, job)| {
+        if let Ok(listing) = (adapter().parse_worker_registration)("w", &worker) {
+            let address: std::net::SocketAddr = listing.address.parse().expect("the address is valid");
+            prop_assert!(address.port() > 0 && listing.capacity.fits(ResourceVector::MAX_CAPACITY));
+        }
+        if let Ok(OperatorChange::Config(config)) = (adapter().parse_operator_change)("config", &config) {
+            prop_assert!(
+                config.queues.values().all(|rule| rule.target <= MAX_ESTIMATE && rule.stretch <= 1e6)
+            );
+        }
+        if let Ok(JobRecord::Submit(spec)) = JobRecord::decode(&job) {
+            prop_assert!(spec.tasks() <= MAX_TASKS_PER_JOB);
+        }
+        Ok(())
+    });
+
+    verify_that!(result, ok(anything()))
+}
