--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,7 +14,7 @@
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fleet::{Client, Fleet, HOST, KEY, ZONES};
 use ledger::Ledger;
@@ -262,6 +262,31 @@
     Ok(world.ledger.twice())
 }
 
+/// The owner is killed while a job is repeated at a fixed interval.
+fn repeated_job(trouble: bool, record: &Record) -> Verdict {
+    let mut world = World::start(trouble, record, 300, runner_specs(4))?;
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?.as_millis();
+    // 40 occurrences of 500 small tasks, one each 2 s.
+    let body = format!(
+        "{{\"spec\":\"ms=300 spread=300\",\"steps\":[{{\"count\":500,\"cpu\":100,\"mem_mb\":16,\
+         \"estimated_ms\":450}}],\"repeat_count\":40,\"first_ms\":{},\"interval_ms\":2000}}",
+        unix_ms + 1_000
+    );
+    let id = submit_or_fail(&world, 0, &body)?;
+    // Some time after the occurrence 24 was due, so that all its tasks have ended.
+    sleep(Duration::from_millis(1_000 + 24 * 2_000 + 1_700));
+    world.record.say(&format!("{} tasks are done, {} run", world.ledger.done(&id).len(), world.ledger.running(&id)));
+    if world.trouble {
+        let owner = world.fleet.owner().ok_or("no process owns the cell")?;
+        world.record.say(&format!("{} owns the cell", world.fleet.name(owner)));
+        world.fleet.kill(owner);
+        sleep(Duration::from_secs(1));
+        world.fleet.start_entry(owner);
+    }
+    sleep(Duration::from_secs(12));
+    Ok(world.ledger.twice())
+}
+
 /// A runner crashes and starts again under its id, and later it is lost for good.
 fn stale_lease(trouble: bool, record: &Record) -> Verdict {
     let mut specs = runner_specs(4);
@@ -325,6 +350,7 @@
         "oversized-append" => oversized_append,
         "forgotten-jobs" => forgotten_jobs,
         "many-ends" => many_ends,
+        "repeated-job" => repeated_job,
         "stale-lease" => stale_lease,
         _ => {
             eprintln!("there is no case {name}");
