--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -52,6 +52,8 @@
     clock_start: Instant,
     token: u64,
     lease_until: u64,
+    /// Whether the lapse of the present lease is recorded.
+    lapsed: bool,
     /// By task and run, as a start of a higher run is carried out also while a lower one runs.
     running: HashMap<(String, u64), Task>,
     /// Highest run of each task that was started, stopped or ended here.
@@ -98,6 +100,7 @@
             clock_start: Instant::now(),
             token: 0,
             lease_until: 0,
+            lapsed: true,
             running: HashMap::new(),
             highest: HashMap::new(),
             finished: Vec::new(),
@@ -126,6 +129,7 @@
         state.born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
         (state.clock_base, state.clock_start) = (clock_ms, Instant::now());
         (state.token, state.lease_until, state.last_end) = (0, 0, 0);
+        state.lapsed = true;
         state.highest.clear();
         state.finished.clear();
         state.reach = Reachability::Up;
@@ -191,6 +195,10 @@
             finish(state, &self.ledger, &self.spec.id, &task, run, how);
             self.shared.1.notify_all();
         }
+        if lapsed && !state.lapsed {
+            state.lapsed = true;
+            self.ledger.lapse(&self.spec.id);
+        }
     }
 }
 
@@ -228,6 +236,7 @@
             return refuse(clock, "late");
         }
         state.lease_until = state.lease_until.max(until.min(clock + MAX_HOLD_MS));
+        state.lapsed &= state.lease_until <= clock;
     }
     let (task, run) = (body.text("task"), body.number("run").unwrap_or(0));
     match call.path.as_str() {
