Take a call whose connection closes for one that may have been carried out

Cause: CallFault took every connect error of the HTTP client for a call that was never sent. The client also reports a connect error, Disconnected, if the connection ends after the whole request was written and before the answer. The start counted as not sent, so its task started again at once; an append counted as refused, so a caller could be told 503 for a job that was stored. Evidence: the log has 'order is not answered' with that reason, 'task is given up' in the same millisecond and 'task is started' with run 2. Change: is_unsent names the errors that come before a connection is open. All others leave the outcome unknown, which the scheduler settles with a poll or a stop before the task starts again. The demo's caller, which counts cut connections, uses the same function. Ruled out: repetitions by the pool of the client (it has none); the clients of the project's own interface treat each failure after the connection was open as unknown.

--- a/cli/src/caller.rs
+++ b/cli/src/caller.rs
@@ -7,6 +7,7 @@
 
 use awc::error::SendRequestError;
 use awc::{Client, ClientRequest};
+use godwithaven::plugins::http;
 use serde_json::Value;
 use tokio::time::Instant;
 
@@ -134,10 +135,9 @@
         last
     }
 
-    /// Counts an attempt that failed on an open connection before the response head; a connect error means
-    /// that nothing was sent.
+    /// Counts an attempt that failed on an open connection before the response head.
     fn count_broken_attempt(&self, error: Option<&SendRequestError>) {
-        let broken = error.is_some_and(|error| !matches!(error, SendRequestError::Connect(_)));
+        let broken = error.is_some_and(|error| !http::is_unsent(error));
         self.broken_attempts.set(self.broken_attempts.get() + u32::from(broken));
     }
 
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::plugins::http;
+
 /// Largest accepted body of a response, sufficient for one page of the store.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -35,7 +37,7 @@
 
 impl From<SendRequestError> for CallFault {
     fn from(error: SendRequestError) -> Self {
-        Self { unsent: matches!(error, SendRequestError::Connect(_)), reason: error.to_string() }
+        Self { unsent: http::is_unsent(&error), reason: error.to_string() }
     }
 }
 
--- a/src/plugins/http.rs
+++ b/src/plugins/http.rs
@@ -5,7 +5,7 @@
 
 use actix_http::{HttpService, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use awc::error::PayloadError;
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -58,6 +58,24 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
+/// Returns whether a request failed before its connection was open, so that no part of it was sent.
+///
+/// A closed connection is not among these failures: the client reports [`ConnectError::Disconnected`] also if
+/// the connection ends after the whole request was sent and before the head of the response.
+#[must_use]
+pub const fn is_unsent(error: &SendRequestError) -> bool {
+    matches!(
+        error,
+        SendRequestError::Connect(
+            ConnectError::Resolver(_)
+                | ConnectError::NoRecords
+                | ConnectError::Unresolved
+                | ConnectError::Timeout
+                | ConnectError::Io(_)
+        )
+    )
+}
+
 /// Reads the body of a response, of at most `limit` bytes.
 ///
 /// # Errors
