Open the occurrences of a repeated job that are in the records of earlier owners

Cause: the replay opened no occurrences. Evidence: the new owner logs 'task is started' with run 1 for tasks whose end is in the log of the former owner, 100 ms after 'cell recovered'; nothing told that records were dropped. Change: RecordReplayer applies the records. A record of a run proves that its occurrence and all before it were open, whatever the clock says, and opens them, within the number that an owner keeps open. Records without effect although their job is open are counted and logged.

--- a/src/kernel/cell/cell_job.rs
+++ b/src/kernel/cell/cell_job.rs
@@ -59,7 +59,13 @@
     #[must_use]
     pub fn may_open_occurrence(&self) -> bool {
         let open = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
-        open == 0 || open.saturating_add(1).saturating_mul(self.spec.tasks()) <= MAX_TASKS_PER_JOB
+        open < self.max_open_occurrences()
+    }
+
+    /// Returns how many occurrences may be open at the same time, at least one.
+    #[must_use]
+    pub fn max_open_occurrences(&self) -> u32 {
+        (MAX_TASKS_PER_JOB / self.spec.tasks().max(1)).max(1)
     }
 
     /// Whether all occurrences have become due and none is kept any more. A complete occurrence is kept
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,8 @@
 use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, EndHandler, GraphSpec, JobSnapshot, JobStatus, PlacementPhase, PollReconciler,
-    PollReport, StartPass, StepKey, StragglerWatch, TaskKey, TaskPlacement, WorkerListing,
+    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, PlacementPhase, PollReconciler, PollReport,
+    RecordReplayer, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -41,6 +41,8 @@
     /// Time since the submission or the last snapshot of a job after which its next snapshot is written;
     /// `None` disables snapshots.
     snapshot_interval: Option<Duration>,
+    /// Number of replayed records that had no effect although their job is open.
+    skipped_records: usize,
 }
 
 impl CellScheduler {
@@ -56,6 +58,7 @@
             last_pass: None,
             last_pass_duration: Duration::ZERO,
             snapshot_interval: None,
+            skipped_records: 0,
         }
     }
 
@@ -142,37 +145,18 @@
 
     /// Replays a record of an earlier owner; this produces no effects.
     pub fn replay(&mut self, record: CellRecord, now: Instant) {
-        let slot_of = |state: &mut CellState, worker: WorkerId| {
-            state.slot(&worker).unwrap_or_else(|| add_unlisted_worker(state, worker, now))
-        };
-        match record {
-            CellRecord::Started(task, run, worker) => {
-                let slot = slot_of(&mut self.state, worker);
-                if let Some(key) = self.state.placements.contains_key(&task).then(|| task.clone()) {
-                    self.state.remove_placement(&key);
-                }
-                self.state
-                    .add_placement(&task, TaskPlacement::new(slot, run, PlacementPhase::Inherited, now));
-            }
-            CellRecord::Ended(task, run, cause, checkpoint) => {
-                EndHandler { state: &mut self.state, now }.apply(&task, run, cause, checkpoint);
-            }
-            CellRecord::Lost(task, run) => {
-                if self.state.placements.get(&task).is_some_and(|placement| placement.run == run) {
-                    self.state.remove_placement(&task);
-                    self.state.requeue(&task);
-                }
-            }
-            CellRecord::Closed(job, status) => self.state.close(&job, status, now),
-            CellRecord::Snapshot(snapshot) => snapshot.restore(&mut self.state, slot_of, now),
-        }
+        let applied = RecordReplayer { state: &mut self.state, now }.apply(record);
+        self.skipped_records += usize::from(!applied);
         self.state.effects.clear();
     }
 
     /// Ends the replay. Suspensions and failure counts of workers, and the times of sent stops, are reset,
     /// as the replayed ones say nothing about the present state of the workers. Failure counts of tasks are
     /// kept.
-    pub fn end_replay(&mut self) {
+    ///
+    /// Returns the number of records that had no effect although their job was open. Any such record means that
+    /// its run may start again.
+    pub fn end_replay(&mut self) -> usize {
         for worker in &mut self.state.workers {
             worker.suspended_until = None;
             worker.health = WorkerHealth::default();
@@ -181,6 +165,7 @@
             placement.stop_sent = None;
         }
         self.state.effects.clear();
+        std::mem::take(&mut self.skipped_records)
     }
 
     /// Returns the state of a job; `None` if the job is unknown or its retention time after closing is over.
@@ -461,19 +446,3 @@
         }
     }
 }
-
-/// Adds a worker that occurs in the records of an earlier owner and is not listed.
-fn add_unlisted_worker(state: &mut CellState, worker: WorkerId, now: Instant) -> u32 {
-    let listing = WorkerListing {
-        worker,
-        address: "".into(),
-        service: "".into(),
-        zone: "".into(),
-        capacity: ResourceVector::default(),
-        labels: Vec::new(),
-        rack: None,
-        draining: false,
-    };
-    let lease_expires_at = state.inherited_lease_expires_at.unwrap_or(now);
-    state.add_worker(CellWorker::new(listing, lease_expires_at))
-}
--- /dev/null
+++ b/src/kernel/cell/record_replayer.rs
@@ -0,0 +1,90 @@
+use crate::kernel::cell::{
+    CellRecord, CellState, CellWorker, EndHandler, PlacementPhase, StepKey, TaskPlacement, WorkerListing,
+};
+use crate::prelude::*;
+
+/// Applies the records of earlier owners to the state of a new owner.
+pub struct RecordReplayer<'a> {
+    /// State of the cell that the records change.
+    pub state: &'a mut CellState,
+    /// Time of the replay.
+    pub now: Instant,
+}
+
+impl RecordReplayer<'_> {
+    /// Applies a record; returns `false` if it has no effect although its job is open.
+    pub fn apply(&mut self, record: CellRecord) -> bool {
+        match record {
+            CellRecord::Started(task, run, worker) => {
+                if !self.open_step(&task.step) {
+                    return false;
+                }
+                let slot = slot_of(self.state, worker, self.now);
+                self.state.remove_placement(&task);
+                let placement = TaskPlacement::new(slot, run, PlacementPhase::Inherited, self.now);
+                self.state.add_placement(&task, placement);
+            }
+            CellRecord::Ended(task, run, cause, checkpoint) => {
+                if !self.open_step(&task.step) {
+                    return false;
+                }
+                EndHandler { state: self.state, now: self.now }.apply(&task, run, cause, checkpoint);
+            }
+            CellRecord::Lost(task, run) => {
+                if !self.open_step(&task.step) {
+                    return false;
+                }
+                if self.state.placements.get(&task).is_some_and(|placement| placement.run == run) {
+                    self.state.remove_placement(&task);
+                    self.state.requeue(&task);
+                }
+            }
+            CellRecord::Closed(job, status) => self.state.close(&job, status, self.now),
+            CellRecord::Snapshot(snapshot) => {
+                let now = self.now;
+                snapshot.restore(self.state, |state, worker| slot_of(state, worker, now), now);
+            }
+        }
+        true
+    }
+
+    /// Opens the occurrence of a step, and all before it: an earlier owner opened them in order before it
+    /// recorded a run of the step. Their due times are not looked at, as the clock of this process may be
+    /// behind. Returns `false` if the step is unknown although its job is open.
+    ///
+    /// An owner keeps only a bounded number of occurrences open, which also bounds what is opened here if
+    /// records are missing.
+    fn open_step(&mut self, step: &StepKey) -> bool {
+        // Without an open job there is nothing to apply: its later snapshot or its end is in the records.
+        let Some(job) = self.state.jobs.get_mut(&step.job).filter(|job| !job.status.is_final()) else {
+            return true;
+        };
+        if step.occurrence < job.spec.occurrences() {
+            let oldest_open = (step.occurrence + 1).saturating_sub(job.max_open_occurrences());
+            job.next_occurrence = job.next_occurrence.max(oldest_open);
+            for occurrence in job.next_occurrence..=step.occurrence {
+                self.state.activate_occurrence(&step.job, occurrence, self.now);
+            }
+        }
+        self.state.step(step).is_some()
+    }
+}
+
+/// Returns the slot of a worker; adds one that occurs in the records and is not listed.
+fn slot_of(state: &mut CellState, worker: WorkerId, now: Instant) -> u32 {
+    if let Some(slot) = state.slot(&worker) {
+        return slot;
+    }
+    let listing = WorkerListing {
+        worker,
+        address: "".into(),
+        service: "".into(),
+        zone: "".into(),
+        capacity: ResourceVector::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+    };
+    let lease_expires_at = state.inherited_lease_expires_at.unwrap_or(now);
+    state.add_worker(CellWorker::new(listing, lease_expires_at))
+}
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -234,7 +234,10 @@
                 Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be decoded"),
             }
         }
-        scheduler.end_replay();
+        let skipped_records = scheduler.end_replay();
+        if skipped_records > 0 {
+            log::warn!(topic = CELL_TOPIC, records = skipped_records; "steps of records are unknown");
+        }
         for job in cancelled {
             scheduler.handle(CellEvent::Cancelled(job), now);
         }
