Count a run as absent only by a complete list of ends

Cause: a worker lists at most 500 of its unacknowledged ends at a time. A run that was neither running nor in this list counted as lost, although its end may be listed with the next poll. Evidence: 500 lines 'task has ended' and 300 lines 'task is given up' in the same instant. Change: the adapter tells whether the list is complete; a partial one proves no run absent.

--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -33,7 +33,9 @@
                 present.insert(reported.task);
             }
         }
-        self.handle_absent(&present, report.poll_sent_at);
+        if report.ends_complete {
+            self.handle_absent(&present, report.poll_sent_at);
+        }
         if last > 0
             && let Some(worker) = self.state.worker(self.slot)
         {
@@ -92,8 +94,8 @@
         self.state.effects.push(CellEffect::Stop(command));
     }
 
-    /// Marks runs as lost that the report would contain if the worker still ran them, and stops runs whose
-    /// start was not answered.
+    /// Marks runs as lost that a complete report would contain if the worker still ran them or had ended them,
+    /// and stops runs whose start was not answered.
     fn handle_absent(&mut self, present: &FastSet<TaskKey>, poll_sent_at: Instant) {
         let Some(worker) = self.state.worker(self.slot) else { return };
         let missing = worker.tasks.iter().filter(|task| !present.contains(*task)).cloned();
--- a/src/kernel/cell/poll_report.rs
+++ b/src/kernel/cell/poll_report.rs
@@ -70,6 +70,9 @@
     pub incarnation: WorkerIncarnation,
     /// Runs that have not ended.
     pub running: Vec<RunningRun>,
-    /// Ended runs that are not acknowledged.
+    /// Ended runs that are not acknowledged, in the order of their numbers.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` names all such runs. A worker lists a bounded number of them at a time, so that a run
+    /// that is neither running nor listed may have ended.
+    pub ends_complete: bool,
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -22,6 +22,8 @@
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a poll beyond the time for which the worker may hold it open.
 const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
+/// Largest number of ended runs that a worker lists in one answer to a poll.
+const MAX_LISTED_ENDS: usize = 500;
 /// Header with the name of the worker that a call is meant for. A process at the same address that is not
 /// that worker rejects the call with status 421.
 const EXPECT_INSTANCE_HEADER: &str = "Expect-Instance";
@@ -281,7 +283,13 @@
         Ok(EndedRun { number, task: key(&task)?, run, cause, checkpoint: non_empty(checkpoint) })
     });
     let ended = ended.collect::<Result<Vec<_>, String>>()?;
-    let report = PollReport { poll_sent_at, incarnation: Duration::from_millis(reply.born), running, ended };
+    let report = PollReport {
+        poll_sent_at,
+        incarnation: Duration::from_millis(reply.born),
+        running,
+        ends_complete: ended.len() < MAX_LISTED_ENDS,
+        ended,
+    };
     Ok((report, Duration::from_millis(reply.clock_ms)))
 }
 
--- /dev/null
+++ b/tests/cell_poll.rs
@@ -0,0 +1,103 @@
+//! Tests of what the report of a worker proves about the runs that it does not name.
+
+mod fixture_cell;
+
+use std::time::{Duration, Instant};
+
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use fixture_cell::{CellDriver, cell, job, report, running, step, submit, worker};
+use godwithaven::kernel::cell::{CellEvent, CellRecord, EndCause, EndedRun, PollReport, TaskKey};
+use godwithaven::tasks::cell::ports::{CellAdapter, PollOutcome, PollRequest};
+use godwithaven_standins::server;
+use googletest::prelude::*;
+use tokio_util::sync::CancellationToken;
+
+/// Number of ended runs that a worker of the platform lists at a time.
+const LISTED_ENDS: usize = 500;
+
+fn ended(number: u64, task: &str) -> EndedRun {
+    let task = TaskKey::parse(task).expect("the name is valid");
+    EndedRun { number, task, run: 1, cause: EndCause::Done, checkpoint: None }
+}
+
+/// Returns the report of a worker that lists only a part of its ended runs.
+fn partial_report(poll_sent_at: Instant, ended: Vec<EndedRun>) -> PollReport {
+    PollReport { ends_complete: false, ..report(poll_sent_at, Vec::new(), ended) }
+}
+
+fn lost_runs(driver: &CellDriver) -> usize {
+    driver.records.iter().filter(|record| matches!(record, CellRecord::Lost(..))).count()
+}
+
+/// Polls a worker that reports `count` ended runs; returns whether the report counts as complete.
+async fn poll_with_ends(count: usize) -> Result<bool> {
+    let rows: Vec<String> =
+        (1..=count).map(|number| format!(r#"[{number},"j.0.0.{number}",1,"done",""]"#)).collect();
+    let body = format!(r#"{{"clock_ms":1,"born":1,"running":[],"finished":[{}]}}"#, rows.join(","));
+    let body = Bytes::from(body);
+    let token = CancellationToken::new();
+    let (listener, address) = server::bind("127.0.0.1:0").await.or_fail()?;
+    actix_rt::spawn(server::serve(listener, token.clone(), move |_| {
+        std::future::ready(Response::with_body(StatusCode::OK, body.clone()))
+    }));
+    let mut listing = worker("w0");
+    listing.address = address.to_string().into();
+    // Every variable counts as set, so the only linked adapter is found.
+    let (adapter, _) = CellAdapter::find(|_| Some(String::new())).or_fail()?;
+    let request = PollRequest { token: 1, acknowledged: 0, lease: None, wait: Duration::ZERO };
+
+    let outcome = ((adapter.worker)(&listing).poll)(request).await;
+    token.cancel();
+
+    let report = if let PollOutcome::Answered(report, _) = outcome { Some(report) } else { None };
+    let report = report.or_fail()?;
+    verify_that!(report.ended.len(), eq(count))?;
+    Ok(report.ends_complete)
+}
+
+/// Guards against tasks that run again after they were done: runs whose ends a worker had not listed yet, as
+/// it lists a bounded number at a time, counted as lost.
+#[gtest]
+fn a_run_that_a_partial_report_lacks_is_not_lost() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(3)]));
+    driver.advance(100);
+
+    let first = partial_report(driver.now, vec![ended(1, "j.0.0.0")]);
+    driver.handle(CellEvent::WorkerPolled("w0".into(), first));
+    let lost_at_first = lost_runs(&driver);
+    let second = report(driver.now, vec![running("j.0.0.2", 1, 50)], vec![ended(2, "j.0.0.1")]);
+    driver.handle(CellEvent::WorkerPolled("w0".into(), second));
+
+    verify_that!(lost_at_first, eq(0))?;
+    verify_that!(lost_runs(&driver), eq(0))?;
+    verify_that!(driver.starts.len(), eq(3))
+}
+
+/// Guards against a job that waits forever for a run that was lost while the list of ends was partial.
+#[gtest]
+fn a_run_is_lost_once_a_complete_report_lacks_it() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(2)]));
+    driver.advance(100);
+
+    let first = partial_report(driver.now, vec![ended(1, "j.0.0.0")]);
+    driver.handle(CellEvent::WorkerPolled("w0".into(), first));
+    let second = report(driver.now, Vec::new(), Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), second));
+
+    verify_that!(lost_runs(&driver), eq(1))?;
+    verify_that!(driver.started("j.0.0.1").map(|command| command.run), some(eq(2)))
+}
+
+/// Guards against the same fault in the adapter: a list as long as the longest one that a worker returns may
+/// go on.
+#[gtest]
+#[actix_rt::test]
+async fn a_list_of_ends_of_full_length_is_not_complete() -> Result<()> {
+    let shorter = poll_with_ends(LISTED_ENDS - 1).await?;
+    let full = poll_with_ends(LISTED_ENDS).await?;
+
+    verify_that!((shorter, full), eq((true, false)))
+}
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -134,9 +134,9 @@
     RunningRun { task, run, checkpoint: None, percent, latency_ms_or_millicores: 0 }
 }
 
-/// Returns the report of a poll that was sent at `poll_sent_at`.
+/// Returns the report of a poll that was sent at `poll_sent_at`, with a complete list of ends.
 pub fn report(poll_sent_at: Instant, running: Vec<RunningRun>, ended: Vec<EndedRun>) -> PollReport {
-    PollReport { poll_sent_at, incarnation: INCARNATION, running, ended }
+    PollReport { poll_sent_at, incarnation: INCARNATION, running, ended, ends_complete: true }
 }
 
 /// Returns a cell with `workers` workers of 8 cores, 8 GiB and 4 accelerators.
