Say that a job is missing only after reads that reached the end of the submissions

Any page counted as a read of all submissions, so an owner that had fallen behind answered 410 for accepted jobs on later pages. Change: only a page that reaches the end of its partition counts. Result: a_job_that_is_not_read_yet_is_not_missing failed before (Missing) and passes.

--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -29,7 +29,7 @@
     /// Jobs whose final state is not stored yet; another owner could still reach a different one, so callers
     /// are not told.
     pub(super) unpublished: FastSet<JobId>,
-    /// When the last answered read of each partition of submissions was sent.
+    /// When the last read that reached the end of each partition of submissions was sent.
     pub(super) submissions_read_at: Vec<Instant>,
 }
 
@@ -99,6 +99,8 @@
             }
         };
         let now = Instant::now();
+        // A page is bounded in size; the jobs on the next ones are not known yet.
+        let reached_end = page.next >= page.end;
         for record in page.records {
             match JobRecord::decode(&record.value) {
                 Ok(JobRecord::Submit(spec)) => {
@@ -110,7 +112,7 @@
                 }
             }
         }
-        if let Some(read) = self.submissions_read_at.get_mut(partition as usize) {
+        if reached_end && let Some(read) = self.submissions_read_at.get_mut(partition as usize) {
             *read = (*read).max(started);
         }
     }
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -89,19 +89,37 @@
     }
 }
 
-/// Guards against tasks that run again: a job that is stored, started and completed by the former owner while
-/// the new one recovers is unknown when its records are replayed, and would start anew once its submission is
-/// read.
-#[gtest]
-#[actix_rt::test]
-async fn a_job_completed_before_the_fence_is_known_after_recovery() -> Result<()> {
+/// Returns a store in which other jobs are submitted faster than an owner reads them, after its recovery.
+fn store_with_endless_submissions() -> StoreClient {
+    let read = |topic: &'static str, partition, from: u64, wait: Duration| {
+        async move {
+            tokio::time::sleep(wait.min(Duration::from_millis(20))).await;
+            // Reads of the recovery do not wait; it ends once they have reached the end.
+            if topic != "jobs" || partition != 0 || wait.is_zero() {
+                return Ok(TopicPage { records: Vec::new(), next: from, end: from });
+            }
+            let other = GraphSpec { id: format!("{from:016x}").into(), ..job() };
+            let value = serde_json::to_vec(&JobRecord::Submit(other)).expect("the job is serialized");
+            let record = TopicRecord { offset: from, key: None, value: value.into() };
+            Ok(TopicPage { records: vec![record], next: from + 1, end: u64::MAX })
+        }
+        .boxed_local()
+    };
+    StoreClient {
+        append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
+        read: Rc::new(read),
+        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
+    }
+}
+
+/// Starts the owner of a cell; returns the sender of its messages.
+fn start_owner(store: StoreClient, token: &CancellationToken) -> Result<mpsc::Sender<OwnerMessage>> {
     let (owner, inbox) = mpsc::channel(64);
-    let (advisor_sender, _advisor_inbox) = mpsc::channel(64);
-    let token = CancellationToken::new();
+    let (advisor_sender, advisor_inbox) = mpsc::channel(64);
     let task = OwnerTask {
         token: 2,
         adapter: CellAdapter::find(|_| Some(String::new())).or_fail()?.0,
-        store: store_with_a_late_job(),
+        store,
         own_sender: owner.clone(),
         advisor_sender,
         config: None,
@@ -111,16 +129,53 @@
         metrics: CellMetrics::new().or_fail()?,
     };
     let stop = token.clone();
-    actix_rt::spawn(async move { task.run(inbox, stop).await });
+    actix_rt::spawn(async move {
+        let _advisor_inbox = advisor_inbox;
+        task.run(inbox, stop).await
+    });
+    Ok(owner)
+}
+
+/// Asks the owner for the state of the job.
+async fn inspect(owner: &mpsc::Sender<OwnerMessage>) -> Result<JobAnswer> {
+    let (reply, state) = oneshot::channel();
+    owner.send(OwnerMessage::Inspect(JOB.into(), reply)).await.or_fail()?;
+    state.await.or_fail()
+}
+
+/// Guards against tasks that run again: a job that is stored, started and completed by the former owner while
+/// the new one recovers is unknown when its records are replayed, and would start anew once its submission is
+/// read.
+#[gtest]
+#[actix_rt::test]
+async fn a_job_completed_before_the_fence_is_known_after_recovery() -> Result<()> {
+    let token = CancellationToken::new();
+    let owner = start_owner(store_with_a_late_job(), &token)?;
 
     let started = Instant::now();
     let mut answer = JobAnswer::Missing;
     while !matches!(answer, JobAnswer::Known(_)) && started.elapsed() < WAIT_TIMEOUT {
-        let (reply, state) = oneshot::channel();
-        owner.send(OwnerMessage::Inspect(JOB.into(), reply)).await.or_fail()?;
-        answer = state.await.or_fail()?;
+        answer = inspect(&owner).await?;
     }
     token.cancel();
 
     verify_that!(answer, eq(JobAnswer::Known(JobStatus::Completed)))
 }
+
+/// Guards against an accepted job that is said not to exist: pages of submissions are bounded in size, and one
+/// that does not reach the end of its partition counted as if it had shown all jobs.
+#[gtest]
+#[actix_rt::test]
+async fn a_job_that_is_not_read_yet_is_not_missing() -> Result<()> {
+    let token = CancellationToken::new();
+    let owner = start_owner(store_with_endless_submissions(), &token)?;
+    let at_first = inspect(&owner).await?;
+
+    // Longer than the age up to which the last complete read counts.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let answer = inspect(&owner).await?;
+    token.cancel();
+
+    verify_that!(at_first, eq(JobAnswer::Missing))?;
+    verify_that!(answer, eq(JobAnswer::SubmissionsStale))
+}
