Take a list that cannot be continued for an error, not for the whole list

Change: the key of the last item is read even if the rest of the item is not; without one the read fails and is repeated. Result: a_list_that_cannot_be_continued_is_an_error failed before and passes.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -54,6 +54,12 @@
     end: LogOffset,
 }
 
+/// The key of an item, from which a list is continued even if the rest of the item cannot be read.
+#[derive(Deserialize)]
+struct ItemKey {
+    key: Arc<str>,
+}
+
 #[derive(Deserialize)]
 struct NewestItem {
     key: String,
@@ -201,13 +207,17 @@
         // The pages do not form a consistent snapshot, so changes since the first page are read again from
         // its end.
         let end = *end.get_or_insert(reply.end);
-        let page: Vec<TopicRecord> = reply.items.iter().filter_map(|item| decode_item(topic, item)).collect();
-        let last = page.last().and_then(|record| record.key.clone());
-        records.extend(page);
-        // Without a further key to continue from, the same page would come again.
-        if !reply.has_more || last.is_none() || last == after {
+        records.extend(reply.items.iter().filter_map(|item| decode_item(topic, item)));
+        if !reply.has_more {
             return Ok(TopicPage { records, next: end, end });
         }
+        let last = reply.items.iter().rev().find_map(|item| serde_json::from_str::<ItemKey>(item.get()).ok());
+        let last = last.map(|item| item.key);
+        if last.is_none() || last == after {
+            // The same page would come again. The keys so far are not the whole list, and those that it lacks
+            // would count as removed.
+            return Err(ReadFault::Failed("list cannot be continued".to_owned()));
+        }
         after = last;
     }
 }
--- a/tests/cell_input.rs
+++ b/tests/cell_input.rs
@@ -12,7 +12,9 @@
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{GraphSpec, MAX_ESTIMATE, MAX_TASKS_PER_JOB, RepeatSchedule, StepSpec};
 use godwithaven::tasks::cell::intake::{CallAction, CellReply, IntakeMessage, JobRecord, JobSubmission};
-use godwithaven::tasks::cell::ports::{CellAdapter, FrontEndContext, OperatorChange, StoreClient, TopicPage};
+use godwithaven::tasks::cell::ports::{
+    CellAdapter, FrontEndContext, OperatorChange, ReadFault, StoreClient, TopicPage,
+};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, Strategy, any, prop};
 use proptest::prop_assert;
@@ -110,11 +112,27 @@
     verify_that!(keys(&listed.or_fail()?), contains(eq("after")))
 }
 
+/// Reads the newest records from a store that answers each call with this page.
+async fn newest_of(page: &'static str, name: &str) -> std::result::Result<TopicPage, ReadFault> {
+    let platform = start_platform(name, 0).await;
+    let token = platform.token.clone();
+    let (listener, address) =
+        godwithaven_standins::server::bind("127.0.0.1:0").await.expect("a port is free");
+    actix_rt::spawn(godwithaven_standins::server::serve(listener, token, move |_| {
+        std::future::ready(actix_http::Response::with_body(actix_http::StatusCode::OK, Bytes::from(page)))
+    }));
+    let path = write_settings(&platform, "e1", 1);
+    let mut settings = (adapter().load)(&path.to_string_lossy()).expect("the settings are valid");
+    settings.store_address = address.to_string().into();
+    let listed = ((adapter().store)(&settings).newest)(WORKER_TOPIC).await;
+    platform.token.cancel();
+    listed
+}
+
 /// Guards against a list of workers that cannot be read at all because of one entry in it.
 #[gtest]
 #[actix_rt::test]
 async fn an_odd_entry_in_a_list_hides_no_other_entry() -> Result<()> {
-    let platform = start_platform("odd_entry", 0).await;
     let page = r#"{"items":[
         {"key":"first","value":"e30=","offset":0},
         {"key":"\ud800","value":"e30=","offset":1},
@@ -122,23 +140,28 @@
         {"key":7,"value":"e30=","offset":2},
         {"key":"nested","value":[[[[]]]],"offset":3},
         {"key":"last","value":"e30=","offset":4}],"has_more":false,"end":5}"#;
-    let token = platform.token.clone();
-    let (listener, address) = godwithaven_standins::server::bind("127.0.0.1:0").await.or_fail()?;
-    actix_rt::spawn(godwithaven_standins::server::serve(listener, token, move |_| {
-        std::future::ready(actix_http::Response::with_body(actix_http::StatusCode::OK, Bytes::from(page)))
-    }));
-    let path = write_settings(&platform, "e1", 1);
-    let mut settings = (adapter().load)(&path.to_string_lossy()).or_fail()?;
-    settings.store_address = address.to_string().into();
 
-    let listed = ((adapter().store)(&settings).newest)(WORKER_TOPIC).await;
-    platform.token.cancel();
+    let listed = newest_of(page, "odd_entry").await.or_fail()?;
 
-    let listed = listed.or_fail()?;
     verify_that!(keys(&listed), elements_are![eq("first"), eq("last")])?;
     verify_that!(listed.next, eq(5))
 }
 
+/// Guards against workers that count as gone because their list was cut short: a page that announces further
+/// ones and names no key to continue from was taken for the last one.
+#[gtest]
+#[actix_rt::test]
+async fn a_list_that_cannot_be_continued_is_an_error() -> Result<()> {
+    let without_key = r#"{"items":[{"key":7,"value":"e30=","offset":0}],"has_more":true,"end":5}"#;
+    let repeated = r#"{"items":[{"key":"first","value":"e30=","offset":0}],"has_more":true,"end":5}"#;
+
+    let without_key = newest_of(without_key, "list_without_key").await;
+    let repeated = newest_of(repeated, "repeated_page").await;
+
+    verify_that!(without_key, err(anything()))?;
+    verify_that!(repeated, err(anything()))
+}
+
 /// Sends a submission to the front end of the adapter; returns it as the intake task receives it.
 async fn decode_submission(body: &'static [u8]) -> JobSubmission {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
