Take an answer without the list of running tasks for no report

Change: such an answer leaves the outcome of the sync unknown. Result: an_answer_without_the_running_tasks_ends_none failed before and passes.

--- a/src/plugins/worker_http.rs
+++ b/src/plugins/worker_http.rs
@@ -73,8 +73,9 @@
     stamp: Option<WorkerStamp>,
     #[serde(default)]
     rejected: Vec<TaskId>,
+    /// The running tasks; `None` in a reply with `unchanged`.
     #[serde(default)]
-    running: Vec<RunningBody>,
+    running: Option<Vec<RunningBody>>,
     #[serde(default)]
     ended: Vec<EndedBody>,
     /// Revision of `running`, for the next request's `known`; `None` if the worker gives none.
@@ -144,6 +145,9 @@
     match serde_json::from_slice::<SyncReply>(&body) {
         Ok(reply) if status == 409 => SyncResult::Fenced(reply.token),
         Ok(reply) if reply.stamp.is_none() => SyncResult::Unknown("the answer has no stamp".into()),
+        Ok(reply) if reply.unchanged.is_none() && reply.running.is_none() => {
+            SyncResult::Unknown("the answer has no list of running tasks".to_owned())
+        }
         Ok(reply) if reply.unchanged.is_none() => SyncResult::FullReport(decode(reply)),
         Ok(reply) if reply.unchanged == request.known_revision => SyncResult::Unchanged(decode(reply)),
         Ok(_) => SyncResult::Unknown(
@@ -172,7 +176,7 @@
 }
 
 fn decode(reply: SyncReply) -> SyncAnswer {
-    let running = reply.running.into_iter().map(|body| TaskReport {
+    let running = reply.running.unwrap_or_default().into_iter().map(|body| TaskReport {
         task: body.task,
         team: body.team,
         need: ResourceVector::new(body.cores_milli, body.memory_mib, body.accelerators),
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -1,4 +1,4 @@
-//! Tests of calls to workers and to the store whose answers are lost.
+//! Tests of calls to workers and to the store whose answers are lost or lack a part.
 
 mod fixture_cell;
 mod fixture_platform;
@@ -6,17 +6,21 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use fixture_cell::worker;
 use fixture_platform::{start_platform, write_settings};
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{CommandOutcome, StartCommand, StartInputs, StopCommand, TaskKey};
+use godwithaven::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult};
 use godwithaven::tasks::cell::ports::{AppendOutcome, AppendRequest, CellAdapter, WorkerClient};
+use godwithaven_standins::server;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
-/// Time limit of a call.
+/// Time limit of a call and duration of a lease.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// An answer that leaves the connection open.
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
@@ -158,3 +162,30 @@
     verify_that!(started.outcome, eq(CommandOutcome::NotSent))?;
     verify_that!(stored, matches_pattern!(AppendOutcome::Refused(anything())))
 }
+
+/// Guards against tasks of the project's own interface that count as ended: an answer without the list of
+/// running tasks was taken for an empty list.
+#[gtest]
+#[actix_rt::test]
+async fn an_answer_without_the_running_tasks_ends_none() -> Result<()> {
+    let token = CancellationToken::new();
+    let (listener, address) = server::bind("127.0.0.1:0").await.or_fail()?;
+    actix_rt::spawn(server::serve(listener, token.clone(), |_| {
+        let body = Bytes::from_static(br#"{"token":1,"stamp":"s"}"#);
+        std::future::ready(Response::with_body(StatusCode::OK, body))
+    }));
+    let client = (AdapterEntry::find(AdapterEntry::worker).or_fail()?.connect)(&address.to_string());
+    let request = SyncRequest {
+        vm: "worker-1".into(),
+        token: 1,
+        lease: CALL_TIMEOUT,
+        stamp: None,
+        commands: Vec::new(),
+        known_revision: None,
+    };
+
+    let result = client(request).await;
+    token.cancel();
+
+    verify_that!(matches!(result, SyncResult::Unknown(_)), eq(true))
+}
