Send the owner's records in appends that the store accepts

Cause: all records that had gathered while an append was repeated were sent as one, without a bound on its size; the store accepts 2 MB and refuses it again each time. Evidence: 'append is repeated' with 'refused: 400' each 60 ms until the end of the run. Change: records and the effects that wait for them are kept in one queue, from which appends are taken that stay below the sizes that the settings name (platform.record_bytes, platform.call_bytes; checked at the start). Submissions use the same bound.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::cell::settings::CellSettings;
+use crate::tasks::cell::store_limits::StoreLimits;
 
 /// Settings by name, with the faults found so far.
 struct SettingsParser {
@@ -40,6 +41,25 @@
         })
     }
 
+    /// Returns a parsed setting, or `default` if it is missing; an invalid one is a fault.
+    fn parse_or<T: FromStr>(&mut self, name: &str, default: T) -> T {
+        if self.values.contains_key(name) { self.parse(name, default) } else { default }
+    }
+
+    /// Returns the sizes that the store accepts.
+    fn store_limits(&mut self) -> StoreLimits {
+        let default = StoreLimits::default();
+        let limits = StoreLimits {
+            record_bytes: self.parse_or("platform.record_bytes", default.record_bytes),
+            append_bytes: self.parse_or("platform.call_bytes", default.append_bytes),
+        };
+        if !limits.is_usable() {
+            self.faults
+                .push(format!("platform.record_bytes and platform.call_bytes: {limits} cannot be used"));
+        }
+        limits
+    }
+
     fn address(&mut self, name: &str) -> SocketAddr {
         self.parse(name, SocketAddr::from(([127, 0, 0, 1], 0)))
     }
@@ -110,6 +130,7 @@
         peer_addresses: parser.addresses("seeds"),
         metrics_listen: SocketAddr::from((ip, metrics_port)),
         store_address: parser.text("platform.address").into(),
+        store_limits: parser.store_limits(),
         cpu_limit: parser.cpu_limit(),
         longest_lease: parser.milliseconds("bounds.max_hold_ms"),
         log_retention: Duration::from_secs(parser.parse("platform.keep_s", 300)),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -75,6 +75,7 @@
     let (reader, read_base) = (client.clone(), base.clone());
     let (lister, list_base) = (client.clone(), base.clone());
     StoreClient {
+        limits: settings.store_limits,
         append: Rc::new(move |request| append(client.clone(), base.clone(), request).boxed_local()),
         read: Rc::new(move |topic, partition, from, wait| {
             read(reader.clone(), read_base.clone(), topic, partition, from, wait).boxed_local()
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -15,6 +15,7 @@
 pub mod ports;
 pub mod process;
 pub mod settings;
+pub mod store_limits;
 pub mod submit_queue;
 pub mod tail;
 pub mod term_log;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -18,9 +18,7 @@
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
-use crate::tasks::cell::ports::{
-    AppendOutcome, CellAdapter, MAX_RECORD_BYTES, ReadFault, StoreClient, TopicPage,
-};
+use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::{AppendProgress, CELL_TOPIC, TermLog};
 
@@ -358,7 +356,7 @@
                     }
                     match serde_json::to_vec(&record) {
                         // Only the snapshot of a job with thousands of running tasks is that large.
-                        Ok(value) if value.len() > MAX_RECORD_BYTES => {
+                        Ok(value) if value.len() > self.store.limits.largest_record() => {
                             log::error!(bytes = value.len(); "record is too large for the store, dropped");
                         }
                         Ok(value) => state.log.record(Bytes::from(value)),
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -16,6 +16,7 @@
 use crate::settings::SettingFault;
 use crate::tasks::cell::intake::IntakeMessage;
 use crate::tasks::cell::settings::CellSettings;
+use crate::tasks::cell::store_limits::StoreLimits;
 
 /// Identifies the writer of an append, so that the store recognises repeated appends and rejects fenced
 /// writers.
@@ -102,15 +103,14 @@
     Failed(String),
 }
 
-/// Largest record that the platform's store accepts.
-pub const MAX_RECORD_BYTES: usize = 262_144;
-
 /// Future of a read.
 pub type PageFuture = LocalBoxFuture<'static, Result<TopicPage, ReadFault>>;
 
 /// Client of the platform's store.
 #[derive(Clone)]
 pub struct StoreClient {
+    /// Largest records and appends that the store accepts.
+    pub limits: StoreLimits,
     /// Appends records to a partition of a topic.
     pub append: Rc<dyn Fn(AppendRequest) -> LocalBoxFuture<'static, AppendOutcome>>,
     /// Reads a partition of a topic from an offset; the store waits up to the duration for records if there
--- a/src/tasks/cell/settings.rs
+++ b/src/tasks/cell/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::kernel::cell::Millicores;
 use crate::prelude::*;
+use crate::tasks::cell::store_limits::StoreLimits;
 
 /// Settings of an entry process that serves a cell, read from the platform's settings file.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub metrics_listen: SocketAddr,
     /// Address of the store, `ip:port`.
     pub store_address: Arc<str>,
+    /// Largest records and appends that the store accepts.
+    pub store_limits: StoreLimits,
     /// Address of the placement advisor, `ip:port`; `None` if there is none.
     pub advisor_address: Option<Arc<str>>,
     /// CPU limit of the process in thousandths of a core.
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -15,7 +15,7 @@
 };
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::peer;
-use crate::tasks::cell::ports::{AppendOutcome, AppendRequest, MAX_RECORD_BYTES, StoreClient};
+use crate::tasks::cell::ports::{AppendOutcome, AppendRequest, StoreClient};
 
 /// Shortest adaptive timeout of an append; a repeated append does no harm, as jobs are identified by their
 /// ids.
@@ -43,8 +43,6 @@
 /// Shortest interval between records that are still sent to an unavailable store, and not relayed or refused,
 /// to detect the end of the outage.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Largest group of records in one append, a quarter of what the platform's store accepts in one call.
-const MAX_GROUP_BYTES: usize = 512 << 10;
 
 /// A record that is not stored yet, and the channel for the answer to its caller.
 struct QueuedRecord {
@@ -114,10 +112,11 @@
             JobRecord::Submit(spec) => (spec.id.clone(), "submit"),
             JobRecord::Cancel(job) => (job.clone(), "cancel"),
         };
+        let max_bytes = self.store.limits.largest_record();
         let value = match serde_json::to_vec(record) {
             // The store would reject the whole group, again at each repetition.
-            Ok(value) if value.len() > MAX_RECORD_BYTES => {
-                let reason = format!("the call takes {} bytes, at most {MAX_RECORD_BYTES}", value.len());
+            Ok(value) if value.len() > max_bytes => {
+                let reason = format!("the call takes {} bytes, at most {max_bytes}", value.len());
                 log::info!(id = &*id, reason = &*reason; "call is refused");
                 respond(reply, CellReply::Refused(CellRefusal::BadRequest(reason), None));
                 return;
@@ -179,16 +178,10 @@
     }
 
     fn send(&mut self) {
-        let mut bytes = 0;
-        let fits = self.waiting.iter().take_while(|record| {
-            bytes += record.value.len();
-            bytes <= MAX_GROUP_BYTES
-        });
-        // At least one record, even if it alone exceeds the size of a group.
-        let count = fits.count().max(1).min(self.waiting.len());
-        if count == 0 {
+        if self.waiting.is_empty() {
             return;
         }
+        let count = self.store.limits.group_len(self.waiting.iter().map(|record| &record.value));
         let group: Vec<QueuedRecord> = self.waiting.drain(..count).collect();
         let deadline = group.iter().map(|record| record.deadline).min();
         let time_left =
--- a/src/tasks/cell/term_log.rs
+++ b/src/tasks/cell/term_log.rs
@@ -1,6 +1,8 @@
 //! The owner's appends to its log, one in flight at a time; effects that depend on records are held until
 //! these are stored.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -32,11 +34,17 @@
     token: FencingToken,
     adaptive_timeout: AdaptiveTimeout,
     sequence: u64,
-    records: Vec<Bytes>,
-    held: Vec<T>,
+    /// Records that are not sent yet, and items that wait for the records before them, in the order in which
+    /// they were added.
+    queue: VecDeque<LogItem<T>>,
     in_flight: Option<InFlightAppend<T>>,
 }
 
+enum LogItem<T> {
+    Record(Bytes),
+    Held(T),
+}
+
 /// An append without an answer.
 struct InFlightAppend<T> {
     /// When the records were first sent, before any repetition.
@@ -70,27 +78,19 @@
     #[must_use]
     pub const fn new(store: StoreClient, token: FencingToken) -> Self {
         let adaptive_timeout = AdaptiveTimeout::new(MIN_APPEND_TIMEOUT, MAX_APPEND_TIMEOUT);
-        Self {
-            store,
-            token,
-            adaptive_timeout,
-            sequence: 0,
-            records: Vec::new(),
-            held: Vec::new(),
-            in_flight: None,
-        }
+        Self { store, token, adaptive_timeout, sequence: 0, queue: VecDeque::new(), in_flight: None }
     }
 
     /// Adds a serialized record, to be sent with the next flush.
     pub fn record(&mut self, record: Bytes) {
-        self.records.push(record);
+        self.queue.push_back(LogItem::Record(record));
     }
 
     /// Holds an item until all records so far are stored.
     pub fn hold_until_stored(&mut self, item: T) {
         match &mut self.in_flight {
-            Some(in_flight) if self.records.is_empty() => in_flight.held.push(item),
-            _ => self.held.push(item),
+            Some(in_flight) if self.queue.is_empty() => in_flight.held.push(item),
+            _ => self.queue.push_back(LogItem::Held(item)),
         }
     }
 
@@ -101,20 +101,54 @@
         self.in_flight.as_ref().is_some_and(|in_flight| in_flight.first_sent_at.elapsed() > STALLED_AFTER)
     }
 
-    /// Sends the added records, unless an append is in flight; returns the held items that depend on no
-    /// records.
+    /// Sends added records, unless an append is in flight; returns the held items that depend on no records.
+    /// Records beyond the size of one append are sent with the next flush.
     pub fn flush(&mut self) -> Vec<T> {
         if self.in_flight.is_some() {
             return Vec::new();
         }
-        if self.records.is_empty() {
-            return std::mem::take(&mut self.held);
+        let released = self.take_held();
+        if self.queue.is_empty() {
+            return released;
         }
+        let (records, held) = self.take_group();
         self.sequence += 1;
-        let records = std::mem::take(&mut self.records);
-        let held = std::mem::take(&mut self.held);
         self.send(records, held, Instant::now(), Duration::ZERO);
-        Vec::new()
+        released
+    }
+
+    /// Takes the held items at the front of the queue.
+    fn take_held(&mut self) -> Vec<T> {
+        let mut held = Vec::new();
+        while let Some(item) = self.queue.pop_front() {
+            match item {
+                LogItem::Held(item) => held.push(item),
+                LogItem::Record(_) => {
+                    self.queue.push_front(item);
+                    break;
+                }
+            }
+        }
+        held
+    }
+
+    /// Takes the records of the next append, and the held items that depend on no later record.
+    fn take_group(&mut self) -> (Vec<Bytes>, Vec<T>) {
+        let queued = self.queue.iter().filter_map(|item| match item {
+            LogItem::Record(record) => Some(record),
+            LogItem::Held(_) => None,
+        });
+        let count = self.store.limits.group_len(queued);
+        let (mut records, mut held) = (Vec::new(), Vec::new());
+        while records.len() < count {
+            match self.queue.pop_front() {
+                Some(LogItem::Record(record)) => records.push(record),
+                Some(LogItem::Held(item)) => held.push(item),
+                None => break,
+            }
+        }
+        held.append(&mut self.take_held());
+        (records, held)
     }
 
     fn send(&mut self, records: Vec<Bytes>, held: Vec<T>, first_sent_at: Instant, delay: Duration) {
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -10,6 +10,7 @@
 };
 use godwithaven::tasks::cell::inbox;
 use godwithaven::tasks::cell::ports::{AppendOutcome, PageFuture, ReadFault, StoreClient, TopicPage};
+use godwithaven::tasks::cell::store_limits::StoreLimits;
 use godwithaven::tasks::cell::tail::{TailMessage, TopicTail};
 use googletest::prelude::*;
 use tokio::sync::mpsc;
@@ -299,6 +300,7 @@
 /// Returns a store of which only partitions can be read.
 fn store_with(read: PageReader) -> StoreClient {
     StoreClient {
+        limits: StoreLimits::default(),
         append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
         read,
         newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -14,6 +14,7 @@
 use godwithaven::tasks::cell::ports::{
     AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage, TopicRecord,
 };
+use godwithaven::tasks::cell::store_limits::StoreLimits;
 use googletest::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -83,6 +84,7 @@
         .boxed_local()
     };
     StoreClient {
+        limits: StoreLimits::default(),
         append: Rc::new(append),
         read: Rc::new(read),
         newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
@@ -106,6 +108,7 @@
         .boxed_local()
     };
     StoreClient {
+        limits: StoreLimits::default(),
         append: Rc::new(|_| std::future::ready(AppendOutcome::Stored(0)).boxed_local()),
         read: Rc::new(read),
         newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
