Send no start whose run was given up, nor to another incarnation of the worker

Cause: the report of a new incarnation gave up all runs of the worker, also those whose start was not sent yet or not answered. Starts were sent once their record was stored, without a look at the run, to whichever incarnation answered. Evidence: 'task is given up' stands between 'task is started' with run 1 and the report of that run as running. Change: a start is sent only while its run is placed and not stopped, to the incarnation that the decision is based on, while it answers polls, and before it expires (also in the link, so that a process that was paused there sends no old start). A new incarnation proves by its report which confirmed runs are gone; a start without an answer is settled by a stop that the new incarnation confirms.

--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -19,6 +19,8 @@
 pub struct StartCommand {
     /// Worker that the command goes to.
     pub worker: WorkerId,
+    /// Incarnation of the worker that the decision is based on; no other one may get the command.
+    pub incarnation: Option<WorkerIncarnation>,
     /// Task that the run belongs to.
     pub task: TaskKey,
     /// Number of the run.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -174,6 +174,14 @@
         self.state.jobs.get(job).map(|job| job.status)
     }
 
+    /// Returns whether a start that was decided earlier may still be sent: the run was neither given up nor
+    /// stopped since.
+    #[must_use]
+    pub fn may_start(&self, task: &TaskKey, run: RunNumber) -> bool {
+        let placement = self.state.placements.get(task);
+        placement.is_some_and(|placement| placement.run == run && placement.stop_reason.is_none())
+    }
+
     /// Returns the number of jobs of a queue of which no task has started yet.
     #[must_use]
     pub fn queued_jobs(&self, queue: &QueueId) -> usize {
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -170,10 +170,12 @@
         let payload = spec.payload.clone();
         let (run, checkpoint) = (task.last_run + 1, task.checkpoint.clone());
         let Some(inputs) = self.start_inputs(key, slot, now) else { return };
-        let Some(worker) = self.worker(slot).map(|worker| worker.listing.worker.clone()) else { return };
+        let Some(worker) = self.worker(slot) else { return };
+        let (worker, incarnation) = (worker.listing.worker.clone(), worker.incarnation);
         self.effects.push(CellEffect::Record(CellRecord::Started(key.clone(), run, worker.clone())));
         let command = StartCommand {
             worker,
+            incarnation,
             task: key.clone(),
             run,
             payload,
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    /// Marks all runs on the worker as lost if it reports a new incarnation, which runs none of them.
+    /// Records the incarnation of the worker. A new one runs nothing that an earlier one has confirmed, which
+    /// its report proves; but a start without an answer may have reached it, and it knows of no earlier stop.
     fn apply_incarnation(&mut self, incarnation: WorkerIncarnation) {
         let Some(worker) = self.state.worker_mut(self.slot) else { return };
         worker.responsive = true;
@@ -52,9 +53,9 @@
         if previous.is_none_or(|previous| previous == incarnation) {
             return;
         }
-        let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
-        for task in tasks {
-            self.state.mark_lost(&task, self.now);
+        let slot = self.slot;
+        for placement in self.state.placements.values_mut().filter(|placement| placement.slot == slot) {
+            (placement.stop_sent, placement.stop_confirmed) = (None, None);
         }
     }
 
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -116,12 +116,14 @@
     ) {
         match message {
             LinkMessage::Start(command) => {
-                poll_state.idle = false;
-                let Some(lease) = self.lease.grant(Instant::now()) else {
+                let now = Instant::now();
+                let lease = if poll_state.may_start(&command, now) { self.lease.grant(now) } else { None };
+                let Some(lease) = lease else {
                     let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
                     commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
                     return;
                 };
+                poll_state.idle = false;
                 let answer = (self.client.start)(command.clone(), self.token, lease);
                 commands.push(Box::pin(async move { LinkAnswer::Start(command, answer.await) }));
             }
@@ -233,6 +235,12 @@
 }
 
 impl PollState {
+    /// Returns whether a start may be sent: the worker answers, is the incarnation that the decision is based
+    /// on, and the command has not expired.
+    fn may_start(&self, command: &StartCommand, now: Instant) -> bool {
+        self.answered && self.incarnation == command.incarnation && now <= command.expires_at
+    }
+
     /// Returns the delay before the next poll; `None` if it is due.
     fn poll_delay(&self) -> Option<Duration> {
         let left = self.not_before?.saturating_duration_since(Instant::now());
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -117,11 +117,15 @@
         }
     }
 
-    /// Applies an effect whose records are stored. A start is sent only before its expiry, and only if
-    /// `fresh` shows that this process is still the owner.
+    /// Applies an effect whose records are stored. A start is sent only before its expiry, if its run was not
+    /// given up while the records were stored, and if `fresh` shows that this process is still the owner.
     pub(super) async fn apply_effect(&mut self, effect: CellEffect, fresh: bool) {
         let (worker, message) = match effect {
-            CellEffect::Start(command) if !fresh || command.expires_at < Instant::now() => {
+            CellEffect::Start(command)
+                if !fresh
+                    || command.expires_at < Instant::now()
+                    || !self.scheduler.may_start(&command.task, command.run) =>
+            {
                 let event = CellEvent::StartAnswered(
                     command.task,
                     command.run,
--- /dev/null
+++ b/tests/cell_link.rs
@@ -0,0 +1,191 @@
+//! Tests of the starts that the link to a worker sends.
+
+mod fixture_cell;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fixture_cell::{INCARNATION, report};
+use futures_util::FutureExt;
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{
+    CellEvent, CommandOutcome, PollReport, StartCommand, StartInputs, TaskKey, WorkerLease,
+};
+use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
+use godwithaven::tasks::cell::metrics::CellMetrics;
+use godwithaven::tasks::cell::owner::OwnerMessage;
+use godwithaven::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
+use googletest::prelude::*;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Lease that the link grants.
+const LEASE: Duration = Duration::from_millis(6_500);
+/// Longest wait for a message, far above the usual time.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A worker whose answers to polls the test sets; `None` is no answer.
+#[derive(Clone, Default)]
+struct FakeWorker {
+    answer: Rc<Cell<Option<(Duration, Duration)>>>,
+    started: Rc<RefCell<Vec<TaskKey>>>,
+}
+
+impl FakeWorker {
+    /// Lets the worker answer polls as this incarnation, whose clock shows `clock`.
+    fn answer_as(&self, incarnation: Duration, clock: Duration) {
+        self.answer.set(Some((incarnation, clock)));
+    }
+
+    fn client(&self) -> WorkerClient {
+        let (answer, started) = (self.answer.clone(), self.started.clone());
+        let accepted = CommandAnswer { outcome: CommandOutcome::Accepted, clock: None };
+        let stop_answer = accepted.clone();
+        WorkerClient {
+            start: Rc::new(move |command, _, _| {
+                started.borrow_mut().push(command.task);
+                std::future::ready(accepted.clone()).boxed_local()
+            }),
+            stop: Rc::new(move |_, _| std::future::ready(stop_answer.clone()).boxed_local()),
+            poll: Rc::new(move |request: PollRequest| {
+                let answer = answer.clone();
+                async move {
+                    tokio::time::sleep(request.wait.min(Duration::from_millis(20))).await;
+                    let Some((incarnation, clock)) = answer.get() else {
+                        return PollOutcome::Failed("no answer".to_owned());
+                    };
+                    let report = report(Instant::now(), Vec::new(), Vec::new());
+                    PollOutcome::Answered(PollReport { incarnation, ..report }, clock)
+                }
+                .boxed_local()
+            }),
+        }
+    }
+}
+
+/// The ends of the channels of a running link.
+struct RunningLink {
+    commands: mpsc::Sender<LinkMessage>,
+    events: mpsc::Receiver<OwnerMessage>,
+    token: CancellationToken,
+}
+
+impl RunningLink {
+    fn start(worker: &FakeWorker) -> Self {
+        let (commands, inbox) = mpsc::channel(64);
+        let (owner_sender, events) = mpsc::channel(64);
+        let token = CancellationToken::new();
+        let link = WorkerLink {
+            worker: "w0".into(),
+            token: 1,
+            client: worker.client(),
+            lease: WorkerLease::new(LEASE, Instant::now()),
+            owner_sender,
+            metrics: CellMetrics::new().expect("the metrics are valid"),
+        };
+        actix_rt::spawn(link.run(inbox, token.clone()));
+        Self { commands, events, token }
+    }
+
+    /// Returns the first event that `select` accepts.
+    async fn await_event<T>(&mut self, select: impl Fn(CellEvent) -> Option<T>) -> Option<T> {
+        let events = async {
+            while let Some(message) = self.events.recv().await {
+                if let OwnerMessage::Event(event) = message
+                    && let Some(selected) = select(event)
+                {
+                    return Some(selected);
+                }
+            }
+            None
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, events).await.ok().flatten()
+    }
+
+    /// Waits for a report of this incarnation.
+    async fn await_report(&mut self, expected: Duration) -> Option<()> {
+        let is_expected = |event| match event {
+            CellEvent::WorkerPolled(_, report) if report.incarnation == expected => Some(()),
+            _ => None,
+        };
+        self.await_event(is_expected).await
+    }
+
+    /// Sends a start; returns its outcome.
+    async fn send(&mut self, command: StartCommand) -> Option<CommandOutcome> {
+        self.commands.send(LinkMessage::Start(command)).await.expect("the link runs");
+        self.await_event(|event| match event {
+            CellEvent::StartAnswered(_, _, _, outcome) => Some(outcome),
+            _ => None,
+        })
+        .await
+    }
+}
+
+/// Returns a start that is based on a report of this incarnation.
+fn start(name: &str, incarnation: Duration) -> StartCommand {
+    let inputs = StartInputs {
+        config: 1,
+        report_age: Duration::ZERO,
+        waited: Duration::ZERO,
+        free: ResourceVector::default(),
+    };
+    StartCommand {
+        worker: "w0".into(),
+        incarnation: Some(incarnation),
+        task: TaskKey::parse(name).expect("the name is valid"),
+        run: 1,
+        payload: "text".into(),
+        checkpoint: None,
+        ticket: None,
+        inputs,
+        expires_at: Instant::now() + WAIT_TIMEOUT,
+    }
+}
+
+/// Guards against a task that runs twice: a start that was decided for an earlier incarnation of a worker was
+/// sent to the next one, after the owner had given up all runs of the earlier one.
+#[gtest]
+#[actix_rt::test]
+async fn a_start_for_an_earlier_incarnation_is_not_sent() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.answer_as(next, Duration::ZERO);
+    link.await_report(next).await.or_fail()?;
+
+    let earlier = link.send(start("j.0.0.0", INCARNATION)).await;
+    let present = link.send(start("j.0.0.1", next)).await;
+    link.token.cancel();
+
+    verify_that!(earlier, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(present, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(worker.started.borrow().len(), eq(1))
+}
+
+/// Guards against a start that takes effect long after its decision: one that has waited beyond its expiry,
+/// as in a process that was paused, and one for a worker that does not answer polls.
+#[gtest]
+#[actix_rt::test]
+async fn an_expired_start_and_one_for_a_silent_worker_are_not_sent() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    let expires_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let expired = link.send(StartCommand { expires_at, ..start("j.0.0.0", INCARNATION) }).await;
+    worker.answer.set(None);
+    let is_silent = |event| matches!(event, CellEvent::WorkerUnresponsive(..)).then_some(());
+    link.await_event(is_silent).await.or_fail()?;
+    let silent = link.send(start("j.0.0.1", INCARNATION)).await;
+    link.token.cancel();
+
+    verify_that!(expired, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(silent, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(*worker.started.borrow(), is_empty())
+}
--- a/tests/cell_poll.rs
+++ b/tests/cell_poll.rs
@@ -6,8 +6,10 @@
 
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use fixture_cell::{CellDriver, cell, job, report, running, step, submit, worker};
-use godwithaven::kernel::cell::{CellEvent, CellRecord, EndCause, EndedRun, PollReport, TaskKey};
+use fixture_cell::{CellDriver, INCARNATION, cell, job, report, running, step, submit, worker};
+use godwithaven::kernel::cell::{
+    CellEvent, CellRecord, CommandOutcome, EndCause, EndedRun, PollReport, RunningRun, TaskKey,
+};
 use godwithaven::tasks::cell::ports::{CellAdapter, PollOutcome, PollRequest};
 use godwithaven_standins::server;
 use googletest::prelude::*;
@@ -101,3 +103,71 @@
 
     verify_that!((shorter, full), eq((true, false)))
 }
+
+/// Returns a report of the worker's second incarnation.
+fn restarted_report(poll_sent_at: Instant, running: Vec<RunningRun>) -> PollReport {
+    let incarnation = INCARNATION + Duration::from_secs(1);
+    PollReport { incarnation, ..report(poll_sent_at, running, Vec::new()) }
+}
+
+/// Guards against a task that runs twice: a start that reached a worker just after its restart was given up
+/// with the runs of the earlier incarnation, and the task was started elsewhere.
+#[gtest]
+fn a_run_that_a_restarted_worker_reports_is_kept() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(2)]));
+    driver.advance(100);
+
+    let report = restarted_report(driver.now, vec![running("j.0.0.1", 1, 10)]);
+    driver.handle(CellEvent::WorkerPolled("w0".into(), report));
+
+    let runs = ["j.0.0.0", "j.0.0.1"].map(|task| driver.started(task).map(|command| command.run));
+    verify_that!(runs, eq([Some(2), Some(1)]))?;
+    verify_that!(driver.stops, is_empty())
+}
+
+/// Guards against the same fault if the answer to the start was lost: the restarted worker may still carry it
+/// out, until it has confirmed a stop, and knows of no stop that the earlier incarnation has confirmed.
+#[gtest]
+fn an_unanswered_start_is_stopped_on_a_restarted_worker_too() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    let task = driver.started("j.0.0.0").or_fail()?.task;
+    driver.handle(CellEvent::StartAnswered(task.clone(), 1, "w0".into(), CommandOutcome::Unknown));
+    driver.advance(100);
+    let before = report(driver.now, Vec::new(), Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), before));
+    driver.handle(CellEvent::StopAnswered(task.clone(), 1, "w0".into(), CommandOutcome::Accepted));
+    driver.advance(100);
+
+    let after = restarted_report(driver.now, Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), after));
+    let (stops, starts) = (driver.stops.len(), driver.starts.len());
+    driver.handle(CellEvent::StopAnswered(task, 1, "w0".into(), CommandOutcome::Accepted));
+    driver.advance(100);
+    let confirmed = restarted_report(driver.now, Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), confirmed));
+
+    verify_that!((stops, starts), eq((2, 1)))?;
+    verify_that!(driver.started("j.0.0.0").map(|command| command.run), some(eq(2)))
+}
+
+/// Guards against a start that is sent although its run was given up, or stopped, while its record was stored:
+/// the task may run elsewhere by then.
+#[gtest]
+fn a_start_that_was_given_up_or_stopped_may_not_be_sent() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("lost", "urgent", vec![step(1)]));
+    submit(&mut driver, job("stopped", "urgent", vec![step(1)]));
+    let lost = driver.started("lost.0.0.0").or_fail()?.task;
+    let stopped = driver.started("stopped.0.0.0").or_fail()?.task;
+    let before = [driver.scheduler.may_start(&lost, 1), driver.scheduler.may_start(&stopped, 1)];
+
+    driver.handle(CellEvent::Cancelled("stopped".into()));
+    let report = report(driver.now, vec![running("stopped.0.0.0", 1, 10)], Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), report));
+
+    verify_that!(before, eq([true, true]))?;
+    verify_that!(driver.scheduler.may_start(&lost, 1), eq(false))?;
+    verify_that!(driver.scheduler.may_start(&stopped, 1), eq(false))
+}
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -84,6 +84,7 @@
     };
     StartCommand {
         worker: "w0".into(),
+        incarnation: None,
         task: task(),
         run: 1,
         payload: "text".into(),
