Count the lease of a restarted worker by its new clock

Cause: the link kept the latest time granted by the clock of the first incarnation, which the clock of the second one reaches only after eight minutes. Evidence: 'worker does not answer' each second and no 'task is given up'. Change: a report of a new incarnation starts the lease anew. It counts for the longest lease that a worker accepts, as calls on their way may have granted a time by the old clock, which the worker shortens to that.

--- a/src/kernel/cell/worker_lease.rs
+++ b/src/kernel/cell/worker_lease.rs
@@ -9,17 +9,19 @@
 #[derive(Clone, Debug)]
 pub struct WorkerLease {
     duration: Duration,
+    /// Longest lease that a worker accepts; it shortens longer ones.
+    longest: Duration,
     clock_reading: Option<(WorkerTime, Instant)>,
     granted_until: WorkerTime,
     expires_by: Instant,
 }
 
 impl WorkerLease {
-    /// Returns the lease of a worker, without a clock reading. Earlier owners may have granted leases that
-    /// last until `expires_by`.
+    /// Returns the lease of a worker, without a clock reading. Each grant lasts for `duration`, and the worker
+    /// accepts none above `longest`. Earlier owners may have granted leases that last until `expires_by`.
     #[must_use]
-    pub const fn new(duration: Duration, expires_by: Instant) -> Self {
-        Self { duration, clock_reading: None, granted_until: Duration::ZERO, expires_by }
+    pub const fn new(duration: Duration, longest: Duration, expires_by: Instant) -> Self {
+        Self { duration, longest, clock_reading: None, granted_until: Duration::ZERO, expires_by }
     }
 
     /// Records the worker's clock from an answer that arrived at `now`.
@@ -27,23 +29,29 @@
         self.clock_reading = Some((clock, now));
     }
 
-    /// Resets the lease after the worker has restarted; nothing of its earlier incarnation runs any more.
-    pub fn reset(&mut self, now: Instant) {
+    /// Ends the lease after the worker was found to be gone; nothing runs there any more.
+    pub fn end(&mut self, now: Instant) {
         self.clock_reading = None;
         self.granted_until = Duration::ZERO;
         self.expires_by = now;
     }
 
+    /// Starts anew for another incarnation of the worker, whose clock begins anew. Calls that were on their way
+    /// may have granted it leases by the clock of the earlier one, which it has shortened to the longest that
+    /// it accepts.
+    pub fn restart(&mut self, now: Instant) {
+        self.end(now);
+        self.expires_by = now + real_time(self.longest);
+    }
+
     /// Grants a lease from now on and returns its end on the worker's clock; `None` while the clock is
     /// unknown.
     pub fn grant(&mut self, now: Instant) -> Option<WorkerTime> {
         let (clock, read_at) = self.clock_reading?;
         let until = clock + now.saturating_duration_since(read_at) + self.duration;
         self.granted_until = self.granted_until.max(until);
-        // The worker's clock may run slowly, so more real time than it shows may pass until the lease
-        // expires.
         let left = self.granted_until.saturating_sub(clock);
-        self.expires_by = self.expires_by.max(read_at + left * 100 / MIN_CLOCK_RATE_PERCENT + TASK_STOP_TIME);
+        self.expires_by = self.expires_by.max(read_at + real_time(left));
         Some(until)
     }
 
@@ -53,3 +61,9 @@
         self.expires_by
     }
 }
+
+/// Returns the longest real time that a lease of this duration on the worker's clock, which may run slowly, may
+/// take until its tasks have stopped.
+fn real_time(lease: Duration) -> Duration {
+    lease * 100 / MIN_CLOCK_RATE_PERCENT + TASK_STOP_TIME
+}
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -183,9 +183,12 @@
         let now = Instant::now();
         match outcome {
             PollOutcome::Answered(report, clock) => {
-                if poll_state.incarnation != Some(report.incarnation) {
-                    poll_state.incarnation = Some(report.incarnation);
+                let previous = poll_state.incarnation.replace(report.incarnation);
+                if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
+                    if previous.is_some() {
+                        self.lease.restart(now);
+                    }
                 }
                 self.lease.note_clock(clock, now);
                 poll_state.answered = true;
@@ -204,7 +207,7 @@
                 false
             }
             PollOutcome::Replaced => {
-                self.lease.reset(now);
+                self.lease.end(now);
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), now);
                 self.send_to_owner(OwnerMessage::Event(event)).await;
                 poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -405,7 +405,11 @@
             worker: listing.worker.clone(),
             token: self.token,
             client: (self.adapter.worker)(listing),
-            lease: WorkerLease::new(self.lease(), Instant::now() + self.lease() + DEPOSED_LEASE_MARGIN),
+            lease: WorkerLease::new(
+                self.lease(),
+                self.longest_lease,
+                Instant::now() + self.lease() + DEPOSED_LEASE_MARGIN,
+            ),
             owner_sender: self.own_sender.clone(),
             metrics: self.metrics.clone(),
         };
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -22,6 +22,8 @@
 
 /// Lease that the link grants.
 const LEASE: Duration = Duration::from_millis(6_500);
+/// Longest lease that the worker accepts.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Longest wait for a message, far above the usual time.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -80,7 +82,7 @@
             worker: "w0".into(),
             token: 1,
             client: worker.client(),
-            lease: WorkerLease::new(LEASE, Instant::now()),
+            lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now()),
             owner_sender,
             metrics: CellMetrics::new().expect("the metrics are valid"),
         };
@@ -189,3 +191,31 @@
     verify_that!(silent, some(eq(CommandOutcome::NotSent)))?;
     verify_that!(*worker.started.borrow(), is_empty())
 }
+
+/// Guards against tasks that start again only after minutes: the lease of a worker that has restarted, with a
+/// clock that began anew, was counted by the clock of the earlier incarnation.
+#[gtest]
+#[actix_rt::test]
+async fn the_lease_of_a_restarted_worker_is_counted_by_its_new_clock() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(480));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.answer_as(next, Duration::ZERO);
+    link.await_report(next).await.or_fail()?;
+    link.await_report(next).await.or_fail()?;
+
+    worker.answer.set(None);
+    let expiry = |event| match event {
+        CellEvent::WorkerUnresponsive(_, lease_expires_at) => Some(lease_expires_at),
+        _ => None,
+    };
+    let expires_at = link.await_event(expiry).await.or_fail()?;
+    link.token.cancel();
+
+    let left = expires_at.saturating_duration_since(Instant::now());
+    // The longest lease that the worker accepts, on a clock that runs 2 percent slow, and its last stops.
+    verify_that!(left, le(Duration::from_millis(10_600)))?;
+    verify_that!(left, ge(Duration::from_secs(5)))
+}
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -168,7 +168,7 @@
 #[gtest]
 fn a_lease_does_not_expire_before_the_slowest_assumed_clock_shows_its_end() -> Result<()> {
     let start = Instant::now();
-    let mut lease = WorkerLease::new(Duration::from_secs(10), start);
+    let mut lease = WorkerLease::new(Duration::from_secs(10), Duration::from_secs(10), start);
     lease.note_clock(Duration::from_secs(100), start);
 
     let until = lease.grant(start);
@@ -183,7 +183,7 @@
 fn the_expiry_of_an_inherited_lease_is_kept() -> Result<()> {
     let start = Instant::now();
     let bound = start + Duration::from_secs(20);
-    let mut lease = WorkerLease::new(Duration::from_secs(5), bound);
+    let mut lease = WorkerLease::new(Duration::from_secs(5), Duration::from_secs(10), bound);
 
     let unknown = lease.grant(start);
     lease.note_clock(Duration::from_secs(1), start);
