Record each old job again before its records expire

Evidence: the lines 'job is recorded again' name the same jobs over and over. Closed jobs are recorded without steps and payload.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -24,9 +24,13 @@
 /// Snapshots of a job that are written within the retention time of the store, so that the store always keeps
 /// one of them.
 const SNAPSHOTS_PER_RETENTION: u32 = 3;
-/// Bounds the snapshots that are written at one tick, so that a new owner does not write those of all old
-/// jobs at once.
-const MAX_SNAPSHOTS_PER_TICK: usize = 20;
+/// Snapshots that are written at one tick beyond those of [`SNAPSHOT_RATE_FACTOR`].
+const MIN_SNAPSHOTS_PER_TICK: usize = 20;
+/// Rate at which snapshots are written at most, as a multiple of the rate at which they fall due. A new owner,
+/// for which those of all old jobs are due at once, thus spreads them over half of the interval.
+const SNAPSHOT_RATE_FACTOR: u128 = 2;
+/// Longest time between two ticks that counts for the number of snapshots.
+const MAX_SNAPSHOT_TICK: Duration = Duration::from_secs(1);
 
 /// Decides for one cell which tasks start, stop and end.
 ///
@@ -41,6 +45,8 @@
     /// Time since the submission or the last snapshot of a job after which its next snapshot is written;
     /// `None` disables snapshots.
     snapshot_interval: Option<Duration>,
+    /// When snapshots were last written.
+    last_snapshots: Option<Instant>,
     /// Number of replayed records that had no effect although their job is open.
     skipped_records: usize,
 }
@@ -58,6 +64,7 @@
             last_pass: None,
             last_pass_duration: Duration::ZERO,
             snapshot_interval: None,
+            last_snapshots: None,
             skipped_records: 0,
         }
     }
@@ -396,7 +403,7 @@
         for id in scheduled {
             self.activate_due_occurrences(&id, now);
         }
-        self.snapshot_old_jobs();
+        self.snapshot_old_jobs(now);
         self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_JOB_RETENTION);
         self.state.jobs.retain(|_, job| {
             job.closed_at
@@ -404,21 +411,35 @@
         });
     }
 
-    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval.
-    fn snapshot_old_jobs(&mut self) {
+    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval, the oldest
+    /// first, so that none is left out for long.
+    fn snapshot_old_jobs(&mut self, now: Instant) {
         let Some(interval) = self.snapshot_interval else { return };
         let unix_time = self.state.unix_time;
-        let needs_snapshot = |job: &&CellJob| unix_time.saturating_sub(job.recorded_at) >= interval;
-        let due = self.state.jobs.values().filter(needs_snapshot).take(MAX_SNAPSHOTS_PER_TICK);
-        let snapshots: Vec<JobSnapshot> = due.map(|job| JobSnapshot::of(&self.state, job)).collect();
-        for snapshot in snapshots {
-            if let Some(job) = self.state.jobs.get_mut(&snapshot.spec.id) {
+        let due =
+            self.state.jobs.values().filter(|job| unix_time.saturating_sub(job.recorded_at) >= interval);
+        let mut due: Vec<(Duration, JobId)> = due.map(|job| (job.recorded_at, job.spec.id.clone())).collect();
+        due.sort_unstable();
+        due.truncate(self.max_snapshots(interval, now));
+        for (_, id) in due {
+            let Some(job) = self.state.jobs.get(&id) else { continue };
+            let snapshot = Box::new(JobSnapshot::of(&self.state, job));
+            self.state.effects.push(CellEffect::Record(CellRecord::Snapshot(snapshot)));
+            if let Some(job) = self.state.jobs.get_mut(&id) {
                 job.recorded_at = unix_time;
             }
-            self.state.effects.push(CellEffect::Record(CellRecord::Snapshot(Box::new(snapshot))));
         }
     }
 
+    /// Returns how many snapshots may be written at this tick. All known jobs fall due in each interval.
+    fn max_snapshots(&mut self, interval: Duration, now: Instant) -> usize {
+        let last = self.last_snapshots.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(last).min(MAX_SNAPSHOT_TICK);
+        let jobs = self.state.jobs.len() as u128;
+        let due = jobs * SNAPSHOT_RATE_FACTOR * elapsed.as_millis() / interval.as_millis().max(1);
+        MIN_SNAPSHOTS_PER_TICK + usize::try_from(due).unwrap_or(usize::MAX / 2)
+    }
+
     /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
     /// those that are no longer listed.
     fn expire_leases(&mut self, now: Instant) {
--- a/src/kernel/cell/job_snapshot.rs
+++ b/src/kernel/cell/job_snapshot.rs
@@ -63,6 +63,9 @@
     /// Returns the snapshot of a job in its present state.
     #[must_use]
     pub fn of(state: &CellState, job: &CellJob) -> Self {
+        if job.status.is_final() && job.placed == 0 {
+            return Self::of_closed(job);
+        }
         let occurrences = job.occurrences.iter();
         let occurrences = occurrences.map(|(number, occurrence)| OccurrenceSnapshot {
             number: *number,
@@ -79,6 +82,20 @@
         }
     }
 
+    /// Returns the snapshot of a closed job without runs, of which only the state is asked for. It has neither
+    /// steps nor a payload, as most of the jobs that are recorded again are closed.
+    fn of_closed(job: &CellJob) -> Self {
+        let spec = GraphSpec { payload: "".into(), steps: Vec::new(), ..(*job.spec).clone() };
+        Self {
+            spec: spec.into(),
+            status: job.status,
+            excess: job.excess,
+            next_occurrence: job.next_occurrence,
+            occurrences: Vec::new(),
+            placed: Vec::new(),
+        }
+    }
+
     /// Replaces the state of the job. `slot_of` returns the slot of a worker and adds workers that are not
     /// listed.
     pub fn restore(
