Store a record that is larger than the store accepts in parts

Evidence: 'record is too large for the store, dropped', then 'task is stopped reason=not_expected' by the next owner. Change: record_codec stores it in parts, which a new owner puts together; incomplete parts are dropped.

--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod ports;
 pub mod process;
+pub mod record_codec;
 pub mod settings;
 pub mod store_limits;
 pub mod submit_queue;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -19,6 +19,7 @@
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
 use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
+use crate::tasks::cell::record_codec::{self, RecordDecoder};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::{AppendProgress, CELL_TOPIC, TermLog};
 
@@ -226,9 +227,11 @@
                 }
             }
         }
+        let mut decoder = RecordDecoder::default();
         for value in cell.values {
-            match serde_json::from_slice::<CellRecord>(&value) {
-                Ok(record) => scheduler.replay(record, now),
+            match decoder.decode(&value) {
+                Ok(Some(record)) => scheduler.replay(record, now),
+                Ok(None) => {}
                 Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be decoded"),
             }
         }
@@ -354,13 +357,9 @@
                     if let CellRecord::Closed(job, _) = &record {
                         state.unpublished.insert(job.clone());
                     }
-                    match serde_json::to_vec(&record) {
-                        // Only the snapshot of a job with thousands of running tasks is that large.
-                        Ok(value) if value.len() > self.store.limits.largest_record() => {
-                            log::error!(bytes = value.len(); "record is too large for the store, dropped");
-                        }
-                        Ok(value) => state.log.record(Bytes::from(value)),
-                        Err(error) => log::error!(error:%; "record cannot be serialized"),
+                    match record_codec::encode(&record, self.store.limits.largest_record()) {
+                        Ok(values) => values.into_iter().for_each(|value| state.log.record(value)),
+                        Err(reason) => log::error!(reason = &*reason; "record cannot be stored"),
                     }
                 }
                 CellEffect::RequestPermits { step, rule, priority, workers } => {
--- a/tests/cell_records.rs
+++ b/tests/cell_records.rs
@@ -4,11 +4,16 @@
 
 use std::time::{Duration, Instant};
 
-use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, step, submit};
-use godwithaven::kernel::cell::{CellEvent, CellRecord, GraphSpec, JobStatus};
+use bytes::Bytes;
+use fixture_cell::{CellDriver, START_UNIX_TIME, cell, cell_with, config, job, step, submit, worker};
+use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::{CellEvent, CellRecord, GraphSpec, JobStatus, StepSpec};
 use godwithaven::prelude::FastMap;
+use godwithaven::tasks::cell::record_codec::{RecordDecoder, encode};
 use googletest::prelude::*;
 
+/// Largest record of the store.
+const MAX_RECORD_BYTES: usize = 16_384;
 /// Retention time of the store.
 const RETENTION: Duration = Duration::from_secs(20);
 
@@ -18,6 +23,23 @@
     driver
 }
 
+/// Returns the snapshot of a job with 2,000 running tasks.
+fn large_snapshot() -> Result<CellRecord> {
+    let mut worker = worker("w0");
+    worker.capacity = ResourceVector::new(2_000_000, 1_000_000, 0);
+    let mut driver = cell_with_retention(cell_with(config(None), vec![worker]));
+    let tasks = StepSpec { need: ResourceVector::new(100, 1, 0), ..step(2_000) };
+    submit(&mut driver, job("j", "urgent", vec![tasks]));
+    driver.advance(10_000);
+    driver.records.into_iter().rfind(|record| matches!(record, CellRecord::Snapshot(_))).or_fail()
+}
+
+/// Decodes stored records; ones that cannot be decoded are left out.
+fn decode(values: &[Bytes]) -> Vec<CellRecord> {
+    let mut decoder = RecordDecoder::default();
+    values.iter().filter_map(|value| decoder.decode(value).ok().flatten()).collect()
+}
+
 /// Guards against jobs that a new owner does not know: at most 20 snapshots were written at a tick, always of
 /// the same jobs, so that the records of the others expired.
 #[gtest]
@@ -88,3 +110,37 @@
     verify_that!(bytes, lt(500))?;
     verify_that!(new.scheduler.status("j"), some(eq(JobStatus::Cancelled)))
 }
+
+/// Guards against a job that is forgotten, with thousands of running tasks, because its snapshot is larger than
+/// a record of the store.
+#[gtest]
+fn a_record_larger_than_the_store_accepts_is_stored_in_parts() -> Result<()> {
+    let record = large_snapshot()?;
+
+    let values = encode(&record, MAX_RECORD_BYTES).or_fail()?;
+    let decoded = decode(&values);
+
+    let largest = values.iter().map(Bytes::len).max();
+    verify_that!(values.len(), gt(10))?;
+    verify_that!(largest, some(le(MAX_RECORD_BYTES)))?;
+    verify_that!(decoded, eq(&vec![record]))
+}
+
+/// Guards against a snapshot that is put together from parts of two: an owner that is replaced before it has
+/// stored all parts leaves an incomplete record behind.
+#[gtest]
+fn incomplete_parts_of_a_record_are_dropped() -> Result<()> {
+    let record = large_snapshot()?;
+    let values = encode(&record, MAX_RECORD_BYTES).or_fail()?;
+    let closed = CellRecord::Closed("other".into(), JobStatus::Completed);
+    let whole = encode(&closed, MAX_RECORD_BYTES).or_fail()?;
+    let (first, last) = (&values[..3], &values[3..]);
+
+    let interrupted = decode(&[first, &whole, last].concat());
+    let repeated = decode(&[first, &values].concat());
+    let without_first = decode(last);
+
+    verify_that!(interrupted, eq(&vec![closed]))?;
+    verify_that!(repeated, eq(&vec![record]))?;
+    verify_that!(without_first, is_empty())
+}
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -1,9 +1,10 @@
 //! Tests of what a new owner learns from the store while the former one still acts.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{CellRecord, EndCause, GraphSpec, JobStatus, StepSpec, TaskKey};
@@ -14,12 +15,15 @@
 use godwithaven::tasks::cell::ports::{
     AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage, TopicRecord,
 };
+use godwithaven::tasks::cell::record_codec::RecordDecoder;
 use godwithaven::tasks::cell::store_limits::StoreLimits;
 use googletest::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 const JOB: &str = "00000000000000a1";
+/// Tasks of a job whose snapshot exceeds a record of the store.
+const LARGE_JOB_TASKS: u32 = 3_000;
 /// Longest wait for the state of the job, far above the usual time.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -182,3 +186,69 @@
     verify_that!(at_first, eq(JobAnswer::Missing))?;
     verify_that!(answer, eq(JobAnswer::SubmissionsStale))
 }
+
+/// Returns a store in which the former owner has started all tasks of a job of [`LARGE_JOB_TASKS`] tasks, and the
+/// records that are appended to the log of the cell.
+fn store_with_a_large_job() -> (StoreClient, Rc<RefCell<Vec<Bytes>>>) {
+    let appended = Rc::new(RefCell::new(Vec::new()));
+    let records = appended.clone();
+    let append = move |request: AppendRequest| {
+        if request.topic == "cell" {
+            records.borrow_mut().extend(request.records);
+        }
+        std::future::ready(AppendOutcome::Stored(0)).boxed_local()
+    };
+    let read = |topic: &'static str, partition, from, wait| {
+        async move {
+            tokio::time::sleep(wait).await;
+            let step = StepSpec { tasks: LARGE_JOB_TASKS, ..job().steps[0].clone() };
+            let spec = GraphSpec { steps: vec![step], ..job() };
+            let start = |index| {
+                let task = TaskKey::parse(&format!("{JOB}.0.0.{index}")).expect("the name is valid");
+                serde_json::to_vec(&CellRecord::Started(task, 1, "w0".into()))
+            };
+            let values = match topic {
+                "jobs" if partition == 0 => vec![serde_json::to_vec(&JobRecord::Submit(spec))],
+                "cell" => (0..LARGE_JOB_TASKS).map(start).collect(),
+                _ => Vec::new(),
+            };
+            let values = values.into_iter().map(|value| value.expect("the record is serialized"));
+            Ok(page(values.collect(), from))
+        }
+        .boxed_local()
+    };
+    let client = StoreClient {
+        limits: StoreLimits::default(),
+        append: Rc::new(append),
+        read: Rc::new(read),
+        newest: Rc::new(|_| std::future::ready(Err(ReadFault::Failed("none".to_owned()))).boxed_local()),
+    };
+    (client, appended)
+}
+
+/// Guards against a job that is forgotten, with all its runs, because its snapshot exceeds a record of the
+/// store: it was dropped with a line in the log.
+#[gtest]
+#[actix_rt::test]
+async fn the_snapshot_of_a_large_job_is_stored() -> Result<()> {
+    let token = CancellationToken::new();
+    let (store, appended) = store_with_a_large_job();
+    let _owner = start_owner(store, &token)?;
+    let is_snapshot =
+        |record: &CellRecord| matches!(record, CellRecord::Snapshot(job) if &*job.spec.id == JOB);
+
+    let started = Instant::now();
+    let mut snapshots = 0;
+    while snapshots == 0 && started.elapsed() < WAIT_TIMEOUT {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut decoder = RecordDecoder::default();
+        let appended = appended.borrow();
+        let records = appended.iter().filter_map(|value| decoder.decode(value).ok().flatten());
+        snapshots = records.filter(is_snapshot).count();
+    }
+    token.cancel();
+
+    let largest = appended.borrow().iter().map(Bytes::len).max();
+    verify_that!(snapshots, ge(1))?;
+    verify_that!(largest, some(le(StoreLimits::default().record_bytes)))
+}
