Record how long silent workers may hold a lease

Cause: nothing in the records told how long ago a lease was granted, so each owner waited 9 s from its own start. Change: the owner records the time left of workers that are silent for 300 ms, every 500 ms, and a new owner counts on from there. The lease is renewed, by polls and starts, only once a record that takes the bound back is stored. Once a worker has answered a new owner, and after a release of the cell, the margin for a deposed owner is left out. A link whose term has ended sends nothing more. The log lines of decisions move to a module of their own.

--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -76,8 +76,18 @@
         /// Workers to ask about.
         workers: Vec<WorkerId>,
     },
-    /// Renew the lease of a worker and poll what it runs.
+    /// Poll a worker and, once [`Self::RenewLease`] allows it, renew its lease.
     Watch(WorkerListing),
+    /// Renew the lease of a worker that answers again.
+    RenewLease {
+        /// Worker to be renewed.
+        worker: WorkerId,
+        /// When the poll was sent that the worker has answered. A worker that has been silent since must answer
+        /// once more first.
+        polled_at: Instant,
+        /// Whether the records so far have to be stored first, as they bound the lease.
+        after_records: bool,
+    },
     /// Stop renewing the lease of a worker and polling it.
     Unwatch(WorkerId),
 }
--- a/src/kernel/cell/cell_record.rs
+++ b/src/kernel/cell/cell_record.rs
@@ -17,6 +17,10 @@
     /// refused the start, for example, or its lease has expired.
     #[serde(rename = "l")]
     Lost(TaskKey, RunNumber),
+    /// How long each of these workers, which do not answer, may hold a lease from now on. `None` once a worker
+    /// answers again; its lease is renewed only after that is stored.
+    #[serde(rename = "b")]
+    LeaseBounds(Vec<(WorkerId, Option<Duration>)>),
     /// A job reached a final state.
     #[serde(rename = "j")]
     Closed(JobId, JobStatus),
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,8 @@
 use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, PlacementPhase, PollReconciler, PollReport,
-    RecordReplayer, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
+    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, PlacementPhase, PollReconciler,
+    PollReport, RecordReplayer, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -112,7 +112,7 @@
                 if let Some(slot) = self.state.slot(&worker)
                     && let Some(worker) = self.state.worker_mut(slot)
                 {
-                    worker.responsive = false;
+                    worker.fall_silent(now);
                     worker.lease_expires_at = lease_expires_at;
                 }
             }
@@ -181,6 +181,19 @@
         self.state.jobs.get(job).map(|job| job.status)
     }
 
+    /// Emits a record of how long the workers that do not answer may hold a lease.
+    pub fn record_lease_bounds(&mut self, now: Instant) {
+        LeaseWatch { state: &mut self.state, now }.record_bounds();
+    }
+
+    /// Returns when every lease that earlier owners granted to a worker has expired; `None` once this owner has
+    /// polled it.
+    #[must_use]
+    pub fn inherited_lease_of(&self, worker: &str) -> Option<Instant> {
+        let worker = self.state.worker(self.state.slot(worker)?)?;
+        worker.polled_at.is_none().then_some(worker.lease_expires_at)
+    }
+
     /// Returns whether a start that was decided earlier may still be sent: the run was neither given up nor
     /// stopped since.
     #[must_use]
@@ -245,7 +258,7 @@
     fn apply_listing(&mut self, listing: WorkerListing, now: Instant) {
         let slot = self.state.slot(&listing.worker).unwrap_or_else(|| {
             let lease_expires_at = self.state.inherited_lease_expires_at.unwrap_or(now);
-            self.state.add_worker(CellWorker::new(listing.clone(), lease_expires_at))
+            self.state.add_worker(CellWorker::new(listing.clone(), lease_expires_at, now))
         });
         let zone_open = !self.state.closed_zones.contains(&listing.zone);
         self.state.capacity = self.state.capacity.plus(listing.capacity);
@@ -260,6 +273,7 @@
         worker.listing = listing.clone();
         if !worker.watched || address_changed {
             worker.watched = true;
+            worker.fall_silent(now);
             self.state.effects.push(CellEffect::Watch(listing));
         }
     }
@@ -375,7 +389,7 @@
     fn mark_runs_lost(&mut self, worker: &str, now: Instant) {
         let Some(slot) = self.state.slot(worker) else { return };
         let Some(worker) = self.state.worker_mut(slot) else { return };
-        worker.responsive = false;
+        worker.fall_silent(now);
         let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
         for task in tasks {
             self.state.mark_lost(&task, now);
@@ -389,7 +403,7 @@
 
     fn tick(&mut self, unix_time: Duration, now: Instant) {
         self.state.unix_time = unix_time;
-        self.expire_leases(now);
+        LeaseWatch { state: &mut self.state, now }.expire();
         self.stop_unconfirmed_gangs(now);
         StragglerWatch { state: &mut self.state, now }.run();
         self.state.demote_late(now);
@@ -440,27 +454,6 @@
         MIN_SNAPSHOTS_PER_TICK + usize::try_from(due).unwrap_or(usize::MAX / 2)
     }
 
-    /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
-    /// those that are no longer listed.
-    fn expire_leases(&mut self, now: Instant) {
-        for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
-            let Some(worker) = self.state.worker(slot) else { continue };
-            if worker.responsive || worker.lease_expires_at > now {
-                continue;
-            }
-            let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
-            let unwatch = worker.watched && !worker.listed;
-            let name = worker.listing.worker.clone();
-            for task in tasks {
-                self.state.mark_lost(&task, now);
-            }
-            if unwatch && let Some(worker) = self.state.worker_mut(slot) {
-                worker.watched = false;
-                self.state.effects.push(CellEffect::Unwatch(name));
-            }
-        }
-    }
-
     /// Stops gangs with a member that was not confirmed as running in time, before the other members end on
     /// their own.
     fn stop_unconfirmed_gangs(&mut self, now: Instant) {
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -23,6 +23,11 @@
     pub polled_at: Option<Instant>,
     /// When every lease that the worker may hold has expired; used only while the worker is unresponsive.
     pub lease_expires_at: Instant,
+    /// Since when the worker has not answered; used only while it is unresponsive.
+    pub silent_since: Instant,
+    /// When its lease was last bounded in the records. It must then not be renewed before they say that the
+    /// worker answers. `None` if they do not bound it.
+    pub lease_bound_recorded_at: Option<Instant>,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
     /// Capacity that its placed tasks occupy.
@@ -40,10 +45,10 @@
 }
 
 impl CellWorker {
-    /// Returns a worker that has not answered yet. Every lease of earlier owners has expired by
+    /// Returns a worker that has not answered yet at `now`. Every lease of earlier owners has expired by
     /// `inherited_lease_expires_at`.
     #[must_use]
-    pub fn new(listing: WorkerListing, inherited_lease_expires_at: Instant) -> Self {
+    pub fn new(listing: WorkerListing, inherited_lease_expires_at: Instant, now: Instant) -> Self {
         Self {
             listing,
             listed: false,
@@ -52,6 +57,8 @@
             responsive: false,
             polled_at: None,
             lease_expires_at: inherited_lease_expires_at,
+            silent_since: now,
+            lease_bound_recorded_at: None,
             incarnation: None,
             used: ResourceVector::default(),
             capacity_being_freed: ResourceVector::default(),
@@ -62,6 +69,14 @@
         }
     }
 
+    /// Records that the worker does not answer, or not yet at its address.
+    pub fn fall_silent(&mut self, now: Instant) {
+        if self.responsive {
+            self.silent_since = now;
+        }
+        self.responsive = false;
+    }
+
     /// Whether tasks may start on the worker now.
     #[must_use]
     pub fn is_schedulable(&self, now: Instant) -> bool {
--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -25,6 +25,12 @@
     owner: Option<CellOwner>,
     /// When this process learned that the owner has released the cell or that its process was restarted.
     owner_gone_at: Option<Instant>,
+    /// When the claim of the owner was read; `None` if another process reported it.
+    owner_since: Option<Instant>,
+    /// When the release of the owner was read.
+    released_at: Option<Instant>,
+    /// For how long the former owner had the cell, if it has released it.
+    released_term: Option<Duration>,
     /// Whether this process fails to reach the owner.
     unreachable: bool,
     next_offset: LogOffset,
@@ -44,6 +50,9 @@
             claim_delay,
             owner: None,
             owner_gone_at: None,
+            owner_since: None,
+            released_at: None,
+            released_term: None,
             unreachable: false,
             next_offset: 0,
             silent_since: None,
@@ -57,6 +66,16 @@
         self.owner.as_ref()
     }
 
+    /// Returns for how long the owner before the present one had the cell, at least, if it has released it.
+    #[must_use]
+    pub const fn released_term(&self) -> Option<Duration> {
+        self.released_term
+    }
+
+    fn term_until_release(&self) -> Option<Duration> {
+        Some(self.released_at?.saturating_duration_since(self.owner_since?))
+    }
+
     /// Returns the offset of the next read of the log. A claim is valid only if it is appended at this
     /// offset.
     #[must_use]
@@ -87,7 +106,10 @@
                 }
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
+                self.released_term = self.term_until_release();
+                self.owner_since = Some(now);
                 self.owner_gone_at = None;
+                self.released_at = None;
                 self.unreachable = false;
                 self.silent_since = Some(now);
                 true
@@ -98,6 +120,7 @@
             }
             ClaimKind::Release if self.is_owner(&record.process) => {
                 self.owner_gone_at.get_or_insert(now);
+                self.released_at.get_or_insert(now);
                 false
             }
             ClaimKind::Renew | ClaimKind::Release => false,
@@ -110,6 +133,7 @@
         if newer {
             self.owner = Some(owner);
             (self.owner_gone_at, self.unreachable) = (None, false);
+            (self.owner_since, self.released_at, self.released_term) = (None, None, None);
         }
         newer
     }
--- /dev/null
+++ b/src/kernel/cell/lease_watch.rs
@@ -0,0 +1,61 @@
+use crate::kernel::cell::{CellEffect, CellRecord, CellState, CellWorker, TaskKey};
+use crate::prelude::*;
+
+/// Time for which a worker has to be silent before its lease is bounded in the records: its lease can then only
+/// be renewed once a further record is stored, which takes long while the store is slow.
+const MIN_RECORDED_SILENCE: Duration = Duration::from_millis(300);
+/// Interval of the records of a bound that is already recorded. A new owner counts the time left from its own
+/// start, so it waits for up to this much longer.
+const BOUND_RECORD_INTERVAL: Duration = Duration::from_millis(500);
+/// Waits for the leases of workers that do not answer.
+pub struct LeaseWatch<'a> {
+    /// State of the cell.
+    pub state: &'a mut CellState,
+    /// Present time.
+    pub now: Instant,
+}
+
+impl LeaseWatch<'_> {
+    /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
+    /// those that are no longer listed.
+    pub fn expire(&mut self) {
+        for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
+            let Some(worker) = self.state.worker(slot) else { continue };
+            if worker.responsive || worker.lease_expires_at > self.now {
+                continue;
+            }
+            let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
+            let unwatch = worker.watched && !worker.listed;
+            let name = worker.listing.worker.clone();
+            for task in tasks {
+                self.state.mark_lost(&task, self.now);
+            }
+            if unwatch && let Some(worker) = self.state.worker_mut(slot) {
+                worker.watched = false;
+                self.state.effects.push(CellEffect::Unwatch(name));
+            }
+        }
+    }
+
+    /// Emits a record of how long the workers that do not answer may hold a lease. A new owner goes by it, and
+    /// need not wait for as long as if they had been granted a lease just before its term.
+    pub fn record_bounds(&mut self) {
+        let now = self.now;
+        let is_due = |worker: &CellWorker| {
+            let (since, interval) = match worker.lease_bound_recorded_at {
+                Some(recorded_at) => (recorded_at, BOUND_RECORD_INTERVAL),
+                None => (worker.silent_since, MIN_RECORDED_SILENCE),
+            };
+            !worker.responsive && !worker.tasks.is_empty() && now.saturating_duration_since(since) >= interval
+        };
+        let due = self.state.workers.iter_mut().filter(|worker| is_due(worker));
+        let bounds = due.map(|worker| {
+            worker.lease_bound_recorded_at = Some(now);
+            (worker.listing.worker.clone(), Some(worker.lease_expires_at.saturating_duration_since(now)))
+        });
+        let bounds: Vec<(WorkerId, Option<Duration>)> = bounds.collect();
+        if !bounds.is_empty() {
+            self.state.effects.push(CellEffect::Record(CellRecord::LeaseBounds(bounds)));
+        }
+    }
+}
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellState, EndHandler, PlacementPhase, PollReport, RunningRun, StopCommand, TaskKey,
+    CellEffect, CellRecord, CellState, EndHandler, PlacementPhase, PollReport, RunningRun, StopCommand,
+    TaskKey,
 };
 use crate::prelude::*;
 
@@ -17,6 +18,7 @@
     /// Applies ended and running runs, marks absent ones as lost, and acknowledges the ends.
     pub fn apply(&mut self, report: PollReport) {
         let incarnation = report.incarnation;
+        self.allow_renewal(report.poll_sent_at);
         self.apply_incarnation(incarnation);
         if let Some(worker) = self.state.worker_mut(self.slot) {
             worker.polled_at = Some(report.poll_sent_at);
@@ -48,7 +50,6 @@
     /// its report proves; but a start without an answer may have reached it, and it knows of no earlier stop.
     fn apply_incarnation(&mut self, incarnation: WorkerIncarnation) {
         let Some(worker) = self.state.worker_mut(self.slot) else { return };
-        worker.responsive = true;
         let previous = worker.incarnation.replace(incarnation);
         if previous.is_none_or(|previous| previous == incarnation) {
             return;
@@ -59,6 +60,21 @@
         }
     }
 
+    /// Lets the lease of a worker that answers again be renewed, once the records no longer bound it.
+    fn allow_renewal(&mut self, polled_at: Instant) {
+        let Some(worker) = self.state.worker_mut(self.slot) else { return };
+        if std::mem::replace(&mut worker.responsive, true) {
+            return;
+        }
+        let worker_id = worker.listing.worker.clone();
+        let after_records = worker.lease_bound_recorded_at.take().is_some();
+        if after_records {
+            let record = CellRecord::LeaseBounds(vec![(worker_id.clone(), None)]);
+            self.state.effects.push(CellEffect::Record(record));
+        }
+        self.state.effects.push(CellEffect::RenewLease { worker: worker_id, polled_at, after_records });
+    }
+
     /// Applies a reported run; returns whether it is the current run of its task on this worker.
     fn apply_running(&mut self, reported: &RunningRun) -> bool {
         let (slot, now) = (self.slot, self.now);
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -20,6 +20,8 @@
                     return false;
                 }
                 let slot = slot_of(self.state, worker, self.now);
+                // A start renews the lease; this owner thus did not go by the bound.
+                self.bound_lease(slot, None);
                 self.state.remove_placement(&task);
                 let placement = TaskPlacement::new(slot, run, PlacementPhase::Inherited, self.now);
                 self.state.add_placement(&task, placement);
@@ -39,6 +41,12 @@
                     self.state.requeue(&task);
                 }
             }
+            CellRecord::LeaseBounds(bounds) => {
+                for (worker, left) in bounds {
+                    let slot = slot_of(self.state, worker, self.now);
+                    self.bound_lease(slot, left);
+                }
+            }
             CellRecord::Closed(job, status) => self.state.close(&job, status, self.now),
             CellRecord::Snapshot(snapshot) => {
                 let now = self.now;
@@ -48,6 +56,16 @@
         true
     }
 
+    /// Bounds the lease that earlier owners granted to a worker, or takes a bound back. The time left is counted
+    /// from the replay, which is later than the record.
+    fn bound_lease(&mut self, slot: u32, left: Option<Duration>) {
+        let inherited = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+        if let Some(worker) = self.state.worker_mut(slot) {
+            worker.lease_expires_at = left.map_or(inherited, |left| self.now + left);
+            worker.lease_bound_recorded_at = left.map(|_| self.now);
+        }
+    }
+
     /// Opens the occurrence of a step, and all before it: an earlier owner opened them in order before it
     /// recorded a run of the step. Their due times are not looked at, as the clock of this process may be
     /// behind. Returns `false` if the step is unknown although its job is open.
@@ -86,5 +104,5 @@
         draining: false,
     };
     let lease_expires_at = state.inherited_lease_expires_at.unwrap_or(now);
-    state.add_worker(CellWorker::new(listing, lease_expires_at))
+    state.add_worker(CellWorker::new(listing, lease_expires_at, now))
 }
--- a/src/kernel/cell/worker_lease.rs
+++ b/src/kernel/cell/worker_lease.rs
@@ -29,6 +29,12 @@
         self.clock_reading = Some((clock, now));
     }
 
+    /// Records that the worker has answered a call of this owner at `now`, and thus refuses those of earlier
+    /// owners. None of them can have granted it a lease after that.
+    pub fn note_fenced(&mut self, now: Instant) {
+        self.expires_by = self.expires_by.min(now + longest_real_time(self.duration));
+    }
+
     /// Ends the lease after the worker was found to be gone; nothing runs there any more.
     pub fn end(&mut self, now: Instant) {
         self.clock_reading = None;
@@ -41,7 +47,7 @@
     /// it accepts.
     pub fn restart(&mut self, now: Instant) {
         self.end(now);
-        self.expires_by = now + real_time(self.longest);
+        self.expires_by = now + longest_real_time(self.longest);
     }
 
     /// Grants a lease from now on and returns its end on the worker's clock; `None` while the clock is
@@ -51,7 +57,7 @@
         let until = clock + now.saturating_duration_since(read_at) + self.duration;
         self.granted_until = self.granted_until.max(until);
         let left = self.granted_until.saturating_sub(clock);
-        self.expires_by = self.expires_by.max(read_at + real_time(left));
+        self.expires_by = self.expires_by.max(read_at + longest_real_time(left));
         Some(until)
     }
 
@@ -64,6 +70,7 @@
 
 /// Returns the longest real time that a lease of this duration on the worker's clock, which may run slowly, may
 /// take until its tasks have stopped.
-fn real_time(lease: Duration) -> Duration {
+#[must_use]
+pub fn longest_real_time(lease: Duration) -> Duration {
     lease * 100 / MIN_CLOCK_RATE_PERCENT + TASK_STOP_TIME
 }
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -304,6 +304,7 @@
             config: state.config.clone(),
             closed_zones: state.closed_zones.clone(),
             longest_lease: self.longest_lease,
+            released_term: self.claim_watch.released_term(),
             log_retention: self.log_retention,
             metrics: self.metrics.clone(),
         };
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -20,8 +20,8 @@
 const IDLE_LONG_POLL_WAIT: Duration = Duration::from_secs(2);
 /// Delay before a poll is repeated after a worker did not answer.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Longest wait for the owner to record reported ends before the next poll, which also renews the lease. It
-/// is also the delay before the next poll if another worker was found at the address.
+/// Longest wait for the owner to record reported ends, or to allow that the lease is renewed, before the next
+/// poll, which renews the lease. It is also the delay before the next poll if another worker was found at the address.
 const MAX_ACKNOWLEDGE_WAIT: Duration = Duration::from_secs(1);
 
 /// Messages to a [`WorkerLink`].
@@ -31,6 +31,8 @@
     Start(StartCommand),
     /// Stops a run.
     Stop(StopCommand),
+    /// The lease of the worker may be renewed, unless it was silent since the poll that was sent at this time.
+    RenewLease(Instant),
     /// The ends that this incarnation of the worker reported are recorded up to this number.
     Acknowledge(WorkerIncarnation, TaskEndNumber),
 }
@@ -64,6 +66,10 @@
     last_reported: TaskEndNumber,
     /// Whether the last poll was answered.
     answered: bool,
+    /// Whether the owner allows that the lease is renewed. An earlier owner may have recorded that it is not.
+    renewable: bool,
+    /// When the last unanswered poll ended.
+    silent_at: Option<Instant>,
     /// Whether the last report named no running task and no start was sent since.
     idle: bool,
     /// Earliest time of the next poll; `None` if it is sent at once.
@@ -79,6 +85,8 @@
             acknowledged: 0,
             last_reported: 0,
             answered: false,
+            renewable: false,
+            silent_at: None,
             idle: false,
             not_before: None,
         };
@@ -89,11 +97,9 @@
                 poll = Some(self.poll(&poll_state));
             }
             tokio::select! {
+                // A term that has ended grants no lease any more, so its end comes first.
+                biased;
                 () = token.cancelled() => return,
-                message = inbox.recv() => {
-                    let Some(message) = message else { return };
-                    self.handle(message, &mut poll_state, &commands);
-                }
                 Some(answer) = commands.next(), if !commands.is_empty() => self.finish_command(answer).await,
                 outcome = await_optional(&mut poll) => {
                     poll = None;
@@ -101,6 +107,10 @@
                         return;
                     }
                 }
+                message = inbox.recv() => {
+                    let Some(message) = message else { return };
+                    self.handle(message, &mut poll_state, &commands);
+                }
                 () = tokio::time::sleep(delay.unwrap_or_default()), if poll.is_none() && delay.is_some() => {
                     poll_state.not_before = None;
                 }
@@ -133,9 +143,11 @@
             }
             LinkMessage::Acknowledge(incarnation, number) if poll_state.incarnation == Some(incarnation) => {
                 poll_state.acknowledged = poll_state.acknowledged.max(number);
-                if poll_state.acknowledged >= poll_state.last_reported && poll_state.answered {
-                    poll_state.not_before = None;
-                }
+                poll_state.poll_if_ready();
+            }
+            LinkMessage::RenewLease(polled_at) => {
+                poll_state.renewable |= poll_state.silent_at.is_none_or(|silent_at| polled_at >= silent_at);
+                poll_state.poll_if_ready();
             }
             LinkMessage::Acknowledge(..) => {}
         }
@@ -145,7 +157,7 @@
     /// awaited.
     fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
         let now = Instant::now();
-        let lease = if poll_state.answered { self.lease.grant(now) } else { None };
+        let lease = if poll_state.may_renew() { self.lease.grant(now) } else { None };
         // The first poll, and each one after an unanswered poll, asks for an answer at once, so that the
         // worker's clock becomes known early. Other polls are held open only while the worker has no ended
         // runs to report.
@@ -188,6 +200,8 @@
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
                         self.lease.restart(now);
+                    } else {
+                        self.lease.note_fenced(now);
                     }
                 }
                 self.lease.note_clock(clock, now);
@@ -195,7 +209,7 @@
                 poll_state.idle = report.running.is_empty();
                 poll_state.last_reported =
                     report.ended.iter().map(|end| end.number).max().unwrap_or_default();
-                if poll_state.last_reported > 0 {
+                if poll_state.last_reported > 0 || !poll_state.renewable {
                     poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
                 }
                 self.send_to_owner(OwnerMessage::Event(CellEvent::WorkerPolled(self.worker.clone(), report)))
@@ -211,11 +225,11 @@
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), now);
                 self.send_to_owner(OwnerMessage::Event(event)).await;
                 poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
-                poll_state.answered = false;
+                poll_state.fall_silent(now);
                 true
             }
             PollOutcome::Failed(reason) => {
-                poll_state.answered = false;
+                poll_state.fall_silent(now);
                 poll_state.not_before = Some(now + POLL_RETRY_DELAY);
                 log::info!(worker = &*self.worker, reason = &*reason; "worker does not answer");
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), self.lease.expires_by());
@@ -241,7 +255,26 @@
     /// Returns whether a start may be sent: the worker answers, is the incarnation that the decision is based
     /// on, and the command has not expired.
     fn may_start(&self, command: &StartCommand, now: Instant) -> bool {
-        self.answered && self.incarnation == command.incarnation && now <= command.expires_at
+        self.may_renew() && self.incarnation == command.incarnation && now <= command.expires_at
+    }
+
+    /// Returns whether the lease may be renewed.
+    const fn may_renew(&self) -> bool {
+        self.answered && self.renewable
+    }
+
+    const fn fall_silent(&mut self, now: Instant) {
+        self.answered = false;
+        self.renewable = false;
+        self.silent_at = Some(now);
+    }
+
+    /// Lets the next poll be sent at once if the ends of the last one are acknowledged and it can renew the
+    /// lease.
+    const fn poll_if_ready(&mut self) {
+        if self.may_renew() && self.acknowledged >= self.last_reported {
+            self.not_before = None;
+        }
     }
 
     /// Returns the delay before the next poll; `None` if it is due.
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -5,6 +5,7 @@
 mod await_optional;
 pub mod claim;
 pub mod config_feed;
+mod decision_log;
 pub mod inbox;
 pub mod intake;
 pub mod link;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -8,12 +8,13 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, JobStatus, StartCommand, WorkerLease,
-    WorkerListing,
+    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, JobStatus, WorkerLease, WorkerListing,
+    longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advisor::{AdvisorMessage, PermitRequest};
+use crate::tasks::cell::decision_log::{log_record, log_start_decision};
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
@@ -83,6 +84,8 @@
     pub closed_zones: FastSet<ZoneId>,
     /// Longest lease that the platform's workers accept.
     pub longest_lease: Duration,
+    /// For how long the former owner had the cell, if it has released it.
+    pub released_term: Option<Duration>,
     /// How long the store retains records.
     pub log_retention: Duration,
     /// Metrics of the process.
@@ -169,6 +172,10 @@
                 _ = tick.tick() => {
                     let event = CellEvent::Tick(clock::unix_time());
                     state.scheduler.handle(event, Instant::now());
+                    // While the store is slow, the records would only keep leases from being renewed.
+                    if !state.log.is_stalled() {
+                        state.scheduler.record_lease_bounds(Instant::now());
+                    }
                 }
             }
             self.apply_effects(&mut state, token).await;
@@ -179,6 +186,16 @@
         WORKER_LEASE.min(self.longest_lease)
     }
 
+    /// Returns how long workers may hold leases of earlier owners, counted from the recovery. The former owner
+    /// has granted none since its release, and those before it had been deposed when its term began.
+    fn inherited_lease(&self) -> Duration {
+        if self.released_term.is_some_and(|term| term >= DEPOSED_LEASE_MARGIN) {
+            longest_real_time(self.lease())
+        } else {
+            self.lease() + DEPOSED_LEASE_MARGIN
+        }
+    }
+
     /// Makes the store reject appends of all earlier owners.
     async fn fence(&self) -> Result<(), TermEnd> {
         loop {
@@ -206,8 +223,8 @@
         };
         let (jobs, cell) = tokio::try_join!(try_join_all(jobs), cell)?;
         let now = Instant::now();
-        let mut scheduler = CellScheduler::new(now + self.lease() + DEPOSED_LEASE_MARGIN)
-            .with_log_retention(self.log_retention);
+        let mut scheduler =
+            CellScheduler::new(now + self.inherited_lease()).with_log_retention(self.log_retention);
         scheduler.handle(CellEvent::Tick(clock::unix_time()), now);
         if let Some(config) = &self.config {
             scheduler.handle(CellEvent::Configured(config.clone()), now);
@@ -371,6 +388,7 @@
                     }
                 }
                 CellEffect::Watch(listing) => self.open_link(state, &listing, token),
+                CellEffect::RenewLease { after_records: false, .. } => state.apply_effect(effect, true).await,
                 CellEffect::Unwatch(worker) => {
                     if let Some((_, stop)) = state.links.remove(&worker) {
                         stop.cancel();
@@ -400,15 +418,13 @@
         }
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = token.child_token();
+        let inherited = state.scheduler.inherited_lease_of(&listing.worker);
+        let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.lease() + DEPOSED_LEASE_MARGIN);
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
             client: (self.adapter.worker)(listing),
-            lease: WorkerLease::new(
-                self.lease(),
-                self.longest_lease,
-                Instant::now() + self.lease() + DEPOSED_LEASE_MARGIN,
-            ),
+            lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
             owner_sender: self.own_sender.clone(),
             metrics: self.metrics.clone(),
         };
@@ -447,34 +463,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Logs the decision to start a task; the command is sent once the record of the start is stored, and not at
-/// all if that takes too long.
-fn log_start_decision(command: &StartCommand) {
-    let inputs = &command.inputs;
-    log::info!(task:% = command.task, run = command.run, worker = &*command.worker, config = inputs.config,
-        report_age_ms = milliseconds(inputs.report_age), waited_ms = milliseconds(inputs.waited),
-        free:% = inputs.free, permit = command.ticket.is_some(), checkpoint = command.checkpoint.is_some();
-        "task is started");
-}
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn log_record(record: &CellRecord) {
-    match record {
-        // Logged by `log_start_decision`, together with the inputs of the decision.
-        CellRecord::Started(..) => {}
-        CellRecord::Ended(task, run, cause, _) => {
-            log::info!(task:%, run = *run, cause:%; "task has ended");
-        }
-        // Only the run has ended; the task may be started again.
-        CellRecord::Lost(task, run) => log::info!(task:%, run = *run; "task is given up"),
-        CellRecord::Closed(job, status) => log::info!(job = &**job, status:%; "job is closed"),
-        CellRecord::Snapshot(snapshot) => {
-            log::info!(job = &*snapshot.spec.id, status:% = snapshot.status, placed = snapshot.placed.len();
-                "job is recorded again before its records expire");
-        }
-    }
-}
--- /dev/null
+++ b/tests/cell_leases.rs
@@ -0,0 +1,124 @@
+//! Tests of how long a new owner waits for the leases of workers that do not answer.
+
+mod fixture_cell;
+
+use std::time::Duration;
+
+use fixture_cell::{CellDriver, cell, job, report, running, step, submit, worker};
+use godwithaven::kernel::cell::{CellEvent, CellRecord, CellScheduler, GraphSpec, StartCommand, StepSpec};
+use googletest::prelude::*;
+
+/// Time after which all leases of earlier owners have expired if nothing else is known.
+const INHERITED_LEASE: Duration = Duration::from_secs(9);
+/// Lease that a worker holds when it falls silent.
+const LEASE: Duration = Duration::from_secs(7);
+/// Duration of a term in a series of restarts.
+const TERM_MS: u64 = 4_000;
+
+/// Returns a job with one task that has no end of its own.
+fn service() -> GraphSpec {
+    job("j", "urgent", vec![StepSpec { long_running: true, ..step(1) }])
+}
+
+/// Returns an owner whose only started task runs on `w0`, which has just fallen silent.
+fn owner_with_a_silent_worker() -> CellDriver {
+    let mut driver = cell(1);
+    submit(&mut driver, service());
+    let lease_expires_at = driver.now + LEASE;
+    driver.handle(CellEvent::WorkerUnresponsive("w0".into(), lease_expires_at));
+    driver
+}
+
+/// Lets time pass in steps of a second, in each of which the bounds of leases are recorded.
+fn pass(driver: &mut CellDriver, millis: u64) {
+    let end = driver.now + Duration::from_millis(millis);
+    while driver.now < end {
+        driver.advance(1_000 - 35);
+        driver.scheduler.record_lease_bounds(driver.now);
+    }
+    driver.advance(0);
+}
+
+/// Returns the owner that follows, with all records so far. Only `w1` answers it.
+fn next_owner(records: &[CellRecord]) -> CellDriver {
+    let mut driver = cell(0);
+    driver.answers_first_poll = false;
+    driver.scheduler = CellScheduler::new(driver.now + INHERITED_LEASE);
+    driver.advance(0);
+    driver.handle(CellEvent::Configured(fixture_cell::config(None).into()));
+    submit(&mut driver, service());
+    for record in records {
+        driver.scheduler.replay(record.clone(), driver.now);
+    }
+    driver.scheduler.end_replay();
+    driver.records = records.to_vec();
+    driver.handle(CellEvent::WorkersListed(vec![worker("w0"), worker("w1")]));
+    let polled = report(driver.now, Vec::new(), Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w1".into(), polled));
+    driver
+}
+
+fn restarted_on(driver: &CellDriver) -> Option<String> {
+    driver.started("j.0.0.0").map(|StartCommand { worker, .. }| worker.to_string())
+}
+
+/// Guards against a service that waits without a bound: each owner of a series counted the leases of silent
+/// workers from the start of its own term, and was restarted before they had expired.
+#[gtest]
+fn restarts_of_the_owner_do_not_put_off_the_end_of_a_lease() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    pass(&mut first, TERM_MS);
+    let mut second = next_owner(&first.records);
+    pass(&mut second, TERM_MS);
+
+    verify_that!(restarted_on(&second), some(eq("w1")))
+}
+
+/// Guards against the opposite mistake: the bound of a lease is not reached earlier for a new owner, and one
+/// that finds no bound waits for the longest lease that an earlier owner may have granted.
+#[gtest]
+fn a_recorded_bound_is_not_shortened_by_a_change_of_the_owner() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    pass(&mut first, 2_000);
+    let mut with_bound = next_owner(&first.records);
+    pass(&mut with_bound, TERM_MS);
+    let is_bound = |record: &CellRecord| matches!(record, CellRecord::LeaseBounds(_));
+    let others: Vec<CellRecord> = first.records.iter().filter(|record| !is_bound(record)).cloned().collect();
+    let mut without_bound = next_owner(&others);
+    pass(&mut without_bound, TERM_MS);
+
+    verify_that!(restarted_on(&with_bound), none())?;
+    verify_that!(restarted_on(&without_bound), none())
+}
+
+/// Guards against tasks that run twice: once a worker answers again its lease is renewed, so that the bound
+/// must be taken back in the records first, and a later owner must not go by it.
+#[gtest]
+fn the_bound_of_a_worker_that_answers_again_is_taken_back() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    pass(&mut first, TERM_MS);
+    first.renewals.clear();
+    let kept = report(first.now, vec![running("j.0.0.0", 1, 100)], Vec::new());
+    first.handle(CellEvent::WorkerPolled("w0".into(), kept));
+    let mut second = next_owner(&first.records);
+    pass(&mut second, TERM_MS);
+
+    verify_that!(first.renewals, eq(&vec![("w0".to_owned(), true)]))?;
+    verify_that!(restarted_on(&second), none())
+}
+
+/// Guards against leases that lapse while the store is slow: a worker that was silent for a moment only is
+/// renewed without a record.
+#[gtest]
+fn a_short_silence_is_not_recorded() -> Result<()> {
+    let mut driver = owner_with_a_silent_worker();
+    driver.advance(200);
+    driver.scheduler.record_lease_bounds(driver.now);
+    driver.renewals.clear();
+    let kept = report(driver.now, vec![running("j.0.0.0", 1, 100)], Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), kept));
+
+    let bounds = driver.records.iter().filter(|record| matches!(record, CellRecord::LeaseBounds(_))).count();
+    verify_that!(bounds, eq(0))?;
+    verify_that!(driver.renewals, eq(&vec![("w0".to_owned(), false)]))
+}
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -32,6 +32,8 @@
 struct FakeWorker {
     answer: Rc<Cell<Option<(Duration, Duration)>>>,
     started: Rc<RefCell<Vec<TaskKey>>>,
+    /// Number of polls that renewed the lease.
+    renewals: Rc<Cell<usize>>,
 }
 
 impl FakeWorker {
@@ -41,7 +43,7 @@
     }
 
     fn client(&self) -> WorkerClient {
-        let (answer, started) = (self.answer.clone(), self.started.clone());
+        let (answer, started, renewals) = (self.answer.clone(), self.started.clone(), self.renewals.clone());
         let accepted = CommandAnswer { outcome: CommandOutcome::Accepted, clock: None };
         let stop_answer = accepted.clone();
         WorkerClient {
@@ -52,6 +54,7 @@
             stop: Rc::new(move |_, _| std::future::ready(stop_answer.clone()).boxed_local()),
             poll: Rc::new(move |request: PollRequest| {
                 let answer = answer.clone();
+                renewals.set(renewals.get() + usize::from(request.lease.is_some()));
                 async move {
                     tokio::time::sleep(request.wait.min(Duration::from_millis(20))).await;
                     let Some((incarnation, clock)) = answer.get() else {
@@ -74,7 +77,14 @@
 }
 
 impl RunningLink {
+    /// Starts a link that may renew the lease.
     fn start(worker: &FakeWorker) -> Self {
+        let link = Self::start_without_renewal(worker);
+        link.commands.try_send(LinkMessage::RenewLease(Instant::now())).expect("the inbox has room");
+        link
+    }
+
+    fn start_without_renewal(worker: &FakeWorker) -> Self {
         let (commands, inbox) = mpsc::channel(64);
         let (owner_sender, events) = mpsc::channel(64);
         let token = CancellationToken::new();
@@ -219,3 +229,50 @@
     verify_that!(left, le(Duration::from_millis(10_600)))?;
     verify_that!(left, ge(Duration::from_secs(5)))
 }
+
+/// Guards against tasks that run twice: a new owner goes by the recorded bound of a lease, which must not be
+/// renewed before a further record takes the bound back. A start renews the lease too.
+#[gtest]
+#[actix_rt::test]
+async fn a_lease_is_renewed_only_once_the_owner_allows_it() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    let mut link = RunningLink::start_without_renewal(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    let early = link.send(start("j.0.0.0", INCARNATION)).await;
+    let renewals_before = worker.renewals.get();
+
+    link.commands.send(LinkMessage::RenewLease(Instant::now())).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    let allowed = link.send(start("j.0.0.1", INCARNATION)).await;
+    link.token.cancel();
+
+    verify_that!(early, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(renewals_before, eq(0))?;
+    verify_that!(allowed, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(worker.renewals.get(), ge(1))
+}
+
+/// Guards against the same fault if the permission is late: the worker has been silent since it was given, so
+/// that its lease may be bounded again.
+#[gtest]
+#[actix_rt::test]
+async fn a_permission_from_before_a_silence_renews_no_lease() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    let mut link = RunningLink::start_without_renewal(&worker);
+    let polled_at = Instant::now();
+    link.await_report(INCARNATION).await.or_fail()?;
+    worker.answer.set(None);
+    let is_silent = |event| matches!(event, CellEvent::WorkerUnresponsive(..)).then_some(());
+    link.await_event(is_silent).await.or_fail()?;
+
+    link.commands.send(LinkMessage::RenewLease(polled_at)).await.or_fail()?;
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(worker.renewals.get(), eq(0))
+}
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -6,7 +6,8 @@
 
 use futures_util::FutureExt;
 use godwithaven::kernel::cell::{
-    ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
+    CellOwner, ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
+    longest_real_time,
 };
 use godwithaven::tasks::cell::inbox;
 use godwithaven::tasks::cell::ports::{AppendOutcome, PageFuture, ReadFault, StoreClient, TopicPage};
@@ -193,6 +194,47 @@
     verify_that!(lease.expires_by(), eq(bound))
 }
 
+/// Guards against tasks of a lost worker that wait for leases which no earlier owner can have granted: once the
+/// worker has answered the new owner, it refuses calls of the others. A grant of the new owner counts in full.
+#[gtest]
+fn a_worker_that_has_answered_holds_no_later_lease_of_an_earlier_owner() -> Result<()> {
+    let start = Instant::now();
+    let (duration, longest) = (Duration::from_secs(5), Duration::from_secs(10));
+    let mut lease = WorkerLease::new(duration, longest, start + Duration::from_secs(20));
+
+    lease.note_fenced(start);
+    let fenced = lease.expires_by();
+    lease.note_clock(Duration::from_secs(1), start);
+    lease.grant(start + Duration::from_secs(2));
+
+    verify_that!(fenced, eq(start + longest_real_time(duration)))?;
+    verify_that!(lease.expires_by(), ge(start + Duration::from_secs(7)))
+}
+
+/// Guards against a successor that waits for leases of a deposed owner although there is none: the former owner
+/// has released the cell. One that was lost, that another process reported, or whose term is not known to have
+/// been long enough may still grant leases, or its predecessor may.
+#[gtest]
+fn a_release_tells_for_how_long_the_former_owner_had_the_cell() -> Result<()> {
+    let now = Instant::now();
+    let after = |millis| now + Duration::from_millis(millis);
+    let mut watch = watch_of_owned_cell(now);
+    watch.note(1, Some(record(ClaimKind::Release, "p1")), after(4_000));
+    watch.note(2, Some(record(ClaimKind::Claim, "p2")), after(5_000));
+    let released = watch.released_term();
+    watch.note(3, Some(record(ClaimKind::Claim, "p3")), after(6_000));
+    let lost = watch.released_term();
+    let owner = CellOwner { process: "p4".into(), address: "a".into(), token: 9 };
+    watch.note_reported_owner(owner);
+    watch.note(10, Some(record(ClaimKind::Release, "p4")), after(9_000));
+    watch.note(11, Some(record(ClaimKind::Claim, "p5")), after(9_500));
+    let reported = watch.released_term();
+
+    verify_that!(released, some(eq(Duration::from_secs(4))))?;
+    verify_that!(lost, none())?;
+    verify_that!(reported, none())
+}
+
 /// A new owner replays all submissions at once. Counted by the time of the replay, they would look like a
 /// burst above the rate of the team.
 #[gtest]
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -132,6 +132,7 @@
         config: None,
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
+        released_term: None,
         log_retention: Duration::from_secs(300),
         metrics: CellMetrics::new().or_fail()?,
     };
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -31,6 +31,8 @@
     pub stops: Vec<StopCommand>,
     /// Step and number of workers of each permit request.
     pub permit_requests: Vec<(String, usize)>,
+    /// Workers whose lease may be renewed, and whether only after the records so far are stored.
+    pub renewals: Vec<(String, bool)>,
     /// Kinds of the records, starts and publications, in the order in which they were emitted.
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
@@ -93,6 +95,9 @@
                 self.scheduler.handle(CellEvent::WorkerPolled(listing.worker, report), self.now);
             }
             CellEffect::Publish(_) => self.effect_order.push("publish"),
+            CellEffect::RenewLease { worker, after_records, .. } => {
+                self.renewals.push((worker.to_string(), after_records));
+            }
             CellEffect::Watch(_) | CellEffect::Unwatch(_) | CellEffect::Acknowledge(..) => {}
         }
     }
@@ -155,6 +160,7 @@
         starts: Vec::new(),
         stops: Vec::new(),
         permit_requests: Vec::new(),
+        renewals: Vec::new(),
         effect_order: Vec::new(),
         answers_first_poll: true,
         ends: FastMap::default(),
