Keep the runs of a worker that is listed at another address

Seen, by reading the change of the lease bounds: a worker that is listed at another address counted as silent at once, with the lease bound of the last recovery, so its tasks were given up while they ran. Change: only the permission of the new link to renew the lease starts anew; the worker stays responsive. Result: a_worker_at_another_address_keeps_its_tasks_and_its_lease failed before (a second start) and passes.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -273,7 +273,7 @@
         worker.listing = listing.clone();
         if !worker.watched || address_changed {
             worker.watched = true;
-            worker.fall_silent(now);
+            worker.renewable = false;
             self.state.effects.push(CellEffect::Watch(listing));
         }
     }
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -19,6 +19,8 @@
     pub zone_open: bool,
     /// Whether the worker has answered a poll and has not been unresponsive since.
     pub responsive: bool,
+    /// Whether the present link to the worker was told that it may renew the lease.
+    pub renewable: bool,
     /// When the poll of its newest report was sent.
     pub polled_at: Option<Instant>,
     /// When every lease that the worker may hold has expired; used only while the worker is unresponsive.
@@ -55,6 +57,7 @@
             watched: false,
             zone_open: true,
             responsive: false,
+            renewable: false,
             polled_at: None,
             lease_expires_at: inherited_lease_expires_at,
             silent_since: now,
@@ -69,12 +72,12 @@
         }
     }
 
-    /// Records that the worker does not answer, or not yet at its address.
+    /// Records that the worker does not answer.
     pub fn fall_silent(&mut self, now: Instant) {
         if self.responsive {
             self.silent_since = now;
         }
-        self.responsive = false;
+        (self.responsive, self.renewable) = (false, false);
     }
 
     /// Whether tasks may start on the worker now.
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -63,7 +63,8 @@
     /// Lets the lease of a worker that answers again be renewed, once the records no longer bound it.
     fn allow_renewal(&mut self, polled_at: Instant) {
         let Some(worker) = self.state.worker_mut(self.slot) else { return };
-        if std::mem::replace(&mut worker.responsive, true) {
+        worker.responsive = true;
+        if std::mem::replace(&mut worker.renewable, true) {
             return;
         }
         let worker_id = worker.listing.worker.clone();
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use fixture_cell::{CellDriver, cell, job, report, running, step, submit, worker};
-use godwithaven::kernel::cell::{CellEvent, CellRecord, CellScheduler, GraphSpec, StartCommand, StepSpec};
+use godwithaven::kernel::cell::{
+    CellEvent, CellRecord, CellScheduler, GraphSpec, StartCommand, StepSpec, WorkerListing,
+};
 use googletest::prelude::*;
 
 /// Time after which all leases of earlier owners have expired if nothing else is known.
@@ -107,6 +109,28 @@
     verify_that!(restarted_on(&second), none())
 }
 
+/// Guards against a worker whose tasks are given up, or whose lease lapses, because it is listed at another
+/// address: it runs on, and the new link has to be told that it may renew the lease.
+#[gtest]
+fn a_worker_at_another_address_keeps_its_tasks_and_its_lease() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, service());
+    driver.advance(20_000);
+    let kept = report(driver.now, vec![running("j.0.0.0", 1, 100)], Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), kept));
+    driver.renewals.clear();
+    driver.answers_first_poll = false;
+
+    let moved = WorkerListing { address: "127.0.0.1:2".into(), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![moved]));
+    driver.advance(200);
+    let kept = report(driver.now, vec![running("j.0.0.0", 1, 100)], Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), kept));
+
+    verify_that!(driver.starts.len(), eq(1))?;
+    verify_that!(driver.renewals, eq(&vec![("w0".to_owned(), false)]))
+}
+
 /// Guards against leases that lapse while the store is slow: a worker that was silent for a moment only is
 /// renewed without a record.
 #[gtest]
