--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -6,12 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fixture_cell::{INCARNATION, report};
+use fixture_cell::{INCARNATION, report, start_command as start};
 use futures_util::FutureExt;
-use godwithaven::kernel::ResourceVector;
-use godwithaven::kernel::cell::{
-    CellEvent, CommandOutcome, PollReport, StartCommand, StartInputs, TaskKey, WorkerLease,
-};
+use godwithaven::kernel::cell::{CellEvent, CommandOutcome, PollReport, StartCommand, TaskKey, WorkerLease};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerMessage;
@@ -135,27 +132,6 @@
     }
 }
 
-/// Returns a start that is based on a report of this incarnation.
-fn start(name: &str, incarnation: Duration) -> StartCommand {
-    let inputs = StartInputs {
-        config: 1,
-        report_age: Duration::ZERO,
-        waited: Duration::ZERO,
-        free: ResourceVector::default(),
-    };
-    StartCommand {
-        worker: "w0".into(),
-        incarnation: Some(incarnation),
-        task: TaskKey::parse(name).expect("the name is valid"),
-        run: 1,
-        payload: "text".into(),
-        checkpoint: None,
-        ticket: None,
-        inputs,
-        expires_at: Instant::now() + WAIT_TIMEOUT,
-    }
-}
-
 /// Guards against a task that runs twice: a start that was decided for an earlier incarnation of a worker was
 /// sent to the next one, after the owner had given up all runs of the earlier one.
 #[gtest]
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -9,8 +9,8 @@
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, CommandOutcome, EndCause, EndedRun,
-    GraphSpec, PermitRule, PollReport, QueueRule, RunningRun, StartCommand, StepSpec, StopCommand, TaskKey,
-    TeamRule, WorkerListing,
+    GraphSpec, PermitRule, PollReport, QueueRule, RunningRun, StartCommand, StartInputs, StepSpec,
+    StopCommand, TaskKey, TeamRule, WorkerListing,
 };
 use godwithaven::prelude::FastMap;
 
@@ -243,3 +243,24 @@
 pub fn submit(driver: &mut CellDriver, spec: GraphSpec) {
     driver.handle(CellEvent::Submitted(spec.into()));
 }
+
+/// Returns the first start of a task on `w0`, based on a report of this incarnation, that expires in a minute.
+pub fn start_command(task: &str, incarnation: Duration) -> StartCommand {
+    let inputs = StartInputs {
+        config: 1,
+        report_age: Duration::ZERO,
+        waited: Duration::ZERO,
+        free: ResourceVector::default(),
+    };
+    StartCommand {
+        worker: "w0".into(),
+        incarnation: Some(incarnation),
+        task: TaskKey::parse(task).expect("the name is valid"),
+        run: 1,
+        payload: "text".into(),
+        checkpoint: None,
+        ticket: None,
+        inputs,
+        expires_at: Instant::now() + Duration::from_secs(60),
+    }
+}
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -4,14 +4,13 @@
 mod fixture_platform;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use fixture_cell::worker;
+use fixture_cell::{INCARNATION, start_command, worker};
 use fixture_platform::{start_platform, write_settings};
-use godwithaven::kernel::ResourceVector;
-use godwithaven::kernel::cell::{CommandOutcome, StartCommand, StartInputs, StopCommand, TaskKey};
+use godwithaven::kernel::cell::{CommandOutcome, StopCommand, TaskKey};
 use godwithaven::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult};
 use godwithaven::tasks::cell::ports::{AppendOutcome, AppendRequest, CellAdapter, WorkerClient};
 use godwithaven_standins::server;
@@ -20,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+const TASK: &str = "00000000000000a1.0.0.0";
 /// Time limit of a call and duration of a lease.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// An answer that leaves the connection open.
@@ -71,34 +71,15 @@
     (adapter().worker)(&listing)
 }
 
-fn task() -> TaskKey {
-    TaskKey::parse("00000000000000a1.0.0.0").expect("the name is valid")
-}
-
-fn start_command() -> StartCommand {
-    let inputs = StartInputs {
-        config: 1,
-        report_age: Duration::ZERO,
-        waited: Duration::ZERO,
-        free: ResourceVector::default(),
-    };
-    StartCommand {
+fn stop_command() -> StopCommand {
+    StopCommand {
         worker: "w0".into(),
-        incarnation: None,
-        task: task(),
+        task: TaskKey::parse(TASK).expect("the name is valid"),
         run: 1,
-        payload: "text".into(),
-        checkpoint: None,
-        ticket: None,
-        inputs,
-        expires_at: Instant::now() + CALL_TIMEOUT,
+        reason: "test",
     }
 }
 
-fn stop_command() -> StopCommand {
-    StopCommand { worker: "w0".into(), task: task(), run: 1, reason: "test" }
-}
-
 /// Appends a record to the store at an address.
 async fn append(name: &str, address: SocketAddr) -> AppendOutcome {
     let platform = start_platform(name, 0).await;
@@ -124,10 +105,12 @@
 async fn a_command_whose_connection_closes_may_have_been_carried_out() -> Result<()> {
     let on_new_connection = client_of(server_that_loses_answers(0).await);
     let on_used_connection = client_of(server_that_loses_answers(1).await);
-    let first = (on_used_connection.start)(start_command(), 7, Duration::from_secs(1)).await;
+    let first = (on_used_connection.start)(start_command(TASK, INCARNATION), 7, Duration::from_secs(1)).await;
 
-    let started = (on_new_connection.start)(start_command(), 7, Duration::from_secs(1)).await;
-    let started_again = (on_used_connection.start)(start_command(), 7, Duration::from_secs(1)).await;
+    let started =
+        (on_new_connection.start)(start_command(TASK, INCARNATION), 7, Duration::from_secs(1)).await;
+    let started_again =
+        (on_used_connection.start)(start_command(TASK, INCARNATION), 7, Duration::from_secs(1)).await;
     let stopped = (on_new_connection.stop)(stop_command(), 7).await;
 
     verify_that!(first.outcome, eq(CommandOutcome::Accepted))?;
@@ -157,7 +140,8 @@
     let address = listener.local_addr().or_fail()?;
     drop(listener);
 
-    let started = (client_of(address).start)(start_command(), 7, Duration::from_secs(1)).await;
+    let started =
+        (client_of(address).start)(start_command(TASK, INCARNATION), 7, Duration::from_secs(1)).await;
     let stored = append("append_refused", address).await;
 
     verify_that!(started.outcome, eq(CommandOutcome::NotSent))?;
