Settle starts whose link was replaced before the answer

Seen, by reading the change of the starts: a start in flight when the address of its worker changed got no answer ever, as the link that waited for it was replaced; its task waited until the worker fell silent. Before, only a restart of the worker ended that. Change: such starts count as unanswered, and are settled by a report or a stop like others. Result: a_start_without_an_answer_is_settled_after_a_change_of_the_address failed before (no stop) and passes.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -275,9 +275,21 @@
             worker.watched = true;
             worker.renewable = false;
             self.state.effects.push(CellEffect::Watch(listing));
+            self.await_no_answers(slot, now);
         }
     }
 
+    /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
+    /// replaced.
+    fn await_no_answers(&mut self, slot: u32, now: Instant) {
+        let starting = self
+            .state
+            .placements
+            .values_mut()
+            .filter(|placement| placement.slot == slot && placement.phase == PlacementPhase::Starting);
+        starting.for_each(|placement| placement.phase = PlacementPhase::Unanswered(now));
+    }
+
     fn submit(&mut self, spec: Arc<GraphSpec>, now: Instant) {
         if self.state.jobs.contains_key(&spec.id) {
             return;
--- a/tests/cell_poll.rs
+++ b/tests/cell_poll.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use fixture_cell::{CellDriver, INCARNATION, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::cell::{
-    CellEvent, CellRecord, CommandOutcome, EndCause, EndedRun, PollReport, RunningRun, TaskKey,
+    CellEffect, CellEvent, CellRecord, CommandOutcome, EndCause, EndedRun, PollReport, RunningRun, TaskKey,
+    WorkerListing,
 };
 use godwithaven::tasks::cell::ports::{CellAdapter, PollOutcome, PollRequest};
 use godwithaven_standins::server;
@@ -152,6 +153,33 @@
     verify_that!(driver.started("j.0.0.0").map(|command| command.run), some(eq(2)))
 }
 
+/// Guards against a task that waits forever: the answer to a start was lost with the link to the address of the
+/// worker, which then restarted at another address.
+#[gtest]
+fn a_start_without_an_answer_is_settled_after_a_change_of_the_address() -> Result<()> {
+    let mut driver = cell(1);
+    driver.answers_first_poll = false;
+    driver.scheduler.handle(CellEvent::Submitted(job("j", "urgent", vec![step(1)]).into()), driver.now);
+    let unanswered = driver.scheduler.decide(true, driver.now + Duration::from_millis(50));
+    driver.advance(100);
+
+    let moved = WorkerListing { address: "127.0.0.1:2".into(), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![moved]));
+    driver.advance(100);
+    let report = restarted_report(driver.now, Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), report));
+    let stops = driver.stops.len();
+    let task = TaskKey::parse("j.0.0.0").or_fail()?;
+    driver.handle(CellEvent::StopAnswered(task, 1, "w0".into(), CommandOutcome::Accepted));
+    driver.advance(100);
+    let report = restarted_report(driver.now, Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w0".into(), report));
+
+    verify_that!(unanswered.iter().any(|effect| matches!(effect, CellEffect::Start(_))), eq(true))?;
+    verify_that!(stops, eq(1))?;
+    verify_that!(driver.started("j.0.0.0").map(|command| command.run), some(eq(2)))
+}
+
 /// Guards against a start that is sent although its run was given up, or stopped, while its record was stored:
 /// the task may run elsewhere by then.
 #[gtest]
