--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -2,6 +2,7 @@
 //! and end.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use actix_http::{Request, Response, StatusCode};
@@ -9,7 +10,7 @@
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::platform::StoreStandin;
@@ -17,6 +18,8 @@
 
 /// Run time of a task whose job does not set one.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(100);
+/// Longest lease; longer ones are shortened.
+const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Interval of the checks for runs that are due to end, and of the retries of a call that waits for an end.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -39,6 +42,8 @@
     /// milliseconds.
     spec: String,
     fencing_token: u64,
+    /// End of the lease on the worker's clock; `None` does not renew it.
+    until_ms: Option<u64>,
     /// Number of the last end that the caller has recorded.
     last_seen: u64,
     /// How long the call waits for an end.
@@ -57,7 +62,9 @@
     /// Zero of the worker's clock.
     clock_origin: Instant,
     /// Highest fencing token seen.
-    highest_token: u64,
+    highest_token: watch::Sender<u64>,
+    /// End of the lease on the worker's clock, in milliseconds; all runs are killed then.
+    leased_until: u64,
     running: FxHashMap<String, RunState>,
     /// Highest run number of each task that was started or stopped; a start with this number or a lower one
     /// is refused, unless that run is running.
@@ -77,6 +84,8 @@
 pub struct PlatformWorker {
     /// Address of its HTTP server.
     pub address: SocketAddr,
+    highest_token: watch::Receiver<u64>,
+    reachable_by: watch::Sender<RangeInclusive<u64>>,
 }
 
 impl PlatformWorker {
@@ -94,11 +103,14 @@
     ) -> std::io::Result<Self> {
         let (listener, address) = server::bind("127.0.0.1:0").await?;
         let (inbox, messages) = mpsc::channel(256);
+        let (highest_token, seen_token) = watch::channel(0);
+        let (reachable_by, reachability) = watch::channel(0..=u64::MAX);
         let state = WorkerState {
             name: name.to_owned(),
             born: 1_000,
             clock_origin: Instant::now(),
-            highest_token: 0,
+            highest_token,
+            leased_until: 0,
             running: FxHashMap::default(),
             highest_run: FxHashMap::default(),
             finished: Vec::new(),
@@ -106,23 +118,44 @@
             events,
         };
         actix_rt::spawn(state.run(messages));
-        actix_rt::spawn(server::serve(listener, token, move |request| answer(inbox.clone(), request)));
+        actix_rt::spawn(server::serve(listener, token, move |request| {
+            answer(inbox.clone(), reachability.clone(), request)
+        }));
         let entry = json!({
             "service": "planner", "address": address.to_string(), "zone": "a", "version": "v1", "slots": 8,
             "state": "ready", "cold_remaining_ms": 0, "labels": ["kind", "r1"], "seq": 1,
             "capacity": {"cpu": 8_000, "mem_mb": 8_192, "gpu": 0},
         });
         store.publish("keyed.servers", name, &entry.to_string()).await;
-        Ok(Self { address })
+        Ok(Self { address, highest_token: seen_token, reachable_by })
+    }
+
+    /// Returns the highest fencing token that the worker has seen.
+    #[must_use]
+    pub fn highest_token(&self) -> u64 {
+        *self.highest_token.borrow()
+    }
+
+    /// Sets which owners reach the worker, by their fencing tokens. Calls of the others are not answered, as if
+    /// the network between them were cut.
+    pub fn set_reachable_by(&self, tokens: RangeInclusive<u64>) {
+        self.reachable_by.send_replace(tokens);
     }
 }
 
-async fn answer(inbox: mpsc::Sender<WorkerMessage>, mut request: Request) -> Response<Bytes> {
+async fn answer(
+    inbox: mpsc::Sender<WorkerMessage>,
+    mut reachability: watch::Receiver<RangeInclusive<u64>>,
+    mut request: Request,
+) -> Response<Bytes> {
     let path = request.path().to_owned();
     let body = server::read_body(&mut request).await.unwrap_or_default();
     let Ok(call) = serde_json::from_slice::<CallBody>(&body) else {
         return Response::with_body(StatusCode::BAD_REQUEST, Bytes::new());
     };
+    if reachability.wait_for(|tokens| tokens.contains(&call.fencing_token)).await.is_err() {
+        return Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     let deadline = Instant::now() + Duration::from_millis(call.wait_ms);
     let (last_seen, fencing_token) = (call.last_seen, call.fencing_token);
     let mut call = call;
@@ -158,10 +191,11 @@
 
     /// Returns status and body of the response to a call.
     fn handle(&mut self, path: &str, call: &CallBody) -> (StatusCode, Value) {
-        if call.fencing_token < self.highest_token {
+        if call.fencing_token < *self.highest_token.borrow() {
             return (StatusCode::CONFLICT, json!({"clock_ms": self.clock(), "reason": "fence"}));
         }
-        self.highest_token = call.fencing_token;
+        self.highest_token.send_replace(call.fencing_token);
+        self.renew_lease(call.until_ms);
         match path {
             "/api/run-start" => self.start(call),
             "/api/run-stop" => {
@@ -190,7 +224,15 @@
         }
     }
 
+    fn renew_lease(&mut self, until: Option<u64>) {
+        let longest = self.clock() + u64::try_from(MAX_LEASE.as_millis()).unwrap_or(u64::MAX);
+        self.leased_until = self.leased_until.max(until.unwrap_or_default().min(longest));
+    }
+
     fn start(&mut self, call: &CallBody) -> (StatusCode, Value) {
+        if call.until_ms.is_some_and(|until| until < self.clock()) {
+            return (StatusCode::CONFLICT, json!({"clock_ms": self.clock(), "reason": "late"}));
+        }
         let known = self.running.get(&call.task).is_some_and(|state| state.run == call.run);
         if !known && self.highest_run.get(&call.task).is_some_and(|highest| *highest >= call.run) {
             return (StatusCode::CONFLICT, json!({"clock_ms": self.clock(), "reason": "old"}));
@@ -205,9 +247,15 @@
         (StatusCode::OK, json!({"clock_ms": self.clock()}))
     }
 
-    /// Ends the runs whose run time is over.
+    /// Ends the runs whose run time is over, or all runs if the lease has expired.
     fn end_due_runs(&mut self) {
         let now = Instant::now();
+        if self.clock() > self.leased_until {
+            let tasks: Vec<String> = self.running.keys().cloned().collect();
+            for task in tasks {
+                self.end(&task, "lapsed");
+            }
+        }
         let due = self.running.iter().filter(|(_, state)| state.ends_at <= now);
         let due: Vec<String> = due.map(|(task, _)| task.clone()).collect();
         for task in due {
--- a/tests/fixture_platform/mod.rs
+++ b/tests/fixture_platform/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses a part of the fixture")]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -21,6 +22,7 @@
 /// A running stand-in platform and the events of its workers.
 pub struct Platform {
     pub store: StoreStandin,
+    pub workers: Vec<PlatformWorker>,
     pub advisor: AdvisorStandin,
     pub events: mpsc::UnboundedReceiver<WorkerEvent>,
     pub directory: PathBuf,
@@ -33,14 +35,16 @@
     let store = StoreStandin::start(token.clone()).await.expect("a port is free");
     let advisor = AdvisorStandin::start(token.clone()).await.expect("a port is free");
     let (sender, events) = mpsc::unbounded_channel();
+    let mut started = Vec::new();
     for number in 0..workers {
         let name = format!("w{number}");
-        PlatformWorker::start(&name, &store, sender.clone(), token.clone()).await.expect("a port is free");
+        let worker = PlatformWorker::start(&name, &store, sender.clone(), token.clone()).await;
+        started.push(worker.expect("a port is free"));
     }
     store.publish("keyed.op", "config", &configuration().to_string()).await;
     let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&directory).expect("the directory can be made");
-    Platform { store, advisor, events, directory, token }
+    Platform { store, workers: started, advisor, events, directory, token }
 }
 
 /// Returns a configuration with one queue and one team.
@@ -78,7 +82,12 @@
 /// Writes the settings file of an entry process on four ports from `first` on; returns its path. The file has
 /// a setting that the program does not know and must ignore.
 pub fn write_settings(platform: &Platform, name: &str, first: u16) -> PathBuf {
-    let (store, advisor) = (platform.store.address, platform.advisor.address);
+    write_settings_with_store(platform, name, first, platform.store.address)
+}
+
+/// Writes a settings file like [`write_settings`] for a process that reaches the store at another address.
+pub fn write_settings_with_store(platform: &Platform, name: &str, first: u16, store: SocketAddr) -> PathBuf {
+    let advisor = platform.advisor.address;
     let (ready, control, internal) = (first + 1, first + 2, first + 3);
     let settings = format!(
         "node={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{first}\nlisten.ready=127.0.0.1:{ready}\n\
@@ -106,6 +115,8 @@
     pub duplicated: Vec<String>,
     /// Workers that ran more tasks than fit on them.
     pub overloaded: Vec<String>,
+    /// Number of runs that started.
+    pub starts: usize,
     /// Tasks that are done.
     pub done: FastSet<String>,
     /// Number of runs of each task at present.
@@ -139,6 +150,7 @@
     }
 
     fn record_start(&mut self, worker: String, task: String) {
+        self.starts += 1;
         let count = self.running_by_task.entry(task.clone()).or_default();
         *count += 1;
         if *count > 1 || self.done.contains(&task) {
