Write log lines in groups of at most 4 KiB

Cause: the log pipe handed chunks of up to 64 KiB to one write. A collector that sees only the first 8 KiB of a write lost the lines beyond, where most were logged. Standard output is also a LineWriter, which may hold back the rest of a short write, and a failed write did not count its lines.

Change: GroupWriter writes a chunk in groups of whole lines of at most 4 KiB (PIPE_BUF), one write call per group, each as full as whole lines allow. A longer line takes writes of its own. The writer thread uses an unbuffered duplicate of standard output. Chunks stay at 64 KiB, so the thread wakes up no more often. A failed write counts exactly the lines that it did not write, later chunks are counted too, and drops since the last report are printed to standard error at the end of the process.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub use inventory;
 
 pub mod clock;
+pub mod group_writer;
 pub mod kernel;
 pub mod log_pipe;
 pub mod log_timeline;
@@ -20,3 +21,4 @@
 pub mod proto;
 pub mod settings;
 pub mod tasks;
+pub mod write_fault;
--- a/src/log_pipe.rs
+++ b/src/log_pipe.rs
@@ -1,13 +1,15 @@
 //! Asynchronous logging to standard output, as processes that serve a cell use it. It does not block the
 //! process: if the reader of the output is too slow, lines are dropped and counted.
 
-use std::io::Write;
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::fs::File;
+use std::os::fd::AsFd;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 use log::LevelFilter;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::group_writer::{GroupWriter, count_lines};
 use crate::logging::typed_json_line;
 use crate::prelude::*;
 
@@ -20,7 +22,8 @@
 /// Longest wait for the reader of the output at the end of the process; lines that it has not read by then are
 /// lost.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
-/// Size from which a chunk is sent to the writer thread at once.
+/// Size from which a chunk is sent to the writer thread at once. The thread writes it in smaller groups; the
+/// size saves wake-ups of the thread.
 const FLUSH_BYTES: usize = 64 << 10;
 
 /// Collects log lines into chunks and hands them to a thread that writes them.
@@ -37,7 +40,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the program already has a logger or the writer thread cannot be started.
+    /// Returns an error if the program already has a logger, or if standard output cannot be duplicated or the
+    /// writer thread cannot be started.
     pub fn start(level: LevelFilter) -> Result<Self, String> {
         let (sender, lines) = mpsc::channel(MAX_QUEUED_LINES);
         let output = fern::Output::call(move |record| {
@@ -49,10 +53,12 @@
         let dispatch =
             fern::Dispatch::new().level(LevelFilter::Warn).level_for("godwithaven", level).chain(output);
         dispatch.apply().map_err(|error| error.to_string())?;
+        // The duplicate is not buffered, and other uses of standard output do not wait for the thread.
+        let output = std::io::stdout().as_fd().try_clone_to_owned().map_err(|error| error.to_string())?;
         let (chunks, received) = sync_channel(MAX_QUEUED_CHUNKS);
         let (ended, writer_ended) = oneshot::channel();
         let writer = std::thread::Builder::new().name("log".to_owned()).spawn(move || {
-            write_chunks(&received);
+            write_chunks(&received, File::from(output));
             // The receiver is gone if the process did not wait that long.
             let _ = ended.send(());
         });
@@ -91,7 +97,7 @@
         self.send_chunk(&mut chunk);
         drop(self.chunks);
         match tokio::time::timeout(END_TIMEOUT, self.writer_ended).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => print_last_drops(reported),
             Ok(Err(_)) => eprintln!("the log writer thread panicked"),
             Err(_) => eprintln!("the last log lines are lost: nobody reads standard output"),
         }
@@ -104,10 +110,8 @@
             return;
         }
         let full = std::mem::take(chunk);
-        if let Err(error) = self.chunks.try_send(full) {
-            let (std::sync::mpsc::TrySendError::Full(lost)
-            | std::sync::mpsc::TrySendError::Disconnected(lost)) = error;
-            DROPPED_LINES.inc_by(lost.split(|byte| *byte == b'\n').skip(1).count() as u64);
+        if let Err(TrySendError::Full(lost) | TrySendError::Disconnected(lost)) = self.chunks.try_send(full) {
+            DROPPED_LINES.inc_by(count_lines(&lost));
         }
     }
 }
@@ -131,13 +135,26 @@
     chunk.push(b'\n');
 }
 
-/// Writes chunks to standard output until all senders are gone or writing fails.
-fn write_chunks(chunks: &Receiver<Vec<u8>>) {
-    let mut output = std::io::stdout().lock();
+/// Prints to standard error how many lines were dropped since the last report, as no more lines are written.
+fn print_last_drops(reported: u64) {
+    let dropped = DROPPED_LINES.get();
+    if dropped > reported {
+        eprintln!("{} log lines were dropped at the end of the process", dropped - reported);
+    }
+}
+
+/// Writes chunks to standard output until all senders are gone. Once writing has failed, only counts the lines
+/// of the chunks as dropped.
+fn write_chunks(chunks: &Receiver<Vec<u8>>, output: File) {
+    let mut writer = GroupWriter::new(output);
     while let Ok(chunk) = chunks.recv() {
-        if let Err(error) = output.write_all(&chunk).and_then(|()| output.flush()) {
-            eprintln!("cannot write log lines to standard output: {error}");
-            return;
+        if let Err(fault) = writer.write_chunk(&chunk) {
+            DROPPED_LINES.inc_by(fault.unwritten_lines);
+            eprintln!("cannot write log lines to standard output: {fault}");
+            break;
         }
     }
+    while let Ok(chunk) = chunks.recv() {
+        DROPPED_LINES.inc_by(count_lines(&chunk));
+    }
 }
