Grant leases to workers only while the store confirms the ownership

Callers saw tasks that ran twice after a change of the owner, many at once. Cause: nothing made a deposed owner stop. One that was cut off from the store and from its successor went on polling the workers that it reached, and each poll renewed a lease. The successor counted the leases of workers that it did not reach from its own start (6.5 s, and 2.5 s in which a deposed owner was assumed to learn of it) and started their tasks elsewhere. The 2.5 s were an assumption about the network that a partition between zones breaks.

Change: an owner grants leases, with polls and with starts, for 1.9 s from the sending of the newest call whose answer shows that it still owned the cell: a heartbeat, an append of the cell's records, or a read of the claims. Both clocks count, as the monotonic one stops while a VM is suspended. The successor waits for 1.9 s, 0.1 s for the error of a clock reading, and the lease by the slowest clock: 8.93 s instead of 9.0 s.

Tasks outlast an outage of the store of 4.5 s, and an idle owner renews leases by its heartbeats alone; both have tests.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,8 +1,15 @@
 //! Wall-clock time for records, log lines and the job schedules of a cell. Leases, deadlines and the other
 //! decisions use the monotonic clock.
 
+use crate::kernel::cell::ClockReading;
 use crate::prelude::*;
 
+/// Returns the present time by both clocks.
+#[must_use]
+pub fn reading() -> ClockReading {
+    ClockReading { monotonic: Instant::now(), wall: SystemTime::now() }
+}
+
 /// Returns the Unix time in milliseconds, 0 if the clock is set before 1970.
 #[must_use]
 pub fn unix_ms() -> u64 {
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -7,9 +7,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, Millicores,
-    ProxyNumber,
+    CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch,
+    Millicores, ProxyNumber,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -17,9 +18,10 @@
 use crate::tasks::cell::await_optional::await_optional;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
+use crate::tasks::cell::ownership_lease::OwnershipLease;
 use crate::tasks::cell::peer::{self, AssistSession, OwnerRoute};
 use crate::tasks::cell::ports::{
-    AdvisorClient, AppendOutcome, AppendRequest, CellAdapter, PageFuture, ReadFault, StoreClient, TopicPage,
+    AdvisorClient, AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage,
 };
 
 /// Topic of the claim log, which holds the claims, heartbeats and releases of ownership.
@@ -111,12 +113,25 @@
     pub peers: Vec<Arc<str>>,
 }
 
+/// A term of ownership of this process.
+struct OwnerTerm {
+    /// Sends messages to the owner task.
+    sender: mpsc::Sender<OwnerMessage>,
+    /// Ends the term.
+    stop: CancellationToken,
+    /// The lease under which the owner grants leases to workers.
+    ownership: OwnershipLease,
+}
+
+/// The result of a read of the claim log, and when it was sent.
+type ClaimRead = (ClockReading, Result<TopicPage, ReadFault>);
+
 /// State of the running task.
 struct ClaimState {
     config: Option<Arc<CellConfig>>,
     closed_zones: FastSet<ZoneId>,
-    /// The sender to the owner task and its stop token while this process owns the cell.
-    term: Option<(mpsc::Sender<OwnerMessage>, CancellationToken)>,
+    /// The present term; `None` while this process does not own the cell.
+    term: Option<OwnerTerm>,
     /// Stops the session with an owner in another process.
     assist_session: Option<CancellationToken>,
     resigned: bool,
@@ -198,8 +213,8 @@
                 return;
             }
         };
-        if let Some((owner, _)) = &state.term
-            && owner.send(OwnerMessage::Event(event)).await.is_err()
+        if let Some(term) = &state.term
+            && term.sender.send(OwnerMessage::Event(event)).await.is_err()
         {
             log::debug!("change dropped: the term of ownership has ended");
         }
@@ -208,19 +223,20 @@
     /// Ends the current term of this process, if there is one, and appends the release once,
     /// without a retry.
     async fn release_ownership(&self, state: &mut ClaimState) {
-        let Some((_, term)) = state.term.take() else { return };
-        term.cancel();
+        let Some(term) = state.term.take() else { return };
+        term.stop.cancel();
         let outcome = (self.store.append)(self.claim_append(ClaimKind::Release, None)).await;
         log::info!(process = &*self.process, outcome:%; "release of ownership was attempted");
     }
 
-    fn read_claims(&self, pause: Duration) -> PageFuture {
+    fn read_claims(&self, pause: Duration) -> LocalBoxFuture<'static, ClaimRead> {
         let (store, from) = (self.store.clone(), self.claim_watch.next_offset());
         async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
-            (store.read)(CLAIM_TOPIC, 0, from, READ_LONG_POLL).await
+            let sent_at = clock::reading();
+            (sent_at, (store.read)(CLAIM_TOPIC, 0, from, READ_LONG_POLL).await)
         }
         .boxed_local()
     }
@@ -228,7 +244,7 @@
     /// Applies the result of a read; returns the delay before the next read.
     fn apply_page(
         &mut self,
-        page: Result<TopicPage, ReadFault>,
+        (sent_at, page): ClaimRead,
         state: &mut ClaimState,
         token: &CancellationToken,
     ) -> Duration {
@@ -266,14 +282,19 @@
         if changed {
             self.switch_owner(state, token);
         }
+        if page.next >= page.end
+            && let Some(term) = &state.term
+        {
+            term.ownership.confirm(sent_at);
+        }
         Duration::ZERO
     }
 
     /// Ends the term or the session of the previous owner and starts that of the new one.
     fn switch_owner(&mut self, state: &mut ClaimState, token: &CancellationToken) {
         let Some(owner) = self.claim_watch.owner().cloned() else { return };
-        if let Some((_, term)) = state.term.take() {
-            term.cancel();
+        if let Some(term) = state.term.take() {
+            term.stop.cancel();
         }
         if let Some(assist_session) = state.assist_session.take() {
             assist_session.cancel();
@@ -294,7 +315,7 @@
         token: &CancellationToken,
     ) -> OwnerRoute {
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
-        let term = token.child_token();
+        let (stop, ownership) = (token.child_token(), OwnershipLease::new());
         let task = OwnerTask {
             token: owner.token,
             adapter: self.adapter,
@@ -304,14 +325,15 @@
             config: state.config.clone(),
             closed_zones: state.closed_zones.clone(),
             longest_lease: self.longest_lease,
+            ownership: ownership.clone(),
             released_term: self.claim_watch.released_term(),
             log_retention: self.log_retention,
             metrics: self.metrics.clone(),
         };
         self.handover_watch.note_term(Instant::now());
-        let stop = term.clone();
-        actix_rt::spawn(async move { task.run(inbox, stop).await });
-        state.term = Some((sender.clone(), term));
+        let stopped = stop.clone();
+        actix_rt::spawn(async move { task.run(inbox, stopped).await });
+        state.term = Some(OwnerTerm { sender: sender.clone(), stop, ownership });
         OwnerRoute::Local(owner.clone(), sender)
     }
 
@@ -343,7 +365,7 @@
 
     async fn check_claim(&self, state: &mut ClaimState) {
         // A term ends on its own when another process has fenced it; that process's claim is read soon.
-        if state.term.as_ref().is_some_and(|(_, term)| term.is_cancelled()) {
+        if state.term.as_ref().is_some_and(|term| term.stop.is_cancelled()) {
             state.term = None;
         }
         if state.term.is_some() && self.handover_watch.should_hand_over(Instant::now()) {
@@ -385,17 +407,18 @@
     }
 
     fn send_heartbeat(&self, state: &ClaimState) {
-        if state.term.is_none() {
-            return;
-        }
+        let Some(term) = &state.term else { return };
+        let ownership = term.ownership.clone();
         // The append expects the end of the claim log that is known now, so that the store rejects a delayed
         // heartbeat once other records have followed.
         let append =
             (self.store.append)(self.claim_append(ClaimKind::Renew, Some(self.claim_watch.next_offset())));
+        let sent_at = clock::reading();
         actix_rt::spawn(async move {
-            let outcome = append.await;
-            if !matches!(outcome, AppendOutcome::Stored(_)) {
-                log::info!(outcome:%; "ownership heartbeat was not stored");
+            match append.await {
+                // No other process had claimed the cell, as its claim would have moved the end of the log.
+                AppendOutcome::Stored(_) => ownership.confirm(sent_at),
+                outcome => log::info!(outcome:%; "ownership heartbeat was not stored"),
             }
         });
     }
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -11,6 +11,7 @@
 use crate::tasks::cell::await_optional::await_optional;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
+use crate::tasks::cell::ownership_lease::OwnershipLease;
 use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
 
 /// How long a worker may hold a poll open while no run ends. The answer also reports the progress of its
@@ -47,6 +48,8 @@
     pub client: WorkerClient,
     /// The leases granted to the worker.
     pub lease: WorkerLease,
+    /// The lease under which the owner grants them.
+    pub ownership: OwnershipLease,
     /// Sends answers and reports to the owner task.
     pub owner_sender: mpsc::Sender<OwnerMessage>,
     /// Metrics of the process.
@@ -127,7 +130,8 @@
         match message {
             LinkMessage::Start(command) => {
                 let now = Instant::now();
-                let lease = if poll_state.may_start(&command, now) { self.lease.grant(now) } else { None };
+                let may_start = self.ownership.is_valid() && poll_state.may_start(&command, now);
+                let lease = if may_start { self.lease.grant(now) } else { None };
                 let Some(lease) = lease else {
                     let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
                     commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
@@ -154,10 +158,11 @@
     }
 
     /// Polls the worker. The lease of one that does not answer is not renewed, so that its expiry can be
-    /// awaited.
+    /// awaited, and none is renewed by an owner that may have a successor.
     fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
         let now = Instant::now();
-        let lease = if poll_state.may_renew() { self.lease.grant(now) } else { None };
+        let may_renew = self.ownership.is_valid() && poll_state.may_renew();
+        let lease = if may_renew { self.lease.grant(now) } else { None };
         // The first poll, and each one after an unanswered poll, asks for an answer at once, so that the
         // worker's clock becomes known early. Other polls are held open only while the worker has no ended
         // runs to report.
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod owner;
 mod owner_state;
+pub mod ownership_lease;
 pub mod peer;
 pub mod ports;
 pub mod process;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -19,6 +19,7 @@
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
+use crate::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
 use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
 use crate::tasks::cell::record_codec::{self, RecordDecoder};
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
@@ -26,9 +27,9 @@
 
 /// Lease that workers are granted; long enough for another process to take over before it expires.
 const WORKER_LEASE: Duration = Duration::from_millis(6_500);
-/// How long a deposed owner may keep renewing leases after its successor's term has begun. It learns of the
-/// successor from the claim log or another process, or as the store or a worker rejects its fencing token.
-const DEPOSED_LEASE_MARGIN: Duration = Duration::from_millis(2_500);
+/// How long earlier owners may grant leases after a new owner has fenced them: their ownership lease, and the
+/// error of their reading of a worker's clock, which is at most a few seconds old and may run 2% slow.
+const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(Duration::from_millis(100));
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reports of the load to the log and the metrics.
@@ -84,6 +85,8 @@
     pub closed_zones: FastSet<ZoneId>,
     /// Longest lease that the platform's workers accept.
     pub longest_lease: Duration,
+    /// The lease under which this owner grants leases to workers.
+    pub ownership: OwnershipLease,
     /// For how long the former owner had the cell, if it has released it.
     pub released_term: Option<Duration>,
     /// How long the store retains records.
@@ -192,15 +195,24 @@
         if self.released_term.is_some_and(|term| term >= DEPOSED_LEASE_MARGIN) {
             longest_real_time(self.lease())
         } else {
-            self.lease() + DEPOSED_LEASE_MARGIN
+            self.longest_deposed_lease()
         }
     }
 
+    /// Returns how long a worker may hold a lease of an earlier owner after this owner has fenced it.
+    fn longest_deposed_lease(&self) -> Duration {
+        longest_real_time(self.lease()) + DEPOSED_LEASE_MARGIN
+    }
+
     /// Makes the store reject appends of all earlier owners.
     async fn fence(&self) -> Result<(), TermEnd> {
         loop {
+            let sent_at = clock::reading();
             match (self.store.append)(TermLog::<CellEffect>::fencing_append(self.token)).await {
-                AppendOutcome::Stored(_) => return Ok(()),
+                AppendOutcome::Stored(_) => {
+                    self.ownership.confirm(sent_at);
+                    return Ok(());
+                }
                 AppendOutcome::Refused(reason) | AppendOutcome::Unknown(reason) => {
                     log::warn!(token = self.token, reason = &*reason; "store cannot fence earlier owners");
                     tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
@@ -419,12 +431,13 @@
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = token.child_token();
         let inherited = state.scheduler.inherited_lease_of(&listing.worker);
-        let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.lease() + DEPOSED_LEASE_MARGIN);
+        let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.longest_deposed_lease());
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
             client: (self.adapter.worker)(listing),
             lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
+            ownership: self.ownership.clone(),
             owner_sender: self.own_sender.clone(),
             metrics: self.metrics.clone(),
         };
@@ -438,7 +451,9 @@
         progress: AppendProgress<CellEffect>,
     ) -> Result<(), TermEnd> {
         match progress {
-            AppendProgress::Stored { released, fresh, took } => {
+            AppendProgress::Stored { released, fresh, first_sent_at } => {
+                self.ownership.confirm(first_sent_at);
+                let took = first_sent_at.monotonic.elapsed();
                 self.metrics.appends.with_label_values(&["stored"]).inc();
                 self.metrics.append_seconds.observe(took.as_secs_f64());
                 for effect in released {
--- /dev/null
+++ b/src/tasks/cell/ownership_lease.rs
@@ -0,0 +1,60 @@
+//! The time for which an owner of the cell may grant leases to workers without hearing from the store.
+
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::kernel::cell::ClockReading;
+use crate::prelude::*;
+
+/// How long an owner may grant leases to workers after the last sign that it still owns the cell. Its successor
+/// waits for this long before it counts the leases that it does not know of as running out.
+pub const OWNERSHIP_LEASE: Duration = Duration::from_millis(1_900);
+
+/// The lease under which an owner grants leases to workers. It is extended whenever the store confirms the term.
+///
+/// An owner that is cut off from the store is not told of its successor, and its successor may not reach the
+/// workers that it reaches.
+#[derive(Clone, Debug)]
+pub struct OwnershipLease {
+    /// When the newest call was sent whose answer shows that no successor had claimed the cell when the store
+    /// handled it; `None` before the first.
+    confirmed: watch::Sender<Option<ClockReading>>,
+}
+
+impl OwnershipLease {
+    /// Returns a lease that is not valid until it is confirmed.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { confirmed: watch::Sender::new(None) }
+    }
+
+    /// Extends the lease, as the answer to a call that was sent at this time shows that the process still owned
+    /// the cell.
+    pub fn confirm(&self, sent_at: ClockReading) {
+        self.confirmed.send_if_modified(|confirmed| {
+            let is_newer = confirmed.is_none_or(|known| sent_at.monotonic > known.monotonic);
+            if is_newer {
+                *confirmed = Some(sent_at);
+            }
+            is_newer
+        });
+    }
+
+    /// Returns whether the owner may grant leases now.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.is_valid_at(clock::reading())
+    }
+
+    /// Returns whether the owner may grant leases at this time.
+    #[must_use]
+    pub fn is_valid_at(&self, now: ClockReading) -> bool {
+        self.confirmed.borrow().is_some_and(|sent_at| sent_at.elapsed_until(&now) < OWNERSHIP_LEASE)
+    }
+}
+
+impl Default for OwnershipLease {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/tasks/cell/term_log.rs
+++ b/src/tasks/cell/term_log.rs
@@ -7,7 +7,8 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
-use crate::kernel::cell::AdaptiveTimeout;
+use crate::clock;
+use crate::kernel::cell::{AdaptiveTimeout, ClockReading};
 use crate::prelude::*;
 use crate::tasks::cell::ports::{AppendOutcome, AppendRequest, StoreClient, WriterStamp};
 
@@ -48,10 +49,10 @@
 /// An append without an answer.
 struct InFlightAppend<T> {
     /// When the records were first sent, before any repetition.
-    first_sent_at: Instant,
+    first_sent_at: ClockReading,
     records: Vec<Bytes>,
     held: Vec<T>,
-    sent_at: (Instant, SystemTime),
+    sent_at: ClockReading,
     result: LocalBoxFuture<'static, AppendOutcome>,
 }
 
@@ -63,8 +64,8 @@
         released: Vec<T>,
         /// Whether the answer came soon enough to show that this process is still the owner.
         fresh: bool,
-        /// Time since the records were first sent.
-        took: Duration,
+        /// When the records were first sent; this process was the owner when they were stored.
+        first_sent_at: ClockReading,
     },
     /// The append failed and is repeated.
     Retrying(AppendOutcome),
@@ -98,7 +99,9 @@
     /// as they would only wait for the store.
     #[must_use]
     pub fn is_stalled(&self) -> bool {
-        self.in_flight.as_ref().is_some_and(|in_flight| in_flight.first_sent_at.elapsed() > STALLED_AFTER)
+        self.in_flight
+            .as_ref()
+            .is_some_and(|in_flight| in_flight.first_sent_at.monotonic.elapsed() > STALLED_AFTER)
     }
 
     /// Sends added records, unless an append is in flight; returns the held items that depend on no records.
@@ -113,7 +116,7 @@
         }
         let (records, held) = self.take_group();
         self.sequence += 1;
-        self.send(records, held, Instant::now(), Duration::ZERO);
+        self.send(records, held, clock::reading(), Duration::ZERO);
         released
     }
 
@@ -151,7 +154,7 @@
         (records, held)
     }
 
-    fn send(&mut self, records: Vec<Bytes>, held: Vec<T>, first_sent_at: Instant, delay: Duration) {
+    fn send(&mut self, records: Vec<Bytes>, held: Vec<T>, first_sent_at: ClockReading, delay: Duration) {
         let request = AppendRequest {
             topic: CELL_TOPIC,
             partition: 0,
@@ -167,7 +170,8 @@
             }
             append(request).await
         };
-        let sent_at = (Instant::now() + delay, SystemTime::now() + delay);
+        let now = clock::reading();
+        let sent_at = ClockReading { monotonic: now.monotonic + delay, wall: now.wall + delay };
         self.in_flight =
             Some(InFlightAppend { first_sent_at, records, held, sent_at, result: result.boxed_local() });
     }
@@ -179,14 +183,15 @@
         let Some(in_flight) = self.in_flight.take() else { return std::future::pending().await };
         match outcome {
             AppendOutcome::Stored(_) => {
-                self.adaptive_timeout.record_answer(in_flight.sent_at.0.elapsed());
-                let (fresh, took) = (is_fresh(in_flight.sent_at), in_flight.first_sent_at.elapsed());
-                AppendProgress::Stored { fresh, took, released: in_flight.held }
+                self.adaptive_timeout.record_answer(in_flight.sent_at.monotonic.elapsed());
+                let fresh = in_flight.sent_at.elapsed_until(&clock::reading()) < MAX_FRESH_AGE;
+                let first_sent_at = in_flight.first_sent_at;
+                AppendProgress::Stored { fresh, first_sent_at, released: in_flight.held }
             }
             // An earlier attempt was stored but its answer was lost.
             AppendOutcome::OutOfSequence(expected) if expected == self.sequence + 1 => {
-                let took = in_flight.first_sent_at.elapsed();
-                AppendProgress::Stored { fresh: false, took, released: in_flight.held }
+                let first_sent_at = in_flight.first_sent_at;
+                AppendProgress::Stored { fresh: false, first_sent_at, released: in_flight.held }
             }
             AppendOutcome::Refused(_) | AppendOutcome::Unknown(_) => {
                 if matches!(outcome, AppendOutcome::Unknown(_)) {
@@ -214,10 +219,3 @@
         }
     }
 }
-
-/// Returns whether the time since sending is short by both clocks; the monotonic one stops while the VM is
-/// suspended.
-fn is_fresh((sent_at, sent_at_wall): (Instant, SystemTime)) -> bool {
-    let wall = SystemTime::now().duration_since(sent_at_wall).unwrap_or_default();
-    sent_at.elapsed() < MAX_FRESH_AGE && wall < MAX_FRESH_AGE
-}
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -8,10 +8,14 @@
 
 use fixture_cell::{INCARNATION, report, start_command as start};
 use futures_util::FutureExt;
-use godwithaven::kernel::cell::{CellEvent, CommandOutcome, PollReport, StartCommand, TaskKey, WorkerLease};
+use godwithaven::clock;
+use godwithaven::kernel::cell::{
+    CellEvent, ClockReading, CommandOutcome, PollReport, StartCommand, TaskKey, WorkerLease,
+};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerMessage;
+use godwithaven::tasks::cell::ownership_lease::OwnershipLease;
 use godwithaven::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
 use googletest::prelude::*;
 use tokio::sync::mpsc;
@@ -66,6 +70,14 @@
     }
 }
 
+/// Returns the lease of an owner that remains the owner for the whole test.
+fn ownership_for_the_test() -> OwnershipLease {
+    let (ownership, now) = (OwnershipLease::new(), clock::reading());
+    ownership
+        .confirm(ClockReading { monotonic: now.monotonic + WAIT_TIMEOUT, wall: now.wall + WAIT_TIMEOUT });
+    ownership
+}
+
 /// The ends of the channels of a running link.
 struct RunningLink {
     commands: mpsc::Sender<LinkMessage>,
@@ -82,6 +94,10 @@
     }
 
     fn start_without_renewal(worker: &FakeWorker) -> Self {
+        Self::start_with_ownership(worker, ownership_for_the_test())
+    }
+
+    fn start_with_ownership(worker: &FakeWorker, ownership: OwnershipLease) -> Self {
         let (commands, inbox) = mpsc::channel(64);
         let (owner_sender, events) = mpsc::channel(64);
         let token = CancellationToken::new();
@@ -90,6 +106,7 @@
             token: 1,
             client: worker.client(),
             lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now()),
+            ownership,
             owner_sender,
             metrics: CellMetrics::new().expect("the metrics are valid"),
         };
@@ -252,3 +269,30 @@
 
     verify_that!(worker.renewals.get(), eq(0))
 }
+
+/// Guards against tasks that run twice: an owner that did not hear from the store went on granting leases, while
+/// its successor counted them as expired.
+#[gtest]
+#[actix_rt::test]
+async fn an_owner_that_is_not_confirmed_grants_no_lease() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(1));
+    let ownership = OwnershipLease::new();
+    let mut link = RunningLink::start_with_ownership(&worker, ownership.clone());
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    let unconfirmed = link.send(start("00000000000000aa.0.0.0", INCARNATION)).await;
+    let unconfirmed_renewals = worker.renewals.get();
+    ownership.confirm(clock::reading());
+    let confirmed = link.send(start("00000000000000aa.0.0.1", INCARNATION)).await;
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(unconfirmed, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(unconfirmed_renewals, eq(0))?;
+    verify_that!(confirmed, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(worker.renewals.get(), gt(0))
+}
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -5,11 +5,13 @@
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
+use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellOwner, ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch, StoreHealth, SubmitRate, WorkerLease,
-    longest_real_time,
+    CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch, StoreHealth, SubmitRate,
+    WorkerLease, longest_real_time,
 };
 use godwithaven::tasks::cell::inbox;
+use godwithaven::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
 use godwithaven::tasks::cell::ports::{AppendOutcome, PageFuture, ReadFault, StoreClient, TopicPage};
 use godwithaven::tasks::cell::store_limits::StoreLimits;
 use godwithaven::tasks::cell::tail::{TailMessage, TopicTail};
@@ -356,3 +358,27 @@
         _ => None,
     }
 }
+
+/// Guards against leases that a process grants after it was paused, or its VM suspended, for so long that it may
+/// have a successor.
+#[gtest]
+fn an_ownership_lease_expires_by_either_clock() -> Result<()> {
+    let (ownership, sent_at) = (OwnershipLease::new(), clock::reading());
+    let later = |monotonic, wall| ClockReading {
+        monotonic: sent_at.monotonic + monotonic,
+        wall: sent_at.wall + wall,
+    };
+    let (short, long) = (OWNERSHIP_LEASE - Duration::from_millis(1), OWNERSHIP_LEASE);
+
+    let unconfirmed = ownership.is_valid_at(sent_at);
+    ownership.confirm(sent_at);
+    let valid = [later(short, short), later(long, short), later(short, long)]
+        .map(|reading| ownership.is_valid_at(reading));
+    // An older confirmation that arrives late changes nothing.
+    ownership.confirm(later(short, short));
+    ownership.confirm(sent_at);
+
+    verify_that!(unconfirmed, eq(false))?;
+    verify_that!(valid, eq([true, false, false]))?;
+    verify_that!(ownership.is_valid_at(later(long, long)), eq(true))
+}
--- a/tests/cell_partition.rs
+++ b/tests/cell_partition.rs
@@ -15,6 +15,10 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the workers are watched after the second start.
 const WATCH_TIME: Duration = Duration::from_secs(2);
+/// Run time of a task that needs its lease renewed.
+const LONG_RUN_TIME: Duration = Duration::from_secs(11);
+/// Length of the outages of the store that running tasks have to survive.
+const STORE_OUTAGE: Duration = Duration::from_millis(4_500);
 /// Interval of the checks for starts and ends.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -37,9 +41,9 @@
     Entry { process, store_relay, url: format!("http://127.0.0.1:{first}") }
 }
 
-/// Submits a job with one task that runs for a minute; returns once it is accepted.
-async fn submit_long_task(entry: &Entry) {
-    let job = json!({"spec": "ms=60000", "steps": [
+/// Submits a job with one task that runs for this time; returns once it is accepted.
+async fn submit_task(entry: &Entry, run_time: Duration) {
+    let job = json!({"spec": format!("ms={}", run_time.as_millis()), "steps": [
         {"count": 1, "cpu": 1_000, "mem_mb": 100, "estimated_ms": 60_000},
     ]});
     let started = Instant::now();
@@ -74,7 +78,7 @@
     // Nobody reaches the second worker, so that the task starts on the first.
     platform.workers[1].set_reachable_by(0..=0);
     let first = start_entry(&platform, "e1").await;
-    submit_long_task(&first).await;
+    submit_task(&first, Duration::from_secs(60)).await;
     await_starts(&mut platform, &mut tally, 1).await;
     let first_token = platform.workers[0].highest_token();
     let second = start_entry(&platform, "e2").await;
@@ -91,3 +95,42 @@
     verify_that!(tally.starts, eq(2))?;
     verify_that!(tally.duplicated, is_empty())
 }
+
+/// Runs a task for longer than a lease while only the given time of the task is without the store; returns the
+/// tally.
+async fn run_through_outage(name: &str, outage: Duration) -> RunTally {
+    let mut platform = start_platform(name, 1).await;
+    let mut tally = RunTally::default();
+    let entry = start_entry(&platform, "e1").await;
+    submit_task(&entry, LONG_RUN_TIME).await;
+    await_starts(&mut platform, &mut tally, 1).await;
+
+    platform.store.set_down(!outage.is_zero());
+    tokio::time::sleep(outage).await;
+    platform.store.set_down(false);
+    tokio::time::sleep(LONG_RUN_TIME + WATCH_TIME - outage).await;
+    tally.add_events(&mut platform.events);
+    platform.token.cancel();
+    entry.process.stop().await;
+    tally
+}
+
+/// Guards against an idle owner whose leases expire: only its heartbeats confirm the ownership then.
+#[gtest]
+#[actix_rt::test]
+async fn an_owner_without_records_renews_leases() -> Result<()> {
+    let tally = run_through_outage("idle_owner", Duration::ZERO).await;
+
+    verify_that!(tally.starts, eq(1))?;
+    verify_that!(tally.done.len(), eq(1))
+}
+
+/// Guards against work that is thrown away in an outage of the store for everyone.
+#[gtest]
+#[actix_rt::test]
+async fn leases_outlast_a_short_outage_of_the_store() -> Result<()> {
+    let tally = run_through_outage("short_outage", STORE_OUTAGE).await;
+
+    verify_that!(tally.starts, eq(1))?;
+    verify_that!(tally.done.len(), eq(1))
+}
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -12,6 +12,7 @@
 use godwithaven::tasks::cell::intake::JobRecord;
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::{JobAnswer, OwnerMessage, OwnerTask};
+use godwithaven::tasks::cell::ownership_lease::OwnershipLease;
 use godwithaven::tasks::cell::ports::{
     AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage, TopicRecord,
 };
@@ -132,6 +133,7 @@
         config: None,
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
+        ownership: OwnershipLease::new(),
         released_term: None,
         log_retention: Duration::from_secs(300),
         metrics: CellMetrics::new().or_fail()?,
