Name the cause of a failed call to another process

Cause: the message of a tonic status is only 'tcp connect error', which hides whether the connection was refused or timed out.

Change: the reason includes the chain of sources of the status.

Measured: the new test of lost_answers, a call to a closed port, passes with 'refused' in the reason.

--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -139,7 +139,7 @@
     let call = client.relay(RelayRequest { record: record.to_vec(), time_ms });
     match tokio::time::timeout(time_left, call).await {
         Ok(Ok(reply)) => Ok(reply.into_inner().outcome()),
-        Ok(Err(status)) => Err(status.message().to_owned()),
+        Ok(Err(status)) => Err(describe(&status)),
         Err(_) => Err("owner is too slow".to_owned()),
     }
 }
@@ -160,7 +160,7 @@
 async fn locate_at(address: &str) -> Result<Option<CellOwner>, String> {
     let mut client = connect(address).map_err(|error| error.to_string())?;
     let answer = tokio::time::timeout(QUERY_TIMEOUT, client.locate(LocateRequest {})).await;
-    let reply = answer.map_err(|error| error.to_string())?.map_err(|status| status.message().to_owned())?;
+    let reply = answer.map_err(|error| error.to_string())?.map_err(|status| describe(&status))?;
     let LocateReply { token, process, address } = reply.into_inner();
     Ok((token > 0).then(|| CellOwner { process: process.into(), address: address.into(), token }))
 }
@@ -180,6 +180,22 @@
         .unwrap_or_else(|_| Err("owner is too slow".to_owned()))
 }
 
+/// Returns the message of a failed call with the errors that caused it, which tell a refused connection from one
+/// that timed out.
+fn describe(status: &Status) -> String {
+    let mut text = status.message().to_owned();
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        let cause = error.to_string();
+        // The message of a status often repeats one of its causes.
+        if !text.contains(&cause) {
+            text = format!("{text}: {cause}");
+        }
+        source = error.source();
+    }
+    text
+}
+
 async fn call_with_retry<T, F>(mut call: impl FnMut() -> F, deadline: Instant) -> Result<T, String>
 where
     F: Future<Output = Result<Response<T>, Status>>,
@@ -187,7 +203,7 @@
     loop {
         let fault = match tokio::time::timeout(QUERY_TIMEOUT, call()).await {
             Ok(Ok(response)) => return Ok(response.into_inner()),
-            Ok(Err(status)) => status.message().to_owned(),
+            Ok(Err(status)) => describe(&status),
             Err(_) => "owner is too slow".to_owned(),
         };
         if Instant::now() + QUERY_RETRY_DELAY >= deadline {
@@ -354,7 +370,7 @@
                 _ => OwnerLiveness::Unreachable,
             };
             if let Err(status) = ended {
-                log::info!(owner = &*self.owner.process, reason = status.message(); "stream to the owner is broken");
+                log::info!(owner = &*self.owner.process, reason = &*describe(&status); "stream to the owner is broken");
             }
             self.report_liveness(liveness).await;
             tokio::time::sleep(ASSIST_RETRY_DELAY).await;
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -4,7 +4,7 @@
 mod fixture_platform;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 use fixture_platform::{start_platform, write_settings};
 use godwithaven::kernel::cell::{CommandOutcome, StopCommand, TaskKey};
 use godwithaven::tasks::adapter::{AdapterEntry, SyncRequest, SyncResult};
+use godwithaven::tasks::cell::peer;
 use godwithaven::tasks::cell::ports::{AppendOutcome, AppendRequest, CellAdapter, WorkerClient};
 use godwithaven_standins::server;
 use googletest::prelude::*;
@@ -174,3 +175,17 @@
 
     verify_that!(matches!(result, SyncResult::Unknown(_)), eq(true))
 }
+
+/// Guards against logs in which a refused connection to another process looks like one that timed out.
+#[gtest]
+#[actix_rt::test]
+async fn a_refused_connection_to_another_process_is_named_in_the_reason() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
+    let address = listener.local_addr().or_fail()?;
+    drop(listener);
+    let client = peer::connect(&address.to_string()).or_fail()?;
+
+    let outcome = peer::relay(&client, b"{}", Instant::now() + CALL_TIMEOUT).await;
+
+    verify_that!(outcome, err(contains_substring("refused")))
+}
