Log run and token of commands that are refused or not answered

Cause: 'order is not answered' and 'order is refused' name no run, so they cannot be matched to a start, and not whether a start or a stop failed.

Change: both lines have kind, run and token, the first one also the outcome.

Measured: cargo clippy is clean and the tests of lost_answers pass; no test reads these lines.

--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -176,6 +176,14 @@
     base: Rc<str>,
 }
 
+/// A command, as log lines name it.
+struct CommandName<'a> {
+    kind: &'static str,
+    task: &'a TaskKey,
+    run: RunNumber,
+    token: FencingToken,
+}
+
 impl HttpWorker {
     fn request(&self, call: &str) -> awc::ClientRequest {
         self.client
@@ -194,21 +202,28 @@
             ticket: command.ticket.as_deref(),
         };
         let response = calls::post(self.request("run-start"), &body, COMMAND_TIMEOUT).await;
-        self.command_answer(&command.task, response)
+        let name = CommandName { kind: "start", task: &command.task, run: command.run, token };
+        self.command_answer(&name, response)
     }
 
     async fn stop(self, command: StopCommand, token: FencingToken) -> CommandAnswer {
         let body = StopBody { task: command.task.to_string(), run: command.run, fencing_token: token };
         let response = calls::post(self.request("run-stop"), &body, COMMAND_TIMEOUT).await;
-        self.command_answer(&command.task, response)
+        let name = CommandName { kind: "stop", task: &command.task, run: command.run, token };
+        self.command_answer(&name, response)
     }
 
-    fn command_answer(&self, task: &TaskKey, response: Result<CallResponse, CallFault>) -> CommandAnswer {
+    fn command_answer(
+        &self,
+        name: &CommandName<'_>,
+        response: Result<CallResponse, CallFault>,
+    ) -> CommandAnswer {
         let response = match response {
             Ok(response) => response,
             Err(fault) => {
-                log::info!(task:%, worker = &*self.worker, reason:% = fault; "order is not answered");
                 let outcome = if fault.unsent { CommandOutcome::NotSent } else { CommandOutcome::Unknown };
+                log::info!(kind = name.kind, task:% = name.task, run = name.run, token = name.token,
+                    worker = &*self.worker, reason:% = fault, outcome:%; "order is not answered");
                 return CommandAnswer { outcome, clock: None };
             }
         };
@@ -230,8 +245,9 @@
             _ => CommandOutcome::Unknown,
         };
         if outcome != CommandOutcome::Accepted {
-            log::info!(task:%, worker = &*self.worker, status = response.status.as_u16(), reason = &*reply.reason,
-                outcome:%; "order is refused");
+            log::info!(kind = name.kind, task:% = name.task, run = name.run, token = name.token,
+                worker = &*self.worker, status = response.status.as_u16(), reason = &*reply.reason, outcome:%;
+                "order is refused");
         }
         CommandAnswer { outcome, clock }
     }
