Log expired records that a page of the store passes over

Cause: a page whose oldest retained offset is above the requested one begins there, and nothing told that records before it were skipped.

Change: TopicPage has the oldest retained offset, and a followed topic leaves an error line if it is above the requested one. The test fixtures set it to zero.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -173,7 +173,7 @@
         records.push(decode_record(body.split_to(length), keyed, offset));
         offset += 1;
     }
-    Ok(TopicPage { records, next: offset, end })
+    Ok(TopicPage { records, next: offset, end, first })
 }
 
 /// Decodes a record; in a keyed topic it consists of the length of the key in one byte, the key and the
@@ -210,7 +210,7 @@
         let end = *end.get_or_insert(reply.end);
         records.extend(reply.items.iter().filter_map(|item| decode_item(topic, item)));
         if !reply.has_more {
-            return Ok(TopicPage { records, next: end, end });
+            return Ok(TopicPage { records, next: end, end, first: 0 });
         }
         let last = reply.items.iter().rev().find_map(|item| serde_json::from_str::<ItemKey>(item.get()).ok());
         let last = last.map(|item| item.key);
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -90,6 +90,8 @@
     pub next: LogOffset,
     /// Offset after the last record of the partition.
     pub end: LogOffset,
+    /// Offset of the oldest retained record of the partition; zero in a page of the newest records of each key.
+    pub first: LogOffset,
 }
 
 /// Reason why a read failed.
--- a/src/tasks/cell/tail.rs
+++ b/src/tasks/cell/tail.rs
@@ -106,6 +106,10 @@
             };
             let (message, pause) = match page {
                 Ok(page) => {
+                    if page.first > next {
+                        log::error!(topic = self.topic, partition = self.partition, from = next, first = page.first;
+                            "records have expired before they were read");
+                    }
                     next = page.next;
                     (TailMessage::Page(self.partition, page, started), self.pause)
                 }
--- a/tests/cell_input.rs
+++ b/tests/cell_input.rs
@@ -112,23 +112,49 @@
     verify_that!(keys(&listed.or_fail()?), contains(eq("after")))
 }
 
-/// Reads the newest records from a store that answers each call with this page.
-async fn newest_of(page: &'static str, name: &str) -> std::result::Result<TopicPage, ReadFault> {
+/// Returns a client of a store that answers each call with this body, and the platform whose token stops it.
+async fn store_that_answers(body: Bytes, name: &str) -> (StoreClient, Platform) {
     let platform = start_platform(name, 0).await;
     let token = platform.token.clone();
     let (listener, address) =
         godwithaven_standins::server::bind("127.0.0.1:0").await.expect("a port is free");
     actix_rt::spawn(godwithaven_standins::server::serve(listener, token, move |_| {
-        std::future::ready(actix_http::Response::with_body(actix_http::StatusCode::OK, Bytes::from(page)))
+        std::future::ready(actix_http::Response::with_body(actix_http::StatusCode::OK, body.clone()))
     }));
     let path = write_settings(&platform, "e1", 1);
     let mut settings = (adapter().load)(&path.to_string_lossy()).expect("the settings are valid");
     settings.store_address = address.to_string().into();
-    let listed = ((adapter().store)(&settings).newest)(WORKER_TOPIC).await;
+    ((adapter().store)(&settings), platform)
+}
+
+/// Reads the newest records from a store that answers each call with this page.
+async fn newest_of(page: &'static str, name: &str) -> std::result::Result<TopicPage, ReadFault> {
+    let (store, platform) = store_that_answers(page.into(), name).await;
+    let listed = (store.newest)(WORKER_TOPIC).await;
     platform.token.cancel();
     listed
 }
 
+/// Guards against expired records that are skipped in silence: a page tells the oldest retained offset, from which
+/// its records are counted.
+#[gtest]
+#[actix_rt::test]
+async fn a_page_tells_the_oldest_retained_offset() -> Result<()> {
+    let mut body = Vec::new();
+    body.extend(9_u64.to_be_bytes());
+    body.extend(7_u64.to_be_bytes());
+    body.extend(1_u32.to_be_bytes());
+    body.push(b'x');
+    let (store, platform) = store_that_answers(body.into(), "first_offset").await;
+
+    let page = (store.read)("cell", 0, 2, Duration::ZERO).await;
+    platform.token.cancel();
+
+    let page = page.or_fail()?;
+    verify_that!((page.first, page.next, page.end), eq((7, 8, 9)))?;
+    verify_that!(page.records.first().map(|record| record.offset), some(eq(7)))
+}
+
 /// Guards against a list of workers that cannot be read at all because of one entry in it.
 #[gtest]
 #[actix_rt::test]
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -293,7 +293,7 @@
         let page = if from < FIRST_RETAINED {
             Err(ReadFault::Expired(FIRST_RETAINED))
         } else {
-            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1 })
+            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1, first: 0 })
         };
         std::future::ready(page).boxed_local()
     });
@@ -320,7 +320,7 @@
     let expired = Rc::new(std::cell::Cell::new(false));
     let read: PageReader = Rc::new(move |_, _, from, _| {
         let page = if expired.replace(true) {
-            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1 })
+            Ok(TopicPage { records: Vec::new(), next: from + 1, end: from + 1, first: 0 })
         } else {
             Err(ReadFault::Expired(0))
         };
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -45,7 +45,7 @@
     let end = values.len() as u64;
     let record = |(offset, value): (u64, Vec<u8>)| TopicRecord { offset, key: None, value: value.into() };
     let records = (0..).zip(values).skip(usize::try_from(from).unwrap_or(usize::MAX)).map(record);
-    TopicPage { records: records.collect(), next: end, end }
+    TopicPage { records: records.collect(), next: end, end, first: 0 }
 }
 
 /// Returns a store in which a job is stored, started and completed by the former owner after the new owner
@@ -102,12 +102,12 @@
             tokio::time::sleep(wait.min(Duration::from_millis(20))).await;
             // Reads of the recovery do not wait; it ends once they have reached the end.
             if topic != "jobs" || partition != 0 || wait.is_zero() {
-                return Ok(TopicPage { records: Vec::new(), next: from, end: from });
+                return Ok(TopicPage { records: Vec::new(), next: from, end: from, first: 0 });
             }
             let other = GraphSpec { id: format!("{from:016x}").into(), ..job() };
             let value = serde_json::to_vec(&JobRecord::Submit(other)).expect("the job is serialized");
             let record = TopicRecord { offset: from, key: None, value: value.into() };
-            Ok(TopicPage { records: vec![record], next: from + 1, end: u64::MAX })
+            Ok(TopicPage { records: vec![record], next: from + 1, end: u64::MAX, first: 0 })
         }
         .boxed_local()
     };
