Log why runs end and what a new owner has read

Cause: after a change of the owner, the logs could not tell why a task ran twice: ends and losses of runs had no worker, token or cause, starts that were not sent left no line, and a recovery told neither what was read nor what was skipped.

Change: a typed RunEnd (worker, source or LossCause) travels on the effect of the record; the stored record is unchanged. CellNotice effects tell expired leases and ends that are acknowledged although their run is not current, once for each end number of an incarnation. 'start is not sent' has the reason. 'cell recovered' has the offsets, the fence and the counts of read and skipped records; records that end below the fence, and expired ones, leave lines. Replay counts skipped records by unknown job, closed job and unknown step. A fixture keeps log lines. In cell_replay, the number of skipped records is now that of unknown steps, which is what the former count contained.

--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellRecord, PermitRule, StepKey, TaskKey, WorkerListing};
+use crate::kernel::cell::{CellNotice, CellRecord, PermitRule, RunEnd, StepKey, TaskKey, WorkerListing};
 use crate::prelude::*;
 
 /// Inputs of the decision to start a task, for logs.
@@ -57,6 +57,10 @@
 pub enum CellEffect {
     /// Append a record to the log of the cell.
     Record(CellRecord),
+    /// Append the record of the end of a run to the log of the cell; its circumstances are for logs.
+    RecordEnd(CellRecord, RunEnd),
+    /// Log an observation.
+    Log(CellNotice),
     /// Send the command to start a task.
     Start(StartCommand),
     /// Send the command to stop a run.
--- /dev/null
+++ b/src/kernel/cell/cell_notice.rs
@@ -0,0 +1,28 @@
+use crate::kernel::cell::EndedRun;
+use crate::prelude::*;
+
+/// An observation of the scheduler that changes nothing, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CellNotice {
+    /// A worker reported the end of a run that is not current. The end is acknowledged without a record.
+    EndIgnored {
+        /// Worker that reported the end.
+        worker: WorkerId,
+        /// Incarnation of the worker.
+        incarnation: WorkerIncarnation,
+        /// The reported end.
+        end: EndedRun,
+        /// Whether this owner knows the job of the run.
+        job_known: bool,
+        /// Newest run of the task that this owner knows, zero before the first; `None` if it keeps no state of the
+        /// task, as the job is unknown or the occurrence is complete.
+        last_run: Option<RunNumber>,
+    },
+    /// The lease of a worker that does not answer has expired.
+    LeaseExpired {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of its runs that are marked as lost.
+        tasks: usize,
+    },
+}
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,8 @@
 use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, PlacementPhase, PollReconciler,
-    PollReport, RecordReplayer, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
+    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LossCause, PlacementPhase, PollReconciler,
+    PollReport, RecordReplayer, SkippedRecords, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -47,8 +47,8 @@
     snapshot_interval: Option<Duration>,
     /// When snapshots were last written.
     last_snapshots: Option<Instant>,
-    /// Number of replayed records that had no effect although their job is open.
-    skipped_records: usize,
+    /// Numbers of replayed records that could not be applied.
+    skipped_records: SkippedRecords,
 }
 
 impl CellScheduler {
@@ -65,7 +65,7 @@
             last_pass_duration: Duration::ZERO,
             snapshot_interval: None,
             last_snapshots: None,
-            skipped_records: 0,
+            skipped_records: SkippedRecords::default(),
         }
     }
 
@@ -152,8 +152,8 @@
 
     /// Replays a record of an earlier owner; this produces no effects.
     pub fn replay(&mut self, record: CellRecord, now: Instant) {
-        let applied = RecordReplayer { state: &mut self.state, now }.apply(record);
-        self.skipped_records += usize::from(!applied);
+        let outcome = RecordReplayer { state: &mut self.state, now }.apply(record);
+        self.skipped_records.count(outcome);
         self.state.effects.clear();
     }
 
@@ -161,9 +161,8 @@
     /// as the replayed ones say nothing about the present state of the workers. Failure counts of tasks are
     /// kept.
     ///
-    /// Returns the number of records that had no effect although their job was open. Any such record means that
-    /// its run may start again.
-    pub fn end_replay(&mut self) -> usize {
+    /// Returns the numbers of records that could not be applied.
+    pub fn end_replay(&mut self) -> SkippedRecords {
         for worker in &mut self.state.workers {
             worker.suspended_until = None;
             worker.health = WorkerHealth::default();
@@ -383,7 +382,7 @@
                 {
                     state.permit_cache.revoke(slot);
                 }
-                self.state.mark_lost(task, now);
+                self.state.mark_lost(task, LossCause::StartFailed(outcome), now);
             }
         }
     }
@@ -404,7 +403,7 @@
         worker.fall_silent(now);
         let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
         for task in tasks {
-            self.state.mark_lost(&task, now);
+            self.state.mark_lost(&task, LossCause::WorkerReplaced, now);
         }
     }
 
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,9 +2,10 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, GraphSpec, JobStatus, OccurrenceState,
-    PlacementPhase, PreemptionHeadroom, RunTimeEstimator, StartCommand, StartInputs, StepKey, StepRank,
-    StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
+    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus, LossCause,
+    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, StartCommand, StartInputs,
+    StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement,
+    TaskState,
 };
 use crate::prelude::*;
 
@@ -286,14 +287,21 @@
 
     /// Emits the record that a run has ended or will never start, without a report of its worker, and
     /// requeues its task. If the task is part of a gang, stops the gang.
-    pub fn mark_lost(&mut self, key: &TaskKey, now: Instant) {
+    pub fn mark_lost(&mut self, key: &TaskKey, cause: LossCause, now: Instant) {
         let Some(placement) = self.remove_placement(key) else { return };
-        self.effects.push(CellEffect::Record(CellRecord::Lost(key.clone(), placement.run)));
+        let record = CellRecord::Lost(key.clone(), placement.run);
+        self.record_end(record, placement.slot, EndSource::Lost(cause));
         self.requeue(key);
         self.break_gang(key, now);
         self.complete_if_done(&key.step.job, now);
     }
 
+    /// Emits the record of the end of a run that the worker in a slot reported or was running.
+    pub fn record_end(&mut self, record: CellRecord, slot: u32, source: EndSource) {
+        let worker = self.worker(slot).map_or_else(WorkerId::default, |worker| worker.listing.worker.clone());
+        self.effects.push(CellEffect::RecordEnd(record, RunEnd { worker, source }));
+    }
+
     /// Stops all placed members of the gang that `key` is part of, after one has ended or cannot be
     /// confirmed. Does nothing for other tasks.
     pub fn break_gang(&mut self, key: &TaskKey, now: Instant) {
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -32,6 +32,8 @@
     pub lease_bound_recorded_at: Option<Instant>,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
+    /// Highest number of an end in the reports of this incarnation.
+    pub last_handled_end: TaskEndNumber,
     /// Capacity that its placed tasks occupy.
     pub used: ResourceVector,
     /// Part of `used` that becomes free once the tasks that are being stopped have ended.
@@ -63,6 +65,7 @@
             silent_since: now,
             lease_bound_recorded_at: None,
             incarnation: None,
+            last_handled_end: 0,
             used: ResourceVector::default(),
             capacity_being_freed: ResourceVector::default(),
             tasks: FastSet::default(),
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -1,5 +1,5 @@
 use crate::kernel::cell::{
-    CellEffect, CellRecord, CellState, EndCause, JobStatus, PlacementPhase, TaskKey, TaskPlacement,
+    CellRecord, CellState, EndCause, EndSource, JobStatus, PlacementPhase, TaskKey, TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -12,6 +12,8 @@
 pub struct EndHandler<'a> {
     /// State of the cell that the end changes.
     pub state: &'a mut CellState,
+    /// Slot of the worker that reported the end; `None` for a replayed record of the end.
+    pub reporter: Option<u32>,
     /// Time at which the end is applied.
     pub now: Instant,
 }
@@ -31,12 +33,8 @@
             return self.apply_late_end(key, run, cause);
         }
         let Some(placement) = self.state.remove_placement(key) else { return false };
-        self.state.effects.push(CellEffect::Record(CellRecord::Ended(
-            key.clone(),
-            run,
-            cause,
-            checkpoint.clone(),
-        )));
+        let record = CellRecord::Ended(key.clone(), run, cause, checkpoint.clone());
+        self.state.record_end(record, self.reporter.unwrap_or(placement.slot), EndSource::Reported);
         self.state.set_checkpoint(key, checkpoint);
         match cause {
             EndCause::Done => {
@@ -87,7 +85,10 @@
         if !is_waiting || !is_last_run || cause != EndCause::Done {
             return false;
         }
-        self.state.effects.push(CellEffect::Record(CellRecord::Ended(key.clone(), run, cause, None)));
+        if let Some(reporter) = self.reporter {
+            let record = CellRecord::Ended(key.clone(), run, cause, None);
+            self.state.record_end(record, reporter, EndSource::LateReport);
+        }
         self.apply_done(key);
         self.state.complete_if_done(&key.step.job, self.now);
         true
--- a/src/kernel/cell/lease_watch.rs
+++ b/src/kernel/cell/lease_watch.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellEffect, CellRecord, CellState, CellWorker, TaskKey};
+use crate::kernel::cell::{CellEffect, CellNotice, CellRecord, CellState, CellWorker, LossCause, TaskKey};
 use crate::prelude::*;
 
 /// Time for which a worker has to be silent before its lease is bounded in the records: its lease can then only
@@ -27,8 +27,12 @@
             let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
             let unwatch = worker.watched && !worker.listed;
             let name = worker.listing.worker.clone();
+            if !tasks.is_empty() {
+                let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: tasks.len() };
+                self.state.effects.push(CellEffect::Log(notice));
+            }
             for task in tasks {
-                self.state.mark_lost(&task, self.now);
+                self.state.mark_lost(&task, LossCause::LeaseExpired, self.now);
             }
             if unwatch && let Some(worker) = self.state.worker_mut(slot) {
                 worker.watched = false;
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellRecord, CellState, EndHandler, PlacementPhase, PollReport, RunningRun, StopCommand,
-    TaskKey,
+    CellEffect, CellNotice, CellRecord, CellState, EndHandler, EndedRun, LossCause, PlacementPhase,
+    PollReport, RunningRun, StopCommand, TaskKey,
 };
 use crate::prelude::*;
 
@@ -26,9 +26,12 @@
         let mut last = 0;
         for end in report.ended {
             last = last.max(end.number);
-            let mut handler = EndHandler { state: self.state, now: self.now };
-            handler.apply(&end.task, end.run, end.cause, end.checkpoint);
+            let mut handler = EndHandler { state: self.state, reporter: Some(self.slot), now: self.now };
+            if !handler.apply(&end.task, end.run, end.cause, end.checkpoint.clone()) {
+                self.note_ignored(end, incarnation);
+            }
         }
+        self.note_handled(last);
         let mut present: FastSet<TaskKey> = FastSet::default();
         for reported in report.running {
             if self.apply_running(&reported) {
@@ -46,6 +49,25 @@
         }
     }
 
+    /// Emits a notice of an end that was ignored, unless an earlier report contained it: ends are reported again
+    /// until they are acknowledged.
+    fn note_ignored(&mut self, end: EndedRun, incarnation: WorkerIncarnation) {
+        let job_known = self.state.jobs.contains_key(&end.task.step.job);
+        let last_run = self.state.task_mut(&end.task).map(|task| task.last_run);
+        let Some(worker) = self.state.worker(self.slot) else { return };
+        if end.number > worker.last_handled_end {
+            let worker = worker.listing.worker.clone();
+            let notice = CellNotice::EndIgnored { worker, incarnation, end, job_known, last_run };
+            self.state.effects.push(CellEffect::Log(notice));
+        }
+    }
+
+    fn note_handled(&mut self, last: TaskEndNumber) {
+        if let Some(worker) = self.state.worker_mut(self.slot) {
+            worker.last_handled_end = worker.last_handled_end.max(last);
+        }
+    }
+
     /// Records the incarnation of the worker. A new one runs nothing that an earlier one has confirmed, which
     /// its report proves; but a start without an answer may have reached it, and it knows of no earlier stop.
     fn apply_incarnation(&mut self, incarnation: WorkerIncarnation) {
@@ -54,6 +76,7 @@
         if previous.is_none_or(|previous| previous == incarnation) {
             return;
         }
+        worker.last_handled_end = 0;
         let slot = self.slot;
         for placement in self.state.placements.values_mut().filter(|placement| placement.slot == slot) {
             (placement.stop_sent, placement.stop_confirmed) = (None, None);
@@ -121,7 +144,7 @@
         for task in missing {
             let Some(placement) = self.state.placements.get(&task) else { continue };
             if placement.is_proven_absent(poll_sent_at) {
-                self.state.mark_lost(&task, self.now);
+                self.state.mark_lost(&task, LossCause::AbsentFromReport, self.now);
             } else if matches!(placement.phase, PlacementPhase::Unanswered(since) if since < poll_sent_at) {
                 // A stop makes the worker refuse the run, which may otherwise still start.
                 self.state.stop(&task, "start_not_answered", self.now);
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
-    CellRecord, CellState, CellWorker, EndHandler, PlacementPhase, StepKey, TaskPlacement, WorkerListing,
+    CellRecord, CellState, CellWorker, EndHandler, PlacementPhase, ReplayOutcome, StepKey, TaskPlacement,
+    WorkerListing,
 };
 use crate::prelude::*;
 
@@ -12,13 +13,33 @@
 }
 
 impl RecordReplayer<'_> {
-    /// Applies a record; returns `false` if it has no effect although its job is open.
-    pub fn apply(&mut self, record: CellRecord) -> bool {
+    /// Applies a record; returns whether its job and step allowed that.
+    pub fn apply(&mut self, record: CellRecord) -> ReplayOutcome {
+        let outcome = self.open(&record);
+        if outcome != ReplayOutcome::UnknownStep {
+            self.apply_opened(record);
+        }
+        outcome
+    }
+
+    /// Opens the step that a record refers to; returns whether the record can be applied.
+    fn open(&mut self, record: &CellRecord) -> ReplayOutcome {
+        match record {
+            CellRecord::Started(task, ..) | CellRecord::Ended(task, ..) | CellRecord::Lost(task, _) => {
+                self.open_step(&task.step)
+            }
+            CellRecord::Closed(job, _) => match self.state.jobs.get(job) {
+                Some(job) if job.status.is_final() => ReplayOutcome::ClosedJob,
+                Some(_) => ReplayOutcome::Applied,
+                None => ReplayOutcome::UnknownJob,
+            },
+            CellRecord::LeaseBounds(_) | CellRecord::Snapshot(_) => ReplayOutcome::Applied,
+        }
+    }
+
+    fn apply_opened(&mut self, record: CellRecord) {
         match record {
             CellRecord::Started(task, run, worker) => {
-                if !self.open_step(&task.step) {
-                    return false;
-                }
                 let slot = slot_of(self.state, worker, self.now);
                 // A start renews the lease; this owner thus did not go by the bound.
                 self.bound_lease(slot, None);
@@ -27,15 +48,10 @@
                 self.state.add_placement(&task, placement);
             }
             CellRecord::Ended(task, run, cause, checkpoint) => {
-                if !self.open_step(&task.step) {
-                    return false;
-                }
-                EndHandler { state: self.state, now: self.now }.apply(&task, run, cause, checkpoint);
+                EndHandler { state: self.state, reporter: None, now: self.now }
+                    .apply(&task, run, cause, checkpoint);
             }
             CellRecord::Lost(task, run) => {
-                if !self.open_step(&task.step) {
-                    return false;
-                }
                 if self.state.placements.get(&task).is_some_and(|placement| placement.run == run) {
                     self.state.remove_placement(&task);
                     self.state.requeue(&task);
@@ -53,7 +69,6 @@
                 snapshot.restore(self.state, |state, worker| slot_of(state, worker, now), now);
             }
         }
-        true
     }
 
     /// Bounds the lease that earlier owners granted to a worker, or takes a bound back. The time left is counted
@@ -68,15 +83,16 @@
 
     /// Opens the occurrence of a step, and all before it: an earlier owner opened them in order before it
     /// recorded a run of the step. Their due times are not looked at, as the clock of this process may be
-    /// behind. Returns `false` if the step is unknown although its job is open.
+    /// behind.
     ///
     /// An owner keeps only a bounded number of occurrences open, which also bounds what is opened here if
     /// records are missing.
-    fn open_step(&mut self, step: &StepKey) -> bool {
+    fn open_step(&mut self, step: &StepKey) -> ReplayOutcome {
         // Without an open job there is nothing to apply: its later snapshot or its end is in the records.
-        let Some(job) = self.state.jobs.get_mut(&step.job).filter(|job| !job.status.is_final()) else {
-            return true;
-        };
+        let Some(job) = self.state.jobs.get_mut(&step.job) else { return ReplayOutcome::UnknownJob };
+        if job.status.is_final() {
+            return ReplayOutcome::ClosedJob;
+        }
         if step.occurrence < job.spec.occurrences() {
             let oldest_open = (step.occurrence + 1).saturating_sub(job.max_open_occurrences());
             job.next_occurrence = job.next_occurrence.max(oldest_open);
@@ -84,7 +100,10 @@
                 self.state.activate_occurrence(&step.job, occurrence, self.now);
             }
         }
-        self.state.step(step).is_some()
+        match self.state.step(step) {
+            Some(_) => ReplayOutcome::Applied,
+            None => ReplayOutcome::UnknownStep,
+        }
     }
 }
 
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -9,7 +9,9 @@
 use crate::kernel::cell::{CellEvent, CommandOutcome, StartCommand, StopCommand, WorkerLease};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
+use crate::tasks::cell::decision_log::log_start_not_sent;
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
 
@@ -99,7 +101,7 @@
             tokio::select! {
                 // A term that has ended grants no lease any more, so its end comes first.
                 biased;
-                () = token.cancelled() => return,
+                () = token.cancelled() => return self.log_pending(commands.len()),
                 Some(answer) = commands.next(), if !commands.is_empty() => self.finish_command(answer).await,
                 outcome = await_optional(&mut poll) => {
                     poll = None;
@@ -129,6 +131,7 @@
                 let now = Instant::now();
                 let lease = if poll_state.may_start(&command, now) { self.lease.grant(now) } else { None };
                 let Some(lease) = lease else {
+                    log_start_not_sent(&command, self.token, poll_state.not_sent_reason(&command, now));
                     let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
                     commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
                     return;
@@ -199,6 +202,7 @@
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
+                        log::info!(worker = &*self.worker, token = self.token; "worker has restarted");
                         self.lease.restart(now);
                     } else {
                         self.lease.note_fenced(now);
@@ -221,6 +225,7 @@
                 false
             }
             PollOutcome::Replaced => {
+                log::info!(worker = &*self.worker, token = self.token; "worker is replaced");
                 self.lease.end(now);
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), now);
                 self.send_to_owner(OwnerMessage::Event(event)).await;
@@ -231,7 +236,10 @@
             PollOutcome::Failed(reason) => {
                 poll_state.fall_silent(now);
                 poll_state.not_before = Some(now + POLL_RETRY_DELAY);
-                log::info!(worker = &*self.worker, reason = &*reason; "worker does not answer");
+                let left = self.lease.expires_by().saturating_duration_since(now);
+                log::info!(worker = &*self.worker, token = self.token, reason = &*reason,
+                    lease_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                    "worker does not answer");
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), self.lease.expires_by());
                 self.send_to_owner(OwnerMessage::Event(event)).await;
                 true
@@ -239,6 +247,14 @@
         }
     }
 
+    /// Logs that the link ends before the worker has answered these commands.
+    fn log_pending(&self, commands: usize) {
+        if commands > 0 {
+            log::info!(worker = &*self.worker, token = self.token, commands = commands;
+                "commands are left unanswered");
+        }
+    }
+
     fn count_command(&self, kind: &str, outcome: CommandOutcome) {
         self.metrics.commands.with_label_values(&[kind, &outcome.to_string()]).inc();
     }
@@ -258,6 +274,21 @@
         self.may_renew() && self.incarnation == command.incarnation && now <= command.expires_at
     }
 
+    /// Returns why a start is not sent, for logs.
+    fn not_sent_reason(&self, command: &StartCommand, now: Instant) -> NotSentReason {
+        if !self.answered {
+            NotSentReason::WorkerSilent
+        } else if !self.renewable {
+            NotSentReason::WorkerNotRenewable
+        } else if self.incarnation != command.incarnation {
+            NotSentReason::OtherIncarnation
+        } else if now > command.expires_at {
+            NotSentReason::Expired
+        } else {
+            NotSentReason::LeaseNotGranted
+        }
+    }
+
     /// Returns whether the lease may be renewed.
     const fn may_renew(&self) -> bool {
         self.answered && self.renewable
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -14,13 +14,14 @@
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advisor::{AdvisorMessage, PermitRequest};
-use crate::tasks::cell::decision_log::{log_record, log_start_decision};
+use crate::tasks::cell::decision_log::{log_notice, log_record, log_run_end, log_start_decision};
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
 use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
 use crate::tasks::cell::record_codec::{self, RecordDecoder};
+use crate::tasks::cell::recovery_summary::RecoverySummary;
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::{AppendProgress, CELL_TOPIC, TermLog};
 
@@ -95,6 +96,8 @@
 /// The records of a partition from an offset to its end.
 struct PartitionRead {
     values: Vec<Bytes>,
+    /// The offset of the first record.
+    first: LogOffset,
     /// The offset after the last record.
     next: LogOffset,
     /// When the last read was sent.
@@ -122,11 +125,11 @@
 
     async fn serve(&self, inbox: &mut mpsc::Receiver<OwnerMessage>, token: &CancellationToken) -> TermEnd {
         let started = Instant::now();
-        let (mut state, next_offsets) = match self.recover().await {
+        let (mut state, next_offsets, summary) = match self.recover().await {
             Ok(recovered) => recovered,
             Err(end) => return end,
         };
-        log::info!(token = self.token, took_ms:? = started.elapsed().as_millis(); "cell recovered");
+        summary.log(self.token, started.elapsed(), &state.scheduler);
         if self.advisor_sender.send(AdvisorMessage::OwnerStarted(self.own_sender.clone())).await.is_err() {
             log::error!("placement advisor task has ended");
         }
@@ -196,11 +199,11 @@
         }
     }
 
-    /// Makes the store reject appends of all earlier owners.
-    async fn fence(&self) -> Result<(), TermEnd> {
+    /// Makes the store reject appends of all earlier owners; returns the end of the log of the cell at that time.
+    async fn fence(&self) -> Result<LogOffset, TermEnd> {
         loop {
             match (self.store.append)(TermLog::<CellEffect>::fencing_append(self.token)).await {
-                AppendOutcome::Stored(_) => return Ok(()),
+                AppendOutcome::Stored(offset) => return Ok(offset),
                 AppendOutcome::Refused(reason) | AppendOutcome::Unknown(reason) => {
                     log::warn!(token = self.token, reason = &*reason; "store cannot fence earlier owners");
                     tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
@@ -211,17 +214,25 @@
     }
 
     /// Rebuilds the state of the cell from the store; returns it with the offset of each partition from which
-    /// further submissions are read.
-    async fn recover(&self) -> Result<(OwnerState, Vec<LogOffset>), TermEnd> {
+    /// further submissions are read, and with a summary for logs.
+    async fn recover(&self) -> Result<(OwnerState, Vec<LogOffset>, RecoverySummary), TermEnd> {
         // Reads are sent as early as possible, as each takes long while the store is slow. The records of
         // earlier owners are read only after fencing, when no earlier owner can append any more.
         let fence = self.fence().shared();
         let jobs = (0..JOB_PARTITIONS).map(|partition| self.read_submissions(partition, fence.clone()));
         let cell = async {
-            fence.clone().await?;
-            Ok::<_, TermEnd>(self.read_all(CELL_TOPIC, 0, 0).await)
+            let fence = fence.clone().await?;
+            Ok::<_, TermEnd>((fence, self.read_all(CELL_TOPIC, 0, 0).await))
+        };
+        let (jobs, (fence, cell)) = tokio::try_join!(try_join_all(jobs), cell)?;
+        let mut summary = RecoverySummary {
+            records: cell.values.len(),
+            first: cell.first,
+            next: cell.next,
+            fence,
+            submissions: jobs.iter().map(|read| read.values.len()).sum(),
+            ..RecoverySummary::default()
         };
-        let (jobs, cell) = tokio::try_join!(try_join_all(jobs), cell)?;
         let now = Instant::now();
         let mut scheduler =
             CellScheduler::new(now + self.inherited_lease()).with_log_retention(self.log_retention);
@@ -252,14 +263,15 @@
                 Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be decoded"),
             }
         }
-        let skipped_records = scheduler.end_replay();
-        if skipped_records > 0 {
-            log::warn!(topic = CELL_TOPIC, records = skipped_records; "steps of records are unknown");
+        summary.skipped = scheduler.end_replay();
+        if summary.skipped.unknown_steps > 0 {
+            log::warn!(topic = CELL_TOPIC, records = summary.skipped.unknown_steps; "steps of records are unknown");
         }
         for job in cancelled {
             scheduler.handle(CellEvent::Cancelled(job), now);
         }
         let state = OwnerState {
+            token: self.token,
             scheduler,
             log: TermLog::new(self.store.clone(), self.token),
             links: FastMap::default(),
@@ -267,7 +279,7 @@
             unpublished: FastSet::default(),
             submissions_read_at,
         };
-        Ok((state, next_offsets))
+        Ok((state, next_offsets, summary))
     }
 
     /// Reads a whole partition of submissions, and what was added to it until earlier owners were fenced. A
@@ -276,13 +288,13 @@
     async fn read_submissions(
         &self,
         partition: PartitionNumber,
-        fence: impl Future<Output = Result<(), TermEnd>>,
+        fence: impl Future<Output = Result<LogOffset, TermEnd>>,
     ) -> Result<PartitionRead, TermEnd> {
         let mut read = self.read_all(JOB_TOPIC, partition, 0).await;
         fence.await?;
         let later = self.read_all(JOB_TOPIC, partition, read.next).await;
         read.values.extend(later.values);
-        Ok(PartitionRead { values: read.values, ..later })
+        Ok(PartitionRead { values: read.values, first: read.first, ..later })
     }
 
     /// Reads a partition from an offset to its end.
@@ -292,18 +304,25 @@
         partition: PartitionNumber,
         from: LogOffset,
     ) -> PartitionRead {
-        let (mut values, mut next) = (Vec::new(), from);
+        let (mut values, mut first, mut next) = (Vec::new(), from, from);
         loop {
             let sent_at = Instant::now();
             match (self.store.read)(topic, partition, next, Duration::ZERO).await {
                 Ok(page) => {
+                    log_expired(topic, partition, next, page.first);
+                    if values.is_empty() {
+                        first = next.max(page.first);
+                    }
                     values.extend(page.records.into_iter().map(|record| record.value));
                     next = page.next;
                     if next >= page.end {
-                        return PartitionRead { values, next, sent_at };
+                        return PartitionRead { values, first, next, sent_at };
                     }
                 }
-                Err(ReadFault::Expired(first)) => next = first,
+                Err(ReadFault::Expired(retained)) => {
+                    log_expired(topic, partition, next, retained);
+                    next = retained;
+                }
                 Err(fault) => {
                     log::warn!(topic = topic, reason:% = fault; "store cannot be read");
                     tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
@@ -368,17 +387,13 @@
             match effect {
                 CellEffect::Record(record) => {
                     log_record(&record);
-                    if let CellRecord::Ended(_, _, cause, _) = &record {
-                        self.metrics.run_ends.with_label_values(&[&cause.to_string()]).inc();
-                    }
-                    if let CellRecord::Closed(job, _) = &record {
-                        state.unpublished.insert(job.clone());
-                    }
-                    match record_codec::encode(&record, self.store.limits.largest_record()) {
-                        Ok(values) => values.into_iter().for_each(|value| state.log.record(value)),
-                        Err(reason) => log::error!(reason = &*reason; "record cannot be stored"),
-                    }
+                    self.record(state, &record);
                 }
+                CellEffect::RecordEnd(record, end) => {
+                    log_run_end(&record, &end, self.token);
+                    self.record(state, &record);
+                }
+                CellEffect::Log(notice) => log_notice(&notice, self.token),
                 CellEffect::RequestPermits { step, rule, priority, workers } => {
                     let request = PermitRequest { step, rule, priority, workers };
                     let message = AdvisorMessage::Request(request, self.own_sender.clone());
@@ -396,7 +411,7 @@
                 }
                 effect => {
                     if let CellEffect::Start(command) = &effect {
-                        log_start_decision(command);
+                        log_start_decision(command, self.token);
                     }
                     // Counts the decision; the run may end in another way before the command is sent.
                     if let CellEffect::Stop(command) = &effect {
@@ -412,6 +427,20 @@
         }
     }
 
+    /// Adds a record to the log of the term.
+    fn record(&self, state: &mut OwnerState, record: &CellRecord) {
+        if let CellRecord::Ended(_, _, cause, _) = record {
+            self.metrics.run_ends.with_label_values(&[&cause.to_string()]).inc();
+        }
+        if let CellRecord::Closed(job, _) = record {
+            state.unpublished.insert(job.clone());
+        }
+        match record_codec::encode(record, self.store.limits.largest_record()) {
+            Ok(values) => values.into_iter().for_each(|value| state.log.record(value)),
+            Err(reason) => log::error!(reason = &*reason; "record cannot be stored"),
+        }
+    }
+
     fn open_link(&self, state: &mut OwnerState, listing: &WorkerListing, token: &CancellationToken) {
         if let Some((_, stop)) = state.links.remove(&listing.worker) {
             stop.cancel();
@@ -456,6 +485,20 @@
     }
 }
 
+/// Logs that the records from `from` up to `first` have expired. A read from offset 0 expects that, as the store
+/// drops old records; later ones would have been read.
+fn log_expired(topic: &'static str, partition: PartitionNumber, from: LogOffset, first: LogOffset) {
+    if first <= from {
+        return;
+    }
+    if from == 0 {
+        log::info!(topic = topic, partition = partition, from = from, first = first; "expired records are skipped");
+    } else {
+        log::error!(topic = topic, partition = partition, from = from, first = first;
+            "records have expired before they were read");
+    }
+}
+
 /// Sleeps until `due`; stays pending if there is none.
 async fn sleep_until(due: Option<Instant>) {
     match due {
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -3,12 +3,16 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, CommandOutcome, JobStatus, WorkerListing};
+use crate::kernel::cell::{
+    CellEffect, CellEvent, CellScheduler, CommandOutcome, JobStatus, StartCommand, WorkerListing,
+};
 use crate::prelude::*;
+use crate::tasks::cell::decision_log::{log_start_not_sent, log_stop};
 use crate::tasks::cell::inbox;
 use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::LinkMessage;
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage, TermEnd};
 use crate::tasks::cell::tail::TailMessage;
 use crate::tasks::cell::term_log::TermLog;
@@ -22,6 +26,7 @@
 
 /// State of a term after recovery.
 pub(super) struct OwnerState {
+    pub(super) token: FencingToken,
     pub(super) scheduler: CellScheduler,
     pub(super) log: TermLog<CellEffect>,
     pub(super) links: FastMap<WorkerId, (mpsc::Sender<LinkMessage>, CancellationToken)>,
@@ -121,24 +126,15 @@
     /// given up while the records were stored, and if `fresh` shows that this process is still the owner.
     pub(super) async fn apply_effect(&mut self, effect: CellEffect, fresh: bool) {
         let (worker, message) = match effect {
-            CellEffect::Start(command)
-                if !fresh
-                    || command.expires_at < Instant::now()
-                    || !self.scheduler.may_start(&command.task, command.run) =>
-            {
-                let event = CellEvent::StartAnswered(
-                    command.task,
-                    command.run,
-                    command.worker,
-                    CommandOutcome::NotSent,
-                );
-                self.scheduler.handle(event, Instant::now());
-                return;
+            CellEffect::Start(command) => {
+                if let Some(reason) = self.start_obstacle(&command, fresh) {
+                    self.give_up_start(command, reason);
+                    return;
+                }
+                (command.worker.clone(), LinkMessage::Start(command))
             }
-            CellEffect::Start(command) => (command.worker.clone(), LinkMessage::Start(command)),
             CellEffect::Stop(command) => {
-                log::info!(task:% = command.task, run = command.run, worker = &*command.worker,
-                    reason = command.reason; "task is stopped");
+                log_stop(&command, self.token);
                 (command.worker.clone(), LinkMessage::Stop(command))
             }
             CellEffect::Publish(job) => {
@@ -156,11 +152,29 @@
             None => Err(message),
         };
         if let Err(LinkMessage::Start(command)) = sent {
-            let event =
-                CellEvent::StartAnswered(command.task, command.run, command.worker, CommandOutcome::NotSent);
-            self.scheduler.handle(event, Instant::now());
+            self.give_up_start(command, NotSentReason::NoLink);
         }
     }
+
+    /// Returns why a start whose record is stored must not be sent; `None` if it may be sent.
+    fn start_obstacle(&self, command: &StartCommand, fresh: bool) -> Option<NotSentReason> {
+        if !fresh {
+            Some(NotSentReason::AppendNotFresh)
+        } else if command.expires_at < Instant::now() {
+            Some(NotSentReason::Expired)
+        } else if !self.scheduler.may_start(&command.task, command.run) {
+            Some(NotSentReason::RunGivenUp)
+        } else {
+            None
+        }
+    }
+
+    fn give_up_start(&mut self, command: StartCommand, reason: NotSentReason) {
+        log_start_not_sent(&command, self.token, reason);
+        let event =
+            CellEvent::StartAnswered(command.task, command.run, command.worker, CommandOutcome::NotSent);
+        self.scheduler.handle(event, Instant::now());
+    }
 }
 
 /// Sends an answer to a requester, which may have gone away.
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -1,12 +1,14 @@
 //! Tests of the starts that the link to a worker sends.
 
 mod fixture_cell;
+mod fixture_log;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use fixture_cell::{INCARNATION, report, start_command as start};
+use fixture_log::{keep_lines, lines_with};
 use futures_util::FutureExt;
 use godwithaven::kernel::cell::{CellEvent, CommandOutcome, PollReport, StartCommand, TaskKey, WorkerLease};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
@@ -252,3 +254,30 @@
 
     verify_that!(worker.renewals.get(), eq(0))
 }
+
+/// Guards against logs that do not tell why a recorded start was not sent.
+#[gtest]
+#[actix_rt::test]
+async fn a_start_that_is_not_sent_leaves_its_reason() -> Result<()> {
+    keep_lines();
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(10));
+    let mut link = RunningLink::start_without_renewal(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    let early = link.send(start("reason.0.0.0", INCARNATION)).await;
+    link.commands.send(LinkMessage::RenewLease(Instant::now())).await.or_fail()?;
+    let other = link.send(start("reason.0.0.1", INCARNATION + Duration::from_secs(1))).await;
+    let sent = link.send(start("reason.0.0.2", INCARNATION)).await;
+    link.token.cancel();
+
+    let not_sent = |task: &str, reason: &str| {
+        let (task, reason) = (format!("task=\"{task}\""), format!("reason=\"{reason}\""));
+        lines_with(&["start is not sent", &task, "token=\"1\"", &reason]).len()
+    };
+    verify_that!(early, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(other, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(sent, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(not_sent("reason.0.0.0", "worker_not_renewable"), eq(1))?;
+    verify_that!(not_sent("reason.0.0.1", "other_incarnation"), eq(1))?;
+    verify_that!(lines_with(&["start is not sent", "reason.0.0.2"]), is_empty())
+}
--- a/tests/cell_replay.rs
+++ b/tests/cell_replay.rs
@@ -6,7 +6,8 @@
 
 use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, report, step, submit, worker};
 use godwithaven::kernel::cell::{
-    CellEvent, CellRecord, EndCause, GraphSpec, JobStatus, MAX_TASKS_PER_JOB, RepeatSchedule, TaskKey,
+    CellEvent, CellRecord, EndCause, GraphSpec, JobStatus, MAX_TASKS_PER_JOB, RepeatSchedule, SkippedRecords,
+    TaskKey,
 };
 use googletest::prelude::*;
 
@@ -28,7 +29,7 @@
 }
 
 /// Returns a new owner at `millis` after the start of the test that has replayed the records and then read an
-/// empty report of `w0`, and the number of records that it has skipped.
+/// empty report of `w0`, and the number of records of unknown steps of open jobs that it has skipped.
 fn new_owner(spec: &GraphSpec, records: Vec<CellRecord>, millis: u64) -> (CellDriver, usize) {
     let mut driver = cell(0);
     driver.answers_first_poll = false;
@@ -37,7 +38,7 @@
     for record in records {
         driver.scheduler.replay(record, driver.now);
     }
-    let skipped = driver.scheduler.end_replay();
+    let skipped = driver.scheduler.end_replay().unknown_steps;
     driver.handle(CellEvent::WorkersListed(vec![worker("w0")]));
     let polled = report(driver.now, Vec::new(), Vec::new());
     driver.handle(CellEvent::WorkerPolled("w0".into(), polled));
@@ -121,3 +122,28 @@
     verify_that!(job.next_occurrence, eq(3_000_000))?;
     verify_that!(skipped, eq(1))
 }
+
+/// Guards against records that a new owner skips without being able to tell why.
+#[gtest]
+fn skipped_records_are_counted_by_their_reason() -> Result<()> {
+    let mut driver = cell(0);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    let unknown = TaskKey::parse("other.0.0.0").or_fail()?;
+    let records = [
+        CellRecord::Started(task(0, 0), 1, "w0".into()),
+        CellRecord::Started(unknown.clone(), 1, "w0".into()),
+        CellRecord::Lost(unknown, 1),
+        CellRecord::Closed("other".into(), JobStatus::Completed),
+        CellRecord::Started(TaskKey::parse("j.0.5.0").or_fail()?, 1, "w0".into()),
+        CellRecord::Closed("j".into(), JobStatus::Cancelled),
+        CellRecord::Ended(task(0, 0), 1, EndCause::Stopped, None),
+    ];
+
+    for record in records {
+        driver.scheduler.replay(record, driver.now);
+    }
+    let skipped = driver.scheduler.end_replay();
+
+    verify_that!(skipped, eq(SkippedRecords { unknown_jobs: 3, closed_jobs: 1, unknown_steps: 1 }))?;
+    verify_that!(driver.scheduler.state().placements.len(), eq(0))
+}
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -8,9 +8,9 @@
 
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, CommandOutcome, EndCause, EndedRun,
-    GraphSpec, PermitRule, PollReport, QueueRule, RunningRun, StartCommand, StartInputs, StepSpec,
-    StopCommand, TaskKey, TeamRule, WorkerListing,
+    CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, CellScheduler, CommandOutcome, EndCause,
+    EndedRun, GraphSpec, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand, StartInputs,
+    StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
 use godwithaven::prelude::FastMap;
 
@@ -27,6 +27,9 @@
     pub start: Instant,
     pub now: Instant,
     pub records: Vec<CellRecord>,
+    /// Circumstances of the ends of runs that were recorded.
+    pub run_ends: Vec<RunEnd>,
+    pub notices: Vec<CellNotice>,
     pub starts: Vec<StartCommand>,
     pub stops: Vec<StopCommand>,
     /// Step and number of workers of each permit request.
@@ -70,6 +73,12 @@
                 self.effect_order.push("record");
                 self.records.push(record);
             }
+            CellEffect::RecordEnd(record, end) => {
+                self.effect_order.push("record");
+                self.records.push(record);
+                self.run_ends.push(end);
+            }
+            CellEffect::Log(notice) => self.notices.push(notice),
             CellEffect::Start(command) => {
                 self.effect_order.push("start");
                 let (task, run, worker) = (command.task.clone(), command.run, command.worker.clone());
@@ -157,6 +166,8 @@
         start,
         now: start,
         records: Vec::new(),
+        run_ends: Vec::new(),
+        notices: Vec::new(),
         starts: Vec::new(),
         stops: Vec::new(),
         permit_requests: Vec::new(),
