--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -9,7 +9,9 @@
 use crate::kernel::cell::{CellEvent, CommandOutcome, StartCommand, StopCommand, WorkerLease};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
+use crate::tasks::cell::decision_log::log_start_not_sent;
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ownership_lease::OwnershipLease;
 use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
@@ -102,7 +104,7 @@
             tokio::select! {
                 // A term that has ended grants no lease any more, so its end comes first.
                 biased;
-                () = token.cancelled() => return,
+                () = token.cancelled() => return self.log_pending(commands.len()),
                 Some(answer) = commands.next(), if !commands.is_empty() => self.finish_command(answer).await,
                 outcome = await_optional(&mut poll) => {
                     poll = None;
@@ -129,13 +131,14 @@
     ) {
         match message {
             LinkMessage::Start(command) => {
-                let now = Instant::now();
-                let may_start = self.ownership.is_valid() && poll_state.may_start(&command, now);
-                let lease = if may_start { self.lease.grant(now) } else { None };
-                let Some(lease) = lease else {
-                    let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
-                    commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
-                    return;
+                let lease = match self.grant_for_start(&command, poll_state) {
+                    Ok(lease) => lease,
+                    Err(reason) => {
+                        log_start_not_sent(&command, self.token, reason);
+                        let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
+                        commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
+                        return;
+                    }
                 };
                 poll_state.idle = false;
                 let answer = (self.client.start)(command.clone(), self.token, lease);
@@ -157,6 +160,22 @@
         }
     }
 
+    /// Grants the lease for a start; returns the reason if the start must not be sent.
+    fn grant_for_start(
+        &mut self,
+        command: &StartCommand,
+        poll_state: &PollState,
+    ) -> Result<WorkerTime, NotSentReason> {
+        let now = Instant::now();
+        if !self.ownership.is_valid() {
+            return Err(NotSentReason::OwnershipNotConfirmed);
+        }
+        if let Some(reason) = poll_state.start_obstacle(command, now) {
+            return Err(reason);
+        }
+        self.lease.grant(now).ok_or(NotSentReason::WorkerClockUnknown)
+    }
+
     /// Polls the worker. The lease of one that does not answer is not renewed, so that its expiry can be
     /// awaited, and none is renewed by an owner that may have a successor.
     fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
@@ -204,6 +223,7 @@
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
+                        log::info!(worker = &*self.worker, token = self.token; "worker has restarted");
                         self.lease.restart(now);
                     } else {
                         self.lease.note_fenced(now);
@@ -226,6 +246,7 @@
                 false
             }
             PollOutcome::Replaced => {
+                log::info!(worker = &*self.worker, token = self.token; "worker is replaced");
                 self.lease.end(now);
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), now);
                 self.send_to_owner(OwnerMessage::Event(event)).await;
@@ -236,7 +257,10 @@
             PollOutcome::Failed(reason) => {
                 poll_state.fall_silent(now);
                 poll_state.not_before = Some(now + POLL_RETRY_DELAY);
-                log::info!(worker = &*self.worker, reason = &*reason; "worker does not answer");
+                let left = self.lease.expires_by().saturating_duration_since(now);
+                log::info!(worker = &*self.worker, token = self.token, reason = &*reason,
+                    lease_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                    "worker does not answer");
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), self.lease.expires_by());
                 self.send_to_owner(OwnerMessage::Event(event)).await;
                 true
@@ -244,6 +268,14 @@
         }
     }
 
+    /// Logs that the link ends before the worker has answered these commands.
+    fn log_pending(&self, commands: usize) {
+        if commands > 0 {
+            log::info!(worker = &*self.worker, token = self.token, commands = commands;
+                "commands are left unanswered");
+        }
+    }
+
     fn count_command(&self, kind: &str, outcome: CommandOutcome) {
         self.metrics.commands.with_label_values(&[kind, &outcome.to_string()]).inc();
     }
@@ -257,10 +289,20 @@
 }
 
 impl PollState {
-    /// Returns whether a start may be sent: the worker answers, is the incarnation that the decision is based
-    /// on, and the command has not expired.
-    fn may_start(&self, command: &StartCommand, now: Instant) -> bool {
-        self.may_renew() && self.incarnation == command.incarnation && now <= command.expires_at
+    /// Returns why a start must not be sent; `None` if the worker answers, is the incarnation that the decision
+    /// is based on, and the command has not expired.
+    fn start_obstacle(&self, command: &StartCommand, now: Instant) -> Option<NotSentReason> {
+        if !self.answered {
+            Some(NotSentReason::WorkerSilent)
+        } else if !self.renewable {
+            Some(NotSentReason::WorkerNotRenewable)
+        } else if self.incarnation != command.incarnation {
+            Some(NotSentReason::OtherIncarnation)
+        } else if now > command.expires_at {
+            Some(NotSentReason::Expired)
+        } else {
+            None
+        }
     }
 
     /// Returns whether the lease may be renewed.
--- a/tests/cell_partition.rs
+++ b/tests/cell_partition.rs
@@ -108,7 +108,7 @@
     platform.store.set_down(!outage.is_zero());
     tokio::time::sleep(outage).await;
     platform.store.set_down(false);
-    tokio::time::sleep(LONG_RUN_TIME + WATCH_TIME - outage).await;
+    tokio::time::sleep((LONG_RUN_TIME + WATCH_TIME).saturating_sub(outage)).await;
     tally.add_events(&mut platform.events);
     platform.token.cancel();
     entry.process.stop().await;
