--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -368,7 +368,7 @@
         monotonic: sent_at.monotonic + monotonic,
         wall: sent_at.wall + wall,
     };
-    let (short, long) = (OWNERSHIP_LEASE - Duration::from_millis(1), OWNERSHIP_LEASE);
+    let (short, long) = (OWNERSHIP_LEASE.saturating_sub(Duration::from_millis(1)), OWNERSHIP_LEASE);
 
     let unconfirmed = ownership.is_valid_at(sent_at);
     ownership.confirm(sent_at);
--- a/tests/cell_recovery_log.rs
+++ b/tests/cell_recovery_log.rs
@@ -13,6 +13,7 @@
 use godwithaven::tasks::cell::intake::JobRecord;
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerTask;
+use godwithaven::tasks::cell::ownership_lease::OwnershipLease;
 use godwithaven::tasks::cell::ports::{
     AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage, TopicRecord,
 };
@@ -123,6 +124,7 @@
         config: None,
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
+        ownership: OwnershipLease::new(),
         released_term: None,
         log_retention: Duration::from_secs(300),
         metrics: CellMetrics::new().or_fail()?,
