Write log lines through standard output itself

Standard output passes a group that ends with a newline on in one write, and is flushed after each group, so that the rest of a short write does not stay in its buffer.

--- a/src/group_writer.rs
+++ b/src/group_writer.rs
@@ -11,7 +11,7 @@
 /// Writes chunks of lines to an output in groups of whole lines, one write per group. A line that is longer
 /// than a write may be is a group of its own and takes several writes.
 ///
-/// The output must not buffer: [`std::io::Stdout`] may hold back the rest of a short write.
+/// An output that buffers by lines, as [`std::io::Stdout`] does, passes each group on at once.
 pub struct GroupWriter<W> {
     output: W,
 }
@@ -30,21 +30,25 @@
     pub fn write_chunk(&mut self, chunk: &[u8]) -> Result<(), WriteFault> {
         let mut rest = chunk;
         while !rest.is_empty() {
-            let (mut group, following) = rest.split_at(group_length(rest));
-            while !group.is_empty() {
-                match self.write_once(group) {
-                    Ok(written) => group = &group[written..],
-                    Err(error) => {
-                        let unwritten_lines = count_lines(group) + count_lines(following);
-                        return Err(WriteFault { error, unwritten_lines });
-                    }
-                }
-            }
+            let (group, following) = rest.split_at(group_length(rest));
+            self.write_group(group).map_err(|fault| fault.with_further_lines(count_lines(following)))?;
             rest = following;
         }
         Ok(())
     }
 
+    fn write_group(&mut self, group: &[u8]) -> Result<(), WriteFault> {
+        let mut rest = group;
+        while !rest.is_empty() {
+            match self.write_once(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(error) => return Err(WriteFault { error, unwritten_lines: count_lines(rest) }),
+            }
+        }
+        // Standard output keeps the rest of a short write in its buffer and counts it as written.
+        self.output.flush().map_err(|error| WriteFault { error, unwritten_lines: count_lines(group) })
+    }
+
     /// Writes the start of a group; returns the number of bytes that the output took, which is not 0.
     fn write_once(&mut self, group: &[u8]) -> Result<usize, Error> {
         let piece = &group[..group.len().min(MAX_WRITE_BYTES)];
--- a/src/log_pipe.rs
+++ b/src/log_pipe.rs
@@ -1,8 +1,7 @@
 //! Asynchronous logging to standard output, as processes that serve a cell use it. It does not block the
 //! process: if the reader of the output is too slow, lines are dropped and counted.
 
-use std::fs::File;
-use std::os::fd::AsFd;
+use std::io::Stdout;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 use log::LevelFilter;
@@ -40,8 +39,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the program already has a logger, or if standard output cannot be duplicated or the
-    /// writer thread cannot be started.
+    /// Returns an error if the program already has a logger or the writer thread cannot be started.
     pub fn start(level: LevelFilter) -> Result<Self, String> {
         let (sender, lines) = mpsc::channel(MAX_QUEUED_LINES);
         let output = fern::Output::call(move |record| {
@@ -53,12 +51,10 @@
         let dispatch =
             fern::Dispatch::new().level(LevelFilter::Warn).level_for("godwithaven", level).chain(output);
         dispatch.apply().map_err(|error| error.to_string())?;
-        // The duplicate is not buffered, and other uses of standard output do not wait for the thread.
-        let output = std::io::stdout().as_fd().try_clone_to_owned().map_err(|error| error.to_string())?;
         let (chunks, received) = sync_channel(MAX_QUEUED_CHUNKS);
         let (ended, writer_ended) = oneshot::channel();
         let writer = std::thread::Builder::new().name("log".to_owned()).spawn(move || {
-            write_chunks(&received, File::from(output));
+            write_chunks(&received, std::io::stdout());
             // The receiver is gone if the process did not wait that long.
             let _ = ended.send(());
         });
@@ -145,7 +141,7 @@
 
 /// Writes chunks to standard output until all senders are gone. Once writing has failed, only counts the lines
 /// of the chunks as dropped.
-fn write_chunks(chunks: &Receiver<Vec<u8>>, output: File) {
+fn write_chunks(chunks: &Receiver<Vec<u8>>, output: Stdout) {
     let mut writer = GroupWriter::new(output);
     while let Ok(chunk) = chunks.recv() {
         if let Err(fault) = writer.write_chunk(&chunk) {
--- a/src/write_fault.rs
+++ b/src/write_fault.rs
@@ -12,3 +12,11 @@
     /// Number of lines of the chunk that are not written, or only in part.
     pub unwritten_lines: u64,
 }
+
+impl WriteFault {
+    /// Returns the fault with lines behind the failed write that are not written either.
+    #[must_use]
+    pub fn with_further_lines(self, lines: u64) -> Self {
+        Self { unwritten_lines: self.unwritten_lines + lines, ..self }
+    }
+}
