Confirm the ownership also while the store is slow

Heartbeats timed out after 1 s and each has to follow the one before it, and one read of the claims at a time confirms only briefly.

Change: heartbeats have as long as the ownership lease; once the last confirmation is 0.9 s old, each heartbeat is accompanied by a read of the claims of its own; workers with tasks are polled every 0.5 s while no lease may be granted. An owner that finds that claims have expired unread ends its term, as a successor's may be among them.

--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -18,16 +18,22 @@
 use crate::tasks::cell::await_optional::await_optional;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
-use crate::tasks::cell::ownership_lease::OwnershipLease;
+use crate::tasks::cell::ownership_check::OwnershipCheck;
+use crate::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
 use crate::tasks::cell::peer::{self, AssistSession, OwnerRoute};
 use crate::tasks::cell::ports::{
     AdvisorClient, AppendOutcome, AppendRequest, CellAdapter, ReadFault, StoreClient, TopicPage,
 };
 
 /// Topic of the claim log, which holds the claims, heartbeats and releases of ownership.
-const CLAIM_TOPIC: &str = "claims";
+pub const CLAIM_TOPIC: &str = "claims";
 /// Interval between the owner's heartbeats in the claim log.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the store to answer a heartbeat; a later answer would not extend the ownership lease.
+const HEARTBEAT_TIMEOUT: Duration = OWNERSHIP_LEASE;
+/// Age of the last confirmation of the ownership from which the claim log is read to confirm it, beside the
+/// heartbeats. They fail while the store is slow, as each has to follow the one before it.
+const CHECK_OWNERSHIP_AFTER: Duration = Duration::from_millis(900);
 /// Time without a heartbeat after which another process claims the cell even if it can reach the owner; its
 /// claim delay is added.
 pub const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
@@ -252,6 +258,7 @@
         let page = match page {
             Ok(page) => page,
             Err(ReadFault::Expired(first)) => {
+                Self::end_term_after_gap(state);
                 self.claim_watch.skip_to(first);
                 return Duration::ZERO;
             }
@@ -260,6 +267,9 @@
                 return READ_RETRY_DELAY;
             }
         };
+        if page.first > self.claim_watch.next_offset() {
+            Self::end_term_after_gap(state);
+        }
         let mut changed = false;
         for record in &page.records {
             let claim = match serde_json::from_slice::<ClaimRecord>(&record.value) {
@@ -290,6 +300,14 @@
         Duration::ZERO
     }
 
+    /// Ends the present term, as the claim of a successor may be among records that have expired unread.
+    fn end_term_after_gap(state: &mut ClaimState) {
+        if let Some(term) = state.term.take() {
+            log::warn!(topic = CLAIM_TOPIC; "records have expired before they were read, so the term ends");
+            term.stop.cancel();
+        }
+    }
+
     /// Ends the term or the session of the previous owner and starts that of the new one.
     fn switch_owner(&mut self, state: &mut ClaimState, token: &CancellationToken) {
         let Some(owner) = self.claim_watch.owner().cloned() else { return };
@@ -408,11 +426,16 @@
 
     fn send_heartbeat(&self, state: &ClaimState) {
         let Some(term) = &state.term else { return };
-        let ownership = term.ownership.clone();
+        let (ownership, next_offset) = (term.ownership.clone(), self.claim_watch.next_offset());
+        if !ownership.is_confirmed_within(CHECK_OWNERSHIP_AFTER) {
+            let check =
+                OwnershipCheck { store: self.store.clone(), ownership: ownership.clone(), next_offset };
+            actix_rt::spawn(check.run());
+        }
         // The append expects the end of the claim log that is known now, so that the store rejects a delayed
         // heartbeat once other records have followed.
-        let append =
-            (self.store.append)(self.claim_append(ClaimKind::Renew, Some(self.claim_watch.next_offset())));
+        let heartbeat = self.claim_append(ClaimKind::Renew, Some(next_offset));
+        let append = (self.store.append)(AppendRequest { timeout: HEARTBEAT_TIMEOUT, ..heartbeat });
         let sent_at = clock::reading();
         actix_rt::spawn(async move {
             match append.await {
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -21,6 +21,9 @@
 const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
 /// The same for a worker without tasks; the platform's workers hold no poll open for longer.
 const IDLE_LONG_POLL_WAIT: Duration = Duration::from_secs(2);
+/// The same for a worker with tasks while no lease may be granted, so that its lease is renewed soon after the
+/// ownership is confirmed.
+const UNCONFIRMED_LONG_POLL_WAIT: Duration = Duration::from_millis(500);
 /// Delay before a poll is repeated after a worker did not answer.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest wait for the owner to record reported ends, or to allow that the lease is renewed, before the next
@@ -180,13 +183,15 @@
     /// awaited, and none is renewed by an owner that may have a successor.
     fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
         let now = Instant::now();
-        let may_renew = self.ownership.is_valid() && poll_state.may_renew();
+        let is_confirmed = self.ownership.is_valid();
+        let may_renew = is_confirmed && poll_state.may_renew();
         let lease = if may_renew { self.lease.grant(now) } else { None };
         // The first poll, and each one after an unanswered poll, asks for an answer at once, so that the
         // worker's clock becomes known early. Other polls are held open only while the worker has no ended
         // runs to report.
         let wait = match (poll_state.answered, poll_state.idle) {
             (false, _) => Duration::ZERO,
+            (true, false) if !is_confirmed => UNCONFIRMED_LONG_POLL_WAIT,
             (true, false) => LONG_POLL_WAIT,
             (true, true) => IDLE_LONG_POLL_WAIT,
         };
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -13,6 +13,7 @@
 mod not_sent_reason;
 pub mod owner;
 mod owner_state;
+pub mod ownership_check;
 pub mod ownership_lease;
 pub mod peer;
 pub mod ports;
--- a/src/tasks/cell/ownership_lease.rs
+++ b/src/tasks/cell/ownership_lease.rs
@@ -16,7 +16,7 @@
 /// workers that it reaches.
 #[derive(Clone, Debug)]
 pub struct OwnershipLease {
-    /// When the newest call was sent whose answer shows that no successor had claimed the cell when the store
+    /// When the newest call was sent whose answer shows that no successor had fenced this owner when the store
     /// handled it; `None` before the first.
     confirmed: watch::Sender<Option<ClockReading>>,
 }
@@ -40,6 +40,13 @@
         });
     }
 
+    /// Returns whether the newest confirmation was sent at most this long ago.
+    #[must_use]
+    pub fn is_confirmed_within(&self, age: Duration) -> bool {
+        let now = clock::reading();
+        self.confirmed.borrow().is_some_and(|sent_at| sent_at.elapsed_until(&now) <= age)
+    }
+
     /// Returns whether the owner may grant leases now.
     #[must_use]
     pub fn is_valid(&self) -> bool {
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -51,6 +51,7 @@
     pub address: SocketAddr,
     inbox: mpsc::Sender<StoreMessage>,
     down: watch::Sender<bool>,
+    delay: watch::Sender<Duration>,
 }
 
 #[derive(Clone)]
@@ -59,6 +60,7 @@
     /// Number of appends to all partitions.
     append_count: watch::Receiver<u64>,
     down: watch::Receiver<bool>,
+    delay: watch::Receiver<Duration>,
 }
 
 impl StoreStandin {
@@ -72,10 +74,12 @@
         let (inbox, messages) = mpsc::channel(1_024);
         let (append_counter, receiver) = watch::channel(0);
         let (down, is_down) = watch::channel(false);
+        let (delay, call_delay) = watch::channel(Duration::ZERO);
         actix_rt::spawn(run_partitions(messages, append_counter));
-        let handler = StoreHandler { inbox: inbox.clone(), append_count: receiver, down: is_down };
+        let handler =
+            StoreHandler { inbox: inbox.clone(), append_count: receiver, down: is_down, delay: call_delay };
         actix_rt::spawn(server::serve(listener, token, move |request| handler.clone().answer(request)));
-        Ok(Self { address, inbox, down })
+        Ok(Self { address, inbox, down, delay })
     }
 
     /// Sets whether the store refuses every call with status 503.
@@ -83,6 +87,11 @@
         self.down.send_replace(down);
     }
 
+    /// Sets how much longer each call takes, half of it before and half after it is carried out.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay.send_replace(delay);
+    }
+
     /// Appends a record of a key to partition 0 of a keyed topic; an empty value deletes the key.
     pub async fn publish(&self, topic: &str, key: &str, value: &str) {
         let mut record = BytesMut::new();
@@ -152,6 +161,8 @@
 
 impl StoreHandler {
     async fn answer(self, mut request: Request) -> Response<Bytes> {
+        let delay = *self.delay.borrow() / 2;
+        tokio::time::sleep(delay).await;
         if *self.down.borrow() {
             return Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
@@ -159,12 +170,14 @@
             query_text(&request, "topic").unwrap_or_default(),
             server::query_number(&request, "part").unwrap_or(0),
         );
-        match (request.method().clone(), request.path()) {
+        let response = match (request.method().clone(), request.path()) {
             (Method::POST, "/api/log-append") => self.append(&mut request, partition).await,
             (Method::GET, "/api/log-read") => self.read(&request, partition).await,
             (Method::GET, "/api/log-newest") => self.newest(partition).await,
             _ => Response::with_body(StatusCode::NOT_FOUND, Bytes::new()),
-        }
+        };
+        tokio::time::sleep(delay).await;
+        response
     }
 
     async fn append(&self, request: &mut Request, partition: PartitionKey) -> Response<Bytes> {
--- a/tests/cell_partition.rs
+++ b/tests/cell_partition.rs
@@ -19,6 +19,10 @@
 const LONG_RUN_TIME: Duration = Duration::from_secs(11);
 /// Length of the outages of the store that running tasks have to survive.
 const STORE_OUTAGE: Duration = Duration::from_millis(4_500);
+/// Time that each call to a slow store takes; the owner expects up to a second.
+const SLOW_STORE_DELAY: Duration = Duration::from_millis(1_500);
+/// Run time of a task through several leases.
+const SLOW_RUN_TIME: Duration = Duration::from_secs(22);
 /// Interval of the checks for starts and ends.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -115,7 +119,8 @@
     tally
 }
 
-/// Guards against an idle owner whose leases expire: only its heartbeats confirm the ownership then.
+/// Guards against an idle owner whose leases expire: nothing but heartbeats and reads of the claims confirm its
+/// ownership.
 #[gtest]
 #[actix_rt::test]
 async fn an_owner_without_records_renews_leases() -> Result<()> {
@@ -134,3 +139,25 @@
     verify_that!(tally.starts, eq(1))?;
     verify_that!(tally.done.len(), eq(1))
 }
+
+/// Guards against leases that a healthy owner lets expire as the store answers its heartbeats too late.
+#[gtest]
+#[actix_rt::test]
+async fn a_slow_store_lets_no_lease_expire() -> Result<()> {
+    let mut platform = start_platform("slow_store", 1).await;
+    let mut tally = RunTally::default();
+    let first = start_entry(&platform, "e1").await;
+    submit_task(&first, SLOW_RUN_TIME).await;
+    await_starts(&mut platform, &mut tally, 1).await;
+    let second = start_entry(&platform, "e2").await;
+
+    platform.store.set_delay(SLOW_STORE_DELAY);
+    tokio::time::sleep(SLOW_RUN_TIME + WATCH_TIME).await;
+    tally.add_events(&mut platform.events);
+    platform.store.set_delay(Duration::ZERO);
+    platform.token.cancel();
+    tokio::join!(first.process.stop(), second.process.stop());
+
+    verify_that!(tally.starts, eq(1))?;
+    verify_that!(tally.done.len(), eq(1))
+}
