Notice the restart of a worker by the clock in its answers to commands

Cause: a worker that restarted under its id between an answered poll and the next one accepted a start from a link that still knew the earlier incarnation. The next poll acknowledged ends by a number of that incarnation, so the new one forgot the end of the run without having listed it. The owner gave up the run as absent and started the task again (TWICE). The start also carried a time of the earlier clock, which the worker shortens to the longest lease that it accepts, while the bound counted the granted 6.5 s.

Change: a clock in the answer to a command below that of the last report at the time of sending shows a restart. The link then drops the open poll, polls at once without an acknowledgement, sends no start before the answer, and moves the bound of the lease to the longest that the worker accepts. It keeps the earlier incarnation until the next report, so that the report restarts the lease and note_fenced does not shorten the bound. An answer with status 421 is left out.

--- a/src/kernel/cell/worker_lease.rs
+++ b/src/kernel/cell/worker_lease.rs
@@ -50,6 +50,18 @@
         self.expires_by = now + longest_real_time(self.longest);
     }
 
+    /// Records that another incarnation of the worker has answered a call at `now` that may have granted it a
+    /// lease by the clock of the earlier one. The worker has shortened it to the longest that it accepts.
+    pub fn extend_to_longest(&mut self, now: Instant) {
+        self.expires_by = self.expires_by.max(now + longest_real_time(self.longest));
+    }
+
+    /// Returns the worker's clock in its last answer to a poll, if it is known.
+    #[must_use]
+    pub fn last_clock(&self) -> Option<WorkerTime> {
+        self.clock_reading.map(|(clock, _)| clock)
+    }
+
     /// Grants a lease from now on and returns its end on the worker's clock; `None` while the clock is
     /// unknown.
     pub fn grant(&mut self, now: Instant) -> Option<WorkerTime> {
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -26,7 +26,8 @@
         reason = command.reason; "task is stopped");
 }
 
-fn milliseconds(duration: Duration) -> u64 {
+/// Returns the duration in whole milliseconds, as log lines give it.
+pub(super) fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -9,7 +9,7 @@
 use crate::kernel::cell::{CellEvent, CommandOutcome, StartCommand, StopCommand, WorkerLease};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
-use crate::tasks::cell::decision_log::log_start_not_sent;
+use crate::tasks::cell::decision_log::{log_start_not_sent, milliseconds};
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::OwnerMessage;
@@ -58,10 +58,18 @@
     pub metrics: CellMetrics,
 }
 
+/// What the link knew of the worker when it sent a command.
+#[derive(Clone, Copy)]
+struct KnownWorker {
+    incarnation: Option<WorkerIncarnation>,
+    /// The worker's clock in its last answer to a poll.
+    clock: Option<WorkerTime>,
+}
+
 /// A command and the worker's answer to it.
 enum LinkAnswer {
-    Start(StartCommand, CommandAnswer),
-    Stop(StopCommand, CommandAnswer),
+    Start(StartCommand, CommandAnswer, KnownWorker),
+    Stop(StopCommand, CommandAnswer, KnownWorker),
 }
 
 /// State of polling one worker.
@@ -69,7 +77,7 @@
     incarnation: Option<WorkerIncarnation>,
     acknowledged: TaskEndNumber,
     last_reported: TaskEndNumber,
-    /// Whether the last poll was answered.
+    /// Whether the last poll was answered, and no answer to a command since then came from another incarnation.
     answered: bool,
     /// Whether the owner allows that the lease is renewed. An earlier owner may have recorded that it is not.
     renewable: bool,
@@ -105,7 +113,13 @@
                 // A term that has ended grants no lease any more, so its end comes first.
                 biased;
                 () = token.cancelled() => return self.log_pending(commands.len()),
-                Some(answer) = commands.next(), if !commands.is_empty() => self.finish_command(answer).await,
+                Some(answer) = commands.next(), if !commands.is_empty() => {
+                    if self.finish_command(answer, &mut poll_state).await {
+                        // The earlier incarnation may have answered the open poll, and its report would be taken
+                        // for that of the present one.
+                        poll = None;
+                    }
+                }
                 outcome = await_optional(&mut poll) => {
                     poll = None;
                     if !self.finish_poll(outcome, &mut poll_state).await {
@@ -129,6 +143,7 @@
         poll_state: &mut PollState,
         commands: &FuturesUnordered<LocalBoxFuture<'static, LinkAnswer>>,
     ) {
+        let known = KnownWorker { incarnation: poll_state.incarnation, clock: self.lease.last_clock() };
         match message {
             LinkMessage::Start(command) => {
                 let lease = match self.grant_for_start(&command, poll_state) {
@@ -136,17 +151,17 @@
                     Err(reason) => {
                         log_start_not_sent(&command, self.token, reason);
                         let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
-                        commands.push(Box::pin(async move { LinkAnswer::Start(command, answer) }));
+                        commands.push(Box::pin(async move { LinkAnswer::Start(command, answer, known) }));
                         return;
                     }
                 };
                 poll_state.idle = false;
                 let answer = (self.client.start)(command.clone(), self.token, lease);
-                commands.push(Box::pin(async move { LinkAnswer::Start(command, answer.await) }));
+                commands.push(Box::pin(async move { LinkAnswer::Start(command, answer.await, known) }));
             }
             LinkMessage::Stop(command) => {
                 let answer = (self.client.stop)(command.clone(), self.token);
-                commands.push(Box::pin(async move { LinkAnswer::Stop(command, answer.await) }));
+                commands.push(Box::pin(async move { LinkAnswer::Stop(command, answer.await, known) }));
             }
             LinkMessage::Acknowledge(incarnation, number) if poll_state.incarnation == Some(incarnation) => {
                 poll_state.acknowledged = poll_state.acknowledged.max(number);
@@ -196,22 +211,54 @@
         (self.client.poll)(request)
     }
 
-    async fn finish_command(&mut self, answer: LinkAnswer) {
-        let (event, answer) = match answer {
-            LinkAnswer::Start(command, answer) => {
+    /// Applies the answer to a command; returns whether it is the first one that shows that the worker has
+    /// restarted since its last answer to a poll.
+    async fn finish_command(&mut self, answer: LinkAnswer, poll_state: &mut PollState) -> bool {
+        let (event, answer, known) = match answer {
+            LinkAnswer::Start(command, answer, known) => {
                 self.count_command("start", answer.outcome);
-                (CellEvent::StartAnswered(command.task, command.run, command.worker, answer.outcome), answer)
+                let event =
+                    CellEvent::StartAnswered(command.task, command.run, command.worker, answer.outcome);
+                (event, answer, known)
             }
-            LinkAnswer::Stop(command, answer) => {
+            LinkAnswer::Stop(command, answer, known) => {
                 self.count_command("stop", answer.outcome);
-                (CellEvent::StopAnswered(command.task, command.run, command.worker, answer.outcome), answer)
+                let event =
+                    CellEvent::StopAnswered(command.task, command.run, command.worker, answer.outcome);
+                (event, answer, known)
             }
         };
         if answer.outcome == CommandOutcome::Fenced {
             self.send_to_owner(OwnerMessage::Fenced(self.worker.clone())).await;
-            return;
+            return false;
         }
+        let restarted = self.note_restart(&answer, known, poll_state);
+        // The outcome holds for the new incarnation too: its next report shows the run or its end.
         self.send_to_owner(OwnerMessage::Event(event)).await;
+        restarted
+    }
+
+    /// Notes a restart of the worker if the clock in its answer to a command shows one: the clock of an
+    /// incarnation does not go back. Returns whether that was not known before.
+    fn note_restart(
+        &mut self,
+        answer: &CommandAnswer,
+        known: KnownWorker,
+        poll_state: &mut PollState,
+    ) -> bool {
+        let (Some(clock), Some(last_clock)) = (answer.clock, known.clock) else { return false };
+        // The clock of another worker at the address says nothing of this one.
+        if clock >= last_clock || answer.outcome == CommandOutcome::Replaced {
+            return false;
+        }
+        self.lease.extend_to_longest(Instant::now());
+        let is_first = poll_state.answered && poll_state.incarnation == known.incarnation;
+        if is_first {
+            log::info!(worker = &*self.worker, token = self.token, clock_ms = milliseconds(clock),
+                last_clock_ms = milliseconds(last_clock); "command is answered by another incarnation");
+            poll_state.expect_restart();
+        }
+        is_first
     }
 
     /// Applies the outcome of a poll; returns `false` if the link ends, as the worker knows a newer owner.
@@ -259,7 +306,7 @@
                 poll_state.not_before = Some(now + POLL_RETRY_DELAY);
                 let left = self.lease.expires_by().saturating_duration_since(now);
                 log::info!(worker = &*self.worker, token = self.token, reason = &*reason,
-                    lease_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                    lease_left_ms = milliseconds(left);
                     "worker does not answer");
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), self.lease.expires_by());
                 self.send_to_owner(OwnerMessage::Event(event)).await;
@@ -310,6 +357,13 @@
         self.answered && self.renewable
     }
 
+    /// Lets the next poll be sent at once, without an acknowledgement, whose number would be that of an earlier
+    /// incarnation. Until it is answered, no start is sent.
+    const fn expect_restart(&mut self) {
+        self.answered = false;
+        self.not_before = None;
+    }
+
     const fn fall_silent(&mut self, now: Instant) {
         self.answered = false;
         self.renewable = false;
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -128,8 +128,8 @@
 pub struct CommandAnswer {
     /// Outcome of the command.
     pub outcome: CommandOutcome,
-    /// The worker's clock at the time of the answer, if the answer contains it. No caller uses it: leases are
-    /// granted by the clock in the answers to polls.
+    /// The worker's clock at the time of the answer, if the answer contains it. It shows that the worker has
+    /// restarted; leases are granted by the clock in the answers to polls.
     pub clock: Option<WorkerTime>,
 }
 
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -1,4 +1,4 @@
-//! Tests of the starts that the link to a worker sends.
+//! Tests of the polls and starts that the link to a worker sends.
 
 mod fixture_cell;
 mod fixture_log;
@@ -12,8 +12,10 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellEvent, ClockReading, CommandOutcome, PollReport, StartCommand, TaskKey, WorkerLease,
+    CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, StartCommand, TaskKey,
+    WorkerLease,
 };
+use godwithaven::prelude::{TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerMessage;
@@ -27,6 +29,10 @@
 const LEASE: Duration = Duration::from_millis(6_500);
 /// Longest lease that the worker accepts.
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
+/// How long the worker holds a poll open, unless the test says otherwise.
+const USUAL_HOLD: Duration = Duration::from_millis(20);
+/// Number of an end that an earlier incarnation of the worker reported.
+const EARLIER_END: TaskEndNumber = 311;
 /// Longest wait for a message, far above the usual time.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -35,6 +41,16 @@
 struct FakeWorker {
     answer: Rc<Cell<Option<(Duration, Duration)>>>,
     started: Rc<RefCell<Vec<TaskKey>>>,
+    /// The worker's clock in its answers to commands.
+    command_clock: Rc<Cell<Option<Duration>>>,
+    /// How long the worker takes to answer a start.
+    start_delay: Rc<Cell<Duration>>,
+    /// Longest time for which the worker holds a poll open; `None` is [`USUAL_HOLD`].
+    longest_hold: Rc<Cell<Option<Duration>>>,
+    /// Number of the end in the answers to polls, if they contain one.
+    ended: Rc<Cell<Option<TaskEndNumber>>>,
+    /// The incarnation that answered each poll, and the number that the poll acknowledged.
+    acknowledged: Rc<RefCell<Vec<(WorkerIncarnation, TaskEndNumber)>>>,
     /// Number of polls that renewed the lease.
     renewals: Rc<Cell<usize>>,
 }
@@ -45,31 +61,56 @@
         self.answer.set(Some((incarnation, clock)));
     }
 
+    /// Lets the worker restart as this incarnation, with a clock that begins anew and without ended runs.
+    fn restart_as(&self, incarnation: Duration) {
+        self.answer_as(incarnation, Duration::ZERO);
+        self.command_clock.set(Some(Duration::ZERO));
+        self.ended.set(None);
+    }
+
+    /// Returns the numbers that the polls which this incarnation answered have acknowledged.
+    fn acknowledged_to(&self, incarnation: Duration) -> Vec<TaskEndNumber> {
+        let acknowledged = self.acknowledged.borrow();
+        acknowledged.iter().filter(|(answered, _)| *answered == incarnation).map(|(_, last)| *last).collect()
+    }
+
     fn client(&self) -> WorkerClient {
-        let (answer, started, renewals) = (self.answer.clone(), self.started.clone(), self.renewals.clone());
-        let accepted = CommandAnswer { outcome: CommandOutcome::Accepted, clock: None };
-        let stop_answer = accepted.clone();
+        let (starter, stopper, poller) = (self.clone(), self.clone(), self.clone());
         WorkerClient {
             start: Rc::new(move |command, _, _| {
-                started.borrow_mut().push(command.task);
-                std::future::ready(accepted.clone()).boxed_local()
-            }),
-            stop: Rc::new(move |_, _| std::future::ready(stop_answer.clone()).boxed_local()),
-            poll: Rc::new(move |request: PollRequest| {
-                let answer = answer.clone();
-                renewals.set(renewals.get() + usize::from(request.lease.is_some()));
+                starter.started.borrow_mut().push(command.task);
+                let (answer, delay) = (starter.accepted(), starter.start_delay.get());
                 async move {
-                    tokio::time::sleep(request.wait.min(Duration::from_millis(20))).await;
-                    let Some((incarnation, clock)) = answer.get() else {
-                        return PollOutcome::Failed("no answer".to_owned());
-                    };
-                    let report = report(Instant::now(), Vec::new(), Vec::new());
-                    PollOutcome::Answered(PollReport { incarnation, ..report }, clock)
+                    tokio::time::sleep(delay).await;
+                    answer
                 }
                 .boxed_local()
             }),
+            stop: Rc::new(move |_, _| std::future::ready(stopper.accepted()).boxed_local()),
+            poll: Rc::new(move |request: PollRequest| poller.clone().answer_poll(request).boxed_local()),
         }
     }
+
+    fn accepted(&self) -> CommandAnswer {
+        CommandAnswer { outcome: CommandOutcome::Accepted, clock: self.command_clock.get() }
+    }
+
+    async fn answer_poll(self, request: PollRequest) -> PollOutcome {
+        self.renewals.set(self.renewals.get() + usize::from(request.lease.is_some()));
+        tokio::time::sleep(request.wait.min(self.longest_hold.get().unwrap_or(USUAL_HOLD))).await;
+        let Some((incarnation, clock)) = self.answer.get() else {
+            return PollOutcome::Failed("no answer".to_owned());
+        };
+        self.acknowledged.borrow_mut().push((incarnation, request.acknowledged));
+        let ended = self.ended.get().filter(|number| *number > request.acknowledged).map(ended_run);
+        let report = report(Instant::now(), Vec::new(), ended.into_iter().collect());
+        PollOutcome::Answered(PollReport { incarnation, ..report }, clock)
+    }
+}
+
+fn ended_run(number: TaskEndNumber) -> EndedRun {
+    let task = TaskKey::parse("j.0.0.9").expect("the key is valid");
+    EndedRun { number, task, run: 1, cause: EndCause::Done, checkpoint: None }
 }
 
 /// Returns the lease of an owner that remains the owner for the whole test.
@@ -140,9 +181,23 @@
         self.await_event(is_expected).await
     }
 
+    /// Waits until the worker does not answer a poll; returns the bound of its lease.
+    async fn await_lease_bound(&mut self) -> Option<Instant> {
+        self.await_event(|event| match event {
+            CellEvent::WorkerUnresponsive(_, lease_expires_at) => Some(lease_expires_at),
+            _ => None,
+        })
+        .await
+    }
+
     /// Sends a start; returns its outcome.
     async fn send(&mut self, command: StartCommand) -> Option<CommandOutcome> {
         self.commands.send(LinkMessage::Start(command)).await.expect("the link runs");
+        self.await_start_outcome().await
+    }
+
+    /// Waits for the answer to a start; returns its outcome.
+    async fn await_start_outcome(&mut self) -> Option<CommandOutcome> {
         self.await_event(|event| match event {
             CellEvent::StartAnswered(_, _, _, outcome) => Some(outcome),
             _ => None,
@@ -212,11 +267,7 @@
     link.await_report(next).await.or_fail()?;
 
     worker.answer.set(None);
-    let expiry = |event| match event {
-        CellEvent::WorkerUnresponsive(_, lease_expires_at) => Some(lease_expires_at),
-        _ => None,
-    };
-    let expires_at = link.await_event(expiry).await.or_fail()?;
+    let expires_at = link.await_lease_bound().await.or_fail()?;
     link.token.cancel();
 
     let left = expires_at.saturating_duration_since(Instant::now());
@@ -225,6 +276,128 @@
     verify_that!(left, ge(Duration::from_secs(5)))
 }
 
+/// Guards against tasks that run twice: a worker restarted between two polls and accepted a start. The next poll
+/// acknowledged ends by a number of the earlier incarnation, so the worker forgot the end of the new run, and the
+/// owner gave up the run as absent.
+#[gtest]
+#[actix_rt::test]
+async fn a_restart_that_a_start_shows_acknowledges_nothing() -> Result<()> {
+    keep_lines();
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(100));
+    worker.ended.set(Some(EARLIER_END));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    let outcome = link.send(start("j.0.0.0", INCARNATION)).await;
+    link.commands.send(LinkMessage::Acknowledge(INCARNATION, EARLIER_END)).await.or_fail()?;
+    link.await_report(next).await.or_fail()?;
+    link.await_report(next).await.or_fail()?;
+    link.token.cancel();
+
+    // Each other outcome lets the scheduler start the task again at once.
+    verify_that!(outcome, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(worker.acknowledged_to(next), each(eq(&0)))?;
+    verify_that!(
+        lines_with(&["command is answered by another incarnation", "last_clock_ms=\"100000\""]),
+        not(is_empty())
+    )
+}
+
+/// Guards against the same fault if a poll is on its way: its answer, whichever incarnation sends it, must not
+/// count.
+#[gtest]
+#[actix_rt::test]
+async fn a_restart_that_a_start_shows_drops_the_open_poll() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(200));
+    worker.ended.set(Some(EARLIER_END));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    worker.longest_hold.set(Some(WAIT_TIMEOUT));
+    link.commands.send(LinkMessage::Acknowledge(INCARNATION, EARLIER_END)).await.or_fail()?;
+
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    let outcome = link.send(start("j.0.0.0", INCARNATION)).await;
+    link.await_report(next).await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(outcome, some(eq(CommandOutcome::Accepted)))?;
+    verify_that!(worker.acknowledged_to(next), each(eq(&0)))
+}
+
+/// Guards against tasks that run twice: a start that a restarted worker accepted carried a lease by the clock of
+/// the earlier incarnation, which lasts for the longest lease that the worker accepts.
+#[gtest]
+#[actix_rt::test]
+async fn a_restart_that_a_start_shows_extends_the_lease() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(300));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    worker.restart_as(INCARNATION + Duration::from_secs(1));
+    worker.answer.set(None);
+    let sent_at = Instant::now();
+    link.send(start("j.0.0.0", INCARNATION)).await.or_fail()?;
+    let expires_at = link.await_lease_bound().await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(expires_at.saturating_duration_since(sent_at), ge(LONGEST_LEASE))
+}
+
+/// Guards against the same fault if the start is answered only after the first report of the new incarnation.
+#[gtest]
+#[actix_rt::test]
+async fn a_late_answer_of_a_restarted_worker_extends_the_lease() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(400));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    worker.start_delay.set(Duration::from_millis(300));
+    let sent_at = Instant::now();
+    link.send(start("j.0.0.0", INCARNATION)).await.or_fail()?;
+    worker.answer.set(None);
+    let expires_at = link.await_lease_bound().await.or_fail()?;
+    link.token.cancel();
+
+    let longest = Duration::from_millis(300) + LONGEST_LEASE * 100 / 98;
+    verify_that!(worker.acknowledged_to(next), not(is_empty()))?;
+    verify_that!(expires_at.saturating_duration_since(sent_at), ge(longest + Duration::from_millis(300)))
+}
+
+/// Guards against polls that are repeated for nothing: an answer to a command that a later answer to a poll
+/// overtakes carries an older clock, but comes from the same incarnation.
+#[gtest]
+#[actix_rt::test]
+async fn an_answer_that_a_poll_overtakes_shows_no_restart() -> Result<()> {
+    keep_lines();
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(500));
+    worker.command_clock.set(Some(Duration::from_secs(500)));
+    worker.start_delay.set(Duration::from_millis(300));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+
+    let pending = start("j.0.0.0", INCARNATION);
+    link.commands.send(LinkMessage::Start(pending)).await.or_fail()?;
+    worker.answer_as(INCARNATION, Duration::from_secs(501));
+    link.await_report(INCARNATION).await.or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    let outcome = link.await_start_outcome().await;
+    link.token.cancel();
+
+    verify_that!(outcome, some(eq(CommandOutcome::Accepted)))?;
+    let restarted = ["command is answered by another incarnation", "last_clock_ms=\"50"];
+    verify_that!(lines_with(&restarted), is_empty())
+}
+
 /// Guards against tasks that run twice: a new owner goes by the recorded bound of a lease, which must not be
 /// renewed before a further record takes the bound back. A start renews the lease too.
 #[gtest]
