--- a/src/tasks/cell/ownership_check.rs
+++ b/src/tasks/cell/ownership_check.rs
@@ -29,7 +29,7 @@
         match (self.store.read)(CLAIM_TOPIC, 0, from, READ_WAIT).await {
             Ok(page) if self.shows_no_claim(&page) => self.ownership.confirm(sent_at),
             Ok(_) => {
-                log::info!(next = self.next_offset; "ownership is not confirmed by a read of the claims")
+                log::info!(next = self.next_offset; "ownership is not confirmed by a read of the claims");
             }
             Err(fault) => log::info!(reason:% = fault; "ownership cannot be checked"),
         }
