Extend the soak test by network partitions

Cause: the soak test missed tasks that ran twice after a change of the owner, as it never partitioned the network and ran no task for longer than a lease.

Change: partitions of 2 to 14 s come in series and overlap with the other faults. Either the owner is cut from the store, together with the workers that only its fencing token reaches, or another process is cut from the store. One job in ten has a task of 2 to 18 s. A run without a partition fails.

The stand-in worker sends events for the acknowledgement of an end and the expiry of its lease. The tally counted every start after an end as done; it now drops an end whose lease expired before the acknowledgement, as the platform's rule does, and counts all others, acknowledged or not. tests/run_tally.rs tests both sides.

--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -1,5 +1,5 @@
 //! A worker of the users' platform, which runs tasks under a fencing token and sends an event for each start
-//! and end.
+//! and end, for the acknowledgement of an end and for the expiry of its lease.
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -23,13 +23,17 @@
 /// Interval of the checks for runs that are due to end, and of the retries of a call that waits for an end.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Start or end of a run, as the worker observed it.
+/// Start or end of a run, the acknowledgement of an end or the expiry of the lease, as the worker observed it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerEvent {
     /// A run started: worker, task and run number.
     Started(String, String, u64),
     /// A run ended: worker, task, run number and whether it completed its work.
     Ended(String, String, u64, bool),
+    /// An owner has recorded the end of a run: worker, task and run number.
+    Acknowledged(String, String, u64),
+    /// The lease of a worker expired.
+    Lapsed(String),
 }
 
 /// Body of all calls; a call uses only some of the fields.
@@ -65,6 +69,8 @@
     highest_token: watch::Sender<u64>,
     /// End of the lease on the worker's clock, in milliseconds; all runs are killed then.
     leased_until: u64,
+    /// Whether the expiry of the lease was noticed and the lease was not renewed since.
+    lapsed: bool,
     running: FxHashMap<String, RunState>,
     /// Highest run number of each task that was started or stopped; a start with this number or a lower one
     /// is refused, unless that run is running.
@@ -111,6 +117,7 @@
             clock_origin: Instant::now(),
             highest_token,
             leased_until: 0,
+            lapsed: true,
             running: FxHashMap::default(),
             highest_run: FxHashMap::default(),
             finished: Vec::new(),
@@ -210,7 +217,7 @@
             // checkpoint, percent done and latency or millicores; of an ended one its number, task, run
             // number, cause and checkpoint.
             _ => {
-                self.finished.retain(|(number, ..)| *number > call.last_seen);
+                self.acknowledge(call.last_seen);
                 let running: Vec<Value> =
                     self.running.iter().map(|(task, state)| json!([task, state.run, "", 50, 0])).collect();
                 let body = json!({
@@ -227,6 +234,14 @@
     fn renew_lease(&mut self, until: Option<u64>) {
         let longest = self.clock() + u64::try_from(MAX_LEASE.as_millis()).unwrap_or(u64::MAX);
         self.leased_until = self.leased_until.max(until.unwrap_or_default().min(longest));
+        self.lapsed &= self.clock() > self.leased_until;
+    }
+
+    /// Forgets the ends up to this number.
+    fn acknowledge(&mut self, last_seen: u64) {
+        for (_, task, run, _) in self.finished.extract_if(.., |(number, ..)| *number <= last_seen) {
+            let _ = self.events.send(WorkerEvent::Acknowledged(self.name.clone(), task, run));
+        }
     }
 
     fn start(&mut self, call: &CallBody) -> (StatusCode, Value) {
@@ -255,6 +270,9 @@
             for task in tasks {
                 self.end(&task, "lapsed");
             }
+            if !std::mem::replace(&mut self.lapsed, true) {
+                let _ = self.events.send(WorkerEvent::Lapsed(self.name.clone()));
+            }
         }
         let due = self.running.iter().filter(|(_, state)| state.ends_at <= now);
         let due: Vec<String> = due.map(|(task, _)| task.clone()).collect();
--- /dev/null
+++ b/tests/fixture_soak/seeded_random.rs
@@ -0,0 +1,12 @@
+//! Pseudorandom numbers of a soak run.
+
+/// A pseudorandom number generator whose output depends only on the seed.
+pub struct SeededRandom(pub u64);
+
+impl SeededRandom {
+    /// Returns a number below the bound.
+    pub fn next_below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
