--- /dev/null
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -0,0 +1,154 @@
+mod candidate;
+mod candidate_search;
+mod pending_step;
+mod permit_requests;
+mod reservations;
+mod task_starts;
+mod team_preemption;
+mod worker_demand;
+
+use candidate::Candidate;
+use pending_step::PendingStep;
+use worker_demand::WorkerDemand;
+
+use crate::kernel::cell::{CellState, PreemptionRule, StepKey, StepWait, TaskRank};
+use crate::prelude::*;
+
+/// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
+const MAX_STEPS_PER_PASS: usize = 4_000;
+/// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same
+/// priority that need the same kind of worker. The search over the workers costs most of a pass, and the
+/// skipped steps would hardly find room or a permit either.
+const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
+/// Number of preemptions after which a pass starts no further one. The tasks that have to stop on a worker
+/// for one task are preempted together, so a pass may exceed the number by a few.
+const MAX_PREEMPTIONS_PER_PASS: usize = 24;
+
+/// One pass over the ready steps. It decides which waiting tasks start, on which workers, and which running
+/// tasks are preempted for them.
+pub struct StartPass<'a> {
+    /// State of the cell that the pass changes.
+    pub state: &'a mut CellState,
+    /// Time at which the pass runs.
+    pub now: Instant,
+    /// Room that is reserved for tasks that could not start, by worker slot.
+    reserved_by_worker: FastMap<u32, ResourceVector>,
+    /// Resources of the tasks that are being stopped, by team; summed up when first needed.
+    stopping_by_team: Option<FastMap<TeamId, ResourceVector>>,
+    /// Teams in which a search found no task to preempt in this pass, with the rank that it searched for.
+    teams_without_victims: FastMap<TeamId, TaskRank>,
+    /// Number of steps that found no room or no permit, by the kind of worker that they need.
+    blocked_steps: FastMap<WorkerDemand, usize>,
+    /// Number of tasks that this pass may still preempt.
+    preemptions_left: usize,
+}
+
+impl<'a> StartPass<'a> {
+    /// Returns a pass over the cell that decides as of `now`.
+    #[must_use]
+    pub fn new(state: &'a mut CellState, now: Instant) -> Self {
+        Self {
+            state,
+            now,
+            reserved_by_worker: FastMap::default(),
+            stopping_by_team: None,
+            teams_without_victims: FastMap::default(),
+            blocked_steps: FastMap::default(),
+            preemptions_left: MAX_PREEMPTIONS_PER_PASS,
+        }
+    }
+
+    /// Tries to place the ready steps in the order of their ranks.
+    pub fn run(mut self) {
+        let steps: Vec<StepKey> =
+            self.state.ready.iter().take(MAX_STEPS_PER_PASS).map(|(_, key)| key.clone()).collect();
+        for key in steps {
+            self.place(&key);
+        }
+    }
+
+    fn place(&mut self, key: &StepKey) {
+        let Some((spec, step, state)) = self.state.step(key) else { return };
+        let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
+        let demand = WorkerDemand::of(step, rule);
+        if self.blocked_steps.get(&demand).is_some_and(|blocked| *blocked >= MAX_BLOCKED_STEPS_PER_DEMAND) {
+            return;
+        }
+        let rule = rule.clone();
+        if step.gang && state.placed > 0 {
+            return;
+        }
+        let (task_capacity, gang) = (step.occupied_capacity(), step.gang);
+        let task_rank = (state.rank.is_some_and(|step_rank| step_rank.excess), rule.priority);
+        let may_preempt = PreemptionRule::of(step, &rule, state.rank).may_preempt(self.now);
+        let (waiting, wanted_tasks) = self.count_startable(key);
+        if wanted_tasks < waiting && may_preempt {
+            self.preempt_in_team(key, task_rank, waiting - wanted_tasks);
+        }
+        if wanted_tasks == 0 {
+            self.set_wait_reason(key, StepWait::TeamLimit);
+            return;
+        }
+        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
+        let candidates = self.candidates(&pending);
+        let started = if gang {
+            self.start_gang(&pending, &candidates)
+        } else {
+            self.start_tasks(&pending, &candidates)
+        };
+        let missing = wanted_tasks - started;
+        if missing == 0 {
+            return;
+        }
+        let candidates = if started > 0 { self.candidates(&pending) } else { candidates };
+        let blocked = self.blocked_steps.entry(demand).or_default();
+        *blocked += 1;
+        let blocked_position = *blocked;
+        if let Some(permit_rule) = pending.rule.permits {
+            self.request_permits(&pending, permit_rule, &candidates, blocked_position);
+        }
+        self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
+        self.reserve_or_preempt(&pending, &candidates, missing);
+    }
+
+    /// Returns why tasks of a step wait that the limit of the team allows.
+    fn wait_reason(&self, pending: &PendingStep<'_>, candidates: &[Candidate]) -> StepWait {
+        let unasked = self.state.step(pending.key).is_none_or(|(_, _, state)| state.permit_cache.is_empty());
+        if candidates.is_empty() && unasked {
+            return StepWait::Worker;
+        }
+        let permitted = candidates.iter().any(|candidate| self.may_start_soon(pending, candidate.slot));
+        if permitted { StepWait::Room } else { StepWait::Permit }
+    }
+
+    fn set_wait_reason(&mut self, key: &StepKey, wait: StepWait) {
+        if let Some(state) = self.state.step_mut(key) {
+            state.wait_reason = Some(wait);
+        }
+    }
+
+    /// Returns how many tasks of a step wait and are past their backoff, and how many of them the limit of
+    /// the team allows, less the headroom for tasks that may not use it. The second number is 0 for a gang
+    /// unless all of its tasks are allowed.
+    fn count_startable(&self, key: &StepKey) -> (u32, u32) {
+        let Some((spec, step, state)) = self.state.step(key) else { return (0, 0) };
+        let due = |index: &&u32| state.tasks[**index as usize].may_start(self.now);
+        let waiting = u32::try_from(state.waiting.iter().filter(due).count()).unwrap_or(u32::MAX);
+        if spec.team.is_empty() {
+            return (waiting, waiting);
+        }
+        let may_use_headroom =
+            step.long_running || step.gang || state.rank.is_some_and(|step_rank| step_rank.priority == 0);
+        let remaining = self.state.shares.remaining_allotment(&spec.team);
+        let remaining = if may_use_headroom { remaining } else { remaining.minus(self.headroom(&spec.team)) };
+        let task_count = if step.need.fits(remaining) { step.need.count_in(remaining) } else { 0 };
+        let allowed = u32::try_from(task_count).unwrap_or(u32::MAX).min(waiting);
+        (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
+    }
+
+    /// Returns the part of its limit that a team keeps free for the tasks that may use its headroom.
+    fn headroom(&self, team: &TeamId) -> ResourceVector {
+        let limit = self.state.config.teams.get(team).map(|rule| rule.limit).unwrap_or_default();
+        self.state.headroom.amount(team, limit, self.now)
+    }
+}
--- /dev/null
+++ b/src/kernel/cell/start_pass/pending_step.rs
@@ -0,0 +1,15 @@
+use crate::kernel::cell::{QueueRule, StepKey, TaskRank};
+use crate::prelude::*;
+
+/// A step that the pass tries to place.
+pub(super) struct PendingStep<'a> {
+    pub(super) key: &'a StepKey,
+    pub(super) rule: QueueRule,
+    pub(super) task_rank: TaskRank,
+    /// Capacity that one task occupies.
+    pub(super) task_capacity: ResourceVector,
+    /// Number of tasks to start, as far as the limit of the team allows.
+    pub(super) wanted_tasks: u32,
+    /// Whether less urgent tasks may be preempted for the step now.
+    pub(super) may_preempt: bool,
+}
