--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -19,6 +19,7 @@
 pub mod ports;
 pub mod process;
 pub mod record_codec;
+mod recovery;
 mod recovery_summary;
 pub mod settings;
 pub mod store_limits;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -1,36 +1,32 @@
 //! Owns the state of the cell and makes its scheduling decisions during one term of ownership.
 
-use bytes::Bytes;
-use futures_util::FutureExt;
-use futures_util::future::try_join_all;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, CellScheduler, JobStatus, WorkerLease, WorkerListing,
-    longest_real_time,
+    CellConfig, CellEffect, CellEvent, CellRecord, JobStatus, WorkerLease, WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::advisor::{AdvisorMessage, PermitRequest};
 use crate::tasks::cell::decision_log::{log_notice, log_record, log_run_end, log_start_decision};
-use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
+use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC};
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
 use crate::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
-use crate::tasks::cell::ports::{AppendOutcome, CellAdapter, ReadFault, StoreClient, TopicPage};
-use crate::tasks::cell::record_codec::{self, RecordDecoder};
-use crate::tasks::cell::recovery_summary::RecoverySummary;
+use crate::tasks::cell::ports::{CellAdapter, StoreClient, TopicPage};
+use crate::tasks::cell::record_codec;
+use crate::tasks::cell::recovery::CellRecovery;
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
-use crate::tasks::cell::term_log::{AppendProgress, CELL_TOPIC, TermLog};
+use crate::tasks::cell::term_log::AppendProgress;
 
 /// Lease that workers are granted; long enough for another process to take over before it expires.
 const WORKER_LEASE: Duration = Duration::from_millis(6_500);
 /// How long earlier owners may grant leases after a new owner has fenced them: their ownership lease, and the
 /// error of their reading of a worker's clock, which is at most a few seconds old and may run 2% slow.
-const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(Duration::from_millis(100));
+pub(super) const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(Duration::from_millis(100));
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reports of the load to the log and the metrics.
@@ -39,8 +35,6 @@
 const SUBMISSION_LONG_POLL: Duration = Duration::from_secs(1);
 /// Pause between two reads of the worker registrations.
 const REGISTRATION_READ_PAUSE: Duration = Duration::from_millis(400);
-/// Delay before a failed call to the store is retried during recovery.
-const RECOVERY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// The owner's answer to a query for the state of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,17 +90,6 @@
     pub metrics: CellMetrics,
 }
 
-/// The records of a partition from an offset to its end.
-struct PartitionRead {
-    values: Vec<Bytes>,
-    /// The offset of the first record.
-    first: LogOffset,
-    /// The offset after the last record.
-    next: LogOffset,
-    /// When the last read was sent.
-    sent_at: Instant,
-}
-
 /// Reason why a term of ownership ended, for logs.
 pub type TermEnd = String;
 
@@ -128,7 +111,7 @@
 
     async fn serve(&self, inbox: &mut mpsc::Receiver<OwnerMessage>, token: &CancellationToken) -> TermEnd {
         let started = Instant::now();
-        let (mut state, next_offsets, summary) = match self.recover().await {
+        let (mut state, next_offsets, summary) = match (CellRecovery { owner: self }).run().await {
             Ok(recovered) => recovered,
             Err(end) => return end,
         };
@@ -189,162 +172,15 @@
         }
     }
 
-    fn lease(&self) -> Duration {
+    pub(super) fn lease(&self) -> Duration {
         WORKER_LEASE.min(self.longest_lease)
     }
 
-    /// Returns how long workers may hold leases of earlier owners, counted from the recovery. The former owner
-    /// has granted none since its release, and those before it had been deposed when its term began.
-    fn inherited_lease(&self) -> Duration {
-        if self.released_term.is_some_and(|term| term >= DEPOSED_LEASE_MARGIN) {
-            longest_real_time(self.lease())
-        } else {
-            self.longest_deposed_lease()
-        }
-    }
-
     /// Returns how long a worker may hold a lease of an earlier owner after this owner has fenced it.
-    fn longest_deposed_lease(&self) -> Duration {
+    pub(super) fn longest_deposed_lease(&self) -> Duration {
         longest_real_time(self.lease()) + DEPOSED_LEASE_MARGIN
     }
 
-    /// Makes the store reject appends of all earlier owners; returns the end of the log of the cell at that time.
-    async fn fence(&self) -> Result<LogOffset, TermEnd> {
-        loop {
-            let sent_at = clock::reading();
-            match (self.store.append)(TermLog::<CellEffect>::fencing_append(self.token)).await {
-                AppendOutcome::Stored(offset) => {
-                    self.ownership.confirm(sent_at);
-                    return Ok(offset);
-                }
-                AppendOutcome::Refused(reason) | AppendOutcome::Unknown(reason) => {
-                    log::warn!(token = self.token, reason = &*reason; "store cannot fence earlier owners");
-                    tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
-                }
-                outcome => return Err(outcome.to_string()),
-            }
-        }
-    }
-
-    /// Rebuilds the state of the cell from the store; returns it with the offset of each partition from which
-    /// further submissions are read, and with a summary for logs.
-    async fn recover(&self) -> Result<(OwnerState, Vec<LogOffset>, RecoverySummary), TermEnd> {
-        // Reads are sent as early as possible, as each takes long while the store is slow. The records of
-        // earlier owners are read only after fencing, when no earlier owner can append any more.
-        let fence = self.fence().shared();
-        let jobs = (0..JOB_PARTITIONS).map(|partition| self.read_submissions(partition, fence.clone()));
-        let cell = async {
-            let fence = fence.clone().await?;
-            Ok::<_, TermEnd>((fence, self.read_all(CELL_TOPIC, 0, 0).await))
-        };
-        let (jobs, (fence, cell)) = tokio::try_join!(try_join_all(jobs), cell)?;
-        let mut summary = RecoverySummary {
-            records: cell.values.len(),
-            first: cell.first,
-            next: cell.next,
-            fence,
-            submissions: jobs.iter().map(|read| read.values.len()).sum(),
-            ..RecoverySummary::default()
-        };
-        let now = Instant::now();
-        let mut scheduler =
-            CellScheduler::new(now + self.inherited_lease()).with_log_retention(self.log_retention);
-        scheduler.handle(CellEvent::Tick(clock::unix_time()), now);
-        if let Some(config) = &self.config {
-            scheduler.handle(CellEvent::Configured(config.clone()), now);
-        }
-        scheduler.handle(CellEvent::ZonesClosed(self.closed_zones.clone()), now);
-        let (mut cancelled, mut next_offsets, mut submissions_read_at) = (Vec::new(), Vec::new(), Vec::new());
-        for read in jobs {
-            next_offsets.push(read.next);
-            // The time at which the read was sent and not the present time: on a busy process, reading and
-            // replaying the rest takes long, and jobs that are accepted meanwhile are missing here.
-            submissions_read_at.push(read.sent_at);
-            for value in read.values {
-                match JobRecord::decode(&value) {
-                    Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
-                    Ok(JobRecord::Cancel(job)) => cancelled.push(job),
-                    Err(error) => log::warn!(topic = JOB_TOPIC, error:%; "record cannot be decoded"),
-                }
-            }
-        }
-        let mut decoder = RecordDecoder::default();
-        for value in cell.values {
-            match decoder.decode(&value) {
-                Ok(Some(record)) => scheduler.replay(record, now),
-                Ok(None) => {}
-                Err(error) => log::warn!(topic = CELL_TOPIC, error:%; "record cannot be decoded"),
-            }
-        }
-        summary.skipped = scheduler.end_replay();
-        if summary.skipped.unknown_steps > 0 {
-            log::warn!(topic = CELL_TOPIC, records = summary.skipped.unknown_steps; "steps of records are unknown");
-        }
-        for job in cancelled {
-            scheduler.handle(CellEvent::Cancelled(job), now);
-        }
-        let state = OwnerState {
-            token: self.token,
-            scheduler,
-            log: TermLog::new(self.store.clone(), self.token),
-            links: FastMap::default(),
-            registrations: FastMap::default(),
-            unpublished: FastSet::default(),
-            submissions_read_at,
-            ownership_confirmed: true,
-        };
-        Ok((state, next_offsets, summary))
-    }
-
-    /// Reads a whole partition of submissions, and what was added to it until earlier owners were fenced. A
-    /// run in their records thus belongs to a job that this owner knows; otherwise it would drop the records
-    /// and run the job again.
-    async fn read_submissions(
-        &self,
-        partition: PartitionNumber,
-        fence: impl Future<Output = Result<LogOffset, TermEnd>>,
-    ) -> Result<PartitionRead, TermEnd> {
-        let mut read = self.read_all(JOB_TOPIC, partition, 0).await;
-        fence.await?;
-        let later = self.read_all(JOB_TOPIC, partition, read.next).await;
-        read.values.extend(later.values);
-        Ok(PartitionRead { values: read.values, first: read.first, ..later })
-    }
-
-    /// Reads a partition from an offset to its end.
-    async fn read_all(
-        &self,
-        topic: &'static str,
-        partition: PartitionNumber,
-        from: LogOffset,
-    ) -> PartitionRead {
-        let (mut values, mut first, mut next) = (Vec::new(), from, from);
-        loop {
-            let sent_at = Instant::now();
-            match (self.store.read)(topic, partition, next, Duration::ZERO).await {
-                Ok(page) => {
-                    log_expired(topic, partition, next, page.first);
-                    if values.is_empty() {
-                        first = next.max(page.first);
-                    }
-                    values.extend(page.records.into_iter().map(|record| record.value));
-                    next = page.next;
-                    if next >= page.end {
-                        return PartitionRead { values, first, next, sent_at };
-                    }
-                }
-                Err(ReadFault::Expired(retained)) => {
-                    log_expired(topic, partition, next, retained);
-                    next = retained;
-                }
-                Err(fault) => {
-                    log::warn!(topic = topic, reason:% = fault; "store cannot be read");
-                    tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
     fn handle_registrations(&self, state: &mut OwnerState, message: TailMessage) {
         let page = match message {
             TailMessage::Snapshot(page) => {
@@ -502,20 +338,6 @@
     }
 }
 
-/// Logs that the records from `from` up to `first` have expired. A read from offset 0 expects that, as the store
-/// drops old records; later ones would have been read.
-fn log_expired(topic: &'static str, partition: PartitionNumber, from: LogOffset, first: LogOffset) {
-    if first <= from {
-        return;
-    }
-    if from == 0 {
-        log::info!(topic = topic, partition = partition, from = from, first = first; "expired records are skipped");
-    } else {
-        log::error!(topic = topic, partition = partition, from = from, first = first;
-            "records have expired before they were read");
-    }
-}
-
 /// Sleeps until `due`; stays pending if there is none.
 async fn sleep_until(due: Option<Instant>) {
     match due {
