--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -11,6 +11,7 @@
 //! loss of its ownership.
 
 mod adaptive_timeout;
+pub mod admission;
 mod cell_config;
 mod cell_effect;
 mod cell_event;
--- a/src/kernel/cell/submit_rate.rs
+++ b/src/kernel/cell/submit_rate.rs
@@ -27,4 +27,13 @@
         *tokens -= 1.0;
         false
     }
+
+    /// Whether a job that the team submits at the Unix time `submitted_at` would be above its rate of
+    /// `per_second` jobs.
+    #[must_use]
+    pub fn is_exhausted(&self, team: &str, per_second: u32, submitted_at: Duration) -> bool {
+        let Some((tokens, refilled)) = self.buckets.get(team) else { return false };
+        let elapsed_seconds = submitted_at.saturating_sub(*refilled).as_secs_f64();
+        tokens + elapsed_seconds * f64::from(per_second) < 1.0
+    }
 }
--- a/src/proto/cell.rs
+++ b/src/proto/cell.rs
@@ -80,6 +80,25 @@
     #[prost(uint64, optional, tag = "4")]
     pub millicores: ::core::option::Option<u64>,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FollowAdmissionRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LongWait {
+    #[prost(string, tag = "1")]
+    pub queue: ::prost::alloc::string::String,
+    /// All teams that the update does not name for this queue, if it is missing.
+    #[prost(string, optional, tag = "2")]
+    pub team: ::core::option::Option<::prost::alloc::string::String>,
+    /// Expected wait before the first task of a new job starts, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+}
+/// All long waits; each update replaces the one before.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AdmissionUpdate {
+    #[prost(message, repeated, tag = "1")]
+    pub waits: ::prost::alloc::vec::Vec<LongWait>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum JobState {
@@ -363,6 +382,31 @@
                 .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "Assist"));
             self.inner.streaming(req, path, codec).await
         }
+        /// Opens a stream of the expected waits that are too long for callers. Nothing is sent while there are none.
+        pub async fn follow_admission(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FollowAdmissionRequest>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::AdmissionUpdate>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/godwithaven.cell.v1.Cell/FollowAdmission",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "FollowAdmission"));
+            self.inner.server_streaming(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -410,6 +454,20 @@
             &self,
             request: tonic::Request<tonic::Streaming<super::AdvisorAnswer>>,
         ) -> std::result::Result<tonic::Response<Self::AssistStream>, tonic::Status>;
+        /// Server streaming response type for the FollowAdmission method.
+        type FollowAdmissionStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::AdmissionUpdate, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Opens a stream of the expected waits that are too long for callers. Nothing is sent while there are none.
+        async fn follow_admission(
+            &self,
+            request: tonic::Request<super::FollowAdmissionRequest>,
+        ) -> std::result::Result<
+            tonic::Response<Self::FollowAdmissionStream>,
+            tonic::Status,
+        >;
     }
     /// Calls of entry processes to the process that owns the cell. `Locate` is answered by every entry process.
     #[derive(Debug)]
@@ -706,6 +764,53 @@
                     };
                     Box::pin(fut)
                 }
+                "/godwithaven.cell.v1.Cell/FollowAdmission" => {
+                    #[allow(non_camel_case_types)]
+                    struct FollowAdmissionSvc<T: Cell>(pub Arc<T>);
+                    impl<
+                        T: Cell,
+                    > tonic::server::ServerStreamingService<
+                        super::FollowAdmissionRequest,
+                    > for FollowAdmissionSvc<T> {
+                        type Response = super::AdmissionUpdate;
+                        type ResponseStream = T::FollowAdmissionStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FollowAdmissionRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cell>::follow_admission(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FollowAdmissionSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -14,8 +14,10 @@
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
+use crate::tasks::cell::admission::{self, AdmissionMessage};
 use crate::tasks::cell::advisor::AdvisorMessage;
 use crate::tasks::cell::await_optional::await_optional;
+use crate::tasks::cell::intake::IntakeMessage;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::{OwnerMessage, OwnerTask};
 use crate::tasks::cell::ownership_check::OwnershipCheck;
@@ -99,6 +101,10 @@
     pub advisor: Option<AdvisorClient>,
     /// Sends messages to the task that distributes the permit requests of an owner in this process.
     pub advisor_sender: mpsc::Sender<AdvisorMessage>,
+    /// Sends messages to the task that distributes notices of long waits.
+    pub admission_sender: mpsc::Sender<AdmissionMessage>,
+    /// Sends messages to the task that admits calls.
+    pub intake_sender: mpsc::Sender<IntakeMessage>,
     /// Metrics of the process.
     pub metrics: CellMetrics,
     /// Sends messages to this task; cloned for the tasks that it starts.
@@ -340,6 +346,7 @@
             store: self.store.clone(),
             own_sender: sender.clone(),
             advisor_sender: self.advisor_sender.clone(),
+            admission_sender: self.admission_sender.clone(),
             config: state.config.clone(),
             closed_zones: state.closed_zones.clone(),
             longest_lease: self.longest_lease,
@@ -377,6 +384,7 @@
             cpu_limit: self.cpu_limit,
         };
         actix_rt::spawn(session.run(stop.clone()));
+        actix_rt::spawn(admission::follow(client.clone(), self.intake_sender.clone(), stop.clone()));
         state.assist_session = Some(stop);
         OwnerRoute::Remote(owner.clone(), client)
     }
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -5,11 +5,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
+use crate::kernel::cell::admission::{AdmissionGate, AdmissionNotice, RefusalTally};
 use crate::kernel::cell::{CellConfig, GraphSpec, JobStatus, QueueRule, RepeatSchedule, StepSpec};
 use crate::prelude::*;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::JobAnswer;
 use crate::tasks::cell::peer::OwnerRoute;
+use crate::tasks::cell::pending_refusal::PendingRefusal;
 use crate::tasks::cell::submit_queue::SubmitQueue;
 
 /// Topic of submissions and cancellations.
@@ -103,6 +105,9 @@
     /// The request is invalid, for this reason.
     #[display("{_0}")]
     BadRequest(String),
+    /// The job could not be of use to its caller any more, as its queue waits for this long; nothing was done.
+    #[display("expected wait of {} ms", _0.as_millis())]
+    Overloaded(Duration),
     /// The store refuses records or the owner cannot be queried, for this reason; nothing was done.
     #[display("{_0}")]
     Unavailable(String),
@@ -136,6 +141,10 @@
     /// A record that another process could not store, the deadline of its caller and the channel for the
     /// result.
     Relayed(JobRecord, Instant, oneshot::Sender<CellReply>),
+    /// The owner of the cell expects these waits.
+    LongWaits(AdmissionNotice),
+    /// The owner's answer on a job that is to be refused for load; an error says why there is none.
+    Inspected(Box<PendingRefusal>, Result<JobAnswer, String>),
     /// Asks whether this process can serve calls, that is, has a configuration.
     Ready(oneshot::Sender<bool>),
 }
@@ -148,6 +157,12 @@
     pub route: watch::Receiver<OwnerRoute>,
     /// Configuration in force; `None` until the first one arrives.
     pub config: Option<Arc<CellConfig>>,
+    /// Decides which submissions are refused for load.
+    pub gate: AdmissionGate,
+    /// Bounds the log lines about these refusals.
+    pub tally: RefusalTally,
+    /// Sends messages to this task; cloned for queries to the owner.
+    pub own_sender: mpsc::Sender<IntakeMessage>,
     /// Metrics of the process.
     pub metrics: CellMetrics,
 }
@@ -165,6 +180,8 @@
                     Some(IntakeMessage::Relayed(record, deadline, reply)) => {
                         self.queue.add(&record, deadline, None, reply);
                     }
+                    Some(IntakeMessage::LongWaits(notice)) => self.gate.apply(notice, Instant::now()),
+                    Some(IntakeMessage::Inspected(pending, answer)) => self.conclude(*pending, &answer),
                     Some(IntakeMessage::Ready(reply)) => respond(reply, self.config.is_some()),
                     Some(IntakeMessage::Call(call, reply)) => self.admit(&call, reply),
                 },
@@ -179,13 +196,8 @@
                 let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
                 let deadline = Instant::now() + deadline.saturating_sub(RESPONSE_MARGIN);
                 match plan {
-                    CallPlan::Store(record) => {
-                        let client = match &*self.route.borrow() {
-                            OwnerRoute::Remote(_, client) => Some(client.clone()),
-                            _ => None,
-                        };
-                        self.queue.add(&record, deadline, client, reply);
-                    }
+                    CallPlan::Store(JobRecord::Submit(spec)) => self.submit(spec, deadline, reply),
+                    CallPlan::Store(record) => self.store(&record, deadline, reply),
                     CallPlan::Inspect(job) => {
                         let route = self.route.borrow().clone();
                         actix_rt::spawn(async move { respond(reply, inspect(&route, &job, deadline).await) });
@@ -207,6 +219,52 @@
         }
     }
 
+    fn store(&mut self, record: &JobRecord, deadline: Instant, reply: oneshot::Sender<CellReply>) {
+        let client = match &*self.route.borrow() {
+            OwnerRoute::Remote(_, client) => Some(client.clone()),
+            _ => None,
+        };
+        self.queue.add(record, deadline, client, reply);
+    }
+
+    /// Stores a submission, unless its job could not be of use any more. The owner is asked before a refusal, as
+    /// the call may repeat one that was stored without an answer to its caller.
+    fn submit(&mut self, spec: GraphSpec, deadline: Instant, reply: oneshot::Sender<CellReply>) {
+        let refusal = self
+            .config
+            .as_ref()
+            .filter(|_| !self.queue.holds(&spec.id))
+            .and_then(|config| self.gate.refusal(&spec, config, Instant::now()));
+        match refusal {
+            Some(refusal) => {
+                let pending = PendingRefusal { spec, refusal, deadline, reply };
+                let (route, own_sender) = (self.route.borrow().clone(), self.own_sender.clone());
+                actix_rt::spawn(pending.inspect(route, own_sender));
+            }
+            None => self.store(&JobRecord::Submit(spec), deadline, reply),
+        }
+    }
+
+    /// Refuses a job of which the owner knows nothing. If the owner does not answer, the job is stored.
+    fn conclude(&mut self, pending: PendingRefusal, answer: &Result<JobAnswer, String>) {
+        let checks = &self.metrics.load_checks;
+        match answer {
+            Ok(JobAnswer::Known(_)) => {
+                checks.with_label_values(&["already_accepted"]).inc();
+                respond(pending.reply, CellReply::Stored);
+            }
+            Ok(JobAnswer::Missing) if !self.queue.holds(&pending.spec.id) => {
+                checks.with_label_values(&["refused"]).inc();
+                let refusals = self.tally.count(&pending.spec.queue, &pending.spec.team, Instant::now());
+                pending.refuse(refusals);
+            }
+            _ => {
+                checks.with_label_values(&["unconfirmed"]).inc();
+                self.store(&JobRecord::Submit(pending.spec), pending.deadline, pending.reply);
+            }
+        }
+    }
+
     /// Validates a call against the configuration; returns how to handle it or why it is refused.
     fn plan(&self, call: &CellCall) -> Result<CallPlan, CellRefusal> {
         let config = self.config.as_ref().ok_or(CellRefusal::NoConfiguration)?;
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -24,6 +24,8 @@
     registry: Registry,
     /// Calls of callers, by the result of the admission; an admitted call may still be refused later.
     pub calls: IntCounterVec,
+    /// Submissions that were to be refused for load, by what became of them.
+    pub load_checks: IntCounterVec,
     /// Time from the arrival of a submission or cancellation until this process has stored it, in seconds;
     /// relayed and refused ones are not observed.
     pub store_seconds: Histogram,
@@ -80,6 +82,11 @@
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
+            load_checks: counter(
+                "godwithaven_load_checks_total",
+                "Submissions that the load leaves no use for",
+                &["outcome"],
+            )?,
             store_seconds: histogram(
                 "godwithaven_call_store_seconds",
                 "Time from a submission or cancellation to its answer",
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -1,6 +1,8 @@
 //! The actix-rt tasks of an entry process that serves a cell: admission of calls, ownership, scheduling and
 //! commands to workers.
 
+pub mod admission;
+mod admission_report;
 pub mod advisor;
 mod await_optional;
 pub mod claim;
@@ -16,6 +18,7 @@
 pub mod ownership_check;
 pub mod ownership_lease;
 pub mod peer;
+pub mod pending_refusal;
 pub mod ports;
 pub mod process;
 pub mod record_codec;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -9,6 +9,8 @@
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
+use crate::tasks::cell::admission::AdmissionMessage;
+use crate::tasks::cell::admission_report::ESTIMATE_INTERVAL;
 use crate::tasks::cell::advisor::{AdvisorMessage, PermitRequest};
 use crate::tasks::cell::decision_log::{log_notice, log_record, log_run_end, log_start_decision};
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC};
@@ -74,6 +76,8 @@
     pub own_sender: mpsc::Sender<OwnerMessage>,
     /// Sends messages to the task that distributes permit requests to the placement advisor.
     pub advisor_sender: mpsc::Sender<AdvisorMessage>,
+    /// Sends messages to the task that distributes notices of long waits.
+    pub admission_sender: mpsc::Sender<AdmissionMessage>,
     /// Configuration in force at the start of the term; `None` if none is known.
     pub config: Option<Arc<CellConfig>>,
     /// Zones that are out of service at the start of the term.
@@ -141,6 +145,8 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut summary = tokio::time::interval(SUMMARY_INTERVAL);
         summary.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut estimate = tokio::time::interval(ESTIMATE_INTERVAL);
+        estimate.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let due = state.scheduler.next_pass(Instant::now());
             tokio::select! {
@@ -158,6 +164,7 @@
                 Some(message) = jobs.recv() => state.apply_submissions(message),
                 Some(message) = registrations.recv() => self.handle_registrations(&mut state, message),
                 _ = summary.tick() => state.report_load(&self.metrics),
+                _ = estimate.tick() => state.report_waits().await,
                 _ = tick.tick() => {
                     let event = CellEvent::Tick(clock::unix_time());
                     state.scheduler.handle(event, Instant::now());
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -7,6 +7,7 @@
     CellEffect, CellEvent, CellScheduler, CommandOutcome, JobStatus, StartCommand, WorkerListing,
 };
 use crate::prelude::*;
+use crate::tasks::cell::admission_report::AdmissionReport;
 use crate::tasks::cell::decision_log::{log_start_not_sent, log_stop};
 use crate::tasks::cell::inbox;
 use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
@@ -28,6 +29,7 @@
 pub(super) struct OwnerState {
     pub(super) token: FencingToken,
     pub(super) scheduler: CellScheduler,
+    pub(super) admission: AdmissionReport,
     pub(super) log: TermLog<CellEffect>,
     pub(super) links: FastMap<WorkerId, (mpsc::Sender<LinkMessage>, CancellationToken)>,
     pub(super) registrations: FastMap<WorkerId, WorkerListing>,
@@ -80,6 +82,10 @@
             "load of the cell");
     }
 
+    pub(super) async fn report_waits(&mut self) {
+        self.admission.update(self.scheduler.state(), Instant::now()).await;
+    }
+
     /// Logs if the owner has stopped granting leases to workers, or grants them again.
     pub(super) fn note_ownership(&mut self, confirmed: bool) {
         if std::mem::replace(&mut self.ownership_confirmed, confirmed) == confirmed {
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -1,5 +1,5 @@
-//! Calls between entry processes over gRPC: queries to the owner of the cell, relayed records, and permit
-//! requests of the owner to the placement advisor.
+//! Calls between entry processes over gRPC: queries to the owner of the cell, relayed records, permit requests of
+//! the owner to the placement advisor, and its notices of long waits.
 
 use std::pin::Pin;
 
@@ -17,9 +17,11 @@
 use crate::proto::cell::cell_client::CellClient;
 use crate::proto::cell::cell_server::{Cell, CellServer};
 use crate::proto::cell::{
-    AdvisorAnswer, AdvisorGrant, AdvisorQuestion, CountReply, CountRequest, InspectReply, InspectRequest,
-    JobState, LocateReply, LocateRequest, RelayOutcome, RelayReply, RelayRequest,
+    AdmissionUpdate, AdvisorAnswer, AdvisorGrant, AdvisorQuestion, CountReply, CountRequest,
+    FollowAdmissionRequest, InspectReply, InspectRequest, JobState, LocateReply, LocateRequest, RelayOutcome,
+    RelayReply, RelayRequest,
 };
+use crate::tasks::cell::admission::{AdmissionMessage, NOTICE_CAPACITY, encode_notice};
 use crate::tasks::cell::advisor::AdvisorMessage;
 use crate::tasks::cell::claim::{ClaimMessage, OwnerLiveness};
 use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage, JobRecord};
@@ -213,7 +215,7 @@
     }
 }
 
-/// Serves the calls of other entry processes; `Inspect`, `Count` and `Assist` are rejected unless this
+/// Serves the calls of other entry processes; `Inspect`, `Count`, `Assist` and `FollowAdmission` are rejected unless this
 /// process owns the cell.
 pub struct CellService {
     /// Name of this process and its incarnation.
@@ -222,6 +224,8 @@
     pub route: watch::Receiver<OwnerRoute>,
     /// Sends messages to the task that distributes permit requests to the placement advisor.
     pub advisor_sender: mpsc::Sender<AdvisorMessage>,
+    /// Sends messages to the task that distributes notices of long waits.
+    pub admission_sender: mpsc::Sender<AdmissionMessage>,
     /// Sends messages to the task that follows the ownership of the cell.
     pub claim_sender: mpsc::Sender<ClaimMessage>,
     /// Sends messages to the task that admits calls.
@@ -326,6 +330,22 @@
         });
         Ok(Response::new(Box::pin(permit_requests)))
     }
+
+    type FollowAdmissionStream = Pin<Box<dyn Stream<Item = Result<AdmissionUpdate, Status>> + Send>>;
+
+    async fn follow_admission(
+        &self,
+        _: Request<FollowAdmissionRequest>,
+    ) -> Result<Response<Self::FollowAdmissionStream>, Status> {
+        self.owner()?;
+        let (follower, notices) = mpsc::channel(NOTICE_CAPACITY);
+        self.admission_sender
+            .send(AdmissionMessage::Followed(follower))
+            .await
+            .map_err(|_| Status::unavailable("the process is stopping"))?;
+        let updates = ReceiverStream::new(notices).map(|notice| Ok(encode_notice(notice)));
+        Ok(Response::new(Box::pin(updates)))
+    }
 }
 
 /// Serves the calls of other entry processes until the token is cancelled.
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -7,10 +7,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::kernel::cell::admission::{AdmissionGate, RefusalTally};
 use crate::kernel::cell::{ClaimWatch, HandoverWatch, MIN_OWNER_MILLICORES};
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::CHANNEL_CAPACITY;
+use crate::tasks::cell::admission::AdmissionTask;
 use crate::tasks::cell::advisor::AdvisorTask;
 use crate::tasks::cell::claim::{ClaimMessage, ClaimTask, OWNER_TIMEOUT};
 use crate::tasks::cell::config_feed::ConfigFeed;
@@ -71,6 +73,7 @@
         let (intake_sender, intake_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (claim_sender, claim_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (advisor_sender, advisor_inbox) = mpsc::channel(CHANNEL_CAPACITY);
+        let (admission_sender, admission_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (route, routes) = watch::channel(OwnerRoute::Unknown);
 
         actix_rt::spawn(metrics_pages.serve(metrics_listener, token.clone()));
@@ -86,15 +89,21 @@
             queue: SubmitQueue::new(store.clone(), submission_partition(&settings), metrics.clone()),
             route: routes.clone(),
             config: None,
+            gate: AdmissionGate::default(),
+            tally: RefusalTally::default(),
+            own_sender: intake_sender.clone(),
             metrics: metrics.clone(),
         };
         actix_rt::spawn(intake_task.run(intake_inbox, token.clone()));
         let advisor_task = AdvisorTask::new(advisor.clone(), advisor_sender.clone(), metrics.clone());
         actix_rt::spawn(advisor_task.run(advisor_inbox, token.clone()));
+        let admission_task = AdmissionTask { intake_sender: intake_sender.clone(), followers: Vec::new() };
+        actix_rt::spawn(admission_task.run(admission_inbox, token.clone()));
         let service = CellService {
             process: process.clone(),
             route: routes,
             advisor_sender: advisor_sender.clone(),
+            admission_sender: admission_sender.clone(),
             claim_sender: claim_sender.clone(),
             intake_sender: intake_sender.clone(),
         };
@@ -108,6 +117,8 @@
             store,
             advisor,
             advisor_sender,
+            admission_sender,
+            intake_sender: intake_sender.clone(),
             metrics,
             own_sender: claim_sender.clone(),
             route,
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, longest_real_time};
 use crate::prelude::*;
+use crate::tasks::cell::admission_report::AdmissionReport;
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
 use crate::tasks::cell::owner::{DEPOSED_LEASE_MARGIN, OwnerTask, TermEnd};
 use crate::tasks::cell::owner_state::OwnerState;
@@ -123,6 +124,7 @@
         let state = OwnerState {
             token: self.owner.token,
             scheduler,
+            admission: AdmissionReport::new(self.owner.admission_sender.clone()),
             log: TermLog::new(self.owner.store.clone(), self.owner.token),
             links: FastMap::default(),
             registrations: FastMap::default(),
--- a/src/tasks/cell/submit_queue.rs
+++ b/src/tasks/cell/submit_queue.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Whether a record of the job is not stored yet.
+    #[must_use]
+    pub fn holds(&self, job: &str) -> bool {
+        let in_flight = self.in_flight.iter().flat_map(|(group, _)| group);
+        self.waiting.iter().chain(in_flight).any(|record| &*record.id == job)
+    }
+
     /// Adds a record; its caller is answered once the record is stored, is known not to be stored, or
     /// `deadline` has passed. With `relay`, the owner's process behind that connection stores it if this
     /// process cannot.
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -124,12 +124,14 @@
 fn start_owner(store: StoreClient, token: &CancellationToken) -> Result<mpsc::Sender<OwnerMessage>> {
     let (owner, inbox) = mpsc::channel(64);
     let (advisor_sender, advisor_inbox) = mpsc::channel(64);
+    let (admission_sender, admission_inbox) = mpsc::channel(64);
     let task = OwnerTask {
         token: 2,
         adapter: CellAdapter::find(|_| Some(String::new())).or_fail()?.0,
         store,
         own_sender: owner.clone(),
         advisor_sender,
+        admission_sender,
         config: None,
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
@@ -140,7 +142,7 @@
     };
     let stop = token.clone();
     actix_rt::spawn(async move {
-        let _advisor_inbox = advisor_inbox;
+        let _inboxes = (advisor_inbox, admission_inbox);
         task.run(inbox, stop).await
     });
     Ok(owner)
--- a/tests/cell_recovery_log.rs
+++ b/tests/cell_recovery_log.rs
@@ -115,12 +115,14 @@
     keep_lines();
     let (owner, inbox) = mpsc::channel(64);
     let (advisor_sender, advisor_inbox) = mpsc::channel(64);
+    let (admission_sender, admission_inbox) = mpsc::channel(64);
     let task = OwnerTask {
         token,
         adapter: CellAdapter::find(|_| Some(String::new())).or_fail()?.0,
         store: log.into_store(),
         own_sender: owner,
         advisor_sender,
+        admission_sender,
         config: None,
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
@@ -132,7 +134,7 @@
     let stop = CancellationToken::new();
     let owner_stop = stop.clone();
     actix_rt::spawn(async move {
-        let _advisor_inbox = advisor_inbox;
+        let _inboxes = (advisor_inbox, admission_inbox);
         task.run(inbox, owner_stop).await
     });
     let line = await_line(&["message=\"cell recovered\"", &format!("token=\"{token}\"")]).await;
