--- a/src/kernel/cell/admission/admission_estimate.rs
+++ b/src/kernel/cell/admission/admission_estimate.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::admission::{ExpectedWait, WaitCause, WaitingWork};
+use crate::kernel::cell::admission::{ExpectedWait, ObservedWait, WaitCause, WaitingWork};
 use crate::kernel::cell::{CellState, GraphSpec, QueueRule, StepSpec, StepState};
 use crate::prelude::*;
 
@@ -8,6 +8,8 @@
 /// Expected waits of new jobs of one queue.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QueueEstimate {
+    /// Number of its ready steps with tasks that wait, without those of expired jobs.
+    pub waiting_steps: usize,
     /// Expected wait of a job of a team that has no work waiting in queues of this priority.
     pub other_teams: ExpectedWait,
     /// Expected waits of jobs of the teams that have work waiting, sorted by team.
@@ -39,6 +41,8 @@
     advisor_work: WaitingWork,
     /// Work of each team for its limit.
     limit_work: WaitingWork,
+    /// Number of ready steps of each queue.
+    steps: FastMap<QueueId, usize>,
     /// Number of processes that send permit requests to the advisor.
     proxies: f64,
 }
@@ -52,11 +56,40 @@
             .config
             .queues
             .iter()
-            .map(|(queue, rule)| (queue.clone(), backlog.queue(state, rule)))
+            .map(|(queue, rule)| (queue.clone(), backlog.queue(state, queue, rule)))
             .collect();
         queues.sort_by(|(left, _), (right, _)| left.cmp(right));
         Self { queues }
     }
+
+    /// Returns the expected wait of a new job; none for a queue without an estimate.
+    #[must_use]
+    pub fn wait(&self, queue: &QueueId, team: Option<&TeamId>) -> ExpectedWait {
+        let Ok(index) = self.queues.binary_search_by(|(name, _)| name.cmp(queue)) else {
+            return ExpectedWait::default();
+        };
+        let estimate = &self.queues[index].1;
+        let of_team = team.and_then(|team| {
+            let index = estimate.teams.binary_search_by(|(name, _)| name.cmp(team)).ok()?;
+            Some(estimate.teams[index].1)
+        });
+        of_team.unwrap_or(estimate.other_teams)
+    }
+
+    /// Raises the expected waits of teams that are shorter than the observed ones.
+    #[must_use]
+    pub fn raised_to(mut self, observed: Vec<ObservedWait>) -> Self {
+        for (queue, team, time) in observed {
+            let Ok(index) = self.queues.binary_search_by(|(name, _)| name.cmp(&queue)) else { continue };
+            let teams = &mut self.queues[index].1.teams;
+            if let Ok(index) = teams.binary_search_by(|(name, _)| name.cmp(&team))
+                && time > teams[index].1.time
+            {
+                teams[index].1 = ExpectedWait { time, cause: WaitCause::StartRate };
+            }
+        }
+        self
+    }
 }
 
 impl CellBacklog {
@@ -110,6 +143,7 @@
         rule: &QueueRule,
         estimate: Duration,
     ) {
+        *self.steps.entry(spec.queue.clone()).or_default() += 1;
         let tasks = f64::from(u32::try_from(step_state.waiting.len()).unwrap_or(u32::MAX));
         let work_time = if step.long_running { 0.0 } else { tasks * estimate.as_secs_f64() };
         let room = self.rooms.get(&rule.service).copied().unwrap_or_default();
@@ -128,7 +162,7 @@
         }
     }
 
-    fn queue(&self, state: &CellState, rule: &QueueRule) -> QueueEstimate {
+    fn queue(&self, state: &CellState, queue: &QueueId, rule: &QueueRule) -> QueueEstimate {
         let work = [self.room_work.get(&rule.service), self.excess_work.get(&rule.service)];
         let work = work.into_iter().flatten().chain([&self.advisor_work, &self.limit_work]);
         let mut teams: Vec<TeamId> = work.flat_map(WaitingWork::teams).cloned().collect();
@@ -138,7 +172,11 @@
             let wait = self.wait(state, rule, &team);
             (team, wait)
         });
-        QueueEstimate { teams: teams.collect(), other_teams: self.wait(state, rule, "") }
+        QueueEstimate {
+            waiting_steps: self.steps.get(queue).copied().unwrap_or_default(),
+            teams: teams.collect(),
+            other_teams: self.wait(state, rule, ""),
+        }
     }
 
     /// Returns the expected wait of a new job of a team; an empty name stands for a team without waiting work.
--- a/src/kernel/cell/admission/admission_watch.rs
+++ b/src/kernel/cell/admission/admission_watch.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use crate::kernel::cell::CellConfig;
-use crate::kernel::cell::admission::{AdmissionEstimate, AdmissionNotice, ExpectedWait, QueueWait};
+use crate::kernel::cell::admission::{AdmissionEstimate, AdmissionNotice, QueueWait};
 use crate::prelude::*;
 
 /// Time for which a wait has to last before processes are told of it. Shorter ones come from bursts that the
@@ -66,19 +66,3 @@
         waits.min().unwrap_or_default()
     }
 }
-
-impl AdmissionEstimate {
-    /// Returns the expected wait of a new job; none for a queue without an estimate.
-    #[must_use]
-    pub fn wait(&self, queue: &QueueId, team: Option<&TeamId>) -> ExpectedWait {
-        let Ok(index) = self.queues.binary_search_by(|(name, _)| name.cmp(queue)) else {
-            return ExpectedWait::default();
-        };
-        let estimate = &self.queues[index].1;
-        let of_team = team.and_then(|team| {
-            let index = estimate.teams.binary_search_by(|(name, _)| name.cmp(team)).ok()?;
-            Some(estimate.teams[index].1)
-        });
-        of_team.unwrap_or(estimate.other_teams)
-    }
-}
--- a/src/kernel/cell/admission/expected_wait.rs
+++ b/src/kernel/cell/admission/expected_wait.rs
@@ -13,6 +13,9 @@
     /// The limit of its team.
     #[display("team_limit")]
     TeamLimit,
+    /// Jobs of its queue and team start more slowly than they arrive, for another reason.
+    #[display("start_rate")]
+    StartRate,
 }
 
 /// How long a new job is expected to wait before its first task starts.
--- a/src/kernel/cell/admission/mod.rs
+++ b/src/kernel/cell/admission/mod.rs
@@ -11,6 +11,7 @@
 mod expected_wait;
 mod load_refusal;
 mod refusal_tally;
+mod start_rates;
 mod waiting_work;
 
 pub use admission_estimate::{AdmissionEstimate, QueueEstimate};
@@ -20,4 +21,5 @@
 pub use expected_wait::{ExpectedWait, WaitCause};
 pub use load_refusal::LoadRefusal;
 pub use refusal_tally::RefusalTally;
+pub use start_rates::{ObservedWait, StartRates};
 pub use waiting_work::WaitingWork;
--- a/src/tasks/cell/admission_report.rs
+++ b/src/tasks/cell/admission_report.rs
@@ -3,7 +3,7 @@
 use tokio::sync::mpsc;
 
 use crate::kernel::cell::CellState;
-use crate::kernel::cell::admission::{AdmissionEstimate, AdmissionWatch};
+use crate::kernel::cell::admission::{AdmissionEstimate, AdmissionWatch, StartRates};
 use crate::prelude::*;
 use crate::tasks::cell::admission::AdmissionMessage;
 use crate::tasks::cell::decision_log::milliseconds;
@@ -15,6 +15,7 @@
 
 /// State of the estimates of one term.
 pub(super) struct AdmissionReport {
+    rates: StartRates,
     watch: AdmissionWatch,
     sender: mpsc::Sender<AdmissionMessage>,
     logged_at: Option<Instant>,
@@ -24,12 +25,18 @@
 
 impl AdmissionReport {
     pub(super) fn new(sender: mpsc::Sender<AdmissionMessage>) -> Self {
-        Self { watch: AdmissionWatch::default(), sender, logged_at: None, is_long: false }
+        Self {
+            rates: StartRates::default(),
+            watch: AdmissionWatch::default(),
+            sender,
+            logged_at: None,
+            is_long: false,
+        }
     }
 
     /// Estimates the waits for the state of the cell at `now`, and gives notice of the long ones.
     pub(super) async fn update(&mut self, state: &CellState, now: Instant) {
-        let estimate = AdmissionEstimate::of(state, now);
+        let estimate = AdmissionEstimate::of(state, now).raised_to(self.rates.observe(state, now));
         if self.logged_at.is_none_or(|at| now.saturating_duration_since(at) >= LINE_INTERVAL) {
             self.logged_at = Some(now);
             log_waits(&estimate);
@@ -47,9 +54,9 @@
 
 /// Logs the expected waits of each queue in which work is waiting.
 fn log_waits(estimate: &AdmissionEstimate) {
-    for (queue, estimate) in &estimate.queues {
+    for (queue, estimate) in estimate.queues.iter().filter(|(_, estimate)| estimate.waiting_steps > 0) {
         let Some((team, longest)) = estimate.teams.iter().max_by_key(|(_, wait)| wait.time) else { continue };
-        log::info!(queue = &**queue, wait_ms = milliseconds(estimate.other_teams.time),
+        log::info!(queue = &**queue, waiting_steps = estimate.waiting_steps, wait_ms = milliseconds(estimate.other_teams.time),
             cause:% = estimate.other_teams.cause, longest_ms = milliseconds(longest.time),
             longest_cause:% = longest.cause, longest_team = &**team, teams = estimate.teams.len();
             "expected waits of a queue");
