--- a/src/kernel/cell/admission/admission_gate.rs
+++ b/src/kernel/cell/admission/admission_gate.rs
@@ -14,7 +14,7 @@
 const MIN_RUN_TIME_PERCENT: u32 = 70;
 /// Percentage of the usable wait above which refusals begin. They go on until the expected wait is usable, so
 /// that a wait near the limit does not change the answer from one call to the next.
-const REFUSE_ABOVE_PERCENT: u32 = 125;
+const REFUSE_ABOVE_PERCENT: u32 = 150;
 /// Shortest time after which a refused caller may try again.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Shortest spread of these times; answers give them in whole seconds.
