--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -80,6 +80,8 @@
         /// Workers to ask about.
         workers: Vec<WorkerId>,
     },
+    /// Ask a worker for the progress of its runs at once, beside the usual polls.
+    Look(WorkerId),
     /// Poll a worker and, once [`Self::RenewLease`] allows it, renew its lease.
     Watch(WorkerListing),
     /// Renew the lease of a worker that answers again.
--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellConfig, GraphSpec, PollReport, StepKey, TaskKey};
+use crate::kernel::cell::{CellConfig, GraphSpec, PollReport, RunningRun, StepKey, TaskKey};
 use crate::prelude::*;
 
 /// Entry of a worker in the platform's list of workers.
@@ -85,6 +85,8 @@
     StopAnswered(TaskKey, RunNumber, WorkerId, CommandOutcome),
     /// A worker answered a poll.
     WorkerPolled(WorkerId, PollReport),
+    /// An incarnation of a worker told the progress of its runs when it was asked beside the usual polls.
+    ProgressReported(WorkerId, WorkerIncarnation, Vec<RunningRun>),
     /// A worker does not answer, or another incarnation of it does. Every lease that the expected
     /// incarnation may hold has expired by the given time.
     WorkerUnresponsive(WorkerId, Instant),
--- a/src/kernel/cell/cell_notice.rs
+++ b/src/kernel/cell/cell_notice.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::EndedRun;
+use crate::kernel::cell::{EndedRun, SlowRun, TaskKey};
 use crate::prelude::*;
 
 /// An observation of the scheduler that changes nothing, for logs.
@@ -18,6 +18,17 @@
         /// task, as the job is unknown or the occurrence is complete.
         last_run: Option<RunNumber>,
     },
+    /// A run is stopped, so that its task starts again, as it is far slower than a new run would be.
+    SlowRun {
+        /// Worker that executes the run.
+        worker: WorkerId,
+        /// Task that the run belongs to.
+        task: TaskKey,
+        /// Number of the run.
+        run: RunNumber,
+        /// Why the run counts as slow.
+        slow: SlowRun,
+    },
     /// The lease of a worker that does not answer has expired.
     LeaseExpired {
         /// The worker.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,9 @@
 use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LossCause, PlacementPhase, PollReconciler,
-    PollReport, RecordReplayer, SkippedRecords, StartPass, StepKey, StragglerWatch, TaskKey, WorkerListing,
+    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause, PlacementPhase,
+    PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch, StartPass, StepKey,
+    TaskKey, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -79,8 +80,11 @@
 
     /// Applies one event; [`Self::decide`] returns the effects that follow from it.
     pub fn handle(&mut self, event: CellEvent, now: Instant) {
-        // An accepted start changes nothing that a start pass depends on.
-        self.changed |= !matches!(event, CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted));
+        // An accepted start and a report of progress change nothing that a start pass depends on.
+        self.changed |= !matches!(
+            event,
+            CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted) | CellEvent::ProgressReported(..)
+        );
         match event {
             CellEvent::Configured(config) => self.configure(config),
             CellEvent::ZonesClosed(zones) => self.set_closed_zones(zones),
@@ -108,6 +112,9 @@
                 }
             }
             CellEvent::WorkerPolled(worker, report) => self.apply_report(&worker, report, now),
+            CellEvent::ProgressReported(worker, incarnation, running) => {
+                self.apply_progress(&worker, incarnation, &running, now);
+            }
             CellEvent::WorkerUnresponsive(worker, lease_expires_at) => {
                 if let Some(slot) = self.state.slot(&worker)
                     && let Some(worker) = self.state.worker_mut(slot)
@@ -412,11 +419,36 @@
         PollReconciler { state: &mut self.state, slot, now }.apply(report);
     }
 
+    /// Notes the progress of the runs on a worker and judges them. Everything else about them follows from its
+    /// polls, as the answers may overtake each other.
+    fn apply_progress(
+        &mut self,
+        worker: &str,
+        incarnation: WorkerIncarnation,
+        running: &[RunningRun],
+        now: Instant,
+    ) {
+        let Some(slot) = self.state.slot(worker) else { return };
+        if self.state.worker(slot).is_none_or(|worker| worker.incarnation != Some(incarnation)) {
+            return;
+        }
+        for reported in running {
+            let placement = self.state.placements.get_mut(&reported.task);
+            if let Some(placement) =
+                placement.filter(|placement| placement.slot == slot && placement.run == reported.run)
+            {
+                placement.note_progress(reported.percent, now);
+            }
+        }
+        SlowRunWatch { state: &mut self.state, now }.run_on(slot);
+    }
+
     fn tick(&mut self, unix_time: Duration, now: Instant) {
         self.state.unix_time = unix_time;
         LeaseWatch { state: &mut self.state, now }.expire();
         self.stop_unconfirmed_gangs(now);
-        StragglerWatch { state: &mut self.state, now }.run();
+        SlowRunWatch { state: &mut self.state, now }.run();
+        LookPlanner { state: &mut self.state, now }.run();
         self.state.demote_late(now);
         let scheduled: Vec<JobId> = self
             .state
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -3,9 +3,9 @@
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus, LossCause,
-    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, StartCommand, StartInputs,
-    StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement,
-    TaskState,
+    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, SlowRunState,
+    StartCommand, StartInputs, StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate,
+    TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -49,6 +49,8 @@
     pub rates: SubmitRate,
     /// Ratios of observed to estimated run times, by queue.
     pub run_time_estimator: RunTimeEstimator,
+    /// What is known about slow runs.
+    pub slow_runs: SlowRunState,
     /// The part of its limit that each team keeps free for tasks of queues of priority 0, gangs and
     /// long-running tasks.
     pub headroom: PreemptionHeadroom,
@@ -170,6 +172,7 @@
         let Some(task) = state.tasks.get(key.index as usize) else { return };
         let payload = spec.payload.clone();
         let (run, checkpoint) = (task.last_run + 1, task.checkpoint.clone());
+        let resumed = checkpoint.is_some();
         let Some(inputs) = self.start_inputs(key, slot, now) else { return };
         let Some(worker) = self.worker(slot) else { return };
         let (worker, incarnation) = (worker.listing.worker.clone(), worker.incarnation);
@@ -186,7 +189,8 @@
             expires_at: now + COMMAND_VALIDITY,
         };
         self.effects.push(CellEffect::Start(command));
-        self.add_placement(key, TaskPlacement::new(slot, run, PlacementPhase::Starting, now));
+        let placement = TaskPlacement::new(slot, run, PlacementPhase::Starting, now);
+        self.add_placement(key, TaskPlacement { resumed, ..placement });
     }
 
     /// Returns the inputs of the decision to start a task, for logs.
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -4,6 +4,10 @@
 
 /// Time for which nothing is started on a worker after tasks of several jobs failed there.
 const SUSPENSION_PERIOD: Duration = Duration::from_secs(8);
+/// Misleading forecasts from which the reported progress is not relied on.
+const MIN_MISLEADING_FORECASTS: u32 = 2;
+/// Bounds the count of misleading forecasts, so that a worker that reports correctly again is relied on soon.
+const MAX_MISLEADING_FORECASTS: u32 = 4;
 
 /// State of one worker of the cell.
 #[derive(Clone, Debug)]
@@ -42,7 +46,9 @@
     pub tasks: FastSet<TaskKey>,
     /// Failures of tasks on the worker since the last success there.
     pub health: WorkerHealth,
-    /// Until when the worker is the last choice, as a straggler was stopped on it.
+    /// Forecasts from its reports that proved far too long, less those that proved right.
+    pub misleading_forecasts: u32,
+    /// Until when the worker is the last choice, as a slow run was stopped on it.
     pub slow_until: Option<Instant>,
     /// Until when nothing is started on the worker because of failures.
     pub suspended_until: Option<Instant>,
@@ -70,6 +76,7 @@
             capacity_being_freed: ResourceVector::default(),
             tasks: FastSet::default(),
             health: WorkerHealth::default(),
+            misleading_forecasts: 0,
             slow_until: None,
             suspended_until: None,
         }
@@ -93,7 +100,22 @@
             && self.suspended_until.is_none_or(|until| now >= until)
     }
 
-    /// Whether a straggler was stopped on the worker a short time ago.
+    /// Notes whether the forecast from its reports about a run that is done was far too long.
+    pub fn note_forecast(&mut self, misled: bool) {
+        self.misleading_forecasts = if misled {
+            (self.misleading_forecasts + 1).min(MAX_MISLEADING_FORECASTS)
+        } else {
+            self.misleading_forecasts.saturating_sub(1)
+        };
+    }
+
+    /// Whether the reported progress of its runs is not to be relied on.
+    #[must_use]
+    pub const fn has_misleading_reports(&self) -> bool {
+        self.misleading_forecasts >= MIN_MISLEADING_FORECASTS
+    }
+
+    /// Whether a slow run was stopped on the worker a short time ago.
     #[must_use]
     pub fn had_recent_straggler(&self, now: Instant) -> bool {
         self.slow_until.is_some_and(|until| now < until)
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
-    CellRecord, CellState, EndCause, EndSource, JobStatus, PlacementPhase, TaskKey, TaskPlacement,
+    CellRecord, CellState, EndCause, EndSource, ExpectationSource, JobStatus, PlacementPhase, RunForecast,
+    StepExpectations, TaskKey, TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -7,6 +8,10 @@
 const RESTART_BACKOFF: Duration = Duration::from_millis(500);
 /// A long-running task that fails within this time after its placement waits for [`RESTART_BACKOFF`].
 const SHORT_RUN_TIME: Duration = Duration::from_secs(2);
+/// Forecast time left, as a multiple of the actual one and beyond a margin, from which reports were misleading.
+const MISLEADING_FACTOR: u32 = 3;
+/// The margin of [`MISLEADING_FACTOR`].
+const MISLEADING_MARGIN: Duration = Duration::from_millis(500);
 
 /// Applies the end of a run to its task, its step, its job and the health of its worker.
 pub struct EndHandler<'a> {
@@ -33,6 +38,7 @@
             return self.apply_late_end(key, run, cause);
         }
         let Some(placement) = self.state.remove_placement(key) else { return false };
+        self.learn_stop_time(&placement, cause);
         let record = CellRecord::Ended(key.clone(), run, cause, checkpoint.clone());
         self.state.record_end(record, self.reporter.unwrap_or(placement.slot), EndSource::Reported);
         self.state.set_checkpoint(key, checkpoint);
@@ -69,9 +75,32 @@
         }
         let (queue, estimate) = (spec.queue.clone(), step.estimate);
         self.state.run_time_estimator.observe(&queue, estimate, took);
+        let siblings = StepExpectations::default().of(self.state, &key.step, self.now);
+        let profiles = &mut self.state.slow_runs;
+        profiles.estimate_profiles.entry(queue.clone()).or_default().observe(estimate, took);
+        if let Some(siblings) = siblings.filter(|siblings| siblings.source == ExpectationSource::Siblings) {
+            profiles.sibling_profiles.entry(queue).or_default().observe(siblings.run_time, took);
+        }
         if let Some(state) = self.state.step_mut(&key.step) {
-            state.completed_run_times.0 += took;
-            state.completed_run_times.1 += 1;
+            state.completed_run_times.push(took);
+        }
+        self.learn_from_forecast(placement);
+    }
+
+    /// Notes whether the reports of the worker about a run that is done foretold its end.
+    fn learn_from_forecast(&mut self, placement: &TaskPlacement) {
+        let Some(forecast) = RunForecast::of(placement, placement.reported_at) else { return };
+        let took = self.now.saturating_duration_since(placement.reported_at);
+        let misled = forecast.left > took * MISLEADING_FACTOR + MISLEADING_MARGIN;
+        if let Some(worker) = self.state.worker_mut(placement.slot) {
+            worker.note_forecast(misled);
+        }
+    }
+
+    /// Learns from the end of a stopped run how long a stop takes.
+    fn learn_stop_time(&mut self, placement: &TaskPlacement, cause: EndCause) {
+        if let Some(sent) = placement.stop_sent.filter(|_| cause == EndCause::Stopped) {
+            self.state.slow_runs.stop_cost.observe(self.now.saturating_duration_since(sent));
         }
     }
 
--- a/src/kernel/cell/job_snapshot.rs
+++ b/src/kernel/cell/job_snapshot.rs
@@ -8,7 +8,7 @@
 
 /// State of a job that a new owner needs, recorded before the store drops the earlier records of the job.
 ///
-/// Backoffs, the numbers of preemptions and straggler restarts, permits and averages of run times are left
+/// Backoffs, the numbers of preemptions and slow restarts, permits and averages of run times are left
 /// out; they start anew.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSnapshot {
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -40,13 +40,13 @@
 mod run_end;
 mod run_time_estimator;
 mod skipped_records;
+mod slow_runs;
 mod start_pass;
 mod step_key;
 mod step_ranking;
 mod step_spec;
 mod step_state;
 mod store_health;
-mod straggler_watch;
 mod submit_rate;
 mod task_key;
 mod task_placement;
@@ -83,13 +83,16 @@
 pub use run_end::{EndSource, LossCause, RunEnd};
 pub use run_time_estimator::RunTimeEstimator;
 pub use skipped_records::SkippedRecords;
+pub use slow_runs::{
+    CallerSlack, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast, RunTimeProfile,
+    SlowRun, SlowRunEvidence, SlowRunState, SlowRunWatch, StepExpectations, StopCost,
+};
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
 pub use step_ranking::StepRanking;
 pub use step_spec::StepSpec;
 pub use step_state::{JobLateness, StepRank, StepState, StepWait, TaskState};
 pub use store_health::StoreHealth;
-pub use straggler_watch::StragglerWatch;
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -16,8 +16,8 @@
     pub done: bool,
     /// Number of preemptions, which lengthen its backoff.
     pub preemptions: u32,
-    /// Number of restarts as a straggler.
-    pub straggler_restarts: u32,
+    /// Number of restarts as a slow run.
+    pub slow_restarts: u32,
     /// End of the backoff after a preemption, or after a long-running task failed soon after it was placed.
     pub not_before: Option<Instant>,
 }
@@ -96,8 +96,8 @@
     pub gang_failures: (u32, RunNumber),
     /// Verdicts of the advisor on the workers for this step.
     pub permit_cache: PermitCache,
-    /// Sum and number of the run times of completed tasks.
-    pub completed_run_times: (Duration, u32),
+    /// Run times of completed tasks, without those that resumed from a checkpoint.
+    pub completed_run_times: Vec<Duration>,
     /// Rank in the order of starts; `None` until the dependencies of the step are complete.
     pub rank: Option<StepRank>,
     /// Why tasks waited when a pass last tried to place the step.
@@ -116,15 +116,9 @@
             per_worker: FastMap::default(),
             gang_failures: (0, 0),
             permit_cache: PermitCache::default(),
-            completed_run_times: (Duration::ZERO, 0),
+            completed_run_times: Vec::new(),
             rank: None,
             wait_reason: None,
         }
     }
-
-    /// Returns the mean run time of completed tasks; `None` if there are none.
-    #[must_use]
-    pub fn mean_run_time(&self) -> Option<Duration> {
-        self.completed_run_times.0.checked_div(self.completed_run_times.1)
-    }
 }
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -1,12 +1,5 @@
 use crate::prelude::*;
 
-/// Run time that a report has to cover before the pace of the run is estimated.
-const MIN_REPORTED_RUN_TIME: Duration = Duration::from_millis(300);
-/// Progress in percent below which the pace of a run is not estimated.
-const MIN_PROGRESS_PERCENT: u32 = 4;
-/// Minimum progress in percent in the first report of a run for it to count as resumed from a checkpoint.
-const RESUMED_PROGRESS_PERCENT: u32 = 35;
-
 /// What is known about the start of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementPhase {
@@ -39,8 +32,15 @@
     pub stop_sent: Option<Instant>,
     /// Newest progress in percent, and when it last changed.
     pub progress: (u32, Instant),
-    /// Progress in the first report, which is high if the run resumed from a checkpoint.
-    pub first_progress: Option<u32>,
+    /// Progress, and when it was reported, from which the pace of the run is counted; `None` if it is counted from
+    /// the start of the run.
+    pub progress_base: Option<(u32, Instant)>,
+    /// Whether the reported progress went back at some time, so that it says nothing.
+    pub progress_doubtful: bool,
+    /// Whether the worker was asked for the progress of the run out of turn.
+    pub looked_at: bool,
+    /// Whether the run began with work done before, by a checkpoint or under an earlier owner.
+    pub resumed: bool,
     /// When a report of the worker last contained the run; the time of the placement before that.
     pub reported_at: Instant,
 }
@@ -58,43 +58,26 @@
             stop_confirmed: None,
             stop_sent: None,
             progress: (0, now),
-            first_progress: None,
+            progress_base: None,
+            progress_doubtful: false,
+            looked_at: false,
+            resumed: matches!(phase, PlacementPhase::Inherited),
             reported_at: now,
         }
     }
 
     /// Records the progress in a report of the worker.
     pub fn note_progress(&mut self, percent: u32, now: Instant) {
-        self.first_progress.get_or_insert(percent);
+        if self.resumed {
+            self.progress_base.get_or_insert((percent, now));
+        }
+        self.progress_doubtful |= percent < self.progress.0;
         if self.progress.0 != percent {
             self.progress = (percent, now);
         }
         self.reported_at = now;
     }
 
-    /// Returns the estimated remaining run time, if the run keeps the pace that it had since
-    /// `confirmed_at`, when its start was confirmed. `None` if the run has made no progress; zero if too
-    /// little is known.
-    #[must_use]
-    pub fn estimated_time_left(&self, confirmed_at: Instant, now: Instant) -> Option<Duration> {
-        // The first poll comes soon after the start, so little was done before it unless a checkpoint was
-        // used.
-        let resumed_percent =
-            self.first_progress.filter(|first| *first >= RESUMED_PROGRESS_PERCENT).unwrap_or_default();
-        let done_percent = self.progress.0.saturating_sub(resumed_percent);
-        let left_percent = 100 - self.progress.0.min(100);
-        let reported_run_time = self.reported_at.saturating_duration_since(confirmed_at);
-        // Progress in whole percents says little about the pace of a run that has just begun.
-        if reported_run_time < MIN_REPORTED_RUN_TIME
-            || (done_percent > 0 && done_percent < MIN_PROGRESS_PERCENT)
-        {
-            return Some(Duration::ZERO);
-        }
-        let time_left = (done_percent > 0)
-            .then(|| reported_run_time.mul_f64(f64::from(left_percent) / f64::from(done_percent)))?;
-        Some(time_left.saturating_sub(now.saturating_duration_since(self.reported_at)))
-    }
-
     /// Whether a poll that was sent at `poll_sent_at` and whose report lacks the run proves that it does
     /// not run.
     #[must_use]
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -39,6 +39,8 @@
     Stop(StopCommand),
     /// The lease of the worker may be renewed, unless it was silent since the poll that was sent at this time.
     RenewLease(Instant),
+    /// Ask for the progress of the runs at once, beside the open poll.
+    Look,
     /// The ends that this incarnation of the worker reported are recorded up to this number.
     Acknowledge(WorkerIncarnation, TaskEndNumber),
 }
@@ -107,6 +109,7 @@
             not_before: None,
         };
         let mut poll: Option<LocalBoxFuture<'static, PollOutcome>> = None;
+        let mut look: Option<LocalBoxFuture<'static, PollOutcome>> = None;
         loop {
             let delay = poll_state.poll_delay();
             if poll.is_none() && delay.is_none() {
@@ -129,8 +132,16 @@
                         return;
                     }
                 }
+                outcome = await_optional(&mut look) => {
+                    look = None;
+                    self.finish_look(outcome).await;
+                }
                 message = inbox.recv() => {
                     let Some(message) = message else { return };
+                    // An open look will also tell the progress that another one would.
+                    if matches!(message, LinkMessage::Look) && poll_state.answered && look.is_none() {
+                        look = Some(self.look());
+                    }
                     self.handle(message, &mut poll_state, &commands);
                 }
                 () = tokio::time::sleep(delay.unwrap_or_default()), if poll.is_none() && delay.is_some() => {
@@ -174,7 +185,7 @@
                 poll_state.renewable |= poll_state.silent_at.is_none_or(|silent_at| polled_at >= silent_at);
                 poll_state.poll_if_ready();
             }
-            LinkMessage::Acknowledge(..) => {}
+            LinkMessage::Acknowledge(..) | LinkMessage::Look => {}
         }
     }
 
@@ -216,6 +227,33 @@
         (self.client.poll)(request)
     }
 
+    /// Asks for the progress of the runs at once. This renews no lease and acknowledges no ends.
+    fn look(&self) -> LocalBoxFuture<'static, PollOutcome> {
+        self.metrics.looks.inc();
+        (self.client.poll)(PollRequest {
+            token: self.token,
+            acknowledged: 0,
+            lease: None,
+            wait: Duration::ZERO,
+        })
+    }
+
+    /// Passes on the reported progress. Ends, and workers that do not answer, are left to the polls.
+    async fn finish_look(&self, outcome: PollOutcome) {
+        match outcome {
+            PollOutcome::Answered(report, _) => {
+                let worker = self.worker.clone();
+                let event = CellEvent::ProgressReported(worker, report.incarnation, report.running);
+                self.send_to_owner(OwnerMessage::Event(event)).await;
+            }
+            PollOutcome::Fenced => self.send_to_owner(OwnerMessage::Fenced(self.worker.clone())).await,
+            PollOutcome::Replaced => {}
+            PollOutcome::Failed(reason) => {
+                log::debug!(worker = &*self.worker, reason = &*reason; "worker does not tell its progress");
+            }
+        }
+    }
+
     /// Applies the answer to a command; returns whether it is the first one that shows that the worker has
     /// restarted since its last answer to a poll.
     async fn finish_command(&mut self, answer: LinkAnswer, poll_state: &mut PollState) -> bool {
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder, exponential_buckets,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    exponential_buckets,
 };
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
@@ -29,6 +30,8 @@
     pub store_seconds: Histogram,
     /// Start and stop commands to workers, by kind and outcome.
     pub commands: IntCounterVec,
+    /// Requests to workers for the progress of their runs, beside the usual polls.
+    pub looks: IntCounter,
     /// Ended runs, by cause.
     pub run_ends: IntCounterVec,
     /// Decisions to stop a run, by reason.
@@ -77,6 +80,9 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let looks =
+            IntCounter::new("godwithaven_progress_requests_total", "Requests for the progress of runs")?;
+        registry.register(Box::new(looks.clone()))?;
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
@@ -85,6 +91,7 @@
                 "Time from a submission or cancellation to its answer",
             )?,
             commands: counter("godwithaven_orders_total", "Orders to workers", &["kind", "outcome"])?,
+            looks,
             run_ends: counter("godwithaven_run_ends_total", "Ended runs", &["cause"])?,
             run_stops: counter("godwithaven_run_stops_total", "Stopped runs", &["reason"])?,
             appends: counter("godwithaven_owner_appends_total", "Appends of the owner", &["result"])?,
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -253,7 +253,9 @@
                     }
                 }
                 CellEffect::Watch(listing) => self.open_link(state, &listing, token),
-                CellEffect::RenewLease { after_records: false, .. } => state.apply_effect(effect, true).await,
+                CellEffect::RenewLease { after_records: false, .. } | CellEffect::Look(_) => {
+                    state.apply_effect(effect, true).await;
+                }
                 CellEffect::Unwatch(worker) => {
                     if let Some((_, stop)) = state.links.remove(&worker) {
                         stop.cancel();
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -155,6 +155,7 @@
                 self.unpublished.remove(&job);
                 return;
             }
+            CellEffect::Look(worker) => (worker, LinkMessage::Look),
             CellEffect::RenewLease { worker, polled_at, .. } => (worker, LinkMessage::RenewLease(polled_at)),
             CellEffect::Acknowledge(worker, incarnation, number) => {
                 (worker, LinkMessage::Acknowledge(incarnation, number))
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -36,6 +36,8 @@
     pub permit_requests: Vec<(String, usize)>,
     /// Workers whose lease may be renewed, and whether only after the records so far are stored.
     pub renewals: Vec<(String, bool)>,
+    /// Workers that were asked for the progress of their runs beside the usual polls.
+    pub looks: Vec<String>,
     /// Kinds of the records, starts and publications, in the order in which they were emitted.
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
@@ -107,6 +109,7 @@
             CellEffect::RenewLease { worker, after_records, .. } => {
                 self.renewals.push((worker.to_string(), after_records));
             }
+            CellEffect::Look(worker) => self.looks.push(worker.to_string()),
             CellEffect::Watch(_) | CellEffect::Unwatch(_) | CellEffect::Acknowledge(..) => {}
         }
     }
@@ -172,6 +175,7 @@
         stops: Vec::new(),
         permit_requests: Vec::new(),
         renewals: Vec::new(),
+        looks: Vec::new(),
         effect_order: Vec::new(),
         answers_first_poll: true,
         ends: FastMap::default(),
