--- a/src/kernel/cell/admission/admission_estimate.rs
+++ b/src/kernel/cell/admission/admission_estimate.rs
@@ -1,5 +1,5 @@
 use crate::kernel::cell::admission::{ExpectedWait, ObservedWait, WaitCause, WaitingWork};
-use crate::kernel::cell::{CellState, GraphSpec, QueueRule, StepSpec, StepState};
+use crate::kernel::cell::{CellState, GraphSpec, QueueRule, StepClass, StepSpec, StepState};
 use crate::prelude::*;
 
 /// Number of workers that a permit request is expected to name.
@@ -107,14 +107,21 @@
         backlog.subtract_long_running(state);
         for (rank, key) in &state.ready {
             // Steps of expired jobs come after those of new jobs.
-            if rank.expired {
+            if rank.class == StepClass::Expired {
                 continue;
             }
             if let Some((spec, step, step_state)) = state.step(key)
                 && let Some(rule) = state.config.queues.get(&spec.queue)
             {
                 let estimate = state.run_time_estimator.corrected_run_time(&spec.queue, step.estimate);
-                backlog.add(rank.excess, spec, step, step_state, rule, estimate.unwrap_or(step.estimate));
+                backlog.add(
+                    rank.class == StepClass::Excess,
+                    spec,
+                    step,
+                    step_state,
+                    rule,
+                    estimate.unwrap_or(step.estimate),
+                );
             }
         }
         backlog
--- a/src/kernel/cell/admission/start_rates.rs
+++ b/src/kernel/cell/admission/start_rates.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellJob, CellState, JobStatus};
+use crate::kernel::cell::{CellJob, CellState, JobStatus, StepClass};
 use crate::prelude::*;
 
 /// Rates at which jobs of each queue and team have started lately.
@@ -54,7 +54,7 @@
 fn has_first_start(job: &CellJob) -> bool {
     let is_expired = || {
         let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        steps.filter_map(|step| step.rank).any(|rank| rank.expired)
+        steps.filter_map(|step| step.rank).any(|rank| rank.class == StepClass::Expired)
     };
     !job.excess
         && job.spec.schedule.is_none()
--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -16,8 +16,8 @@
 pub struct QueueRule {
     /// Service whose workers run the tasks of the queue.
     pub service: ServiceId,
-    /// Priority of the queue, 0 first. Jobs above the rate of their team rank after all others, whatever
-    /// their priority.
+    /// Priority of the queue, 0 first. It decides within a class of steps, see
+    /// [`StepClass`](crate::kernel::cell::StepClass).
     pub priority: u32,
     /// Failed attempts of a task or gang after which its job fails.
     pub max_attempts: u32,
@@ -39,8 +39,8 @@
 /// Configuration of a team.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamRule {
-    /// Submission rate of the team in jobs per second, taken from its configured weight. Jobs above the
-    /// rate of their team rank behind all others.
+    /// Configured weight of the team: its submission rate in jobs per second, above which jobs rank behind those
+    /// of other teams, and its weight in the comparison of shares.
     pub weight: u32,
     /// Limit on the resources of the team's running tasks; a dimension of 0 has no limit.
     pub limit: ResourceVector,
--- a/src/kernel/cell/cell_notice.rs
+++ b/src/kernel/cell/cell_notice.rs
@@ -29,6 +29,15 @@
         /// Why the run counts as slow.
         slow: SlowRun,
     },
+    /// A team is far above its weighted share of what runs while others wait, or no longer so.
+    ShareStandingChanged {
+        /// The team.
+        team: TeamId,
+        /// Whether it is far above its share now.
+        above: bool,
+        /// Resources of its placed tasks.
+        used: ResourceVector,
+    },
     /// The lease of a worker that does not answer has expired.
     LeaseExpired {
         /// The worker.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -236,6 +236,7 @@
             // `zip` serves as a map here; the second operand is ignored.
             let limit = rule.limit.zip(ResourceVector::default(), |amount, _| zero_as_unlimited(amount));
             self.state.shares.set_allotment(team, limit);
+            self.state.shares.set_weight(team, rule.weight);
         }
         self.state.config = config;
     }
@@ -449,7 +450,7 @@
         self.stop_unconfirmed_gangs(now);
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
-        self.state.demote_late(now);
+        self.state.rerank(now);
         let scheduled: Vec<JobId> = self
             .state
             .jobs
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,10 +2,10 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus, LossCause,
-    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, SlowRunState,
-    StartCommand, StartInputs, StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate,
-    TaskKey, TaskPlacement, TaskState,
+    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus,
+    LossCause, OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, ShareStanding,
+    SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState,
+    StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -45,6 +45,8 @@
     pub ready: BTreeSet<(StepRank, StepKey)>,
     /// Resources that each team uses, and its limit, which is called allotment there.
     pub shares: ShareAccounting,
+    /// Teams far above their weighted share.
+    pub share_standing: ShareStanding,
     /// Submission rates of the teams.
     pub rates: SubmitRate,
     /// Ratios of observed to estimated run times, by queue.
@@ -148,14 +150,17 @@
         }
     }
 
-    /// Updates the rank of each ready step whose job has reached a worse
-    /// [`JobLateness`](crate::kernel::cell::JobLateness) since the step was ranked.
-    pub fn demote_late(&mut self, now: Instant) {
+    /// Updates the rank of each ready step whose class, lateness or team standing has changed since it was
+    /// ranked.
+    pub fn rerank(&mut self, now: Instant) {
+        self.compare_shares();
         let stale: Vec<(StepRank, StepKey, StepRank)> = self
             .ready
             .iter()
-            .map(|(rank, key)| (*rank, key.clone(), StepRanking { state: self }.rank(key, now)))
-            .filter(|(old, _, new)| old.lateness < new.lateness)
+            .filter_map(|(rank, key)| {
+                let new = rank.replaced_by(StepRanking { state: self }.rank(key, now))?;
+                Some((*rank, key.clone(), new))
+            })
             .collect();
         for (old, key, new) in stale {
             self.ready.remove(&(old, key.clone()));
@@ -166,6 +171,21 @@
         }
     }
 
+    /// Compares the shares of the teams, and emits a log effect for each team whose standing has changed.
+    fn compare_shares(&mut self) {
+        let waits = |step: &StepState| {
+            step.rank.is_some_and(|rank| rank.class <= StepClass::Useful)
+                && matches!(step.wait_reason, Some(StepWait::Room | StepWait::Permit))
+        };
+        let steps = self.ready.iter().filter_map(|(_, key)| self.step(key));
+        let waiting: FastSet<TeamId> =
+            steps.filter(|(_, _, step)| waits(step)).map(|(spec, ..)| spec.team.clone()).collect();
+        for (team, above) in self.share_standing.update(&self.shares, &waiting) {
+            let used = self.shares.used(&team);
+            self.effects.push(CellEffect::Log(CellNotice::ShareStandingChanged { team, above, used }));
+        }
+    }
+
     /// Places a waiting task on a worker, and emits the record and the command of its start.
     pub fn start(&mut self, key: &TaskKey, slot: u32, ticket: Option<PermitTicket>, now: Instant) {
         let Some((spec, _, state)) = self.step(&key.step) else { return };
@@ -279,14 +299,18 @@
     /// Lets a task wait to be placed again, unless it is done or its job is closed.
     pub fn requeue(&mut self, key: &TaskKey) {
         let live = self.jobs.get(&key.step.job).is_some_and(|job| !job.status.is_final());
+        let long_running = self.step(&key.step).is_some_and(|(_, step, _)| step.long_running);
         let Some(state) = self.step_mut(&key.step).filter(|_| live) else { return };
         if state.tasks.get(key.index as usize).is_none_or(|task| task.done) {
             return;
         }
         state.waiting.insert(key.index);
-        if let Some(rank) = state.rank {
-            self.ready.insert((rank, key.step.clone()));
-        }
+        let Some(rank) = state.rank else { return };
+        let has_run_before = state.tasks.get(key.index as usize).is_some_and(|task| task.last_run > 0);
+        let new_rank = if long_running && has_run_before { rank.of_restart() } else { rank };
+        state.rank = Some(new_rank);
+        self.ready.remove(&(rank, key.step.clone()));
+        self.ready.insert((new_rank, key.step.clone()));
     }
 
     /// Emits the record that a run has ended or will never start, without a report of its worker, and
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellState, PlacementPhase, StepWait};
+use crate::kernel::cell::{CellState, ClassSummary, PlacementPhase, StepRanking, StepWait};
 use crate::prelude::*;
 
 /// Load of the workers of one service.
@@ -40,6 +40,10 @@
     pub requesting_steps: usize,
     /// Number of ready steps by wait reason.
     pub waits: WaitSummary,
+    /// Number of ready steps by class.
+    pub classes: ClassSummary,
+    /// Number of ready steps whose job has no estimate from which its lateness can be told.
+    pub unestimated_steps: usize,
     /// Number of tasks in ready steps that wait to be placed.
     pub waiting_tasks: usize,
     /// Number of placed tasks.
@@ -54,7 +58,10 @@
     /// Returns the load of a cell at `now`.
     #[must_use]
     pub fn of(state: &CellState, now: Instant) -> Self {
+        let ranking = StepRanking { state };
         let steps = state.ready.iter().filter_map(|(_, key)| state.step(key));
+        let unestimated = steps.clone().filter(|(spec, ..)| !ranking.has_usable_estimate(spec));
+        let unestimated_steps = unestimated.count();
         let steps: Vec<_> = steps.map(|(_, _, step)| step).collect();
         let unconfirmed = |phase: PlacementPhase| !matches!(phase, PlacementPhase::Running(_));
         let count = |wait: StepWait| steps.iter().filter(|step| step.wait_reason == Some(wait)).count();
@@ -75,6 +82,8 @@
                 permit: count(StepWait::Permit),
                 room: count(StepWait::Room),
             },
+            classes: ClassSummary::of(state.ready.iter().map(|(rank, _)| rank.class)),
+            unestimated_steps,
             waiting_tasks: steps.iter().map(|step| step.waiting.len()).sum(),
             placed_tasks: state.placements.len(),
             unconfirmed_tasks: state
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -31,11 +31,10 @@
 mod job_snapshot;
 mod job_status;
 mod lease_watch;
+mod order;
 mod permit_cache;
 mod poll_reconciler;
 mod poll_report;
-mod preemption_headroom;
-mod preemption_rule;
 mod record_replayer;
 mod replay_outcome;
 mod run_end;
@@ -44,14 +43,12 @@
 mod slow_runs;
 mod start_pass;
 mod step_key;
-mod step_ranking;
 mod step_spec;
 mod step_state;
 mod store_health;
 mod submit_rate;
 mod task_key;
 mod task_placement;
-mod victim_search;
 mod worker_lease;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -74,11 +71,13 @@
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use lease_watch::LeaseWatch;
+pub use order::{
+    ClassSummary, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding, StepClass,
+    StepRank, StepRanking, TaskRank, VictimSearch,
+};
 pub use permit_cache::PermitCache;
 pub use poll_reconciler::PollReconciler;
 pub use poll_report::{EndCause, EndedRun, PollReport, RunningRun};
-pub use preemption_headroom::PreemptionHeadroom;
-pub use preemption_rule::PreemptionRule;
 pub use record_replayer::RecordReplayer;
 pub use replay_outcome::ReplayOutcome;
 pub use run_end::{EndSource, LossCause, RunEnd};
@@ -90,12 +89,10 @@
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
-pub use step_ranking::StepRanking;
 pub use step_spec::StepSpec;
-pub use step_state::{JobLateness, StepRank, StepState, StepWait, TaskState};
+pub use step_state::{StepState, StepWait, TaskState};
 pub use store_health::StoreHealth;
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
-pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/preemption_rule.rs
+++ b/src/kernel/cell/order/preemption_rule.rs
@@ -17,6 +17,8 @@
     pub priority: u32,
     /// Whether the tasks of the step have no end of their own.
     pub long_running: bool,
+    /// Whether the class of the step may claim room at all; false for expired steps.
+    pub may_claim_room: bool,
     /// Latest start with which the job still meets its next limit; `None` if the step has no rank.
     pub latest_start: Option<Instant>,
 }
@@ -28,15 +30,18 @@
         Self {
             priority: rule.priority,
             long_running: step.long_running,
+            may_claim_room: rank.is_none_or(|rank| rank.may_claim_room()),
             latest_start: rank.map(|rank| rank.latest_start),
         }
     }
 
-    /// Whether the step may preempt now. Steps of queues of priority 0 and long-running ones always may.
+    /// Whether the step may preempt now. Expired steps never may; long-running ones and those of queues of
+    /// priority 0 always may otherwise.
     #[must_use]
     pub fn may_preempt(&self, now: Instant) -> bool {
-        self.priority == 0
+        let is_urgent = self.priority == 0
             || self.long_running
-            || self.latest_start.is_some_and(|latest| latest <= now + PREEMPTION_SLACK)
+            || self.latest_start.is_some_and(|latest| latest <= now + PREEMPTION_SLACK);
+        self.may_claim_room && is_urgent
     }
 }
--- a/src/kernel/cell/victim_search.rs
+++ b/src/kernel/cell/order/victim_search.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellState, PlacementPhase, TaskKey, TaskPlacement};
+use crate::kernel::cell::{CellState, PlacementPhase, TaskKey, TaskPlacement, TaskRank};
 use crate::prelude::*;
 
 /// Run time up to which a task without checkpoints may be preempted, as it loses little work.
@@ -14,12 +14,6 @@
     pub rank: TaskRank,
 }
 
-/// Urgency of a task; lower ranks are more urgent. Holds whether the job was submitted above the rate of
-/// its team, then the priority of its queue. These are the first two fields of a
-/// [`StepRank`](crate::kernel::cell::StepRank); the others decide on the order of starts but not on
-/// preemptions.
-pub type TaskRank = (bool, u32);
-
 /// A task that may be preempted.
 struct Victim<'a> {
     key: &'a TaskKey,
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -11,13 +11,15 @@
 use pending_step::PendingStep;
 use worker_demand::WorkerDemand;
 
-use crate::kernel::cell::{CellState, PreemptionRule, StepKey, StepWait, TaskRank};
+use crate::kernel::cell::{
+    CellState, PassOrder, PreemptionRule, StepClass, StepKey, StepRank, StepWait, TaskRank,
+};
 use crate::prelude::*;
 
 /// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
 const MAX_STEPS_PER_PASS: usize = 4_000;
 /// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same
-/// priority that need the same kind of worker. The search over the workers costs most of a pass, and the
+/// class and priority that need the same kind of worker. The search over the workers costs most of a pass, and the
 /// skipped steps would hardly find room or a permit either.
 const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
 /// Number of preemptions after which a pass starts no further one. The tasks that have to stop on a worker
@@ -60,17 +62,16 @@
 
     /// Tries to place the ready steps in the order of their ranks.
     pub fn run(mut self) {
-        let steps: Vec<StepKey> =
-            self.state.ready.iter().take(MAX_STEPS_PER_PASS).map(|(_, key)| key.clone()).collect();
-        for key in steps {
-            self.place(&key);
+        let steps = PassOrder { state: self.state, now: self.now }.steps(MAX_STEPS_PER_PASS);
+        for (rank, key) in steps {
+            self.place(&key, rank);
         }
     }
 
-    fn place(&mut self, key: &StepKey) {
+    fn place(&mut self, key: &StepKey, rank: StepRank) {
         let Some((spec, step, state)) = self.state.step(key) else { return };
         let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
-        let demand = WorkerDemand::of(step, rule);
+        let demand = WorkerDemand::of(step, rule, rank.class);
         if self.blocked_steps.get(&demand).is_some_and(|blocked| *blocked >= MAX_BLOCKED_STEPS_PER_DEMAND) {
             return;
         }
@@ -79,7 +80,8 @@
             return;
         }
         let (task_capacity, gang) = (step.occupied_capacity(), step.gang);
-        let task_rank = (state.rank.is_some_and(|step_rank| step_rank.excess), rule.priority);
+        let excess = self.state.jobs.get(&key.job).is_some_and(|job| job.excess);
+        let task_rank = (excess && rank.class != StepClass::Restart, rule.priority);
         let may_preempt = PreemptionRule::of(step, &rule, state.rank).may_preempt(self.now);
         let (waiting, wanted_tasks) = self.count_startable(key);
         if wanted_tasks < waiting && may_preempt {
@@ -89,7 +91,7 @@
             self.set_wait_reason(key, StepWait::TeamLimit);
             return;
         }
-        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
+        let pending = PendingStep { key, rank, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
         let candidates = self.candidates(&pending);
         let started = if gang {
             self.start_gang(&pending, &candidates)
@@ -108,7 +110,9 @@
             self.request_permits(&pending, permit_rule, &candidates, blocked_position);
         }
         self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
-        self.reserve_or_preempt(&pending, &candidates, missing);
+        if rank.may_claim_room() {
+            self.reserve_or_preempt(&pending, &candidates, missing);
+        }
     }
 
     /// Returns why tasks of a step wait that the limit of the team allows.
@@ -137,8 +141,9 @@
         if spec.team.is_empty() {
             return (waiting, waiting);
         }
-        let may_use_headroom =
-            step.long_running || step.gang || state.rank.is_some_and(|step_rank| step_rank.priority == 0);
+        let may_use_headroom = state.rank.is_some_and(|rank| {
+            rank.may_claim_room() && (step.long_running || step.gang || rank.priority == 0)
+        });
         let remaining = self.state.shares.remaining_allotment(&spec.team);
         let remaining = if may_use_headroom { remaining } else { remaining.minus(self.headroom(&spec.team)) };
         let task_count = if step.need.fits(remaining) { step.need.count_in(remaining) } else { 0 };
--- a/src/kernel/cell/start_pass/pending_step.rs
+++ b/src/kernel/cell/start_pass/pending_step.rs
@@ -1,9 +1,11 @@
-use crate::kernel::cell::{QueueRule, StepKey, TaskRank};
+use crate::kernel::cell::{QueueRule, StepKey, StepRank, TaskRank};
 use crate::prelude::*;
 
 /// A step that the pass tries to place.
 pub(super) struct PendingStep<'a> {
     pub(super) key: &'a StepKey,
+    /// Rank at which the step is tried in this pass.
+    pub(super) rank: StepRank,
     pub(super) rule: QueueRule,
     pub(super) task_rank: TaskRank,
     /// Capacity that one task occupies.
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -13,16 +13,17 @@
 /// Permit requests that may be open per process that sends them to the advisor, so that an urgent request
 /// does not wait long.
 const MAX_OPEN_REQUESTS_PER_PROXY: usize = 2;
-/// Added to the priority of permit requests for teams above their submission rate, so that these come last.
-const EXCESS_PRIORITY_OFFSET: u32 = 1_000;
+/// Added to the priority of permit requests for each class, so that all requests of one class come before those
+/// of the next.
+const CLASS_PRIORITY_OFFSET: u32 = 1_000;
 
 impl StartPass<'_> {
     /// Requests permits for workers without a usable ticket, if a permit may help to start a task.
     ///
     /// A denial is final, and a request costs little more for more workers. So requests name all candidates
     /// without a usable ticket, up to [`MAX_WORKERS_PER_REQUEST`] of them, until a candidate has been
-    /// granted, and then only those that were granted before or have free capacity. Requests of the most
-    /// urgent rank, `(false, 0)`, are sent even if the bound on open requests is reached.
+    /// granted, and then only those that were granted before or have free capacity. Some requests
+    /// are sent even if the bound on open requests is reached, see `StepRank::skips_request_bound`.
     ///
     /// `blocked_position` is the number of the step among the blocked ones with the same demand in this pass,
     /// from 1.
@@ -35,7 +36,7 @@
     ) {
         let now = self.now;
         let bound = self.state.advisor_proxies.max(1) * MAX_OPEN_REQUESTS_PER_PROXY;
-        if self.state.open_permit_requests >= bound && pending.task_rank > (false, 0) {
+        if self.state.open_permit_requests >= bound && !pending.rank.skips_request_bound() {
             return;
         }
         let Some((_, _, state)) = self.state.step(pending.key) else { return };
@@ -68,7 +69,7 @@
             state.permit_cache.begin_request();
         }
         self.state.open_permit_requests += 1;
-        let priority = pending.rule.priority + if pending.task_rank.0 { EXCESS_PRIORITY_OFFSET } else { 0 };
+        let priority = pending.rank.class as u32 * CLASS_PRIORITY_OFFSET + pending.rank.priority;
         let step = pending.key.clone();
         self.state.effects.push(CellEffect::RequestPermits { step, rule: permit_rule, priority, workers });
     }
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use crate::kernel::cell::PermitCache;
+use crate::kernel::cell::{PermitCache, StepRank};
 use crate::prelude::*;
 
 /// State of one task of a step.
@@ -30,35 +30,6 @@
     }
 }
 
-/// Position of a step in the order of starts; lower ranks start first.
-///
-/// The derived order compares the fields from top to bottom, so their order matters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StepRank {
-    /// Whether the job was submitted above the rate of its team.
-    pub excess: bool,
-    /// Priority of its queue, 0 first.
-    pub priority: u32,
-    /// Whether the job has expired, as in [`JobLateness::Expired`].
-    pub expired: bool,
-    /// Latest start with which the job still meets its next limit, which is its latency objective or the
-    /// time of its expiry.
-    pub latest_start: Instant,
-    /// How late the job is expected to be.
-    pub lateness: JobLateness,
-}
-
-/// How late a job is expected to be. The value of its result falls with its lateness.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum JobLateness {
-    /// The job may complete within its latency objective, with its full value.
-    InTime,
-    /// The job will miss its objective and loses most of its value.
-    Late,
-    /// The job will be so late that it has no value left.
-    Expired,
-}
-
 /// Why tasks of a ready step were not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum StepWait {
--- a/src/kernel/share_accounting.rs
+++ b/src/kernel/share_accounting.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Sets the weight of a team.
+    pub fn set_weight(&mut self, team: &TeamId, weight: u32) {
+        self.teams.entry(team.clone()).or_default().weight = f64::from(weight.max(1));
+    }
+
     /// Sets the allotment of a team.
     pub fn set_allotment(&mut self, team: &TeamId, amount: ResourceVector) {
         self.teams.entry(team.clone()).or_default().allotment = amount;
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -64,6 +64,9 @@
                 expected_ms = milliseconds(slow.expected), source:%, misses_objective = slow.misses_objective;
                 "run is too slow");
         }
+        CellNotice::ShareStandingChanged { team, above, used } => {
+            log::info!(team = &**team, token = token, above = *above, used:%; "share of a team has changed");
+        }
         CellNotice::LeaseExpired { worker, tasks } => {
             log::info!(worker = &**worker, token = token, tasks = *tasks; "lease has expired");
         }
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
     exponential_buckets,
 };
 
@@ -54,6 +54,8 @@
     pub open_jobs: IntGauge,
     /// Tasks that wait to be placed; 0 unless this process owns the cell.
     pub waiting_tasks: IntGauge,
+    /// Steps that wait to be placed, by class; 0 unless this process owns the cell.
+    pub waiting_steps: IntGaugeVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -85,6 +87,11 @@
         let looks =
             IntCounter::new("godwithaven_progress_requests_total", "Requests for the progress of runs")?;
         registry.register(Box::new(looks.clone()))?;
+        let waiting_steps = IntGaugeVec::new(
+            Opts::new("godwithaven_cell_waiting_steps", "Steps that wait to be placed, by class"),
+            &["class"],
+        )?;
+        registry.register(Box::new(waiting_steps.clone()))?;
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
@@ -116,6 +123,7 @@
             owner: gauge("godwithaven_owner", "1 while this process owns the cell")?,
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
+            waiting_steps,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
             registry,
         })
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -109,6 +109,7 @@
         self.metrics.owner.set(0);
         self.metrics.open_jobs.set(0);
         self.metrics.waiting_tasks.set(0);
+        self.metrics.waiting_steps.reset();
         log::info!(token = self.token, reason = &*ended; "ownership ended");
         ended
     }
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -72,13 +72,19 @@
             log::info!(service = &**service, listed = pool.listed, open = pool.schedulable,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
-        let waits = summary.waits;
+        let (waits, classes) = (summary.waits, summary.classes);
+        for (class, count) in classes.by_name() {
+            let gauge = metrics.waiting_steps.with_label_values(&[class]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
         log::info!(open_jobs = summary.open_jobs,
             excess_jobs = summary.excess_jobs, ready_steps = summary.ready_steps,
             asking_steps = summary.requesting_steps, waiting_tasks = summary.waiting_tasks,
             placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks,
             steps_at_limit = waits.team_limit, steps_without_worker = waits.worker,
-            steps_without_permit = waits.permit, steps_without_room = waits.room;
+            steps_without_permit = waits.permit, steps_without_room = waits.room,
+            steps_restart = classes.restart, steps_useful = classes.useful, steps_excess = classes.excess,
+            steps_expired = classes.expired, steps_unestimated = summary.unestimated_steps;
             "load of the cell");
     }
 
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -42,6 +42,8 @@
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
     pub answers_first_poll: bool,
+    /// Whether the advisor answers permit requests; those that it does not answer stay open.
+    pub advisor_answers: bool,
     ends: FastMap<String, u64>,
 }
 
@@ -91,6 +93,9 @@
             CellEffect::Stop(command) => self.stops.push(command),
             CellEffect::RequestPermits { step, rule, workers, .. } => {
                 self.permit_requests.push((step.to_string(), workers.len()));
+                if !self.advisor_answers {
+                    return;
+                }
                 let granted = workers.iter().filter(|worker| !worker.starts_with("denied"));
                 let granted = granted.map(|worker| (worker.clone(), "ticket".into())).collect();
                 let event = CellEvent::PermitsAnswered {
@@ -178,6 +183,7 @@
         looks: Vec::new(),
         effect_order: Vec::new(),
         answers_first_poll: true,
+        advisor_answers: true,
         ends: FastMap::default(),
     };
     driver.advance(0);
