--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -1,9 +1,13 @@
-use crate::kernel::cell::{CellNotice, CellRecord, PermitRule, RunEnd, StepKey, TaskKey, WorkerListing};
+use crate::kernel::cell::{
+    CellNotice, CellRecord, PermitRule, RunEnd, StepClass, StepKey, TaskKey, WorkerListing,
+};
 use crate::prelude::*;
 
 /// Inputs of the decision to start a task, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StartInputs {
+    /// Class of the step in the order of starts.
+    pub class: StepClass,
     /// Version of the configuration in force.
     pub config: BundleVersion,
     /// Age of the worker's newest poll report.
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -216,9 +216,12 @@
     /// Returns the inputs of the decision to start a task, for logs.
     fn start_inputs(&self, key: &TaskKey, slot: u32, now: Instant) -> Option<StartInputs> {
         let worker = self.worker(slot)?;
+        let rank = self.step(&key.step).and_then(|(_, _, step)| step.rank);
+        let class = rank.map_or(StepClass::Useful, |rank| rank.class);
         let since = |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         Some(StartInputs {
             config: self.config.version,
+            class,
             report_age: since(worker.polled_at),
             waited: since(self.jobs.get(&key.step.job).map(|job| job.known_since)),
             free: worker.free(),
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -9,7 +9,7 @@
 pub(super) fn log_start_decision(command: &StartCommand, token: FencingToken) {
     let inputs = &command.inputs;
     log::info!(task:% = command.task, run = command.run, worker = &*command.worker, token = token,
-        config = inputs.config, report_age_ms = milliseconds(inputs.report_age),
+        config = inputs.config, class:% = inputs.class, report_age_ms = milliseconds(inputs.report_age),
         waited_ms = milliseconds(inputs.waited), free:% = inputs.free, permit = command.ticket.is_some(),
         checkpoint = command.checkpoint.is_some(); "task is started");
 }
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -10,7 +10,7 @@
 use godwithaven::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, CellScheduler, CommandOutcome, EndCause,
     EndedRun, GraphSpec, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand, StartInputs,
-    StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
+    StepClass, StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
 use godwithaven::prelude::FastMap;
 
@@ -268,6 +268,7 @@
 /// Returns the first start of a task on `w0`, based on a report of this incarnation, that expires in a minute.
 pub fn start_command(task: &str, incarnation: Duration) -> StartCommand {
     let inputs = StartInputs {
+        class: StepClass::Useful,
         config: 1,
         report_age: Duration::ZERO,
         waited: Duration::ZERO,
