--- a/src/kernel/cell/admission/admission_estimate.rs
+++ b/src/kernel/cell/admission/admission_estimate.rs
@@ -101,7 +101,7 @@
                 .map(|(service, slots)| (service.clone(), room(state, slots, now)))
                 .collect(),
             limits: state.config.teams.iter().map(|(team, rule)| (team.clone(), rule.limit)).collect(),
-            proxies: f64::from(u32::try_from(state.advisor_proxies.max(1)).unwrap_or(u32::MAX)),
+            proxies: f64::from(u32::try_from(state.permit_load.proxies().max(1)).unwrap_or(u32::MAX)),
             ..Self::default()
         };
         backlog.subtract_long_running(state);
--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -11,6 +11,14 @@
     pub validity: Duration,
 }
 
+impl PermitRule {
+    /// Returns the time that the advisor takes for a request that names `workers` workers.
+    #[must_use]
+    pub fn decision_time_for(&self, workers: usize) -> Duration {
+        self.decision_time + self.time_per_worker * u32::try_from(workers).unwrap_or(u32::MAX)
+    }
+}
+
 /// Configuration of a queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueueRule {
--- a/src/kernel/cell/cell_effect.rs
+++ b/src/kernel/cell/cell_effect.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellNotice, CellRecord, PermitRule, RunEnd, StepKey, TaskKey, WorkerListing};
+use crate::kernel::cell::{CellNotice, CellRecord, PermitRequest, RunEnd, TaskKey, WorkerListing};
 use crate::prelude::*;
 
 /// Inputs of the decision to start a task, for logs.
@@ -70,16 +70,7 @@
     /// Acknowledge to an incarnation of a worker that its ended runs up to the number are recorded.
     Acknowledge(WorkerId, WorkerIncarnation, TaskEndNumber),
     /// Request permits from the advisor for a step.
-    RequestPermits {
-        /// Step that the permits are for.
-        step: StepKey,
-        /// Rule that gives the expected response time and the validity of the permits.
-        rule: PermitRule,
-        /// Priority among the open requests; lower values are sent first.
-        priority: u32,
-        /// Workers to ask about.
-        workers: Vec<WorkerId>,
-    },
+    RequestPermits(PermitRequest),
     /// Ask a worker for the progress of its runs at once, beside the usual polls.
     Look(WorkerId),
     /// Poll a worker and, once [`Self::RenewLease`] allows it, renew its lease.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -94,9 +94,9 @@
             CellEvent::PermitsAnswered { step, requested_workers, granted, validity } => {
                 self.apply_permits(&step, &requested_workers, granted, validity, now);
             }
-            CellEvent::ProxiesChanged(proxies) => self.state.advisor_proxies = proxies,
+            CellEvent::ProxiesChanged(proxies) => self.state.permit_load.set_proxies(proxies),
             CellEvent::PermitsFailed(step) => {
-                self.state.open_permit_requests = self.state.open_permit_requests.saturating_sub(1);
+                self.state.permit_load.remove(&step);
                 if let Some(state) = self.state.step_mut(&step) {
                     state.permit_cache.fail_request(now);
                 }
@@ -340,12 +340,19 @@
         validity: Duration,
         now: Instant,
     ) {
-        self.state.open_permit_requests = self.state.open_permit_requests.saturating_sub(1);
+        self.state.permit_load.remove(step);
         let requested_slots: Vec<u32> =
             requested_workers.iter().filter_map(|worker| self.state.slot(worker)).collect();
         let granted = granted.into_iter();
         let granted = granted.filter_map(|(worker, ticket)| Some((self.state.slot(&worker)?, ticket)));
         let granted: Vec<(u32, PermitTicket)> = granted.collect();
+        let Some((spec, _, state)) = self.state.step(step) else { return };
+        let (queue, tickets) = (spec.queue.clone(), granted.len() as u64);
+        let judged =
+            requested_slots.iter().filter(|slot| !state.permit_cache.has_verdict(**slot)).count() as u64;
+        let newly_granted =
+            granted.iter().filter(|(slot, _)| !state.permit_cache.has_verdict(*slot)).count() as u64;
+        self.state.permit_stats.count_answer(&queue, tickets, judged, newly_granted);
         if let Some(state) = self.state.step_mut(step) {
             state.permit_cache.apply_answer(&requested_slots, granted, validity, now);
         }
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -3,9 +3,9 @@
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus, LossCause,
-    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, SlowRunState,
-    StartCommand, StartInputs, StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate,
-    TaskKey, TaskPlacement, TaskState,
+    OccurrenceState, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, RoomForecast, RunEnd,
+    RunTimeEstimator, SlowRunState, StartCommand, StartInputs, StepKey, StepRank, StepRanking, StepSpec,
+    StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -60,10 +60,12 @@
     pub unix_time: Duration,
     /// When every lease that earlier owners granted has expired; `None` only in the default state.
     pub inherited_lease_expires_at: Option<Instant>,
-    /// Number of processes that send permit requests to the advisor on behalf of this owner.
-    pub advisor_proxies: usize,
-    /// Number of permit requests to the advisor without an answer.
-    pub open_permit_requests: usize,
+    /// Permit requests to the advisor without an answer, and the processes that send them.
+    pub permit_load: PermitLoad,
+    /// Permit requests and answers by queue.
+    pub permit_stats: PermitStats,
+    /// Expected ends of the running tasks, as of the last pass that needed them.
+    pub room_forecast: RoomForecast,
     /// Effects to carry out, in order.
     pub effects: Vec<CellEffect>,
 }
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -1,4 +1,6 @@
-use crate::kernel::cell::{CellState, PlacementPhase, StepWait};
+use crate::kernel::cell::{
+    CellState, IdleAccelerators, PermitSkipCounts, PlacementPhase, QueuePermitStats, StepWait,
+};
 use crate::prelude::*;
 
 /// Load of the workers of one service.
@@ -38,6 +40,16 @@
     pub ready_steps: usize,
     /// Number of ready steps with an open permit request to the advisor.
     pub requesting_steps: usize,
+    /// Number of ready steps by the reason why they send no permit request.
+    pub permit_skips: PermitSkipCounts,
+    /// Number of processes that send permit requests.
+    pub advisor_proxies: usize,
+    /// Decision time of the open permit requests.
+    pub open_decision_time: Duration,
+    /// Free accelerators for want of permits.
+    pub idle_accelerators: IdleAccelerators,
+    /// Permit requests and answers of each queue, sorted by its name.
+    pub queues: Vec<(QueueId, QueuePermitStats)>,
     /// Number of ready steps by wait reason.
     pub waits: WaitSummary,
     /// Number of tasks in ready steps that wait to be placed.
@@ -69,6 +81,11 @@
             excess_jobs: state.jobs.values().filter(|job| job.excess && !job.status.is_final()).count(),
             ready_steps: steps.len(),
             requesting_steps: steps.iter().filter(|step| step.permit_cache.has_open_request()).count(),
+            permit_skips: PermitSkipCounts::of(steps.iter().filter_map(|step| step.permit_skip)),
+            advisor_proxies: state.permit_load.proxies(),
+            open_decision_time: state.permit_load.open_decision_time(),
+            idle_accelerators: IdleAccelerators::of(state, now),
+            queues: state.permit_stats.sorted(),
             waits: WaitSummary {
                 team_limit: count(StepWait::TeamLimit),
                 worker: count(StepWait::Worker),
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -31,7 +31,7 @@
 mod job_snapshot;
 mod job_status;
 mod lease_watch;
-mod permit_cache;
+mod permits;
 mod poll_reconciler;
 mod poll_report;
 mod preemption_headroom;
@@ -74,7 +74,11 @@
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use lease_watch::LeaseWatch;
-pub use permit_cache::PermitCache;
+pub use permits::{
+    IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
+    PermitPlanner, PermitRequest, PermitRequestKind, PermitRequestNumber, PermitSkip, PermitSkipCounts,
+    PermitStats, QueuePermitStats, RoomForecast,
+};
 pub use poll_reconciler::PollReconciler;
 pub use poll_report::{EndCause, EndedRun, PollReport, RunningRun};
 pub use preemption_headroom::PreemptionHeadroom;
--- a/src/kernel/cell/permit_cache.rs
+++ b/src/kernel/cell/permits/permit_cache.rs
@@ -1,3 +1,4 @@
+use crate::kernel::cell::PermitRequestKind;
 use crate::prelude::*;
 
 /// Remaining validity below which a ticket is not used, as the start needs time to reach its worker.
@@ -11,6 +12,12 @@
     verdicts: FastMap<u32, PermitVerdict>,
     request_open: bool,
     retry_at: Option<Instant>,
+    /// When the last request was sent.
+    last_request: Option<Instant>,
+    /// Whether the open request only renews tickets.
+    renewing: bool,
+    /// Number of renewals since a task of the step last started.
+    unused_renewals: u32,
 }
 
 /// Verdict of the advisor on one worker.
@@ -31,9 +38,34 @@
         self.verdicts.is_empty()
     }
 
+    /// Whether the advisor gave a verdict on the worker.
+    #[must_use]
+    pub fn has_verdict(&self, slot: u32) -> bool {
+        self.verdicts.contains_key(&slot)
+    }
+
     /// Records that a permit request is sent.
-    pub const fn begin_request(&mut self) {
+    pub const fn begin_request(&mut self, kind: PermitRequestKind, now: Instant) {
         self.request_open = true;
+        self.last_request = Some(now);
+        self.renewing = matches!(kind, PermitRequestKind::Renewal);
+    }
+
+    /// Whether the last request was sent at least `age` ago.
+    #[must_use]
+    pub fn last_request_is_older(&self, age: Duration, now: Instant) -> bool {
+        self.last_request.is_some_and(|sent| now.saturating_duration_since(sent) >= age)
+    }
+
+    /// Records that a task of the step has started.
+    pub const fn note_start(&mut self) {
+        self.unused_renewals = 0;
+    }
+
+    /// Returns the number of renewals since a task of the step last started.
+    #[must_use]
+    pub const fn unused_renewals(&self) -> u32 {
+        self.unused_renewals
     }
 
     /// Returns the number of workers that the advisor gave a verdict on.
@@ -65,6 +97,7 @@
     ) {
         self.request_open = false;
         self.retry_at = None;
+        self.unused_renewals += u32::from(std::mem::take(&mut self.renewing));
         for slot in requested_slots {
             self.verdicts.insert(*slot, PermitVerdict::Denied);
         }
@@ -75,7 +108,7 @@
 
     /// Records that the permit request failed.
     pub fn fail_request(&mut self, now: Instant) {
-        self.request_open = false;
+        (self.request_open, self.renewing) = (false, false);
         self.retry_at = Some(now + RETRY_DELAY);
     }
 
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -37,6 +37,10 @@
     stopping_by_team: Option<FastMap<TeamId, ResourceVector>>,
     /// Teams in which a search found no task to preempt in this pass, with the rank that it searched for.
     teams_without_victims: FastMap<TeamId, TaskRank>,
+    /// Room that steps wait for on workers that are granted to them, beside what is reserved, by worker slot.
+    claimed_by_worker: FastMap<u32, ResourceVector>,
+    /// Room that steps wait for on any workers, by service.
+    claimed_by_service: FastMap<ServiceId, ResourceVector>,
     /// Number of steps that found no room or no permit, by the kind of worker that they need.
     blocked_steps: FastMap<WorkerDemand, usize>,
     /// Number of tasks that this pass may still preempt.
@@ -53,6 +57,8 @@
             reserved_by_worker: FastMap::default(),
             stopping_by_team: None,
             teams_without_victims: FastMap::default(),
+            claimed_by_worker: FastMap::default(),
+            claimed_by_service: FastMap::default(),
             blocked_steps: FastMap::default(),
             preemptions_left: MAX_PREEMPTIONS_PER_PASS,
         }
@@ -89,26 +95,39 @@
             self.set_wait_reason(key, StepWait::TeamLimit);
             return;
         }
-        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
+        let blocked_before = self.blocked_steps.get(&demand).copied().unwrap_or_default();
+        let position = blocked_before + 1;
+        let pending =
+            PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt, position };
         let candidates = self.candidates(&pending);
         let started = if gang {
             self.start_gang(&pending, &candidates)
         } else {
             self.start_tasks(&pending, &candidates)
         };
+        if started > 0
+            && pending.rule.permits.is_some()
+            && let Some(queue) = self.state.step(key).map(|(spec, ..)| spec.queue.clone())
+        {
+            self.state.permit_stats.count_starts(&queue, started);
+            if let Some(state) = self.state.step_mut(key) {
+                state.permit_cache.note_start();
+            }
+        }
         let missing = wanted_tasks - started;
         if missing == 0 {
             return;
         }
         let candidates = if started > 0 { self.candidates(&pending) } else { candidates };
-        let blocked = self.blocked_steps.entry(demand).or_default();
-        *blocked += 1;
-        let blocked_position = *blocked;
+        self.blocked_steps.insert(demand, position);
         if let Some(permit_rule) = pending.rule.permits {
-            self.request_permits(&pending, permit_rule, &candidates, blocked_position);
+            self.request_permits(&pending, permit_rule, &candidates, missing);
         }
         self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
-        self.reserve_or_preempt(&pending, &candidates, missing);
+        let unreserved = self.reserve_or_preempt(&pending, &candidates, missing);
+        if let Some(permit_rule) = pending.rule.permits {
+            self.claim_room(&pending, permit_rule, &candidates, unreserved);
+        }
     }
 
     /// Returns why tasks of a step wait that the limit of the team allows.
--- a/src/kernel/cell/start_pass/pending_step.rs
+++ b/src/kernel/cell/start_pass/pending_step.rs
@@ -12,4 +12,7 @@
     pub(super) wanted_tasks: u32,
     /// Whether less urgent tasks may be preempted for the step now.
     pub(super) may_preempt: bool,
+    /// Number of the step among those with the same demand that were blocked in this pass, from 1, if it is
+    /// blocked itself.
+    pub(super) position: usize,
 }
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -1,86 +1,207 @@
 use super::{Candidate, PendingStep, StartPass};
-use crate::kernel::cell::{CellEffect, PermitRule};
+use crate::kernel::cell::{
+    CellEffect, PermitDemand, PermitOption, PermitPlan, PermitPlanner, PermitRequest, PermitRequestKind,
+    PermitRule, PermitSkip, RoomForecast,
+};
 use crate::prelude::*;
 
-/// Bounds the workers that one permit request may name.
-const MAX_WORKERS_PER_REQUEST: usize = 40;
-/// Blocked steps per kind of worker whose permits are renewed before they expire, so that capacity that
-/// becomes free is used at once.
-const MAX_STEPS_RENEWED_AHEAD: usize = 8;
-/// How long before its ticket becomes unusable such a permit is renewed; a ticket becomes unusable shortly
-/// before it expires.
-const PERMIT_RENEWAL_MARGIN: Duration = Duration::from_millis(500);
-/// Permit requests that may be open per process that sends them to the advisor, so that an urgent request
-/// does not wait long.
-const MAX_OPEN_REQUESTS_PER_PROXY: usize = 2;
-/// Added to the priority of permit requests for teams above their submission rate, so that these come last.
-const EXCESS_PRIORITY_OFFSET: u32 = 1_000;
+/// Number of workers for which the decision time is estimated before it is known how many a request names.
+const TYPICAL_WORKERS: usize = 40;
+/// Part of the validity of a ticket, as a divisor, for which a request may wait to be sent, and by which room may
+/// become free after the answer.
+const VALIDITY_DIVISOR: u32 = 4;
+/// Time since the last request of a step after which it asks for a small part of its tasks, as a multiple of the
+/// decision time: such requests then take at most a sixteenth of the time of a process for a step.
+const SMALL_BATCH_FACTOR: u32 = 16;
+/// The same while most processes are busy.
+const BUSY_BATCH_FACTOR: u32 = 32;
 
 impl StartPass<'_> {
-    /// Requests permits for workers without a usable ticket, if a permit may help to start a task.
-    ///
-    /// A denial is final, and a request costs little more for more workers. So requests name all candidates
-    /// without a usable ticket, up to [`MAX_WORKERS_PER_REQUEST`] of them, until a candidate has been
-    /// granted, and then only those that were granted before or have free capacity. Requests of the most
-    /// urgent rank, `(false, 0)`, are sent even if the bound on open requests is reached.
-    ///
-    /// `blocked_position` is the number of the step among the blocked ones with the same demand in this pass,
-    /// from 1.
+    /// Sends a permit request for the step if [`PermitPlanner`] finds one of use.
     pub(super) fn request_permits(
         &mut self,
         pending: &PendingStep<'_>,
         permit_rule: PermitRule,
         candidates: &[Candidate],
-        blocked_position: usize,
+        missing: u32,
     ) {
-        let now = self.now;
-        let bound = self.state.advisor_proxies.max(1) * MAX_OPEN_REQUESTS_PER_PROXY;
-        if self.state.open_permit_requests >= bound && pending.task_rank > (false, 0) {
-            return;
+        let skip = self.try_request(pending, permit_rule, candidates, missing).err();
+        if let Some(state) = self.state.step_mut(pending.key) {
+            state.permit_skip = skip;
         }
-        let Some((_, _, state)) = self.state.step(pending.key) else { return };
+    }
+
+    fn try_request(
+        &mut self,
+        pending: &PendingStep<'_>,
+        permit_rule: PermitRule,
+        candidates: &[Candidate],
+        missing: u32,
+    ) -> Result<(), PermitSkip> {
+        let now = self.now;
+        let Some((spec, step, state)) = self.state.step(pending.key) else { return Ok(()) };
+        let Some(rank) = state.rank else { return Ok(()) };
         if !state.permit_cache.may_request(now) {
-            return;
-        }
-        let margin =
-            if blocked_position <= MAX_STEPS_RENEWED_AHEAD { PERMIT_RENEWAL_MARGIN } else { Duration::ZERO };
-        let lacks =
-            |candidate: &&Candidate| state.permit_cache.ticket(candidate.slot, now + margin).is_none();
-        let mut to_request: Vec<&Candidate> = candidates.iter().filter(lacks).collect();
-        let granted_before = |candidate: &Candidate| state.permit_cache.was_granted(candidate.slot);
-        let any_granted_before = candidates.iter().any(granted_before);
-        let useful = to_request.iter().any(|candidate| candidate.fitting > 0)
-            || blocked_position <= MAX_STEPS_RENEWED_AHEAD;
-        if to_request.is_empty() || !useful {
-            return;
+            return Err(PermitSkip::Requested);
         }
-        if any_granted_before {
-            to_request.retain(|candidate| granted_before(candidate) || candidate.fitting > 0);
+        let assured = step.long_running || step.gang;
+        let wait = self.state.permit_load.expected_wait(rank, assured);
+        let max_wait = permit_rule.validity / VALIDITY_DIVISOR;
+        if wait > max_wait {
+            return Err(PermitSkip::Queue);
         }
-        to_request.sort_by_key(|candidate| (!granted_before(candidate), candidate.fitting == 0));
-        to_request.truncate(MAX_WORKERS_PER_REQUEST);
-        let workers = to_request.iter().filter_map(|candidate| self.state.worker(candidate.slot));
+        let (queue, gang) = (spec.queue.clone(), step.gang);
+        let waiting = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
+        let busy = self.state.permit_load.is_busy();
+        let small_batch_delay =
+            permit_rule.decision_time * if busy { BUSY_BATCH_FACTOR } else { SMALL_BATCH_FACTOR };
+        let accepts_small_batch =
+            step.long_running || state.permit_cache.last_request_is_older(small_batch_delay, now);
+        let verdicts = state.permit_cache.verdict_count();
+        let unused_renewals = state.permit_cache.unused_renewals();
+        self.refresh_forecast();
+        let answered_at = now + wait + permit_rule.decision_time_for(TYPICAL_WORKERS);
+        let used_by = answered_at + permit_rule.validity / VALIDITY_DIVISOR;
+        let expire_at = answered_at + permit_rule.validity;
+        let options = self.permit_options(pending, candidates, [answered_at, used_by, expire_at]);
+        let claimed = self.claimed_by_service.get(&pending.rule.service).copied().unwrap_or_default();
+        let demand = PermitDemand {
+            missing,
+            waiting,
+            gang,
+            verdicts,
+            accepts_small_batch,
+            may_preempt: pending.may_preempt,
+            position: pending.position,
+            claimed_tasks: tasks_in(claimed, pending.task_capacity),
+            unused_renewals,
+            grant_rate: self.state.permit_stats.of(&queue).grant_rate(),
+        };
+        let (kind, slots) = match (PermitPlanner { demand }).plan(&options) {
+            PermitPlan::Request(kind, slots) => (kind, slots),
+            PermitPlan::Skip(skip) => return Err(skip),
+        };
+        let workers = slots.iter().filter_map(|slot| self.state.worker(*slot));
         let workers: Vec<WorkerId> = workers.map(|worker| worker.listing.worker.clone()).collect();
         if workers.is_empty() {
+            return Err(PermitSkip::NoRoom);
+        }
+        let step = pending.key.clone();
+        let request = PermitRequest { step, queue, kind, rule: permit_rule, rank, assured, workers };
+        self.send_request(request, kind);
+        Ok(())
+    }
+
+    fn send_request(&mut self, request: PermitRequest, kind: PermitRequestKind) {
+        let now = self.now;
+        let (rank, assured, decision_time) = (request.rank, request.assured, request.decision_time());
+        if let Some(state) = self.state.step_mut(&request.step) {
+            state.permit_cache.begin_request(kind, now);
+        }
+        self.state.permit_load.add(&request.step, rank, assured, decision_time);
+        self.state.permit_stats.count_request(&request.queue, kind);
+        self.state.effects.push(CellEffect::RequestPermits(request));
+    }
+
+    /// Returns the workers that a request of the step may name. The times are when its answer is expected, until
+    /// when its tickets are to be used, and when they expire.
+    fn permit_options(
+        &self,
+        pending: &PendingStep<'_>,
+        candidates: &[Candidate],
+        [answered_at, used_by, expire_at]: [Instant; 3],
+    ) -> Vec<PermitOption> {
+        let Some((_, _, state)) = self.state.step(pending.key) else { return Vec::new() };
+        let need = pending.task_capacity;
+        let option = |candidate: &Candidate| {
+            let worker = self.state.worker(candidate.slot)?;
+            Some(PermitOption {
+                slot: candidate.slot,
+                granted: state.permit_cache.was_granted(candidate.slot),
+                ticketed: state.permit_cache.ticket(candidate.slot, answered_at).is_some(),
+                fitting_now: candidate.fitting,
+                fitting_soon: count_tasks(need, self.room_at(candidate.slot, used_by), candidate),
+                fitting_later: count_tasks(need, self.room_at(candidate.slot, expire_at), candidate),
+                fitting_empty: count_tasks(need, worker.listing.capacity, candidate),
+            })
+        };
+        candidates.iter().filter_map(option).collect()
+    }
+
+    /// Counts the room that a step waits for beside the room that is reserved for it, so that steps behind it do
+    /// not ask for permits for the same room. It is counted by worker as far as tasks end on workers that are
+    /// granted to the step.
+    pub(super) fn claim_room(
+        &mut self,
+        pending: &PendingStep<'_>,
+        permit_rule: PermitRule,
+        candidates: &[Candidate],
+        unreserved_tasks: u32,
+    ) {
+        let Some((_, _, state)) = self.state.step(pending.key) else { return };
+        if unreserved_tasks == 0 || (state.permit_cache.is_empty() && !state.permit_cache.has_open_request())
+        {
             return;
         }
-        if let Some(state) = self.state.step_mut(pending.key) {
-            state.permit_cache.begin_request();
+        self.refresh_forecast();
+        let expire_at = self.now + permit_rule.decision_time_for(TYPICAL_WORKERS) + permit_rule.validity;
+        let mut left = unreserved_tasks;
+        for candidate in candidates {
+            if left == 0 {
+                break;
+            }
+            if self.may_start_soon(pending, candidate.slot) {
+                let room = self.room_at(candidate.slot, expire_at);
+                let tasks = count_tasks(pending.task_capacity, room, candidate).min(left);
+                if tasks > 0 {
+                    let claimed = self.claimed_by_worker.entry(candidate.slot).or_default();
+                    *claimed = claimed.plus(pending.task_capacity.times(u64::from(tasks)));
+                    left -= tasks;
+                }
+            }
         }
-        self.state.open_permit_requests += 1;
-        let priority = pending.rule.priority + if pending.task_rank.0 { EXCESS_PRIORITY_OFFSET } else { 0 };
-        let step = pending.key.clone();
-        self.state.effects.push(CellEffect::RequestPermits { step, rule: permit_rule, priority, workers });
+        let claimed = self.claimed_by_service.entry(pending.rule.service.clone()).or_default();
+        *claimed = claimed.plus(pending.task_capacity.times(u64::from(left)));
+    }
+
+    fn refresh_forecast(&mut self) {
+        if self.state.room_forecast.is_stale(self.now) {
+            self.state.room_forecast = RoomForecast::of(self.state, self.now);
+        }
+    }
+
+    /// Returns the room on a worker that is expected at a time and that no step before holds or waits for.
+    fn room_at(&self, slot: u32, at: Instant) -> ResourceVector {
+        let Some(worker) = self.state.worker(slot) else { return ResourceVector::default() };
+        let freed = self.state.room_forecast.freed_by(slot, at).min(worker.used);
+        let reserved = self.reserved_by_worker.get(&slot).copied().unwrap_or_default();
+        let claimed = self.claimed_by_worker.get(&slot).copied().unwrap_or_default();
+        worker.free().plus(freed).minus(reserved.plus(claimed))
     }
 
-    /// Whether the step has a ticket for the worker or is about to get one: a request is open, and the worker
-    /// was granted before.
+    /// Whether the step has a ticket for the worker or is about to get one: the worker was granted before, and the
+    /// step asks, or it will once there is room.
     pub(super) fn may_start_soon(&self, pending: &PendingStep<'_>, slot: u32) -> bool {
         if pending.rule.permits.is_none() {
             return true;
         }
         let Some((_, _, state)) = self.state.step(pending.key) else { return false };
+        let at_front = pending.position <= PermitPlanner::MAX_STEPS_AT_FRONT;
         state.permit_cache.ticket(slot, self.now).is_some()
-            || (state.permit_cache.has_open_request() && state.permit_cache.was_granted(slot))
+            || (state.permit_cache.was_granted(slot) && (at_front || state.permit_cache.has_open_request()))
     }
 }
+
+/// Returns the number of tasks that fit into the room on a worker.
+fn count_tasks(need: ResourceVector, room: ResourceVector, candidate: &Candidate) -> u32 {
+    let fitting = if need.fits(room) { need.count_in(room) } else { 0 };
+    u32::try_from(fitting).unwrap_or(u32::MAX).min(candidate.allowed_by_worker_limit)
+}
+
+/// Returns the number of tasks that would take up `claimed`, by the resource of which there would be the fewest.
+fn tasks_in(claimed: ResourceVector, task_capacity: ResourceVector) -> u64 {
+    let tasks = |claimed: u64, need: u64| claimed.checked_div(need).unwrap_or_default();
+    tasks(claimed.accelerators, task_capacity.accelerators)
+        .max(tasks(claimed.cores_milli, task_capacity.cores_milli))
+        .max(tasks(claimed.memory_mib, task_capacity.memory_mib))
+}
--- a/src/kernel/cell/start_pass/reservations.rs
+++ b/src/kernel/cell/start_pass/reservations.rs
@@ -3,15 +3,16 @@
 
 impl StartPass<'_> {
     /// Reserves room for the tasks that could not start, so that less urgent steps do not take it. Preempts
-    /// less urgent tasks where there is not enough room, if the step may.
+    /// less urgent tasks where there is not enough room, if the step may. Returns the number of tasks
+    /// without reserved room; none if the step can never start.
     pub(super) fn reserve_or_preempt(
         &mut self,
         pending: &PendingStep<'_>,
         candidates: &[Candidate],
         missing: u32,
-    ) {
+    ) -> u32 {
         if !self.fits_on_empty_workers(pending, candidates) {
-            return;
+            return 0;
         }
         let mut left = missing;
         for candidate in candidates {
@@ -32,6 +33,7 @@
                 allowed_by_worker_limit -= count;
             }
         }
+        left
     }
 
     /// Whether all tasks of a gang would fit on the candidates if these were empty. A gang that can never fit
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use crate::kernel::cell::PermitCache;
+use crate::kernel::cell::{PermitCache, PermitSkip};
 use crate::prelude::*;
 
 /// State of one task of a step.
@@ -102,6 +102,8 @@
     pub rank: Option<StepRank>,
     /// Why tasks waited when a pass last tried to place the step.
     pub wait_reason: Option<StepWait>,
+    /// Why the step sent no permit request when a pass last found that it lacks room or a permit.
+    pub permit_skip: Option<PermitSkip>,
 }
 
 impl StepState {
@@ -119,6 +121,7 @@
             completed_run_times: Vec::new(),
             rank: None,
             wait_reason: None,
+            permit_skip: None,
         }
     }
 }
--- a/src/tasks/cell/advisor.rs
+++ b/src/tasks/cell/advisor.rs
@@ -1,42 +1,20 @@
 //! Distributes the owner's permit requests to the placement advisor over the processes that act as proxies.
-//!
-//! The advisor serves the requests of one VM one after another, so each proxy has at most one permit request
-//! in flight that is not overdue. A proxy may get another one while an overdue request still waits for the
-//! advisor.
-
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::{CellEvent, PermitRule, ProxyNumber, StepKey};
+use crate::kernel::cell::{
+    CellEvent, PermitDispatch, PermitRequest, PermitRequestNumber, ProxyNumber, StepKey,
+};
 use crate::prelude::*;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ports::AdvisorClient;
 
-/// Time beyond the expected decision time after which a permit request counts as failed.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(1_200);
-/// Interval between checks for permit requests whose deadline has passed.
+/// Interval between checks for permit requests whose deadline has passed, and for proxies that may get requests
+/// again.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Number of a permit request, unique within one [`AdvisorTask`].
-pub type PermitRequestNumber = u64;
-
-/// A permit request to the placement advisor: which of the workers may run a step.
-#[derive(Clone, Debug)]
-pub struct PermitRequest {
-    /// The step that needs permits.
-    pub step: StepKey,
-    /// Expected decision time of the advisor, and how long its permits are valid.
-    pub rule: PermitRule,
-    /// Order among waiting permit requests; lower values are sent first.
-    pub priority: u32,
-    /// The workers that the step could run on.
-    pub workers: Vec<WorkerId>,
-}
-
 /// The workers that the advisor permits, with their tickets, or the reason why it gave no answer.
 pub type PermitResult = Result<Vec<(WorkerId, PermitTicket)>, String>;
 
@@ -56,32 +34,21 @@
     Answered(PermitRequestNumber, PermitResult),
 }
 
-/// A permit request without a result, either waiting for an idle proxy or in flight.
+/// A permit request without a result.
 struct OpenRequest {
     request: PermitRequest,
     owner_sender: mpsc::Sender<OwnerMessage>,
     received_at: Instant,
-    /// The proxy that was given the permit request; `None` while it waits.
-    proxy: Option<ProxyNumber>,
-    /// When a permit request in flight counts as failed.
-    deadline: Option<Instant>,
-}
-
-/// A process that passes permit requests on to the advisor.
-struct AdvisorProxy {
-    output: mpsc::Sender<(PermitRequestNumber, StepKey, Vec<WorkerId>)>,
-    in_flight: Option<PermitRequestNumber>,
 }
 
-/// The async task that queues permit requests and assigns them to proxies.
+/// The async task that queues permit requests and assigns them to proxies, as [`PermitDispatch`] decides.
 pub struct AdvisorTask {
     client: Option<AdvisorClient>,
     /// Sends messages to this task; cloned for the task that calls the advisor.
     own_sender: mpsc::Sender<AdvisorMessage>,
-    proxies: FastMap<ProxyNumber, AdvisorProxy>,
+    dispatch: PermitDispatch,
+    outputs: FastMap<ProxyNumber, mpsc::Sender<(PermitRequestNumber, StepKey, Vec<WorkerId>)>>,
     open_requests: FastMap<PermitRequestNumber, OpenRequest>,
-    /// Priority and number of the permit requests to assign; entries of finished permit requests are skipped.
-    waiting: BinaryHeap<Reverse<(u32, PermitRequestNumber)>>,
     last_number: PermitRequestNumber,
     owner_sender: Option<mpsc::Sender<OwnerMessage>>,
     metrics: CellMetrics,
@@ -99,9 +66,9 @@
         Self {
             client,
             own_sender,
-            proxies: FastMap::default(),
+            dispatch: PermitDispatch::default(),
+            outputs: FastMap::default(),
             open_requests: FastMap::default(),
-            waiting: BinaryHeap::new(),
             last_number: 0,
             owner_sender: None,
             metrics,
@@ -113,7 +80,7 @@
         if let Some(client) = self.client.clone() {
             // This process is proxy 0; the numbers of the others are random.
             let (output, requests) = mpsc::channel(1);
-            self.proxies.insert(0, AdvisorProxy { output, in_flight: None });
+            self.add_proxy(0, output);
             actix_rt::spawn(forward_permit_requests(
                 client,
                 requests,
@@ -129,95 +96,90 @@
                 Some(message) = inbox.recv() => self.handle(message).await,
                 _ = check.tick() => self.fail_overdue().await,
             }
-            self.dispatch();
+            self.send_assigned();
         }
     }
 
+    fn add_proxy(
+        &mut self,
+        proxy: ProxyNumber,
+        output: mpsc::Sender<(PermitRequestNumber, StepKey, Vec<WorkerId>)>,
+    ) {
+        self.dispatch.add_proxy(proxy);
+        self.outputs.insert(proxy, output);
+    }
+
     async fn handle(&mut self, message: AdvisorMessage) {
         match message {
             AdvisorMessage::OwnerStarted(owner_sender) => {
                 self.owner_sender = Some(owner_sender);
+                self.drop_ended_terms();
                 self.report_proxy_count().await;
             }
             AdvisorMessage::Request(request, owner_sender) => {
                 self.last_number += 1;
-                self.waiting.push(Reverse((request.priority, self.last_number)));
-                let open = OpenRequest {
-                    request,
-                    owner_sender,
-                    received_at: Instant::now(),
-                    proxy: None,
-                    deadline: None,
-                };
+                self.dispatch.add_request(self.last_number, &request);
+                let open = OpenRequest { request, owner_sender, received_at: Instant::now() };
                 self.open_requests.insert(self.last_number, open);
             }
             AdvisorMessage::ProxyJoined(proxy, output) => {
-                self.proxies.insert(proxy, AdvisorProxy { output, in_flight: None });
+                self.add_proxy(proxy, output);
                 self.report_proxy_count().await;
             }
             AdvisorMessage::ProxyLeft(proxy) => {
-                let lost = self.proxies.remove(&proxy).and_then(|proxy| proxy.in_flight);
-                if let Some(number) = lost {
-                    self.requeue(number);
-                }
+                self.dispatch.remove_proxy(proxy);
+                self.outputs.remove(&proxy);
                 self.report_proxy_count().await;
             }
             AdvisorMessage::Answered(number, result) => self.finish(number, result).await,
         }
     }
 
+    /// Drops the requests of terms that have ended in this process and were not sent.
+    fn drop_ended_terms(&mut self) {
+        let now = Instant::now();
+        let ended = self.open_requests.iter().filter(|(_, open)| open.owner_sender.is_closed());
+        let ended: Vec<PermitRequestNumber> = ended.map(|(number, _)| *number).collect();
+        for number in ended {
+            if !self.dispatch.is_sent(number) {
+                self.dispatch.finish(number, false, now);
+                self.open_requests.remove(&number);
+            }
+        }
+    }
+
     async fn report_proxy_count(&mut self) {
         let Some(owner_sender) = &self.owner_sender else { return };
-        let event = CellEvent::ProxiesChanged(self.proxies.len());
+        let event = CellEvent::ProxiesChanged(self.dispatch.proxy_count());
         if owner_sender.send(OwnerMessage::Event(event)).await.is_err() {
             self.owner_sender = None;
         }
     }
 
-    fn requeue(&mut self, number: PermitRequestNumber) {
-        if let Some(open) = self.open_requests.get_mut(&number) {
-            (open.proxy, open.deadline) = (None, None);
-            self.waiting.push(Reverse((open.request.priority, number)));
-        }
-    }
-
-    /// Assigns waiting permit requests to idle proxies.
-    fn dispatch(&mut self) {
-        for (id, proxy) in &mut self.proxies {
-            if proxy.in_flight.is_some() {
-                continue;
-            }
-            while let Some(Reverse((_, number))) = self.waiting.pop() {
-                let Some(open) = self.open_requests.get_mut(&number) else { continue };
-                let request = &open.request;
-                let message = (number, request.step.clone(), request.workers.clone());
-                if proxy.output.try_send(message).is_err() {
-                    // The proxy has disconnected; its `ProxyLeft` message follows.
-                    self.waiting.push(Reverse((request.priority, number)));
-                    break;
-                }
-                let count = u32::try_from(request.workers.len()).unwrap_or(u32::MAX);
-                let expected = request.rule.decision_time + request.rule.time_per_worker * count;
-                (open.proxy, open.deadline) = (Some(*id), Some(Instant::now() + expected + DEADLINE_MARGIN));
-                proxy.in_flight = Some(number);
-                break;
+    /// Sends waiting permit requests to the proxies that are assigned to them.
+    fn send_assigned(&mut self) {
+        for (proxy, number) in self.dispatch.assign(Instant::now()) {
+            let Some(open) = self.open_requests.get(&number) else { continue };
+            let message = (number, open.request.step.clone(), open.request.workers.clone());
+            let sent = self.outputs.get(&proxy).is_some_and(|output| output.try_send(message).is_ok());
+            if !sent {
+                // The proxy has disconnected; its `ProxyLeft` message follows.
+                self.dispatch.return_request(number);
             }
         }
     }
 
     async fn finish(&mut self, number: PermitRequestNumber, result: PermitResult) {
+        self.dispatch.finish(number, result.is_ok(), Instant::now());
         let Some(open) = self.open_requests.remove(&number) else { return };
-        if let Some(proxy) = open.proxy.and_then(|proxy| self.proxies.get_mut(&proxy)) {
-            proxy.in_flight = None;
-        }
         self.metrics.advisor_question_seconds.observe(open.received_at.elapsed().as_secs_f64());
         let label = if result.is_ok() { "answered" } else { "failed" };
         self.metrics.advisor_questions.with_label_values(&[label]).inc();
-        let PermitRequest { step, rule, workers, .. } = open.request;
+        let PermitRequest { step, queue, kind, rule, workers, .. } = open.request;
         let event = match result {
             Ok(granted) => {
-                log::info!(step:%, asked = workers.len(), granted = granted.len(),
-                    took_ms = open.received_at.elapsed().as_millis(), waiting = self.waiting.len();
+                log::info!(step:%, queue:%, kind:%, asked = workers.len(), granted = granted.len(),
+                    took_ms = open.received_at.elapsed().as_millis(), waiting = self.dispatch.waiting_count();
                     "advisor answered");
                 CellEvent::PermitsAnswered {
                     step,
@@ -227,7 +189,7 @@
                 }
             }
             Err(reason) => {
-                log::info!(step:%, reason = &*reason; "advisor question failed");
+                log::info!(step:%, queue:%, kind:%, reason = &*reason; "advisor question failed");
                 CellEvent::PermitsFailed(step)
             }
         };
@@ -237,13 +199,7 @@
     }
 
     async fn fail_overdue(&mut self) {
-        let now = Instant::now();
-        let overdue = self
-            .open_requests
-            .iter()
-            .filter(|(_, open)| open.deadline.is_some_and(|deadline| now >= deadline));
-        let overdue: Vec<PermitRequestNumber> = overdue.map(|(number, _)| *number).collect();
-        for number in overdue {
+        for number in self.dispatch.overdue(Instant::now()) {
             self.finish(number, Err("no answer in time".to_owned())).await;
         }
     }
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -54,6 +54,9 @@
     pub open_jobs: IntGauge,
     /// Tasks that wait to be placed; 0 unless this process owns the cell.
     pub waiting_tasks: IntGauge,
+    /// Free accelerators on workers that are granted to a waiting step without a valid ticket; 0 unless this
+    /// process owns the cell.
+    pub accelerators_without_ticket: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -116,6 +119,10 @@
             owner: gauge("godwithaven_owner", "1 while this process owns the cell")?,
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
+            accelerators_without_ticket: gauge(
+                "godwithaven_accelerators_without_ticket",
+                "Free accelerators on workers granted to a waiting step without a ticket",
+            )?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
             registry,
         })
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -11,7 +11,7 @@
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::admission::AdmissionMessage;
 use crate::tasks::cell::admission_report::ESTIMATE_INTERVAL;
-use crate::tasks::cell::advisor::{AdvisorMessage, PermitRequest};
+use crate::tasks::cell::advisor::AdvisorMessage;
 use crate::tasks::cell::decision_log::{log_notice, log_record, log_run_end, log_start_decision};
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC};
 use crate::tasks::cell::link::WorkerLink;
@@ -109,6 +109,7 @@
         self.metrics.owner.set(0);
         self.metrics.open_jobs.set(0);
         self.metrics.waiting_tasks.set(0);
+        self.metrics.accelerators_without_ticket.set(0);
         log::info!(token = self.token, reason = &*ended; "ownership ended");
         ended
     }
@@ -251,8 +252,7 @@
                     self.record(state, &record);
                 }
                 CellEffect::Log(notice) => log_notice(&notice, self.token),
-                CellEffect::RequestPermits { step, rule, priority, workers } => {
-                    let request = PermitRequest { step, rule, priority, workers };
+                CellEffect::RequestPermits(request) => {
                     let message = AdvisorMessage::Request(request, self.own_sender.clone());
                     // The advisor task ends only with the process.
                     if self.advisor_sender.send(message).await.is_err() {
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -72,6 +72,18 @@
             log::info!(service = &**service, listed = pool.listed, open = pool.schedulable,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
+        for (queue, stats) in &summary.queues {
+            log::info!(queue:%, first = stats.first, renewals = stats.renewals,
+                more_workers = stats.more_workers, tickets = stats.tickets, starts = stats.starts,
+                grant_rate:% = format_args!("{:.2}", stats.grant_rate()); "permits of a queue");
+        }
+        let (skips, idle) = (summary.permit_skips, summary.idle_accelerators);
+        log::info!(proxies = summary.advisor_proxies, open = summary.requesting_steps,
+            open_ms = summary.open_decision_time.as_millis(), steps_requested = skips.requested,
+            steps_ticketed = skips.ticketed, steps_without_room = skips.no_room, steps_behind = skips.behind,
+            steps_queue_full = skips.queue, accelerators_without_ticket = idle.without_ticket,
+            accelerators_without_verdict = idle.without_verdict; "load of the advisor");
+        metrics.accelerators_without_ticket.set(i64::try_from(idle.without_ticket).unwrap_or(i64::MAX));
         let waits = summary.waits;
         log::info!(open_jobs = summary.open_jobs,
             excess_jobs = summary.excess_jobs, ready_steps = summary.ready_steps,
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -9,8 +9,8 @@
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, CellScheduler, CommandOutcome, EndCause,
-    EndedRun, GraphSpec, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand, StartInputs,
-    StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
+    EndedRun, GraphSpec, PermitRequest, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand,
+    StartInputs, StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
 use godwithaven::prelude::FastMap;
 
@@ -89,7 +89,7 @@
                 self.scheduler.handle(event, self.now);
             }
             CellEffect::Stop(command) => self.stops.push(command),
-            CellEffect::RequestPermits { step, rule, workers, .. } => {
+            CellEffect::RequestPermits(PermitRequest { step, rule, workers, .. }) => {
                 self.permit_requests.push((step.to_string(), workers.len()));
                 let granted = workers.iter().filter(|worker| !worker.starts_with("denied"));
                 let granted = granted.map(|worker| (worker.clone(), "ticket".into())).collect();
