--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -3,9 +3,10 @@
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus,
-    LossCause, OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, ShareStanding,
-    SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState,
-    StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
+    LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, RoomForecast,
+    RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey,
+    StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement,
+    TaskState,
 };
 use crate::prelude::*;
 
@@ -62,10 +63,12 @@
     pub unix_time: Duration,
     /// When every lease that earlier owners granted has expired; `None` only in the default state.
     pub inherited_lease_expires_at: Option<Instant>,
-    /// Number of processes that send permit requests to the advisor on behalf of this owner.
-    pub advisor_proxies: usize,
-    /// Number of permit requests to the advisor without an answer.
-    pub open_permit_requests: usize,
+    /// Permit requests to the advisor without an answer, and the processes that send them.
+    pub permit_load: PermitLoad,
+    /// Permit requests and answers by queue.
+    pub permit_stats: PermitStats,
+    /// Expected ends of the running tasks, as of the last pass that needed them.
+    pub room_forecast: RoomForecast,
     /// Effects to carry out, in order.
     pub effects: Vec<CellEffect>,
 }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -32,7 +32,7 @@
 mod job_status;
 mod lease_watch;
 mod order;
-mod permit_cache;
+mod permits;
 mod poll_reconciler;
 mod poll_report;
 mod record_replayer;
@@ -75,7 +75,11 @@
     ClassSummary, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding, StepClass,
     StepRank, StepRanking, TaskRank, VictimSearch,
 };
-pub use permit_cache::PermitCache;
+pub use permits::{
+    IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
+    PermitPlanner, PermitRequest, PermitRequestKind, PermitRequestNumber, PermitSkip, PermitSkipCounts,
+    PermitStats, QueuePermitStats, RoomForecast,
+};
 pub use poll_reconciler::PollReconciler;
 pub use poll_report::{EndCause, EndedRun, PollReport, RunningRun};
 pub use record_replayer::RecordReplayer;
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -56,6 +56,9 @@
     pub waiting_tasks: IntGauge,
     /// Steps that wait to be placed, by class; 0 unless this process owns the cell.
     pub waiting_steps: IntGaugeVec,
+    /// Free accelerators on workers that are granted to a waiting step without a valid ticket; 0 unless this
+    /// process owns the cell.
+    pub accelerators_without_ticket: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -124,6 +127,10 @@
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
             waiting_steps,
+            accelerators_without_ticket: gauge(
+                "godwithaven_accelerators_without_ticket",
+                "Free accelerators on workers granted to a waiting step without a ticket",
+            )?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
             registry,
         })
