--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -86,7 +86,8 @@
 #[gtest]
 fn every_page_is_run_and_names_metrics_that_exist() {
     let read = |file: &str| fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(file)).unwrap();
-    let (source, metrics) = (read("tests/pages.rs"), read("../src/tasks/metrics.rs"));
+    let source = read("tests/pages.rs");
+    let metrics = read("../src/tasks/metrics.rs") + &read("../src/tasks/connection_metrics.rs");
     let pages = fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations")).unwrap();
     for page in pages {
         let name = page.unwrap().file_name().into_string().unwrap();
--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -1,3 +1,4 @@
+use crate::kernel::connections::ClientLimits;
 use crate::prelude::*;
 
 /// Expected response time of a permit request to the placement advisor, and validity of the permits.
@@ -57,6 +58,8 @@
     pub teams: FastMap<TeamId, TeamRule>,
     /// Teams by the key that callers present.
     pub keys: FastMap<Arc<str>, TeamId>,
+    /// Limits on each connection of a client.
+    pub client_limits: ClientLimits,
 }
 
 impl CellConfig {
--- a/src/kernel/cell/graph_spec.rs
+++ b/src/kernel/cell/graph_spec.rs
@@ -9,7 +9,7 @@
 /// state for each of them.
 pub const MAX_TASKS_PER_JOB: u32 = 10_000;
 /// Largest number of steps of a job. The rank of a step takes a look at each of them.
-const MAX_STEPS_PER_JOB: usize = 500;
+pub const MAX_STEPS_PER_JOB: usize = 500;
 
 /// Schedule of a job that runs several times at a fixed interval.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -69,7 +69,7 @@
 pub use claim_watch::{CellOwner, ClaimWatch};
 pub use clock_reading::ClockReading;
 pub use end_handler::EndHandler;
-pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_TASKS_PER_JOB, RepeatSchedule};
+pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -8,6 +8,7 @@
 mod allotment_transfer;
 mod bundle_verifier;
 pub mod cell;
+pub mod connections;
 mod endpoint_pool;
 mod endpoint_state;
 mod endpoint_summary;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use crate::kernel::cell::{CellConfig, MAX_ESTIMATE, PermitRule, QueueRule, TeamRule};
+use crate::kernel::connections::ClientLimits;
 use crate::platform::workers::ResourceBody;
 use crate::prelude::*;
 use crate::tasks::cell::ports::OperatorChange;
@@ -22,6 +23,18 @@
     routes: Vec<RouteBody>,
     #[serde(default)]
     tenants: Vec<TenantBody>,
+    #[serde(default)]
+    limits: LimitsBody,
+}
+
+/// Limits on each connection of a client; a limit of 0 counts as missing.
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct LimitsBody {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
 }
 
 #[derive(Deserialize)]
@@ -86,6 +99,24 @@
             keys: keys.collect(),
             queues: body.routes.into_iter().map(queue_rule).collect(),
             teams: body.tenants.into_iter().map(team_rule).collect(),
+            client_limits: body.limits.into(),
+        }
+    }
+}
+
+impl From<LimitsBody> for ClientLimits {
+    fn from(body: LimitsBody) -> Self {
+        let default = Self::default();
+        let bytes = |value: usize, default: usize| if value > 0 { value } else { default };
+        let time = |value: u64, default: Duration| {
+            if value > 0 { Duration::from_millis(value).min(MAX_ESTIMATE) } else { default }
+        };
+        Self {
+            head_bytes: bytes(body.max_header_bytes, default.head_bytes),
+            body_bytes: bytes(body.max_body_bytes, default.body_bytes),
+            head_timeout: time(body.header_timeout_ms, default.head_timeout),
+            idle_timeout: time(body.idle_timeout_ms, default.idle_timeout),
+            exchange_timeout: default.exchange_timeout,
         }
     }
 }
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -10,14 +10,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::JobStatus;
+use crate::kernel::connections::{ConnectionClass, RequestFault};
 use crate::platform::jobs;
-use crate::plugins::http;
+use crate::plugins::http::{BufferedRequest, HttpServer, fault_status};
 use crate::prelude::*;
 use crate::tasks::cell::intake::{CallAction, CellCall, CellRefusal, CellReply, IntakeMessage};
 use crate::tasks::cell::ports::FrontEndContext;
 
-/// Largest accepted body of a call.
-const MAX_BODY_BYTES: usize = 1 << 20;
 /// Path of the readiness check.
 const READY_PATH: &str = "/api/ready";
 /// Header with the API key of a team.
@@ -45,13 +44,20 @@
 
 /// Serves callers and readiness checks until the token is cancelled.
 pub fn serve(context: FrontEndContext) -> LocalBoxFuture<'static, ()> {
-    let FrontEndContext { listener, readiness_listener, intake_sender, draining, token } = context;
+    let FrontEndContext { listener, readiness_listener, access, intake_sender, draining, token } = context;
     let (check_sender, check_draining) = (intake_sender.clone(), draining.clone());
-    let check_server = http::serve(readiness_listener, token.clone(), move |request| {
-        answer_readiness(check_sender.clone(), check_draining.is_cancelled(), request)
-    });
+    let check_server = HttpServer {
+        listener: readiness_listener,
+        class: ConnectionClass::Operator,
+        access: access.clone(),
+        refuse,
+        token: token.clone(),
+    };
+    let check_server = check_server
+        .serve(move |request| answer_readiness(check_sender.clone(), check_draining.is_cancelled(), request));
+    let call_server = HttpServer { listener, class: ConnectionClass::Caller, access, refuse, token };
     let call_server =
-        http::serve(listener, token, move |request| answer(intake_sender.clone(), draining.clone(), request));
+        call_server.serve(move |request| answer(intake_sender.clone(), draining.clone(), request));
     async move {
         tokio::join!(call_server, check_server);
     }
@@ -61,7 +67,7 @@
 async fn answer_readiness(
     intake_sender: mpsc::Sender<IntakeMessage>,
     draining: bool,
-    request: Request,
+    request: BufferedRequest,
 ) -> Response<Bytes> {
     if request.path() != READY_PATH {
         return empty(StatusCode::NOT_FOUND);
@@ -75,9 +81,9 @@
 async fn answer(
     intake_sender: mpsc::Sender<IntakeMessage>,
     draining: CancellationToken,
-    mut request: Request,
+    request: BufferedRequest,
 ) -> Response<Bytes> {
-    let reply = match decode(&mut request).await {
+    let reply = match decode(&request) {
         Ok(call) => forward(&intake_sender, call).await,
         Err(status) => return empty(status),
     };
@@ -102,14 +108,11 @@
     })
 }
 
-async fn decode(request: &mut Request) -> Result<CellCall, StatusCode> {
+fn decode(request: &BufferedRequest) -> Result<CellCall, StatusCode> {
     let action = match *request.method() {
         Method::GET => CallAction::Query,
         Method::DELETE => CallAction::Cancel,
-        Method::POST => {
-            let body = http::read_body(request, MAX_BODY_BYTES).await.ok_or(StatusCode::PAYLOAD_TOO_LARGE)?;
-            CallAction::Submit(jobs::decode(&body))
-        }
+        Method::POST => CallAction::Submit(jobs::decode(&request.body)),
         _ => return Err(StatusCode::METHOD_NOT_ALLOWED),
     };
     let host = header(request, HOST.as_str()).unwrap_or_default();
@@ -124,6 +127,11 @@
     })
 }
 
+/// Refuses a request that was not read to its end, so that nothing was accepted.
+fn refuse(fault: RequestFault) -> Response<Bytes> {
+    json(fault_status(fault), &RefusalBody { error: fault.to_string() })
+}
+
 /// Returns the value of a header; one that is not text is logged and counts as missing.
 fn header<'r>(request: &'r Request, name: &str) -> Option<&'r str> {
     match request.headers().get(name)?.to_str() {
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -1,8 +1,9 @@
 //! The JSON form in which callers submit jobs.
 
-use serde::Deserialize;
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 
-use crate::kernel::cell::{RepeatSchedule, StepSpec};
+use crate::kernel::cell::{MAX_STEPS_PER_JOB, RepeatSchedule, StepSpec};
 use crate::platform::config::milliseconds;
 use crate::prelude::*;
 use crate::tasks::cell::intake::JobSubmission;
@@ -12,6 +13,7 @@
     /// Text that is passed to each task.
     #[serde(default)]
     spec: Arc<str>,
+    #[serde(deserialize_with = "bounded_steps")]
     steps: Vec<StepBody>,
     #[serde(default)]
     repeat_count: u32,
@@ -59,6 +61,33 @@
     may_miss: u32,
 }
 
+/// Reads at most [`MAX_STEPS_PER_JOB`] steps: an empty step takes three bytes in a body, and many times that in
+/// memory.
+fn bounded_steps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<StepBody>, D::Error> {
+    struct StepsVisitor;
+
+    impl<'de> Visitor<'de> for StepsVisitor {
+        type Value = Vec<StepBody>;
+
+        fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            formatter.write_str("a list of steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Self::Value, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = list.next_element()? {
+                if steps.len() >= MAX_STEPS_PER_JOB {
+                    return Err(A::Error::custom(format!("more than {MAX_STEPS_PER_JOB} steps")));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    deserializer.deserialize_seq(StepsVisitor)
+}
+
 /// Parses a job; an error describes the first fault.
 pub fn decode(body: &[u8]) -> Result<JobSubmission, String> {
     let body: JobBody = serde_json::from_slice(body).map_err(|error| error.to_string())?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,11 +5,17 @@
 use std::str::FromStr;
 
 use crate::kernel::cell::Millicores;
+use crate::kernel::connections::{ClientLimits, ConnectionCapacity};
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::store_limits::StoreLimits;
 
+/// Memory of a process whose settings name none, in MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Descriptors of a process whose settings name none.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+
 /// Settings by name, with the faults found so far.
 struct SettingsParser {
     values: FastMap<String, String>,
@@ -92,6 +98,28 @@
         (share * 1_000.0).round() as Millicores
     }
 
+    /// Returns the room for connections of clients: a part of the memory and descriptors of the process, or what
+    /// is set in their place.
+    fn connection_capacity(&mut self) -> ConnectionCapacity {
+        let memory_mb = self.parse_or("limits.memory_mb", DEFAULT_MEMORY_MB);
+        let descriptors = self.parse_or("limits.max_fds", DEFAULT_DESCRIPTORS);
+        let derived = ConnectionCapacity::of_machine(memory_mb, descriptors);
+        ConnectionCapacity {
+            callers: self.parse_or("clients.connections", derived.callers),
+            callers_per_address: self
+                .parse_or("clients.connections_per_address", derived.callers_per_address),
+            operators: self.parse_or("clients.operator_connections", derived.operators),
+            bytes: self.parse_or("clients.buffered_bytes", derived.bytes),
+        }
+    }
+
+    /// Returns the longest time for the body of a request, and for an answer.
+    fn exchange_timeout(&mut self) -> Duration {
+        let default = ClientLimits::default().exchange_timeout;
+        let millis = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.parse_or("clients.exchange_timeout_ms", millis))
+    }
+
     /// Returns the first port of the range for internal use, which serves the metrics.
     fn metrics_port(&mut self) -> u16 {
         let text = self.text("internal_ports");
@@ -132,6 +160,8 @@
         store_address: parser.text("platform.address").into(),
         store_limits: parser.store_limits(),
         cpu_limit: parser.cpu_limit(),
+        connection_capacity: parser.connection_capacity(),
+        exchange_timeout: parser.exchange_timeout(),
         longest_lease: parser.milliseconds("bounds.max_hold_ms"),
         log_retention: Duration::from_secs(parser.parse("platform.keep_s", 300)),
         grace: Duration::from_secs(parser.parse("bounds.grace_s", 6)),
--- a/src/plugins/front_http.rs
+++ b/src/plugins/front_http.rs
@@ -9,19 +9,20 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::kernel::connections::{ConnectionClass, RequestFault};
 use crate::kernel::{
     ExecutionStatus, FrontReply, FrontRequest, JobKind, JobOutcome, PriorityClass, RefusalReason,
     RequestRefusal,
 };
-use crate::plugins::http;
+use crate::plugins::http::{BufferedRequest, HttpServer, fault_status};
 use crate::prelude::*;
 use crate::tasks::adapter::{AdapterEntry, FrontContext, FrontEnd};
 use crate::tasks::admission::AdmissionMessage;
 
 inventory::submit!(AdapterEntry::Front(FrontEnd { name: "front_http", serve }));
 
-/// Maximum size of a request body.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// Time after which a request that found no room may be repeated.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum time that a request waits for the outcome of a job; longer waits are shortened to it.
 const MAX_OUTCOME_WAIT: Duration = Duration::from_secs(60);
 
@@ -76,12 +77,18 @@
 
 fn serve(context: FrontContext) -> LocalBoxFuture<'static, ()> {
     let admission = context.admission;
-    http::serve(context.listener, context.stopping, move |request| handle(admission.clone(), request))
-        .boxed_local()
+    let server = HttpServer {
+        listener: context.listener,
+        class: ConnectionClass::Caller,
+        access: context.access,
+        refuse,
+        token: context.stopping,
+    };
+    server.serve(move |request| handle(admission.clone(), request)).boxed_local()
 }
 
-async fn handle(admission: mpsc::Sender<AdmissionMessage>, mut request: Request) -> Response<Bytes> {
-    let request = match decode(&mut request).await {
+async fn handle(admission: mpsc::Sender<AdmissionMessage>, request: BufferedRequest) -> Response<Bytes> {
+    let request = match decode(&request) {
         Ok(request) => request,
         Err(refusal) => return encode(FrontReply::Refused(refusal)),
     };
@@ -94,11 +101,38 @@
     encode(reply)
 }
 
-async fn decode(request: &mut Request) -> Result<FrontRequest, RequestRefusal> {
+/// Returns the refusal of a request that was not read to its end.
+fn refuse(fault: RequestFault) -> Response<Bytes> {
+    let refusal = match fault {
+        RequestFault::Malformed => bad_request("the request is malformed"),
+        RequestFault::HeadTooLarge => too_large("the request line and headers are longer than the limit"),
+        RequestFault::BodyTooLarge => too_large("the body is longer than the limit"),
+        RequestFault::HeadTimeout | RequestFault::BodyTimeout => {
+            RequestRefusal::not_run(RefusalReason::Timeout, "the request was not complete in time")
+        }
+        RequestFault::Overloaded => {
+            let text = "the process has no room for the request";
+            let mut refusal = RequestRefusal::not_run(RefusalReason::QueueFull, text);
+            refusal.retry_after = Some(OVERLOAD_RETRY_AFTER);
+            refusal
+        }
+    };
+    let mut response = refusal_response(&refusal);
+    if fault != RequestFault::Overloaded {
+        *response.status_mut() = fault_status(fault);
+    }
+    response
+}
+
+fn too_large(text: &str) -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::TooLarge, text)
+}
+
+fn decode(request: &BufferedRequest) -> Result<FrontRequest, RequestRefusal> {
     let path = request.path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (request.method().clone(), parts.as_slice()) {
-        (Method::POST, ["v1", "jobs"]) => decode_submit(request).await,
+        (Method::POST, ["v1", "jobs"]) => decode_submit(request),
         (Method::GET, ["v1", "jobs", team, name]) => {
             let wait = query_ms(request, "wait_ms")?;
             let job = format!("{team}/{name}").into();
@@ -107,9 +141,7 @@
         (Method::DELETE, ["v1", "jobs", team, name]) => {
             Ok(FrontRequest::Cancel { key: team_key_digest(request), job: format!("{team}/{name}").into() })
         }
-        (Method::POST, ["v1", "services", service, "requests"]) => {
-            decode_call(request, (*service).into()).await
-        }
+        (Method::POST, ["v1", "services", service, "requests"]) => decode_call(request, (*service).into()),
         (method, _) => {
             let text = format!("no such resource: {method} {path}");
             Err(RequestRefusal::not_run(RefusalReason::NotFound, text))
@@ -117,10 +149,10 @@
     }
 }
 
-async fn decode_submit(request: &mut Request) -> Result<FrontRequest, RequestRefusal> {
+fn decode_submit(request: &BufferedRequest) -> Result<FrontRequest, RequestRefusal> {
     let key = team_key_digest(request);
-    let body = read_body(request).await?;
-    let job: JobBody = serde_json::from_slice(&body).map_err(|error| bad_request(error.to_string()))?;
+    let job: JobBody =
+        serde_json::from_slice(&request.body).map_err(|error| bad_request(error.to_string()))?;
     let spec = JobSpec {
         id: format!("{}/{}", job.team, job.name).into(),
         team: job.team,
@@ -135,7 +167,7 @@
     Ok(FrontRequest::Submit { key, spec })
 }
 
-async fn decode_call(request: &mut Request, service: ServiceId) -> Result<FrontRequest, RequestRefusal> {
+fn decode_call(request: &BufferedRequest, service: ServiceId) -> Result<FrontRequest, RequestRefusal> {
     let key = team_key_digest(request);
     let Some(team) = header(request, "x-team") else {
         return Err(bad_request("the header x-team is missing"));
@@ -154,19 +186,10 @@
         return Err(bad_request("the header x-request-id is empty"));
     }
     let (request_id, team) = (format!("{team}/{id}").into(), TeamId::from(team));
-    let body = read_body(request).await?;
+    let body = request.body.clone();
     Ok(FrontRequest::Call { key, team, service, request: request_id, idempotent, deadline, body })
 }
 
-async fn read_body(request: &mut Request) -> Result<Bytes, RequestRefusal> {
-    http::read_body(request, MAX_BODY_BYTES).await.ok_or_else(|| {
-        RequestRefusal::not_run(
-            RefusalReason::TooLarge,
-            format!("the body is longer than {MAX_BODY_BYTES} bytes or broken"),
-        )
-    })
-}
-
 fn bad_request(text: impl Into<String>) -> RequestRefusal {
     RequestRefusal::not_run(RefusalReason::BadRequest, text)
 }
--- a/src/plugins/http.rs
+++ b/src/plugins/http.rs
@@ -1,17 +1,19 @@
 //! HTTP/1.1 clients and the HTTP/1.1 server that the adapters share.
 
-use std::future::Future;
-use std::rc::Rc;
+mod buffered_request;
+mod connection;
+mod request_reader;
+mod server;
 
-use actix_http::{HttpService, Request, Response};
-use actix_service::{Service, ServiceFactory, fn_service};
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use tokio::net::TcpListener;
-use tokio::task::JoinSet;
-use tokio_util::sync::CancellationToken;
+
+pub use buffered_request::BufferedRequest;
+pub use connection::{fault_status, refuse_without_body};
+pub use request_reader::{ReadStep, RequestReader};
+pub use server::{HttpServer, RefusalEncoder};
 
 use crate::prelude::*;
 
@@ -24,9 +26,6 @@
 /// Age after which a connection of [`persistent_client`] is no longer used.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(3_600);
 
-/// Maximum time that a stopping server waits for its connections to close.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Maximum time between two parts of the body of a response.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -99,53 +98,3 @@
         body.extend_from_slice(&chunk);
     }
 }
-
-/// Reads a request body of at most `limit` bytes; `None` if it is longer or incomplete.
-pub async fn read_body(request: &mut Request, limit: usize) -> Option<Bytes> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.ok()?;
-        if body.len() + chunk.len() > limit {
-            return None;
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Some(body.freeze())
-}
-
-/// Serves HTTP/1.1 on the listener until the token is cancelled, then waits for open connections to close,
-/// for at most `DRAIN_TIMEOUT`.
-pub async fn serve<F, R>(listener: TcpListener, token: CancellationToken, handler: F)
-where
-    F: Fn(Request) -> R + Clone + 'static,
-    R: Future<Output = Response<Bytes>> + 'static,
-{
-    let stopping = token.clone();
-    let factory = HttpService::build()
-        .graceful_shutdown_signal(move || stopping.clone().cancelled_owned())
-        .h1(fn_service(move |request: Request| {
-            let response = handler(request);
-            async move { Ok::<_, actix_http::Error>(response.await) }
-        }));
-    let Ok(service) = ServiceFactory::new_service(&factory, ()).await else { return };
-    let service = Rc::new(service);
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = token.cancelled() => break,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => {
-                let Ok((stream, address)) = accepted else { continue };
-                let service = service.clone();
-                connections.spawn_local(async move {
-                    // An error ends only this connection.
-                    let _ = service.call((stream, Some(address))).await;
-                });
-            }
-        }
-    }
-    drop(listener);
-    let drained = async { while connections.join_next().await.is_some() {} };
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, drained).await;
-}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,8 +14,14 @@
 use setting_reader::SettingReader;
 pub use setting_spec::SettingSpec;
 
+use crate::kernel::connections::{ClientLimits, ConnectionCapacity, MAX_DESCRIPTORS, MAX_MEMORY_MB};
 use crate::prelude::*;
 
+/// Smallest limit on a head that a process accepts, in bytes.
+const MIN_HEADER_BYTES: usize = 256;
+/// Largest limit on a head or a body that a process accepts, in bytes.
+const MAX_CLIENT_BYTES: usize = 1 << 30;
+
 /// Settings of an entry process.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -44,6 +50,10 @@
     pub sync_interval: Duration,
     /// Duration of the lease that a sync grants to a worker.
     pub lease: Duration,
+    /// How many connections of clients the process holds, and how many bytes they buffer together.
+    pub connection_capacity: ConnectionCapacity,
+    /// Limits on each connection of a client.
+    pub client_limits: ClientLimits,
     /// Format of log lines.
     pub log_format: LogFormat,
 }
@@ -96,6 +106,38 @@
         "time between worker syncs in milliseconds",
     ),
     spec("lease-ms", "GODWITHAVEN_LEASE_MS", Some("30000"), "lease of a worker in milliseconds"),
+    spec("memory-mb", "GODWITHAVEN_MEMORY_MB", Some("256"), "memory of this process in MB"),
+    spec("max-fds", "GODWITHAVEN_MAX_FDS", Some("4096"), "descriptors of this process"),
+    spec(
+        "max-header-bytes",
+        "GODWITHAVEN_MAX_HEADER_BYTES",
+        Some("16384"),
+        "largest request line and headers of a client in bytes",
+    ),
+    spec(
+        "max-body-bytes",
+        "GODWITHAVEN_MAX_BODY_BYTES",
+        Some("1048576"),
+        "largest body of a request of a client in bytes",
+    ),
+    spec(
+        "header-timeout-ms",
+        "GODWITHAVEN_HEADER_TIMEOUT_MS",
+        Some("3000"),
+        "longest time for the head of a request in milliseconds",
+    ),
+    spec(
+        "idle-timeout-ms",
+        "GODWITHAVEN_IDLE_TIMEOUT_MS",
+        Some("15000"),
+        "longest time without a request, or without progress of one or of its answer, in milliseconds",
+    ),
+    spec(
+        "exchange-timeout-ms",
+        "GODWITHAVEN_EXCHANGE_TIMEOUT_MS",
+        Some("60000"),
+        "longest time for the body of a request, and for an answer, in milliseconds",
+    ),
     spec("log-format", "GODWITHAVEN_LOG_FORMAT", Some("pairs"), "form of log lines, pairs or json"),
 ];
 
@@ -137,6 +179,17 @@
             commit_window: reader.milliseconds("commit-window-ms", 0),
             sync_interval: reader.milliseconds("sync-interval-ms", 1),
             lease: reader.milliseconds("lease-ms", 1),
+            connection_capacity: ConnectionCapacity::of_machine(
+                reader.number("memory-mb", 1, MAX_MEMORY_MB),
+                reader.number("max-fds", 1, MAX_DESCRIPTORS),
+            ),
+            client_limits: ClientLimits {
+                head_bytes: reader.number("max-header-bytes", MIN_HEADER_BYTES, MAX_CLIENT_BYTES),
+                body_bytes: reader.number("max-body-bytes", 1, MAX_CLIENT_BYTES),
+                head_timeout: reader.milliseconds("header-timeout-ms", 1),
+                idle_timeout: reader.milliseconds("idle-timeout-ms", 1),
+                exchange_timeout: reader.milliseconds("exchange-timeout-ms", 1),
+            },
             log_format: reader.parse("log-format", LogFormat::Pairs, LogFormat::parse),
         };
         let mut faults = reader.faults;
--- a/src/settings/setting_reader.rs
+++ b/src/settings/setting_reader.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use crate::prelude::*;
 use crate::settings::ENTRY_SETTINGS;
@@ -65,6 +66,11 @@
         self.parse(name, Duration::from_secs(1), |text| parse(text).map(Duration::from_millis))
     }
 
+    /// Returns a whole number from `min` up to `max`.
+    pub fn number<T: Copy + PartialOrd + FromStr>(&mut self, name: &str, min: T, max: T) -> T {
+        self.parse(name, min, |text| text.parse().ok().filter(|number| (min..=max).contains(number)))
+    }
+
     /// Returns the distinct public keys of a comma-separated list. Signatures are matched to them by
     /// comparing text, so only lower-case digits are valid.
     pub fn public_keys(&mut self, name: &str) -> Vec<String> {
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -11,6 +11,7 @@
 use crate::kernel::{AttemptFailure, EndpointHealth, RecordGroup, WorkerCommand, WorkerReport};
 use crate::prelude::*;
 use crate::tasks::admission::AdmissionMessage;
+use crate::tasks::connections::ClientAccess;
 use crate::tasks::vm_list::{ListCursor, ListRead};
 
 /// Why a log operation got no usable answer, as one line; a failed append may still have taken effect.
@@ -211,6 +212,8 @@
 pub struct FrontContext {
     /// Bound socket for connections of callers.
     pub listener: TcpListener,
+    /// The way to the connection table, and the limits on each connection.
+    pub access: ClientAccess,
     /// Sender to the admission task.
     pub admission: mpsc::Sender<AdmissionMessage>,
     /// Cancelled to stop the front end; requests that were accepted are answered first.
--- a/src/tasks/cell/config_feed.rs
+++ b/src/tasks/cell/config_feed.rs
@@ -1,9 +1,10 @@
 //! Follows the topic of operator changes and passes configurations and closed zones on to the other tasks.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::CellConfig;
+use crate::kernel::connections::ClientLimits;
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
 use crate::tasks::cell::claim::ClaimMessage;
@@ -25,6 +26,9 @@
     pub intake_sender: mpsc::Sender<IntakeMessage>,
     /// Sends messages to the task that follows the ownership of the cell.
     pub claim_sender: mpsc::Sender<ClaimMessage>,
+    /// Sends the limits on the connections of clients to the listeners. Their `exchange_timeout` is a setting and
+    /// not part of the configuration.
+    pub client_limits: watch::Sender<ClientLimits>,
     /// Metrics of the process.
     pub metrics: CellMetrics,
 }
@@ -60,6 +64,10 @@
                 log::info!(version = new_config.version, queues = new_config.queues.len(),
                     teams:? = new_config.teams; "configuration is in force");
                 self.metrics.config_version.set(i64::try_from(new_config.version).unwrap_or(i64::MAX));
+                let limits = new_config.client_limits;
+                self.client_limits.send_modify(|current| {
+                    *current = ClientLimits { exchange_timeout: current.exchange_timeout, ..limits };
+                });
                 self.notify_intake_task(IntakeMessage::Configured(new_config.clone())).await;
                 self.notify_claim_task(ClaimMessage::Configured(new_config.clone())).await;
                 config = Some(new_config);
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -11,8 +11,11 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::kernel::connections::ConnectionClass;
 use crate::log_pipe;
-use crate::plugins::http;
+use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
+use crate::tasks::connection_metrics::ConnectionMetrics;
+use crate::tasks::connections::ClientAccess;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
 const SMALLEST_BUCKET_SECONDS: f64 = 0.001;
@@ -56,6 +59,8 @@
     pub waiting_tasks: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Metrics of the connections of clients.
+    pub connections: ConnectionMetrics,
 }
 
 impl CellMetrics {
@@ -117,18 +122,21 @@
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
+            connections: ConnectionMetrics::new(&registry)?,
             registry,
         })
     }
 
     /// Serves the metrics at `/metrics` until the token is cancelled.
-    pub async fn serve(self, listener: TcpListener, token: CancellationToken) {
+    pub async fn serve(self, listener: TcpListener, access: ClientAccess, token: CancellationToken) {
         let registry = self.registry;
-        http::serve(listener, token, move |request| {
+        let class = ConnectionClass::Operator;
+        let server = HttpServer { listener, class, access, refuse: refuse_without_body, token };
+        let handler = move |request: BufferedRequest| {
             let response = respond(&registry, request.path());
             async move { response }
-        })
-        .await;
+        };
+        server.serve(handler).await;
     }
 }
 
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -17,6 +17,7 @@
 use crate::tasks::cell::intake::IntakeMessage;
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::store_limits::StoreLimits;
+use crate::tasks::connections::ClientAccess;
 
 /// Identifies the writer of an append, so that the store recognises repeated appends and rejects fenced
 /// writers.
@@ -194,6 +195,8 @@
     pub listener: TcpListener,
     /// Listening socket for readiness checks.
     pub readiness_listener: TcpListener,
+    /// The way to the connection table, and the limits on each connection.
+    pub access: ClientAccess,
     /// Sends messages to the task that admits calls.
     pub intake_sender: mpsc::Sender<IntakeMessage>,
     /// Cancelled when the process begins to drain: readiness checks fail and connections are closed after the
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -9,6 +9,7 @@
 
 use crate::kernel::cell::admission::{AdmissionGate, RefusalTally};
 use crate::kernel::cell::{ClaimWatch, HandoverWatch, MIN_OWNER_MILLICORES};
+use crate::kernel::connections::ClientLimits;
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -22,6 +23,7 @@
 use crate::tasks::cell::ports::{CellAdapter, FrontEndContext};
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::submit_queue::SubmitQueue;
+use crate::tasks::connections::ClientAccess;
 
 /// Additional delay before a process with a low CPU limit claims the cell, so that others claim it first.
 const LOW_CPU_CLAIM_DELAY: Duration = Duration::from_millis(900);
@@ -76,12 +78,20 @@
         let (admission_sender, admission_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (route, routes) = watch::channel(OwnerRoute::Unknown);
 
-        actix_rt::spawn(metrics_pages.serve(metrics_listener, token.clone()));
+        let limits = ClientLimits { exchange_timeout: settings.exchange_timeout, ..ClientLimits::default() };
+        let (access, client_limits) = ClientAccess::start(
+            settings.connection_capacity,
+            limits,
+            metrics.connections.clone(),
+            token.clone(),
+        );
+        actix_rt::spawn(metrics_pages.serve(metrics_listener, access.clone(), token.clone()));
         let feed = ConfigFeed {
             adapter,
             store: store.clone(),
             intake_sender: intake_sender.clone(),
             claim_sender: claim_sender.clone(),
+            client_limits,
             metrics: metrics.clone(),
         };
         actix_rt::spawn(feed.run(token.clone()));
@@ -133,6 +143,7 @@
         let front = FrontEndContext {
             listener,
             readiness_listener,
+            access,
             intake_sender,
             draining: draining.clone(),
             token: closing.clone(),
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -16,6 +16,7 @@
     AdapterEntry, DirectoryAdapter, EndpointAdapter, FrontContext, FrontEnd, LogAdapter, WorkerAdapter,
 };
 use crate::tasks::admission::AdmissionTask;
+use crate::tasks::connections::ClientAccess;
 use crate::tasks::directory::DirectoryTask;
 use crate::tasks::journal::{JournalMessage, JournalTask};
 use crate::tasks::metrics::EntryMetrics;
@@ -249,6 +250,12 @@
             peer: peer_sender.clone(),
         };
         actix_rt::spawn(directory.run(self.shutdown.clone()));
+        let (access, _) = ClientAccess::start(
+            self.settings.connection_capacity,
+            self.settings.client_limits,
+            self.metrics.connections.clone(),
+            self.shutdown.clone(),
+        );
         let service = OperatorService {
             process: self.process,
             metrics: self.metrics,
@@ -263,8 +270,9 @@
             },
             stopping: self.stopping.clone(),
         };
-        actix_rt::spawn(service.serve(operator, self.shutdown.clone()));
-        let context = FrontContext { listener: front, admission: admission_sender, stopping: self.stopping };
+        actix_rt::spawn(service.serve(operator, access.clone(), self.shutdown.clone()));
+        let context =
+            FrontContext { listener: front, access, admission: admission_sender, stopping: self.stopping };
         (actix_rt::spawn((self.adapters.front.serve)(context)), router_sender)
     }
 
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::kernel::TeamWaits;
+use crate::tasks::connection_metrics::ConnectionMetrics;
 
 /// Metrics that the tasks update; clones share their values.
 #[derive(Clone)]
@@ -34,6 +35,8 @@
     pub syncs: IntCounterVec,
     /// Version of the bundle in force in this process, which may come from a peer; 0 if there is none.
     pub bundle_version: IntGauge,
+    /// Metrics of the connections of clients.
+    pub connections: ConnectionMetrics,
     ready: IntGauge,
     waiting: IntGaugeVec,
 }
@@ -83,6 +86,7 @@
             appends: plain("godwithaven_log_appends_total", "Appends to the log")?,
             log_faults: plain("godwithaven_log_faults_total", "Failed appends and reads of the log")?,
             syncs: labelled("godwithaven_worker_syncs_total", "Worker syncs", "result")?,
+            connections: ConnectionMetrics::new(&registry)?,
             ready: gauge("godwithaven_ready", "1 while the process takes requests")?,
             bundle_version: gauge(
                 "godwithaven_bundle_version",
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -4,6 +4,9 @@
 pub mod adapter;
 pub mod admission;
 pub mod cell;
+pub mod connection_lease;
+pub mod connection_metrics;
+pub mod connections;
 pub mod directory;
 pub mod endpoint;
 pub mod entry;
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -1,14 +1,16 @@
 //! The operators' HTTP interface. It is read-only; operators make changes by publishing a bundle.
 
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{Method, Response, StatusCode};
 use bytes::Bytes;
 use prometheus::TextEncoder;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::plugins::http;
+use crate::kernel::connections::ConnectionClass;
+use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
 use crate::prelude::*;
+use crate::tasks::connections::ClientAccess;
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::operator_view::OperatorView;
 
@@ -26,12 +28,14 @@
 }
 
 impl OperatorService {
-    /// Serves HTTP connections until `shutdown` is cancelled.
-    pub async fn serve(self, listener: TcpListener, shutdown: CancellationToken) {
-        http::serve(listener, shutdown, move |request| self.clone().answer(request)).await;
+    /// Serves HTTP connections until the token is cancelled.
+    pub async fn serve(self, listener: TcpListener, access: ClientAccess, token: CancellationToken) {
+        let class = ConnectionClass::Operator;
+        let server = HttpServer { listener, class, access, refuse: refuse_without_body, token };
+        server.serve(move |request| self.clone().answer(request)).await;
     }
 
-    async fn answer(self, request: Request) -> Response<Bytes> {
+    async fn answer(self, request: BufferedRequest) -> Response<Bytes> {
         if *request.method() != Method::GET {
             return error_response(
                 StatusCode::METHOD_NOT_ALLOWED,
--- a/tests/cell_input.rs
+++ b/tests/cell_input.rs
@@ -11,10 +11,13 @@
 use fixture_platform::{Platform, start_platform, write_settings};
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{GraphSpec, MAX_ESTIMATE, MAX_TASKS_PER_JOB, RepeatSchedule, StepSpec};
+use godwithaven::kernel::connections::{ClientLimits, ConnectionCapacity};
 use godwithaven::tasks::cell::intake::{CallAction, CellReply, IntakeMessage, JobRecord, JobSubmission};
+use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::ports::{
     CellAdapter, FrontEndContext, OperatorChange, ReadFault, StoreClient, TopicPage,
 };
+use godwithaven::tasks::connections::ClientAccess;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, Strategy, any, prop};
 use proptest::prop_assert;
@@ -196,7 +199,10 @@
     let (intake_sender, mut intake) = mpsc::channel(1);
     let token = CancellationToken::new();
     let (draining, stop) = (token.child_token(), token.clone());
-    let context = FrontEndContext { listener, readiness_listener, intake_sender, draining, token };
+    let capacity = ConnectionCapacity::of_machine(256, 4_096);
+    let metrics = CellMetrics::new().expect("the metrics are valid").connections;
+    let (access, _limits) = ClientAccess::start(capacity, ClientLimits::default(), metrics, token.clone());
+    let context = FrontEndContext { listener, readiness_listener, access, intake_sender, draining, token };
     actix_rt::spawn((adapter().serve)(context));
     let call = awc::Client::default().post(url).send_body(body);
     let received = async {
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -9,7 +9,7 @@
 use godwithaven::tasks::cell::ports::CellAdapter;
 use godwithaven::tasks::cell::process::CellProcess;
 use googletest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Longest wait for an expected answer or state; far above the usual time, as test machines may be busy.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -139,7 +139,8 @@
 }
 
 /// Guards against one submission that the store does not take and that makes the process refuse every other
-/// call for as long as it repeats the append.
+/// call for as long as it repeats the append: one whose body has a legal size and whose record has not. A body
+/// over the limit is refused before that.
 #[gtest]
 #[actix_rt::test]
 async fn a_submission_too_large_for_the_store_is_refused_alone() -> Result<()> {
@@ -149,15 +150,22 @@
     call("POST", &url("00000000000000d1"), Some(job("ms=10")), &[200]).await;
 
     let large_url = url("00000000000000d2");
-    let large = call("POST", &large_url, Some(job(&"x".repeat(300_000))), &[200, 400, 503]);
+    // Steps take five times as many bytes in the record as in the body.
+    let steps = vec![json!({"count": 1, "cpu": 1}); 400];
+    let large_record = json!({"spec": "x".repeat(240_000), "steps": steps});
+    let large = call("POST", &large_url, Some(large_record), &[200, 400, 503]);
     let small_url = url("00000000000000d3");
     let small = call("POST", &small_url, Some(job("ms=10")), &[200, 503, 504]);
     let ((large, _), (small, _)) = tokio::join!(large, small);
     let (state, _) = call("GET", &url("00000000000000d2"), None, &[200, 410]).await;
+    let (oversized, _) =
+        call("POST", &large_url, Some(job(&"x".repeat(300_000))), &[200, 400, 413, 503]).await;
+    let (oversized_state, _) = call("GET", &url("00000000000000d2"), None, &[200, 410]).await;
     platform.token.cancel();
 
     verify_that!((large, small), eq((400, 200)))?;
-    verify_that!(state, eq(410))
+    verify_that!((state, oversized_state), eq((410, 410)))?;
+    verify_that!(oversized, eq(413))
 }
 
 /// Guards against a check of the settings that stops at the first fault, so that operators find them one by
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -12,6 +12,7 @@
     EndedRun, GraphSpec, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand, StartInputs,
     StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
+use godwithaven::kernel::connections::ClientLimits;
 use godwithaven::prelude::FastMap;
 
 /// Unix time at the start of each test.
@@ -228,6 +229,7 @@
         .into_iter()
         .collect(),
         keys: FastMap::default(),
+        client_limits: ClientLimits::default(),
     }
 }
 
