--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -12,6 +12,7 @@
     EndedRun, GraphSpec, PermitRequest, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand,
     StartInputs, StepClass, StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
+use godwithaven::kernel::connections::ClientLimits;
 use godwithaven::prelude::FastMap;
 
 /// Unix time at the start of each test.
@@ -234,6 +235,7 @@
         .into_iter()
         .collect(),
         keys: FastMap::default(),
+        client_limits: ClientLimits::default(),
     }
 }
 
