--- a/src/kernel/cell/admission/admission_gate.rs
+++ b/src/kernel/cell/admission/admission_gate.rs
@@ -79,14 +79,13 @@
 }
 
 /// Returns the longest wait after which the result of a job is still of use; `None` if the job has no one
-/// result, because it is scheduled or has long-running tasks, or if it is not known.
+/// result, because it is scheduled or has long-running tasks.
 fn usable_wait(spec: &GraphSpec, rule: &QueueRule) -> Option<Duration> {
     if spec.schedule.is_some() || spec.steps.iter().any(|step| step.long_running) {
         return None;
     }
     let critical_path = spec.estimated_critical_path();
-    let stretched = Duration::try_from_secs_f64(critical_path.as_secs_f64() * rule.stretch).ok()?;
-    let objective = rule.target.saturating_add(stretched);
+    let objective = rule.objective(critical_path);
     let run_time = critical_path.saturating_mul(MIN_RUN_TIME_PERCENT) / 100;
     Some(objective.saturating_mul(USABLE_OBJECTIVES).saturating_sub(run_time))
 }
--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -36,6 +36,15 @@
     pub prefix: Arc<str>,
 }
 
+impl QueueRule {
+    /// Returns the latency objective of a job with this critical path, counted from the time at which it is due.
+    #[must_use]
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = Duration::try_from_secs_f64(critical_path.as_secs_f64() * self.stretch);
+        self.target.saturating_add(stretched.unwrap_or_default())
+    }
+}
+
 /// Configuration of a team.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamRule {
--- a/src/tasks/cell/admission_report.rs
+++ b/src/tasks/cell/admission_report.rs
@@ -54,7 +54,7 @@
 
 /// Logs the expected waits of each queue in which work is waiting.
 fn log_waits(estimate: &AdmissionEstimate) {
-    for (queue, estimate) in estimate.queues.iter().filter(|(_, estimate)| estimate.waiting_steps > 0) {
+    for (queue, estimate) in &estimate.queues {
         let Some((team, longest)) = estimate.teams.iter().max_by_key(|(_, wait)| wait.time) else { continue };
         log::info!(queue = &**queue, waiting_steps = estimate.waiting_steps, wait_ms = milliseconds(estimate.other_teams.time),
             cause:% = estimate.other_teams.cause, longest_ms = milliseconds(longest.time),
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -233,8 +233,8 @@
         let refusal = self
             .config
             .as_ref()
-            .filter(|_| !self.queue.holds(&spec.id))
-            .and_then(|config| self.gate.refusal(&spec, config, Instant::now()));
+            .and_then(|config| self.gate.refusal(&spec, config, Instant::now()))
+            .filter(|_| !self.queue.holds(&spec.id));
         match refusal {
             Some(refusal) => {
                 let pending = PendingRefusal { spec, refusal, deadline, reply };
--- a/tests/cell_admission.rs
+++ b/tests/cell_admission.rs
@@ -14,16 +14,18 @@
 use godwithaven::kernel::cell::{
     CellConfig, CellEvent, CellOwner, GraphSpec, JobStatus, PermitRule, RepeatSchedule, StepSpec,
 };
+use godwithaven::tasks::cell::admission::{self, AdmissionMessage, AdmissionTask};
 use godwithaven::tasks::cell::intake::{
     CallAction, CellCall, CellRefusal, CellReply, IntakeMessage, IntakeTask, JobSubmission,
 };
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::{JobAnswer, OwnerMessage};
-use godwithaven::tasks::cell::peer::OwnerRoute;
+use godwithaven::tasks::cell::peer::{self, CellService, OwnerRoute};
 use godwithaven::tasks::cell::ports::{AppendOutcome, ReadFault, StoreClient};
 use godwithaven::tasks::cell::store_limits::StoreLimits;
 use godwithaven::tasks::cell::submit_queue::SubmitQueue;
 use googletest::prelude::*;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -115,10 +117,11 @@
 fn flood_of_a_more_urgent_queue_refuses_less_urgent_jobs() -> Result<()> {
     let mut driver = cell(2);
     submit(&mut driver, flood("a", "urgent", "red", 60));
+    submit(&mut driver, newcomer("b", "batch", "blue"));
 
     let mut gate = gate_after_2_s(&mut driver);
 
-    verify_that!(is_refused(&mut gate, &newcomer("b", "batch", "blue"), driver.now), eq(true))
+    verify_that!(is_refused(&mut gate, &newcomer("c", "batch", "blue"), driver.now), eq(true))
 }
 
 /// Guards against refusals for a flood of less urgent work, which yields to a new job.
@@ -308,6 +311,56 @@
     verify_that!(lines, eq([Some(1), None, None, Some(3)]))
 }
 
+/// Returns a notice that names a team and all others.
+fn notice_of_two_waits() -> AdmissionNotice {
+    let mut notice = notice(200);
+    let wait = Duration::from_secs(70);
+    notice.waits.push(QueueWait { queue: "batch".into(), team: None, wait });
+    notice
+}
+
+/// Guards against processes that refuse nothing, or others than the owner named, because notices are lost or
+/// changed on their way.
+#[gtest]
+#[actix_rt::test]
+async fn other_processes_receive_the_notices_of_the_owner() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
+    let address = listener.local_addr().or_fail()?.to_string();
+    let identity = CellOwner { process: "p".into(), address: address.as_str().into(), token: 1 };
+    let (owner_sender, _owner) = mpsc::channel(1);
+    let (_route, route) = watch::channel(OwnerRoute::Local(identity, owner_sender));
+    let (intake_sender, mut own_intake) = mpsc::channel(8);
+    let (admission_sender, admission_inbox) = mpsc::channel(8);
+    let ((advisor_sender, _advisor), (claim_sender, _claim)) = (mpsc::channel(1), mpsc::channel(1));
+    let service = CellService {
+        process: "p".into(),
+        route,
+        advisor_sender,
+        admission_sender: admission_sender.clone(),
+        claim_sender,
+        intake_sender: intake_sender.clone(),
+    };
+    let token = CancellationToken::new();
+    actix_rt::spawn(peer::serve(listener, service, token.clone()));
+    let task = AdmissionTask { intake_sender, followers: Vec::new() };
+    actix_rt::spawn(task.run(admission_inbox, token.clone()));
+    let (follower_sender, mut follower_intake) = mpsc::channel(8);
+    let client = peer::connect(&address).or_fail()?;
+    actix_rt::spawn(admission::follow(client, follower_sender, token.clone()));
+
+    // The stream is open once a notice arrives; those before are lost, as they would be to a slow process.
+    let received = loop {
+        admission_sender.send(AdmissionMessage::Noticed(notice_of_two_waits())).await.or_fail()?;
+        own_intake.recv().await.or_fail()?;
+        if let Ok(message) = tokio::time::timeout(Duration::from_millis(50), follower_intake.recv()).await {
+            break message;
+        }
+    };
+    token.cancel();
+
+    verify_that!(received, some(pat!(IntakeMessage::LongWaits(eq(&notice_of_two_waits())))))
+}
+
 /// Returns what an intake answers to a submission that its gate refuses, if the owner gives `answer`.
 async fn submit_against_notice(answer: Option<JobAnswer>) -> Result<CellReply> {
     let (owner_sender, mut owner) = mpsc::channel(8);
