--- a/src/kernel/cell/permits/permit_demand.rs
+++ b/src/kernel/cell/permits/permit_demand.rs
@@ -11,8 +11,9 @@
     pub verdicts: usize,
     /// Whether a request for a small part of the waiting tasks is worth its decision time.
     pub accepts_small_batch: bool,
-    /// Whether less urgent tasks may be preempted for the step now.
-    pub may_preempt: bool,
+    /// Whether the step asks for verdicts whether or not room is expected, so that room can be reserved or freed
+    /// for it on workers that are known to be granted.
+    pub asks_early: bool,
     /// Number of the step among the blocked ones with the same demand in this pass, from 1.
     pub position: usize,
     /// Number of tasks like those of the step that would take up the room which steps before it in the pass
--- a/src/kernel/cell/permits/permit_planner.rs
+++ b/src/kernel/cell/permits/permit_planner.rs
@@ -5,9 +5,6 @@
 /// Number of workers that a first request names at least, if there are as many: the verdicts are used again when
 /// the step waits for longer, and a worker costs little beside the request.
 const MIN_WORKERS_PER_REQUEST: usize = 40;
-/// Blocked steps per kind of demand that learn their verdicts whether or not room is expected, so that room can be
-/// reserved for them.
-const MAX_STEPS_ASKING_EARLY: usize = 4;
 /// Tasks that the named workers should hold by the grant rate, as a multiple of the wanted ones.
 const SPARE_FACTOR: f64 = 1.5;
 
@@ -51,7 +48,7 @@
 
     fn plan_first(&self, unknown: &[PermitOption]) -> PermitPlan {
         let fitting = sum(unknown.iter(), |option| option.fitting_soon);
-        let early = self.demand.may_preempt || self.demand.position <= MAX_STEPS_ASKING_EARLY;
+        let early = self.demand.asks_early;
         if unknown.is_empty() || (fitting == 0 && !early) {
             return PermitPlan::Skip(PermitSkip::NoRoom);
         }
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -7,6 +7,8 @@
 
 /// Number of workers for which the decision time is estimated before it is known how many a request names.
 const TYPICAL_WORKERS: usize = 40;
+/// Blocked steps per kind of demand that learn their verdicts whether or not room is expected.
+const MAX_STEPS_ASKING_EARLY: usize = 4;
 /// Part of the validity of a ticket, as a divisor, for which a request may wait to be sent, and by which room may
 /// become free after the answer.
 const VALIDITY_DIVISOR: u32 = 4;
@@ -47,7 +49,7 @@
         let assured = step.long_running || step.gang;
         let wait = self.state.permit_load.expected_wait(rank, assured);
         let max_wait = permit_rule.validity / VALIDITY_DIVISOR;
-        if wait > max_wait {
+        if wait > max_wait && !rank.skips_request_bound() {
             return Err(PermitSkip::Queue);
         }
         let (queue, gang) = (spec.queue.clone(), step.gang);
@@ -71,7 +73,8 @@
             gang,
             verdicts,
             accepts_small_batch,
-            may_preempt: pending.may_preempt,
+            asks_early: pending.may_preempt
+                || (rank.may_claim_room() && pending.position <= MAX_STEPS_ASKING_EARLY),
             position: pending.position,
             claimed_tasks: tasks_in(claimed, pending.task_capacity),
             unused_renewals,
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -173,7 +173,7 @@
         gang: false,
         verdicts: 0,
         accepts_small_batch: true,
-        may_preempt: false,
+        asks_early: true,
         position: 1,
         claimed_tasks: 0,
         unused_renewals: 0,
@@ -194,8 +194,8 @@
 }
 
 fn rank(priority: u32, latest_start: Instant) -> StepRank {
-    let lateness = JobLateness::InTime;
-    StepRank { class: StepClass::Useful, priority, lateness, above_share: false, latest_start }
+    let (class, lateness) = (StepClass::Useful, JobLateness::InTime);
+    StepRank { class, priority, lateness, above_share: false, latest_start }
 }
 
 /// With a full pool, steps that ask whenever their tickets have expired take all of the decision time of the
@@ -273,7 +273,7 @@
 /// Steps behind others would ask for permits for room that these take.
 #[gtest]
 fn a_step_does_not_ask_for_room_that_steps_before_it_wait_for() -> Result<()> {
-    let behind = PermitDemand { position: 30, claimed_tasks: 4, ..demand(2) };
+    let behind = PermitDemand { asks_early: false, position: 30, claimed_tasks: 4, ..demand(2) };
     let options = [option(1, false, 0, 2), option(2, false, 0, 2)];
 
     let plan = PermitPlanner { demand: behind }.plan(&options);
