--- a/src/kernel/cell/permits/idle_accelerators.rs
+++ b/src/kernel/cell/permits/idle_accelerators.rs
@@ -9,7 +9,7 @@
 pub struct IdleAccelerators {
     /// Those on workers that are granted to the step, which has no valid ticket.
     pub without_ticket: u64,
-    /// Those on workers on which the step has no verdict.
+    /// Those on workers on which the step has no verdict, by the grant rate of its queue.
     pub without_verdict: u64,
 }
 
@@ -68,12 +68,27 @@
         if step.gang && left > 0 {
             return;
         }
+        let grant_rate = state.permit_stats.of(&spec.queue).grant_rate();
         for (slot, tasks, granted) in assigned {
             let Some(worker) = state.worker(slot) else { continue };
             let free = free_by_slot.entry(slot).or_insert_with(|| worker.free());
             *free = free.minus(need.times(tasks));
-            let sum = if granted { &mut self.without_ticket } else { &mut self.without_verdict };
-            *sum += step.need.accelerators * tasks;
+            let accelerators = step.need.accelerators * tasks;
+            if granted {
+                self.without_ticket += accelerators;
+            } else {
+                self.without_verdict += scale(accelerators, grant_rate);
+            }
         }
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "the result is a small count"
+)]
+fn scale(count: u64, share: f64) -> u64 {
+    (count as f64 * share).round() as u64
+}
