--- a/src/kernel/cell/permits/room_forecast.rs
+++ b/src/kernel/cell/permits/room_forecast.rs
@@ -1,8 +1,10 @@
 use crate::kernel::cell::{CellState, PlacementPhase, RunForecast, TaskKey, TaskPlacement};
 use crate::prelude::*;
 
-/// Age after which a forecast is made again. Making it takes time that grows with the number of running tasks.
-const MAX_FORECAST_AGE: Duration = Duration::from_millis(100);
+/// Age after which a forecast is made again at the earliest.
+const MIN_FORECAST_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two forecasts for each running task, as making one takes time that grows with their number.
+const FORECAST_INTERVAL_PER_TASK: Duration = Duration::from_micros(25);
 /// Time that a stop usually takes.
 const STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -13,6 +15,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RoomForecast {
     made_at: Option<Instant>,
+    /// Time for which the forecast is used.
+    interval: Duration,
     ends_by_worker: FastMap<u32, Vec<(Instant, ResourceVector)>>,
 }
 
@@ -27,13 +31,15 @@
                 ends_by_worker.entry(placement.slot).or_default().push((end, step.occupied_capacity()));
             }
         }
-        Self { made_at: Some(now), ends_by_worker }
+        let tasks = u32::try_from(state.placements.len()).unwrap_or(u32::MAX);
+        let interval = MIN_FORECAST_INTERVAL.max(FORECAST_INTERVAL_PER_TASK * tasks);
+        Self { made_at: Some(now), interval, ends_by_worker }
     }
 
     /// Whether the forecast is too old to be used.
     #[must_use]
     pub fn is_stale(&self, now: Instant) -> bool {
-        self.made_at.is_none_or(|made_at| now.saturating_duration_since(made_at) >= MAX_FORECAST_AGE)
+        self.made_at.is_none_or(|made_at| now.saturating_duration_since(made_at) >= self.interval)
     }
 
     /// Returns the capacity of the tasks on a worker that are expected to end by `limit`.
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -293,6 +293,23 @@
     verify_that!(plan, eq(&PermitPlan::Request(PermitRequestKind::MoreWorkers, vec![2])))
 }
 
+/// Accelerators that wait for a ticket are the figure by which an operator sees that the advisor is the bottleneck;
+/// those that no waiting step could use must not count.
+#[gtest]
+fn accelerators_are_idle_for_want_of_a_ticket_only_if_a_waiting_step_fits_there() -> Result<()> {
+    let mut simulation = simulation(4, 1);
+    submit_all(&mut simulation, "fits", "middle", 1, &accelerated(1, 4));
+    submit_all(&mut simulation, "too-large", "middle", 1, &accelerated(1, 8));
+
+    let before = simulation.driver.scheduler.summary(simulation.driver.now).idle_accelerators;
+    simulation.run(Duration::from_secs(2));
+    let after = simulation.driver.scheduler.summary(simulation.driver.now).idle_accelerators;
+
+    // Without any answer, half of the workers count as granted.
+    verify_that!((before.without_ticket, before.without_verdict), eq((0, 2)))?;
+    verify_that!((after.without_ticket, after.without_verdict), eq((0, 0)))
+}
+
 /// An urgent request that waits for all bulk requests before it is answered too late.
 #[gtest]
 fn an_urgent_request_does_not_wait_for_bulk_requests() -> Result<()> {
