--- a/src/kernel/cell/start_pass/reservations.rs
+++ b/src/kernel/cell/start_pass/reservations.rs
@@ -1,5 +1,5 @@
 use super::{Candidate, PendingStep, StartPass};
-use crate::kernel::cell::VictimSearch;
+use crate::kernel::cell::{PermitSkip, VictimSearch};
 
 impl StartPass<'_> {
     /// Reserves room for the tasks that could not start, so that less urgent steps do not take it. Preempts
@@ -61,7 +61,8 @@
     /// Preempts less urgent tasks on the worker so that one task of the step fits; returns the number of
     /// tasks that will fit, 0 or 1.
     fn preempt(&mut self, pending: &PendingStep<'_>, candidate: &Candidate) -> u32 {
-        if self.preemptions_left == 0 || !pending.may_preempt {
+        if self.preemptions_left == 0 || !pending.may_preempt || self.waits_for_queue(pending, candidate.slot)
+        {
             return 0;
         }
         let reserved = self.reserved_by_worker.get(&candidate.slot).copied().unwrap_or_default();
@@ -74,4 +75,13 @@
         }
         1
     }
+
+    /// Whether the step has no ticket for the worker and cannot ask for one now, so that room that is freed there
+    /// would stay empty.
+    fn waits_for_queue(&self, pending: &PendingStep<'_>, slot: u32) -> bool {
+        let Some((_, _, state)) = self.state.step(pending.key) else { return false };
+        pending.rule.permits.is_some()
+            && state.permit_skip == Some(PermitSkip::Queue)
+            && state.permit_cache.ticket(slot, self.now).is_none()
+    }
 }
