--- a/src/kernel/cell/permits/permit_demand.rs
+++ b/src/kernel/cell/permits/permit_demand.rs
@@ -3,8 +3,8 @@
 pub struct PermitDemand {
     /// Tasks that wait for a start.
     pub missing: u32,
-    /// Tasks that wait, with those that the limit of the team does not allow now.
-    pub waiting: u32,
+    /// Tasks that a further request should start at least so that it is worth its decision time.
+    pub worthwhile_tasks: u32,
     /// Whether the tasks start only all together.
     pub gang: bool,
     /// Number of workers on which the step has a verdict.
--- a/src/kernel/cell/permits/permit_planner.rs
+++ b/src/kernel/cell/permits/permit_planner.rs
@@ -147,12 +147,12 @@
     }
 
     /// Returns the number of tasks that have to fit so that a further request is of use: all tasks of a gang, or
-    /// half of the waiting ones of another step.
+    /// as many of another step as are worth a request.
     fn needed_tasks(&self) -> u64 {
         match self.demand {
             PermitDemand { gang: true, missing, .. } => u64::from(missing),
             PermitDemand { accepts_small_batch: true, position: ..=Self::MAX_STEPS_AT_FRONT, .. } => 1,
-            PermitDemand { waiting, .. } => u64::from(waiting.div_ceil(2)),
+            PermitDemand { worthwhile_tasks, .. } => u64::from(worthwhile_tasks),
         }
     }
 }
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -12,6 +12,9 @@
 /// Part of the validity of a ticket, as a divisor, for which a request may wait to be sent, and by which room may
 /// become free after the answer.
 const VALIDITY_DIVISOR: u32 = 4;
+/// Number of requests for which the tasks of a step that are not done suffice, if each request starts as many as
+/// are worth it.
+const MAX_REQUESTS_PER_STEP: u32 = 8;
 /// Time since the last request of a step after which it asks for a small part of its tasks, as a multiple of the
 /// decision time: such requests then take at most a sixteenth of the time of a process for a step.
 const SMALL_BATCH_FACTOR: u32 = 16;
@@ -53,7 +56,9 @@
             return Err(PermitSkip::Queue);
         }
         let (queue, gang) = (spec.queue.clone(), step.gang);
+        // Few tasks of a wide step wait again after they were preempted or have failed.
         let waiting = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
+        let worthwhile_tasks = waiting.div_ceil(2).max(state.remaining.div_ceil(MAX_REQUESTS_PER_STEP));
         let busy = self.state.permit_load.is_busy();
         let small_batch_delay =
             permit_rule.decision_time * if busy { BUSY_BATCH_FACTOR } else { SMALL_BATCH_FACTOR };
@@ -69,7 +74,7 @@
         let claimed = self.claimed_by_service.get(&pending.rule.service).copied().unwrap_or_default();
         let demand = PermitDemand {
             missing,
-            waiting,
+            worthwhile_tasks,
             gang,
             verdicts,
             accepts_small_batch,
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -169,7 +169,7 @@
 fn demand(missing: u32) -> PermitDemand {
     PermitDemand {
         missing,
-        waiting: missing,
+        worthwhile_tasks: missing.div_ceil(2),
         gang: false,
         verdicts: 0,
         accepts_small_batch: true,
