--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,11 +2,11 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus,
-    LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, RoomForecast,
-    RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey,
-    StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement,
-    TaskState,
+    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, EstimateRatios,
+    GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase,
+    PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand,
+    StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand,
+    SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -46,6 +46,8 @@
     pub ready: BTreeSet<(StepRank, StepKey)>,
     /// Resources that each team uses, and its limit, which is called allotment there.
     pub shares: ShareAccounting,
+    /// How much longer than estimated the tasks of each queue may take.
+    pub estimate_ratios: EstimateRatios,
     /// Teams far above their weighted share.
     pub share_standing: ShareStanding,
     /// Submission rates of the teams.
@@ -156,6 +158,7 @@
     /// Updates the rank of each ready step whose class, lateness or team standing has changed since it was
     /// ranked.
     pub fn rerank(&mut self, now: Instant) {
+        self.estimate_ratios.update(&self.slow_runs.estimate_profiles);
         self.compare_shares();
         let stale: Vec<(StepRank, StepKey, StepRank)> = self
             .ready
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -72,8 +72,8 @@
 pub use job_status::JobStatus;
 pub use lease_watch::LeaseWatch;
 pub use order::{
-    ClassSummary, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding, StepClass,
-    StepRank, StepRanking, TaskRank, VictimSearch,
+    ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
+    StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
 };
 pub use permits::{
     IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
--- a/src/kernel/cell/order/mod.rs
+++ b/src/kernel/cell/order/mod.rs
@@ -2,6 +2,7 @@
 //! others and reserve room. docs/design/order.md gives the reasons.
 
 mod class_summary;
+mod estimate_ratios;
 mod job_lateness;
 mod pass_order;
 mod preemption_headroom;
@@ -14,6 +15,7 @@
 mod victim_search;
 
 pub use class_summary::ClassSummary;
+pub use estimate_ratios::EstimateRatios;
 pub use job_lateness::JobLateness;
 pub use pass_order::PassOrder;
 pub use preemption_headroom::PreemptionHeadroom;
--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -1,6 +1,4 @@
-use crate::kernel::cell::{
-    CellJob, CellState, GraphSpec, JobLateness, StepClass, StepKey, StepRank, StepSpec, StepState,
-};
+use crate::kernel::cell::{CellState, GraphSpec, JobLateness, StepClass, StepKey, StepRank, StepSpec};
 use crate::prelude::*;
 
 /// Multiple of its latency objective after which a job counts as expired. Its result is then of no value
@@ -26,13 +24,21 @@
             return StepRank { class, priority: 0, lateness, above_share: false, latest_start: now };
         };
         let spec = &job.spec;
-        let objective = self.objective(spec);
+        let objective = self.objective(spec, 1.0);
         let age = self.state.unix_time.saturating_sub(spec.due(key.occurrence));
         let remaining = self.corrected(spec, spec.estimated_critical_path_from(key.step));
         // The tasks of a long-running step are of use for as long as its job is open.
         let long_running = spec.steps.get(key.step as usize).is_some_and(|step| step.long_running);
         let lateness = if long_running { JobLateness::InTime } else { lateness(age, remaining, objective) };
-        let class = self.class(job, key, lateness);
+        let class = if self.restarts(key) {
+            StepClass::Restart
+        } else if lateness == JobLateness::Expired && self.is_expired(spec, age, remaining) {
+            StepClass::Expired
+        } else if job.excess {
+            StepClass::Excess
+        } else {
+            StepClass::Useful
+        };
         let due_at = now.checked_sub(age).unwrap_or(now);
         // A job that can hardly meet its objective is ranked by the time of its expiry instead.
         let limit = match lateness {
@@ -60,35 +66,39 @@
         let estimated = |steps: &[StepSpec]| steps.iter().all(|step| !step.estimate.is_zero());
         let total = self.corrected(spec, spec.estimated_critical_path());
         estimated(&spec.steps)
-            && lateness(Duration::ZERO, total, self.objective(spec)) != JobLateness::Expired
+            && lateness(Duration::ZERO, total, self.longest_objective(spec)) != JobLateness::Expired
     }
 
-    fn class(&self, job: &CellJob, key: &StepKey, lateness: JobLateness) -> StepClass {
-        let has_run_before = |index: &u32, step: &StepState| {
-            step.tasks.get(*index as usize).is_some_and(|task| task.last_run > 0)
-        };
-        let restarts = self.state.step(key).is_some_and(|(_, spec, step)| {
-            spec.long_running && step.waiting.iter().any(|index| has_run_before(index, step))
-        });
-        if restarts {
-            StepClass::Restart
-        } else if lateness == JobLateness::Expired && self.has_usable_estimate(&job.spec) {
-            StepClass::Expired
-        } else if job.excess {
-            StepClass::Excess
-        } else {
-            StepClass::Useful
-        }
+    /// Whether a long-running step has a task that has run before and waits again.
+    fn restarts(&self, key: &StepKey) -> bool {
+        self.state.step(key).is_some_and(|(_, spec, step)| {
+            let has_run_before =
+                |index: &u32| step.tasks.get(*index as usize).is_some_and(|task| task.last_run > 0);
+            spec.long_running && step.waiting.iter().any(has_run_before)
+        })
+    }
+
+    /// Whether a job is of no use any more, even if its run time is much longer than estimated and its objective
+    /// is so much later.
+    fn is_expired(&self, spec: &GraphSpec, age: Duration, remaining: Duration) -> bool {
+        lateness(age, remaining, self.longest_objective(spec)) == JobLateness::Expired
+            && self.has_usable_estimate(spec)
     }
 
     fn corrected(&self, spec: &GraphSpec, estimated: Duration) -> Duration {
         self.state.run_time_estimator.corrected_run_time(&spec.queue, estimated).unwrap_or(estimated)
     }
 
-    /// Returns the latency objective of a job, counted from the time at which it is due.
-    fn objective(&self, spec: &GraphSpec) -> Duration {
+    /// Returns the latency objective of a job whose run time is close to the longest that its estimate allows for.
+    fn longest_objective(&self, spec: &GraphSpec) -> Duration {
+        self.objective(spec, self.state.estimate_ratios.longest(&spec.queue))
+    }
+
+    /// Returns the latency objective of a job, counted from the time at which it is due, if its run time is
+    /// `estimate_ratio` times the estimate.
+    fn objective(&self, spec: &GraphSpec, estimate_ratio: f64) -> Duration {
         let Some(rule) = self.state.config.queues.get(&spec.queue) else { return Duration::ZERO };
-        let critical_path = spec.estimated_critical_path().as_secs_f64() * rule.stretch;
+        let critical_path = spec.estimated_critical_path().as_secs_f64() * rule.stretch * estimate_ratio;
         rule.target + Duration::try_from_secs_f64(critical_path).unwrap_or_default()
     }
 }
