--- a/src/kernel/cell/admission/admission_estimate.rs
+++ b/src/kernel/cell/admission/admission_estimate.rs
@@ -3,8 +3,8 @@
 use crate::kernel::cell::admission::{ExpectedWait, ObservedWait, QueueEstimate, WaitCause};
 use crate::prelude::*;
 
-/// Expected waits of new jobs before their first task starts, by queue and team. Queues in which nothing waits have
-/// none: configurations may hold many queues that are hardly used.
+/// Expected waits of new jobs by queue and team. Queues in which nothing waits have none: configurations may hold
+/// many queues that are hardly used.
 ///
 /// They are low estimates: they leave out work that arrives later, room that is lost because tasks do not fill
 /// the workers exactly, and jobs of which an earlier step still runs.
--- a/src/kernel/cell/admission/admission_gate.rs
+++ b/src/kernel/cell/admission/admission_gate.rs
@@ -11,12 +11,14 @@
 /// Multiple of the latency objective after which a result is of no use to the caller.
 const USABLE_OBJECTIVES: u32 = 3;
 /// Percentage of the estimated run time that a job is expected to take at least; estimates are often too long.
-const MIN_RUN_TIME_PERCENT: u32 = 70;
+const RUN_TIME_PERCENT: u32 = 70;
 /// Percentage of the usable wait above which refusals begin. They go on until the expected wait is usable, so
 /// that a wait near the limit does not change the answer from one call to the next.
 const REFUSE_ABOVE_PERCENT: u32 = 150;
 /// Shortest time after which a refused caller may try again.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Parts into which hashes of jobs divide the jobs of a queue.
+const HASH_PARTS: u64 = 1_000;
 /// Shortest spread of these times; answers give them in whole seconds.
 const MIN_RETRY_SPREAD: Duration = Duration::from_secs(2);
 /// Longest time after which a refused caller may try again, as estimates say little about a later time.
@@ -67,7 +69,11 @@
         }
         let shortest = self.refusing.entry(key).or_insert(usable_wait);
         *shortest = usable_wait.min(*shortest);
-        let retry_after = retry_after(&spec.id, wait.saturating_sub(usable_wait));
+        let hash = BuildHasherDefault::<FxHasher>::default().hash_one(&spec.id);
+        if is_among_usable(hash, wait, usable_wait) {
+            return None;
+        }
+        let retry_after = retry_after(hash, wait.saturating_sub(usable_wait));
         Some(LoadRefusal { wait, usable_wait, estimate_age, retry_after })
     }
 
@@ -86,15 +92,23 @@
     }
     let critical_path = spec.estimated_critical_path();
     let objective = rule.objective(critical_path);
-    let run_time = critical_path.saturating_mul(MIN_RUN_TIME_PERCENT) / 100;
+    let run_time = critical_path.saturating_mul(RUN_TIME_PERCENT) / 100;
     Some(objective.saturating_mul(USABLE_OBJECTIVES).saturating_sub(run_time))
 }
 
+/// Whether a job with this hash belongs to the part of the new jobs that can still be of use while the expected wait
+/// is longer than usable. Jobs for that part of the wait have to be admitted, or there would be room once those
+/// before them are done. Attempts for the same job get the same answer as long as the wait does not change.
+fn is_among_usable(hash: u64, wait: Duration, usable_wait: Duration) -> bool {
+    u128::from(hash % HASH_PARTS) * wait.as_millis() < u128::from(HASH_PARTS) * usable_wait.as_millis()
+}
+
 /// Returns when a caller may try again if its wait is too long by `excess` now. The times of several jobs are
 /// spread over half as long again, so that their callers do not come back at once.
-fn retry_after(job: &JobId, excess: Duration) -> Duration {
+fn retry_after(hash: u64, excess: Duration) -> Duration {
     let earliest = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER * 2 / 3);
-    let hash = BuildHasherDefault::<FxHasher>::default().hash_one(job);
     let spread = (earliest / 2).max(MIN_RETRY_SPREAD);
-    earliest + spread * u32::try_from(hash % 1_000).unwrap_or_default() / 1_000
+    // Other digits than those that decide on the refusal.
+    let part = u32::try_from(hash / HASH_PARTS % HASH_PARTS).unwrap_or_default();
+    earliest + spread * part / u32::try_from(HASH_PARTS).unwrap_or(u32::MAX)
 }
--- a/src/kernel/cell/admission/cell_backlog.rs
+++ b/src/kernel/cell/admission/cell_backlog.rs
@@ -1,9 +1,9 @@
 use crate::kernel::cell::admission::{ExpectedWait, QueueEstimate, WaitCause, WaitingWork};
-use crate::kernel::cell::{CellState, GraphSpec, QueueRule, StepClass, StepSpec, StepState};
+use crate::kernel::cell::{CellState, GraphSpec, QueueRule, StepClass, StepRank, StepSpec, StepState};
 use crate::prelude::*;
 
 /// Number of workers that a permit request is expected to name.
-const WORKERS_PER_REQUEST: u32 = 40;
+const WORKERS_PER_REQUEST: usize = 40;
 
 /// Waiting work of the ready steps of a cell.
 #[derive(Default)]
@@ -49,8 +49,7 @@
                 && let Some(rule) = state.config.queues.get(&spec.queue)
             {
                 let estimate = state.run_time_estimator.corrected_run_time(&spec.queue, step.estimate);
-                let excess = rank.class == StepClass::Excess;
-                backlog.add(excess, spec, step, step_state, rule, estimate.unwrap_or(step.estimate));
+                backlog.add(*rank, spec, step, step_state, rule, estimate.unwrap_or(step.estimate));
             }
         }
         backlog
@@ -72,7 +71,7 @@
 
     fn add(
         &mut self,
-        excess: bool,
+        rank: StepRank,
         spec: &GraphSpec,
         step: &StepSpec,
         step_state: &StepState,
@@ -84,17 +83,21 @@
         let work_time = if step.long_running { 0.0 } else { tasks * estimate.as_secs_f64() };
         let room = self.rooms.get(&rule.service).copied().unwrap_or_default();
         let room_time = work_time * step.occupied_capacity().dominant_fraction(room);
-        if excess {
+        let (priority, lateness) = (rule.priority, rank.lateness);
+        if rank.class == StepClass::Excess {
             let work = self.excess_work.entry(rule.service.clone()).or_default();
-            work.add(rule.priority, &spec.team, room_time);
+            work.add(priority, lateness, &spec.team, room_time);
             return;
         }
-        self.room_work.entry(rule.service.clone()).or_default().add(rule.priority, &spec.team, room_time);
+        self.room_work
+            .entry(rule.service.clone())
+            .or_default()
+            .add(priority, lateness, &spec.team, room_time);
         let limit = self.limits.get(&spec.team).copied().unwrap_or_default();
-        self.limit_work.add(rule.priority, &spec.team, work_time * step.need.dominant_fraction(limit));
+        self.limit_work.add(priority, lateness, &spec.team, work_time * step.need.dominant_fraction(limit));
         if let Some(permits) = rule.permits.filter(|_| step_state.permit_cache.is_empty()) {
-            let decision = permits.decision_time + permits.time_per_worker * WORKERS_PER_REQUEST;
-            self.advisor_work.add(rule.priority, &spec.team, decision.as_secs_f64() / self.proxies);
+            let decision = permits.decision_time_for(WORKERS_PER_REQUEST);
+            self.advisor_work.add(priority, lateness, &spec.team, decision.as_secs_f64() / self.proxies);
         }
     }
 
--- a/src/kernel/cell/admission/start_rates.rs
+++ b/src/kernel/cell/admission/start_rates.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellJob, CellState, JobStatus, StepClass};
+use crate::kernel::cell::{CellJob, CellState, JobLateness, JobStatus};
 use crate::prelude::*;
 
 /// Rates at which jobs of each queue and team have started lately.
@@ -50,16 +50,16 @@
 }
 
 /// Whether the rate of first starts includes a job: one that runs once, is within the submission rate of its team,
-/// and has started or may still be of use.
+/// and has started or comes before new jobs, as those that are late do not.
 fn has_first_start(job: &CellJob) -> bool {
-    let is_expired = || {
+    let is_late = || {
         let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        steps.filter_map(|step| step.rank).any(|rank| rank.class == StepClass::Expired)
+        steps.filter_map(|step| step.rank).any(|rank| rank.lateness != JobLateness::InTime)
     };
     !job.excess
         && job.spec.schedule.is_none()
         && match job.status {
-            JobStatus::Queued => !is_expired(),
+            JobStatus::Queued => !is_late(),
             JobStatus::Running | JobStatus::Completed => true,
             JobStatus::Failed | JobStatus::Cancelled => false,
         }
--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -87,9 +87,8 @@
 
     /// Returns the latency objective of a job, counted from the time at which it is due.
     fn objective(&self, spec: &GraphSpec) -> Duration {
-        let Some(rule) = self.state.config.queues.get(&spec.queue) else { return Duration::ZERO };
-        let critical_path = spec.estimated_critical_path().as_secs_f64() * rule.stretch;
-        rule.target + Duration::try_from_secs_f64(critical_path).unwrap_or_default()
+        let rule = self.state.config.queues.get(&spec.queue);
+        rule.map_or(Duration::ZERO, |rule| rule.objective(spec.estimated_critical_path()))
     }
 }
 
