--- a/src/kernel/cell/admission/admission_gate.rs
+++ b/src/kernel/cell/admission/admission_gate.rs
@@ -62,7 +62,7 @@
         let key = (spec.queue.clone(), spec.team.clone());
         let limit = match self.refusing.get(&key) {
             Some(_) => usable_wait,
-            None => usable_wait * REFUSE_ABOVE_PERCENT / 100,
+            None => usable_wait.saturating_mul(REFUSE_ABOVE_PERCENT) / 100,
         };
         if wait <= limit {
             return None;
--- a/src/kernel/cell/admission/admission_watch.rs
+++ b/src/kernel/cell/admission/admission_watch.rs
@@ -42,7 +42,7 @@
         let mut waits = Vec::new();
         for (queue, estimate) in &newest.queues {
             let Some(rule) = config.queues.get(queue) else { continue };
-            let is_long = |wait: &Duration| *wait > rule.target * REPORTED_TARGETS;
+            let is_long = |wait: &Duration| *wait > rule.target.saturating_mul(REPORTED_TARGETS);
             let others = self.shortest(queue, None);
             let teams = estimate.teams.iter().map(|(team, _)| team);
             // With a long wait of the other teams, those with a shorter one have to be named as well.
--- a/tests/cell_admission.rs
+++ b/tests/cell_admission.rs
@@ -299,6 +299,25 @@
     verify_that!((refused, never_heard), eq(([true, false], false)))
 }
 
+/// Guards against a process that ends because a time of an odd configuration exceeds the range of durations.
+#[gtest]
+fn odd_configuration_refuses_nothing() -> Result<()> {
+    let now = Instant::now();
+    let mut gate = gate_with(notice(1_000), now);
+    let mut odd = config(None);
+    for rule in odd.queues.values_mut() {
+        (rule.stretch, rule.target) = (1e12, Duration::MAX);
+    }
+    let long = StepSpec { estimate: Duration::from_secs(30_000_000), ..step(1) };
+    let spec = GraphSpec { steps: vec![long], ..newcomer("a", "urgent", "red") };
+
+    let refusal = gate.refusal(&spec, &odd, now);
+    let notice = AdmissionWatch::default().update(AdmissionEstimate::default(), &odd, now);
+
+    verify_that!(refusal, none())?;
+    verify_that!(notice, eq(&AdmissionNotice::default()))
+}
+
 /// Guards against refusals of jobs that have no one result that could come too late.
 #[gtest]
 fn long_running_and_scheduled_jobs_are_admitted() -> Result<()> {
