--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -97,9 +97,9 @@
     /// Returns the latency objective of a job, counted from the time at which it is due, if its run time is
     /// `estimate_ratio` times the estimate.
     fn objective(&self, spec: &GraphSpec, estimate_ratio: f64) -> Duration {
-        let Some(rule) = self.state.config.queues.get(&spec.queue) else { return Duration::ZERO };
-        let critical_path = spec.estimated_critical_path().as_secs_f64() * rule.stretch * estimate_ratio;
-        rule.target + Duration::try_from_secs_f64(critical_path).unwrap_or_default()
+        let run_time = spec.estimated_critical_path().as_secs_f64() * estimate_ratio;
+        let run_time = Duration::try_from_secs_f64(run_time).unwrap_or(Duration::MAX);
+        self.state.config.queues.get(&spec.queue).map_or(Duration::ZERO, |rule| rule.objective(run_time))
     }
 }
 
