--- a/src/kernel/connections/connection_capacity.rs
+++ b/src/kernel/connections/connection_capacity.rs
@@ -32,6 +32,8 @@
     pub callers_per_address: usize,
     /// Connections of operators and readiness checks.
     pub operators: usize,
+    /// Connections of other entry processes.
+    pub peers: usize,
     /// Bytes that all connections together may buffer beyond [`INCLUDED_BYTES`] each.
     pub bytes: usize,
 }
@@ -52,6 +54,7 @@
             callers,
             callers_per_address: callers - callers / 4,
             operators,
+            peers: (by_descriptors / DESCRIPTOR_SHARE).max(MIN_CONNECTIONS),
             bytes: (memory / MEMORY_SHARE).max(MIN_BYTES),
         }
     }
@@ -62,6 +65,7 @@
         match class {
             ConnectionClass::Caller => self.callers,
             ConnectionClass::Operator => self.operators,
+            ConnectionClass::Peer => self.peers,
         }
     }
 
@@ -71,6 +75,7 @@
         match class {
             ConnectionClass::Caller => self.callers_per_address,
             ConnectionClass::Operator => self.operators,
+            ConnectionClass::Peer => self.peers,
         }
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -109,6 +109,7 @@
             callers_per_address: self
                 .parse_or("clients.connections_per_address", derived.callers_per_address),
             operators: self.parse_or("clients.operator_connections", derived.operators),
+            peers: self.parse_or("clients.peer_connections", derived.peers),
             bytes: self.parse_or("clients.buffered_bytes", derived.bytes),
         }
     }
--- a/src/plugins/http.rs
+++ b/src/plugins/http.rs
@@ -2,6 +2,7 @@
 
 mod buffered_request;
 mod connection;
+mod listen;
 mod request_reader;
 mod server;
 
@@ -12,6 +13,7 @@
 
 pub use buffered_request::BufferedRequest;
 pub use connection::{fault_status, refuse_without_body};
+pub use listen::listen;
 pub use request_reader::{ReadStep, RequestReader};
 pub use server::{HttpServer, RefusalEncoder};
 
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_stream::StreamExt;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Code, Request, Response, Status, Streaming};
@@ -27,6 +27,8 @@
 use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage, JobRecord};
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage};
 use crate::tasks::cell::ports::AdvisorClient;
+use crate::tasks::connections::ClientAccess;
+use crate::tasks::leased_stream::LeasedStream;
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -349,8 +351,13 @@
 }
 
 /// Serves the calls of other entry processes until the token is cancelled.
-pub async fn serve(listener: TcpListener, service: CellService, token: CancellationToken) {
-    let incoming = TcpListenerStream::new(listener);
+pub async fn serve(
+    listener: TcpListener,
+    service: CellService,
+    access: ClientAccess,
+    token: CancellationToken,
+) {
+    let incoming = LeasedStream::accept(listener, access);
     let server = Server::builder()
         .tcp_nodelay(true)
         .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -2,7 +2,6 @@
 
 use actix_rt::task::JoinHandle;
 use std::hash::{BuildHasher, BuildHasherDefault};
-use std::net::SocketAddr;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -10,6 +9,7 @@
 use crate::kernel::cell::admission::{AdmissionGate, RefusalTally};
 use crate::kernel::cell::{ClaimWatch, HandoverWatch, MIN_OWNER_MILLICORES};
 use crate::kernel::connections::ClientLimits;
+use crate::plugins::http;
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -59,10 +59,14 @@
     /// Returns a fault if a socket cannot be bound, a metric is registered twice or no random number is
     /// available.
     pub async fn start(adapter: CellAdapter, settings: CellSettings) -> Result<Self, SettingFault> {
-        let listener = bind(settings.front_end_listen).await?;
-        let readiness_listener = bind(settings.readiness_listen).await?;
-        let peer_listener = bind(settings.peer_listen).await?;
-        let metrics_listener = bind(settings.metrics_listen).await?;
+        let fault = |address, error| SettingFault { text: format!("cannot listen on {address}: {error}") };
+        let bind = |address| http::listen(address).map_err(|error| fault(address, error));
+        let listener = bind(settings.front_end_listen)?;
+        let readiness_listener = bind(settings.readiness_listen)?;
+        let peer_listener = TcpListener::bind(settings.peer_listen)
+            .await
+            .map_err(|error| fault(settings.peer_listen, error))?;
+        let metrics_listener = bind(settings.metrics_listen)?;
         let metrics = CellMetrics::new().map_err(|error| SettingFault { text: error.to_string() })?;
         let metrics_pages = metrics.clone();
         let incarnation =
@@ -117,7 +121,7 @@
             claim_sender: claim_sender.clone(),
             intake_sender: intake_sender.clone(),
         };
-        actix_rt::spawn(peer::serve(peer_listener, service, token.clone()));
+        actix_rt::spawn(peer::serve(peer_listener, service, access.clone(), token.clone()));
         let cpu_limit = settings.cpu_limit;
         let own_address: Arc<str> = settings.peer_listen.to_string().into();
         let claim_task = ClaimTask {
@@ -201,8 +205,3 @@
     let spread = Duration::from_millis(hash_vm(&settings.vm) % MAX_CLAIM_SPREAD_MS);
     if settings.cpu_limit < MIN_OWNER_MILLICORES { LOW_CPU_CLAIM_DELAY + spread } else { spread }
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, SettingFault> {
-    let fault = |error| SettingFault { text: format!("cannot listen on {address}: {error}") };
-    TcpListener::bind(address).await.map_err(fault)
-}
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::{HandoverStage, LeaseTiming, LedgerState, PluginEntry, PluginRegistry};
-use crate::plugins::bundle_signature;
+use crate::plugins::{bundle_signature, http};
 use crate::prelude::*;
 use crate::settings::{EntrySettings, SettingFault};
 use crate::tasks::CHANNEL_CAPACITY;
@@ -70,9 +70,11 @@
     /// Returns a fault if a socket cannot be bound, an adapter is not linked or the metrics cannot be
     /// registered.
     pub async fn start(settings: EntrySettings) -> Result<Self, SettingFault> {
-        let listener = bind("listen", settings.listen).await?;
-        let peer_listener = bind("peer-listen", settings.peer_listen).await?;
-        let operator_listener = bind("operator-listen", settings.operator_listen).await?;
+        let listener = bind("listen", settings.listen)?;
+        let peer_listener = TcpListener::bind(settings.peer_listen)
+            .await
+            .map_err(|error| bind_fault("peer-listen", settings.peer_listen, &error))?;
+        let operator_listener = bind("operator-listen", settings.operator_listen)?;
         let peer_address = local_address(&peer_listener)?;
         let operator_address = local_address(&operator_listener)?;
         let address = local_address(&listener)?;
@@ -218,6 +220,12 @@
             peer: peer_sender.clone(),
         };
 
+        let (access, _) = ClientAccess::start(
+            self.settings.connection_capacity,
+            self.settings.client_limits,
+            self.metrics.connections.clone(),
+            self.shutdown.clone(),
+        );
         actix_rt::spawn(self.journal(outputs).run(journal_inbox, self.shutdown.clone()));
         let scheduler = self.scheduler(journal_sender.clone(), worker_sender);
         actix_rt::spawn(scheduler.run(scheduler_inbox, self.shutdown.clone()));
@@ -240,7 +248,7 @@
             scheduler: scheduler_sender.clone(),
             forwarding_closed: self.forwarding_closed.clone(),
         };
-        actix_rt::spawn(peer::serve(peer, service, self.shutdown.clone()));
+        actix_rt::spawn(peer::serve(peer, service, access.clone(), self.shutdown.clone()));
         let directory = DirectoryTask {
             adapter: self.adapters.directory,
             address: self.settings.directory.clone(),
@@ -250,12 +258,6 @@
             peer: peer_sender.clone(),
         };
         actix_rt::spawn(directory.run(self.shutdown.clone()));
-        let (access, _) = ClientAccess::start(
-            self.settings.connection_capacity,
-            self.settings.client_limits,
-            self.metrics.connections.clone(),
-            self.shutdown.clone(),
-        );
         let service = OperatorService {
             process: self.process,
             metrics: self.metrics,
@@ -339,10 +341,12 @@
     }
 }
 
-async fn bind(flag: &str, address: SocketAddr) -> Result<TcpListener, SettingFault> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| SettingFault { text: format!("--{flag}: cannot listen on {address}: {error}") })
+fn bind(flag: &str, address: SocketAddr) -> Result<TcpListener, SettingFault> {
+    http::listen(address).map_err(|error| bind_fault(flag, address, &error))
+}
+
+fn bind_fault(flag: &str, address: SocketAddr, error: &std::io::Error) -> SettingFault {
+    SettingFault { text: format!("--{flag}: cannot listen on {address}: {error}") }
 }
 
 fn local_address(listener: &TcpListener) -> Result<SocketAddr, SettingFault> {
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod heartbeat;
 pub mod journal;
+mod leased_stream;
 pub mod metrics;
 pub mod operator;
 pub mod operator_view;
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -4,7 +4,6 @@
 use bytes::Bytes;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::TcpListenerStream;
 use tokio_util::sync::CancellationToken;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
@@ -20,9 +19,11 @@
     Refusal, forward_reply,
 };
 use crate::tasks::admission::AdmissionMessage;
+use crate::tasks::connections::ClientAccess;
 use crate::tasks::forward::{PendingForward, forward_call, unreachable_owner};
 use crate::tasks::heartbeat;
 use crate::tasks::journal::JournalMessage;
+use crate::tasks::leased_stream::LeasedStream;
 use crate::tasks::peer_explain::{self, ForwardedExplain};
 use crate::tasks::router::RoutedCall;
 use crate::tasks::scheduler::SchedulerMessage;
@@ -307,8 +308,13 @@
 }
 
 /// Serves the gRPC interface for other entry processes until `shutdown` is cancelled.
-pub async fn serve(listener: TcpListener, service: PeerService, shutdown: CancellationToken) {
-    let incoming = TcpListenerStream::new(listener);
+pub async fn serve(
+    listener: TcpListener,
+    service: PeerService,
+    access: ClientAccess,
+    shutdown: CancellationToken,
+) {
+    let incoming = LeasedStream::accept(listener, access);
     let server = Server::builder().add_service(PeerServer::new(service));
     if let Err(fault) = server.serve_with_incoming_shutdown(incoming, shutdown.cancelled_owned()).await {
         log::error!(fault:% = fault; "the interface for other entry processes has failed");
--- a/tests/client_reader.rs
+++ b/tests/client_reader.rs
@@ -256,7 +256,8 @@
 /// request is being answered, and against requests for bytes that get no answer.
 #[gtest]
 fn the_connection_table_keeps_its_capacity() {
-    let capacity = ConnectionCapacity { callers: 8, callers_per_address: 6, operators: 2, bytes: 1_000 };
+    let capacity =
+        ConnectionCapacity { callers: 8, callers_per_address: 6, operators: 2, peers: 2, bytes: 1_000 };
     let steps = prop::collection::vec(table_step(), 1..200);
     let outcome = runner(300).run(&steps, |steps| {
         let mut clients = TableClients {
