--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -196,3 +196,44 @@
 
     expect_that!(status, eq(202));
 }
+
+/// Guards against limits of the configuration that are not in force on each connection, or stay as they were
+/// when the configuration changes, and against a refusal with the wrong status.
+#[gtest]
+#[actix_rt::test]
+async fn limits_of_the_configuration_are_in_force() {
+    let _turn = TURN.lock().await;
+    let platform = start_platform("configured_limits", 0).await;
+    let (_child, target) = start_cell(&platform, "configured_limits").await;
+    let announced = |length: usize, sent: usize| {
+        let head = format!("{}content-length: {length}\r\n\r\n", target.submit);
+        [head.as_bytes(), &vec![b' '; sent]].concat()
+    };
+    let chunked = format!("{}transfer-encoding: chunked\r\n\r\n12d\r\n{}", target.submit, " ".repeat(301));
+    let long_head = format!("{}x-long: {}", target.submit, "a".repeat(512));
+    let incomplete_job = target.submission(&full_size("{")[..301]);
+    let default_status = target.call(&incomplete_job).await;
+
+    let mut configuration = fixture_platform::configuration();
+    configuration["version"] = 2.into();
+    configuration["limits"] = serde_json::json!({
+        "max_header_bytes": 512, "max_body_bytes": 300, "header_timeout_ms": 200, "idle_timeout_ms": 200,
+    });
+    platform.store.publish("keyed.op", "config", &configuration.to_string()).await;
+    await_status(&target, &incomplete_job, 413).await;
+    let announced_status = target.call(&announced(301, 0)).await;
+    let chunked_status = target.call(chunked.as_bytes()).await;
+    let long_head_status = target.call(long_head.as_bytes()).await;
+    let stalled_head_status = target.call(target.submit.as_bytes()).await;
+    let stalled_body_status = target.call(&announced(300, 10)).await;
+    let legal_status = target.call(&target.submission(CELL_JOB.as_bytes())).await;
+    platform.token.cancel();
+
+    expect_that!(default_status, eq(400), "an incomplete job of legal size");
+    expect_that!(announced_status, eq(413));
+    expect_that!(chunked_status, eq(413));
+    expect_that!(long_head_status, eq(431));
+    expect_that!(stalled_head_status, eq(408));
+    expect_that!(stalled_body_status, eq(408));
+    expect_that!(legal_status, eq(200));
+}
