--- a/src/kernel/connections/connection_capacity.rs
+++ b/src/kernel/connections/connection_capacity.rs
@@ -13,6 +13,9 @@
 const FILE_DESCRIPTORS: usize = 200;
 /// Part of the memory for the buffers of bodies and heads, and the same part for what each connection needs.
 const MEMORY_SHARE: usize = 6;
+/// Part of the memory for answers that clients have not received. It is larger, as an answer to a request that has
+/// run cannot be refused.
+const ANSWER_SHARE: usize = 3;
 /// Part of the descriptors for connections of clients; the others are for workers, the store and other
 /// processes.
 const DESCRIPTOR_SHARE: usize = 2;
@@ -34,8 +37,10 @@
     pub operators: usize,
     /// Connections of other entry processes.
     pub peers: usize,
-    /// Bytes that all connections together may buffer beyond [`INCLUDED_BYTES`] each.
+    /// Bytes of requests that all connections together may buffer beyond [`INCLUDED_BYTES`] each.
     pub bytes: usize,
+    /// Bytes of answers that clients have not received, beyond the same.
+    pub answer_bytes: usize,
 }
 
 impl ConnectionCapacity {
@@ -56,6 +61,7 @@
             operators,
             peers: (by_descriptors / DESCRIPTOR_SHARE).max(MIN_CONNECTIONS),
             bytes: (memory / MEMORY_SHARE).max(MIN_BYTES),
+            answer_bytes: (memory / ANSWER_SHARE).max(MIN_BYTES),
         }
     }
 
--- a/src/kernel/connections/connection_entry.rs
+++ b/src/kernel/connections/connection_entry.rs
@@ -11,8 +11,10 @@
     pub class: ConnectionClass,
     /// What the connection does.
     pub phase: ConnectionPhase,
-    /// Bytes that it may buffer beyond those that every connection has.
+    /// Bytes of its request that it may buffer beyond those that every connection has.
     pub bytes: usize,
+    /// Bytes of an answer that its client has not received.
+    pub answer_bytes: usize,
     /// Position of its last progress among the progress of all connections.
     pub progress: u64,
     /// Whether it has been told to close.
--- a/src/kernel/connections/connection_table.rs
+++ b/src/kernel/connections/connection_table.rs
@@ -20,8 +20,10 @@
     /// Number of connections of each listener group and address.
     address_counts: FastMap<(ConnectionClass, IpAddr), usize>,
     next_progress: u64,
-    /// Bytes granted to all connections.
+    /// Bytes granted to all connections for requests.
     used_bytes: usize,
+    /// Bytes of answers that clients have not received.
+    used_answer_bytes: usize,
     /// Connections that wait for an evicted one to end.
     waiting_opens: VecDeque<(ConnectionId, IpAddr, ConnectionClass)>,
     /// Connections that wait for bytes, each with the total that it asked for.
@@ -40,6 +42,7 @@
             address_counts: FastMap::default(),
             next_progress: 0,
             used_bytes: 0,
+            used_answer_bytes: 0,
             waiting_opens: VecDeque::new(),
             waiting_reservations: VecDeque::new(),
         }
@@ -57,12 +60,18 @@
         self.entries.is_empty()
     }
 
-    /// Returns the bytes granted to all connections.
+    /// Returns the bytes granted to all connections for requests.
     #[must_use]
     pub const fn used_bytes(&self) -> usize {
         self.used_bytes
     }
 
+    /// Returns the bytes of answers that clients have not received.
+    #[must_use]
+    pub const fn used_answer_bytes(&self) -> usize {
+        self.used_answer_bytes
+    }
+
     /// Asks to admit a connection. The answer is an effect for it, now or after another connection has ended.
     pub fn open(
         &mut self,
@@ -101,13 +110,15 @@
         effects
     }
 
-    /// Counts `total` bytes for a connection in place of those that it has, also beyond the capacity: they are
-    /// in memory already. Connections that progress least are closed until the others fit again.
-    pub fn hold(&mut self, id: ConnectionId, total: usize) -> Vec<ConnectionEffect> {
+    /// Counts the bytes of an answer that a client has not received, in place of those of its request. They are in
+    /// memory already and are never refused; beyond the capacity, the connections with other answers that progress
+    /// least are closed.
+    pub fn hold_answer(&mut self, id: ConnectionId, bytes: usize) -> Vec<ConnectionEffect> {
         let Some(entry) = self.entries.get_mut(&id) else { return Vec::new() };
-        self.used_bytes = self.used_bytes - entry.bytes + total;
-        entry.bytes = total;
-        let mut effects = self.evict_for(self.missing_bytes(), Some(id)).unwrap_or_default();
+        self.used_bytes -= std::mem::take(&mut entry.bytes);
+        self.used_answer_bytes = self.used_answer_bytes - entry.answer_bytes + bytes;
+        entry.answer_bytes = bytes;
+        let mut effects = self.evict_for_answers(id);
         effects.extend(self.grant_waiting());
         effects
     }
@@ -119,7 +130,7 @@
         entry.phase = phase;
         match phase {
             ConnectionPhase::Idle => {
-                let mut effects = self.hold(id, 0);
+                let mut effects = self.hold_answer(id, 0);
                 effects.extend(self.evict_for_opens());
                 effects
             }
@@ -136,6 +147,7 @@
         if let Some(entry) = self.entries.remove(&id) {
             self.by_progress.remove(&entry.progress);
             self.used_bytes -= entry.bytes;
+            self.used_answer_bytes -= entry.answer_bytes;
             self.count(entry.address, entry.class, |count| count - 1);
         }
         let mut effects = self.admit_waiting();
@@ -169,8 +181,9 @@
         self.next_progress += 1;
         self.by_progress.insert(progress, id);
         let phase = ConnectionPhase::Idle;
-        self.entries
-            .insert(id, ConnectionEntry { address, class, phase, bytes: 0, progress, evicted: false });
+        let entry =
+            ConnectionEntry { address, class, phase, bytes: 0, answer_bytes: 0, progress, evicted: false };
+        self.entries.insert(id, entry);
         ConnectionEffect::Admit(id)
     }
 
@@ -233,7 +246,7 @@
         effects
     }
 
-    /// Closes the connections other than `spared` that progress least until `needed` bytes become free, counting
+    /// Closes the connections other than `spared` that progress least until `needed` bytes of requests become free, counting
     /// those of connections that are closed already; `None`, without effect, if they cannot.
     fn evict_for(&mut self, needed: usize, spared: Option<ConnectionId>) -> Option<Vec<ConnectionEffect>> {
         if needed == 0 {
@@ -270,6 +283,23 @@
         effects
     }
 
+    /// Closes the connections other than `id` with the answers that progress least, until the others fit.
+    fn evict_for_answers(&mut self, id: ConnectionId) -> Vec<ConnectionEffect> {
+        let closing: usize =
+            self.entries.values().filter(|entry| entry.evicted).map(|entry| entry.answer_bytes).sum();
+        let mut excess = (self.used_answer_bytes - closing).saturating_sub(self.capacity.answer_bytes);
+        let mut effects = Vec::new();
+        while excess > 0 {
+            let holds_answer = |entry: &ConnectionEntry| entry.answer_bytes > 0 && entry.is_evictable();
+            let spared = self.entries.get(&id).map(|entry| entry.progress);
+            let victim = self.stalest(|entry| holds_answer(entry) && Some(entry.progress) != spared);
+            let Some(victim) = victim else { break };
+            excess = excess.saturating_sub(self.entries.get(&victim).map_or(0, |entry| entry.answer_bytes));
+            effects.push(self.evict(victim));
+        }
+        effects
+    }
+
     /// Returns how many bytes must become free for all that wait for some.
     fn missing_bytes(&self) -> usize {
         let missing = |(id, total): &(ConnectionId, usize)| self.missing(*id, *total);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -111,6 +111,7 @@
             operators: self.parse_or("clients.operator_connections", derived.operators),
             peers: self.parse_or("clients.peer_connections", derived.peers),
             bytes: self.parse_or("clients.buffered_bytes", derived.bytes),
+            answer_bytes: self.parse_or("clients.answer_bytes", derived.answer_bytes),
         }
     }
 
--- a/src/plugins/http.rs
+++ b/src/plugins/http.rs
@@ -3,6 +3,8 @@
 mod buffered_request;
 mod connection;
 mod listen;
+mod partial_request;
+mod read_step;
 mod request_reader;
 mod server;
 
@@ -14,7 +16,8 @@
 pub use buffered_request::BufferedRequest;
 pub use connection::{fault_status, refuse_without_body};
 pub use listen::listen;
-pub use request_reader::{ReadStep, RequestReader};
+pub use read_step::ReadStep;
+pub use request_reader::RequestReader;
 pub use server::{HttpServer, RefusalEncoder};
 
 use crate::prelude::*;
--- a/src/plugins/http/connection.rs
+++ b/src/plugins/http/connection.rs
@@ -7,7 +7,7 @@
 use actix_http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, Method, Response, ServiceConfig, StatusCode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant as Deadline;
@@ -16,7 +16,8 @@
 
 use crate::kernel::connections::{ClientLimits, ConnectionPhase, INCLUDED_BYTES, RequestFault};
 use crate::plugins::http::BufferedRequest;
-use crate::plugins::http::request_reader::{ReadStep, RequestReader};
+use crate::plugins::http::read_step::ReadStep;
+use crate::plugins::http::request_reader::RequestReader;
 use crate::plugins::http::server::RefusalEncoder;
 use crate::prelude::*;
 use crate::tasks::connection_lease::ConnectionLease;
@@ -80,7 +81,12 @@
                 Ok(request) => {
                     self.lease.set_phase(ConnectionPhase::Handling);
                     let is_head = *request.method() == Method::HEAD;
-                    let response = handler(request).await;
+                    let response = tokio::select! {
+                        biased;
+                        response = handler(request) => response,
+                        // The connection is broken, so nobody waits for the answer any more.
+                        _ = self.stream.ready(Interest::ERROR) => return,
+                    };
                     if !self.answer(response, is_head).await {
                         return;
                     }
@@ -244,7 +250,7 @@
     /// Sends the rest of an answer to a client that reads slowly; returns whether all of it was sent.
     async fn send_rest(&mut self, mut head: BytesMut, mut body: Bytes) -> bool {
         let extra = (head.len() + body.len()).saturating_sub(INCLUDED_BYTES);
-        self.lease.hold(extra);
+        self.lease.hold_answer(extra);
         self.lease.set_phase(ConnectionPhase::Answering);
         let limits = *self.limits.borrow();
         let evicted = self.lease.evicted.clone();
@@ -282,7 +288,7 @@
     async fn answer_fault(&mut self, fault: RequestFault) {
         self.reader.clear();
         self.lease.report_fault(fault);
-        self.lease.hold(0);
+        self.lease.hold_answer(0);
         let Some((head, body)) = self.encode_fault(fault) else { return };
         if !matches!(self.try_send(head, body), Ok(None)) || self.stream.shutdown().await.is_err() {
             return;
--- a/src/plugins/http/request_reader.rs
+++ b/src/plugins/http/request_reader.rs
@@ -7,39 +7,8 @@
 
 use crate::kernel::connections::{ClientLimits, RequestFault};
 use crate::plugins::http::BufferedRequest;
-
-/// Bytes that are read at once.
-const INPUT_BYTES: usize = 4_096;
-/// Bytes that are read at once into a body that is larger than this.
-const LARGE_INPUT_BYTES: usize = 16_384;
-
-/// What a [`RequestReader`] needs next.
-pub enum ReadStep {
-    /// More bytes of the client.
-    NeedInput,
-    /// Leave to hold this many bytes in all its buffers; see [`RequestReader::allow`].
-    NeedBytes(usize),
-    /// The client waits for leave to send the body.
-    SendContinue,
-    /// The request is complete.
-    Complete(BufferedRequest),
-    /// The request is refused.
-    Fault(RequestFault),
-}
-
-/// A request of which the head has been read.
-struct PartialRequest {
-    head: Request,
-    body: BytesMut,
-    /// Length of the body, if it is announced.
-    announced: Option<usize>,
-    /// Bytes of the body on the wire, with the framing of its chunks.
-    wire_bytes: usize,
-    /// Size of the buffer that the head was read into, which the head keeps.
-    head_capacity: usize,
-    /// A decoded part for which the body has no room yet.
-    unstored: Option<Bytes>,
-}
+use crate::plugins::http::partial_request::{INPUT_BYTES, LARGE_INPUT_BYTES, PartialRequest};
+use crate::plugins::http::read_step::ReadStep;
 
 /// Reads the requests of one connection from the bytes that its client sends.
 ///
@@ -236,24 +205,6 @@
     }
 }
 
-impl PartialRequest {
-    /// Makes room for a body of this length; returns the bytes of all buffers for which it needs leave first.
-    fn make_room(&mut self, length: usize, allowed: usize) -> Option<usize> {
-        if length <= self.body.capacity() {
-            return None;
-        }
-        let doubled = length.max(INPUT_BYTES / 2).saturating_mul(2).max(length);
-        let capacity = self.announced.map_or(doubled, |announced| doubled.min(announced.max(length)));
-        let input = if capacity > LARGE_INPUT_BYTES { LARGE_INPUT_BYTES } else { INPUT_BYTES };
-        let total = capacity + input + self.head_capacity.max(INPUT_BYTES);
-        if total > allowed {
-            return Some(total);
-        }
-        self.body.reserve(capacity - self.body.len());
-        None
-    }
-}
-
 /// Returns the length that the headers of a request announce for its body.
 fn announced_length(head: &Request) -> Option<usize> {
     let text = head.headers().get(CONTENT_LENGTH)?.to_str().ok()?;
--- a/src/plugins/http/server.rs
+++ b/src/plugins/http/server.rs
@@ -13,7 +13,7 @@
 use crate::plugins::http::BufferedRequest;
 use crate::plugins::http::connection::HttpConnection;
 use crate::prelude::*;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 
 /// Maximum time that a stopping server waits for its connections to close.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
--- a/src/tasks/adapter.rs
+++ b/src/tasks/adapter.rs
@@ -11,7 +11,7 @@
 use crate::kernel::{AttemptFailure, EndpointHealth, RecordGroup, WorkerCommand, WorkerReport};
 use crate::prelude::*;
 use crate::tasks::admission::AdmissionMessage;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::vm_list::{ListCursor, ListRead};
 
 /// Why a log operation got no usable answer, as one line; a failed append may still have taken effect.
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -14,8 +14,8 @@
 use crate::kernel::connections::ConnectionClass;
 use crate::log_pipe;
 use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::connection_metrics::ConnectionMetrics;
-use crate::tasks::connections::ClientAccess;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
 const SMALLEST_BUCKET_SECONDS: f64 = 0.001;
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -27,7 +27,7 @@
 use crate::tasks::cell::intake::{CellRefusal, CellReply, IntakeMessage, JobRecord};
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage};
 use crate::tasks::cell::ports::AdvisorClient;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::leased_stream::LeasedStream;
 
 /// Longest wait for a connection.
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -17,7 +17,7 @@
 use crate::tasks::cell::intake::IntakeMessage;
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::store_limits::StoreLimits;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 
 /// Identifies the writer of an append, so that the store recognises repeated appends and rejects fenced
 /// writers.
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -23,7 +23,7 @@
 use crate::tasks::cell::ports::{CellAdapter, FrontEndContext};
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::submit_queue::SubmitQueue;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 
 /// Additional delay before a process with a low CPU limit claims the cell, so that others claim it first.
 const LOW_CPU_CLAIM_DELAY: Duration = Duration::from_millis(900);
--- a/src/tasks/connection_lease.rs
+++ b/src/tasks/connection_lease.rs
@@ -35,11 +35,11 @@
         granted
     }
 
-    /// Counts `total` bytes that are in memory already in place of those that were granted before.
-    pub fn hold(&mut self, total: usize) {
-        if total != self.granted {
-            self.granted = total;
-            self.send(ConnectionMessage::Hold(self.id, total));
+    /// Counts the bytes of an answer that the client has not received, in place of those of its request.
+    pub fn hold_answer(&mut self, bytes: usize) {
+        if bytes > 0 || self.granted > 0 {
+            self.granted = 0;
+            self.send(ConnectionMessage::HoldAnswer(self.id, bytes));
         }
     }
 
--- a/src/tasks/connections.rs
+++ b/src/tasks/connections.rs
@@ -2,12 +2,12 @@
 
 use std::net::IpAddr;
 
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::connections::{
-    ClientLimits, ConnectionCapacity, ConnectionClass, ConnectionEffect, ConnectionId, ConnectionPhase,
-    ConnectionTable, RequestFault,
+    ConnectionCapacity, ConnectionClass, ConnectionEffect, ConnectionId, ConnectionPhase, ConnectionTable,
+    RequestFault,
 };
 use crate::prelude::*;
 use crate::tasks::connection_lease::ConnectionLease;
@@ -16,9 +16,6 @@
 /// Shortest time between two log lines about refused requests and closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a new connection waits for a place while all connections are being answered.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Messages to the [`ConnectionTask`].
 #[derive(Debug)]
 pub enum ConnectionMessage {
@@ -26,8 +23,8 @@
     Open(IpAddr, ConnectionClass, oneshot::Sender<ConnectionLease>),
     /// Asks for bytes for a connection; the reply tells whether they are granted.
     Reserve(ConnectionId, usize, oneshot::Sender<bool>),
-    /// Counts bytes that a connection has in memory.
-    Hold(ConnectionId, usize),
+    /// Counts the bytes of an answer that a client has not received, in place of those of its request.
+    HoldAnswer(ConnectionId, usize),
     /// A connection does something else now.
     Phase(ConnectionId, ConnectionPhase),
     /// A connection found no place in time.
@@ -38,45 +35,6 @@
     Close(ConnectionId),
 }
 
-/// What a listener for clients needs: the way to the connection table and the limits on each connection.
-#[derive(Clone, Debug)]
-pub struct ClientAccess {
-    /// Sender to the task that owns the connection table. The channel is unbounded so that the end of a
-    /// connection can be reported where nothing can wait; each connection has a few messages in it at most.
-    pub sender: mpsc::UnboundedSender<ConnectionMessage>,
-    /// Limits on each connection.
-    pub limits: watch::Receiver<ClientLimits>,
-}
-
-impl ClientAccess {
-    /// Starts the task that owns the connection table and returns the way to it, with the sender of the limits.
-    #[must_use]
-    pub fn start(
-        capacity: ConnectionCapacity,
-        limits: ClientLimits,
-        metrics: ConnectionMetrics,
-        token: CancellationToken,
-    ) -> (Self, watch::Sender<ClientLimits>) {
-        let (sender, inbox) = mpsc::unbounded_channel();
-        let (limits_sender, limits) = watch::channel(limits);
-        let task = ConnectionTask::new(capacity, sender.clone(), metrics);
-        actix_rt::spawn(task.run(inbox, token));
-        (Self { sender, limits }, limits_sender)
-    }
-
-    /// Asks for a place for a connection; `None` if there is none within [`OPEN_TIMEOUT`]. Does not return while
-    /// another connection must end first.
-    pub async fn open(&self, address: IpAddr, class: ConnectionClass) -> Option<ConnectionLease> {
-        let (reply, lease) = oneshot::channel();
-        self.sender.send(ConnectionMessage::Open(address, class, reply)).ok()?;
-        if let Ok(lease) = tokio::time::timeout(OPEN_TIMEOUT, lease).await {
-            return lease.ok();
-        }
-        let _ = self.sender.send(ConnectionMessage::Unplaced);
-        None
-    }
-}
-
 /// The async task that owns the connection table.
 pub struct ConnectionTask {
     table: ConnectionTable,
@@ -142,7 +100,7 @@
                 self.reserving.insert(id, reply);
                 self.table.reserve(id, total)
             }
-            ConnectionMessage::Hold(id, total) => self.table.hold(id, total),
+            ConnectionMessage::HoldAnswer(id, bytes) => self.table.hold_answer(id, bytes),
             ConnectionMessage::Phase(id, phase) => self.table.set_phase(id, phase),
             ConnectionMessage::Unplaced => {
                 self.count_closed("refused");
@@ -165,7 +123,8 @@
             self.apply(effect);
         }
         self.metrics.connections.set(i64::try_from(self.table.len()).unwrap_or(i64::MAX));
-        self.metrics.buffered_bytes.set(i64::try_from(self.table.used_bytes()).unwrap_or(i64::MAX));
+        let bytes = self.table.used_bytes() + self.table.used_answer_bytes();
+        self.metrics.buffered_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
     /// Withdraws the connections that nobody waits for any more.
@@ -213,7 +172,7 @@
         }
         self.last_log = Some(Instant::now());
         log::warn!(counts:? = self.unlogged, connections = self.table.len(),
-            bytes = self.table.used_bytes();
+            bytes = self.table.used_bytes(), answer_bytes = self.table.used_answer_bytes();
             "clients are refused");
         self.unlogged.clear();
     }
--- a/src/tasks/entry.rs
+++ b/src/tasks/entry.rs
@@ -16,7 +16,7 @@
     AdapterEntry, DirectoryAdapter, EndpointAdapter, FrontContext, FrontEnd, LogAdapter, WorkerAdapter,
 };
 use crate::tasks::admission::AdmissionTask;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::directory::DirectoryTask;
 use crate::tasks::journal::{JournalMessage, JournalTask};
 use crate::tasks::metrics::EntryMetrics;
--- a/src/tasks/leased_stream.rs
+++ b/src/tasks/leased_stream.rs
@@ -12,8 +12,8 @@
 
 use crate::kernel::connections::{ConnectionClass, ConnectionPhase};
 use crate::prelude::*;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::connection_lease::ConnectionLease;
-use crate::tasks::connections::ClientAccess;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -4,6 +4,7 @@
 pub mod adapter;
 pub mod admission;
 pub mod cell;
+pub mod client_access;
 pub mod connection_lease;
 pub mod connection_metrics;
 pub mod connections;
--- a/src/tasks/operator.rs
+++ b/src/tasks/operator.rs
@@ -10,7 +10,7 @@
 use crate::kernel::connections::ConnectionClass;
 use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
 use crate::prelude::*;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::metrics::EntryMetrics;
 use crate::tasks::operator_view::OperatorView;
 
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -19,7 +19,7 @@
     Refusal, forward_reply,
 };
 use crate::tasks::admission::AdmissionMessage;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 use crate::tasks::forward::{PendingForward, forward_call, unreachable_owner};
 use crate::tasks::heartbeat;
 use crate::tasks::journal::JournalMessage;
--- a/tests/cell_admission.rs
+++ b/tests/cell_admission.rs
@@ -14,6 +14,7 @@
 use godwithaven::kernel::cell::{
     CellConfig, CellEvent, CellOwner, GraphSpec, JobStatus, PermitRule, RepeatSchedule, StepSpec,
 };
+use godwithaven::kernel::connections::{ClientLimits, ConnectionCapacity};
 use godwithaven::tasks::cell::admission::{self, AdmissionMessage, AdmissionTask};
 use godwithaven::tasks::cell::intake::{
     CallAction, CellCall, CellRefusal, CellReply, IntakeMessage, IntakeTask, JobSubmission,
@@ -24,6 +25,7 @@
 use godwithaven::tasks::cell::ports::{AppendOutcome, ReadFault, StoreClient};
 use godwithaven::tasks::cell::store_limits::StoreLimits;
 use godwithaven::tasks::cell::submit_queue::SubmitQueue;
+use godwithaven::tasks::client_access::ClientAccess;
 use googletest::prelude::*;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -319,6 +321,13 @@
     notice
 }
 
+/// Returns the way to a connection table with room for a few processes.
+fn client_access(token: &CancellationToken) -> ClientAccess {
+    let metrics = CellMetrics::new().expect("the metrics are valid").connections;
+    let capacity = ConnectionCapacity::of_machine(256, 4_096);
+    ClientAccess::start(capacity, ClientLimits::default(), metrics, token.clone()).0
+}
+
 /// Guards against processes that refuse nothing, or others than the owner named, because notices are lost or
 /// changed on their way.
 #[gtest]
@@ -341,7 +350,8 @@
         intake_sender: intake_sender.clone(),
     };
     let token = CancellationToken::new();
-    actix_rt::spawn(peer::serve(listener, service, token.clone()));
+    let access = client_access(&token);
+    actix_rt::spawn(peer::serve(listener, service, access, token.clone()));
     let task = AdmissionTask { intake_sender, followers: Vec::new() };
     actix_rt::spawn(task.run(admission_inbox, token.clone()));
     let (follower_sender, mut follower_intake) = mpsc::channel(8);
--- a/tests/cell_input.rs
+++ b/tests/cell_input.rs
@@ -17,7 +17,7 @@
 use godwithaven::tasks::cell::ports::{
     CellAdapter, FrontEndContext, OperatorChange, ReadFault, StoreClient, TopicPage,
 };
-use godwithaven::tasks::connections::ClientAccess;
+use godwithaven::tasks::client_access::ClientAccess;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, Strategy, any, prop};
 use proptest::prop_assert;
--- a/tests/client_reader.rs
+++ b/tests/client_reader.rs
@@ -160,6 +160,7 @@
 enum TableStep {
     Open(u8),
     Reserve(prop::sample::Index, usize),
+    HoldAnswer(prop::sample::Index, usize),
     Phase(prop::sample::Index, ConnectionPhase),
     Close(prop::sample::Index),
 }
@@ -175,6 +176,7 @@
     proptest::prop_oneof![
         (1..4_u8).prop_map(TableStep::Open),
         (index(), 1..600_usize).prop_map(|(index, total)| TableStep::Reserve(index, total)),
+        (index(), 0..200_usize).prop_map(|(index, bytes)| TableStep::HoldAnswer(index, bytes)),
         (index(), phases).prop_map(|(index, phase)| TableStep::Phase(index, phase)),
         index().prop_map(TableStep::Close),
     ]
@@ -213,6 +215,12 @@
                 self.waiting.insert(*index.get(&ids));
                 self.table.reserve(*index.get(&ids), *total)
             }
+            TableStep::HoldAnswer(index, bytes) => {
+                self.phases.insert(*index.get(&ids), ConnectionPhase::Answering);
+                let mut effects = self.table.hold_answer(*index.get(&ids), *bytes);
+                effects.extend(self.table.set_phase(*index.get(&ids), ConnectionPhase::Answering));
+                effects
+            }
             TableStep::Phase(index, phase) => {
                 self.phases.insert(*index.get(&ids), *phase);
                 self.table.set_phase(*index.get(&ids), *phase)
@@ -256,8 +264,14 @@
 /// request is being answered, and against requests for bytes that get no answer.
 #[gtest]
 fn the_connection_table_keeps_its_capacity() {
-    let capacity =
-        ConnectionCapacity { callers: 8, callers_per_address: 6, operators: 2, peers: 2, bytes: 1_000 };
+    let capacity = ConnectionCapacity {
+        callers: 8,
+        callers_per_address: 6,
+        operators: 2,
+        peers: 2,
+        bytes: 1_000,
+        answer_bytes: 500,
+    };
     let steps = prop::collection::vec(table_step(), 1..200);
     let outcome = runner(300).run(&steps, |steps| {
         let mut clients = TableClients {
@@ -281,7 +295,7 @@
             prop_assert_eq!(clients.close(id), Ok(()));
         }
         prop_assert!(clients.waiting.is_empty(), "{:?} wait", clients.waiting);
-        prop_assert_eq!(clients.table.used_bytes(), 0);
+        prop_assert_eq!((clients.table.used_bytes(), clients.table.used_answer_bytes()), (0, 0));
         Ok(())
     });
     expect_that!(outcome, ok(anything()));
