--- a/src/kernel/connections/connection_capacity.rs
+++ b/src/kernel/connections/connection_capacity.rs
@@ -8,7 +8,7 @@
 pub const MAX_DESCRIPTORS: usize = 1 << 20;
 
 /// Bytes of a connection beside its buffers: the task and the entries in tables.
-const OVERHEAD_BYTES: usize = 4_096;
+const OVERHEAD_BYTES: usize = 12_288;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Part of the memory for the buffers of bodies and heads, and the same part for what each connection needs.
--- a/src/plugins/http/connection.rs
+++ b/src/plugins/http/connection.rs
@@ -7,6 +7,7 @@
 use actix_http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, Method, Response, ServiceConfig, StatusCode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::FutureExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -108,7 +109,7 @@
     async fn read_request(&mut self) -> Result<BufferedRequest, ReadEnd> {
         self.reader.allow(INCLUDED_BYTES);
         if self.reader.is_idle() {
-            self.await_first_byte().await?;
+            self.await_first_bytes().await?;
         }
         let limits = *self.limits.borrow();
         let started = Deadline::now();
@@ -144,16 +145,25 @@
         }
     }
 
-    /// Waits for a request, without a buffer.
-    async fn await_first_byte(&mut self) -> Result<(), ReadEnd> {
-        self.reader.free_input();
-        let idle_timeout = self.limits.borrow().idle_timeout;
-        tokio::select! {
-            biased;
-            readable = self.stream.readable() => readable.map_err(|_| ReadEnd::Closed),
-            () = self.lease.evicted.cancelled() => Err(ReadEnd::Closed),
-            () = self.stopping.cancelled() => Err(ReadEnd::Closed),
-            () = tokio::time::sleep(idle_timeout) => Err(ReadEnd::Closed),
+    /// Waits for the first bytes of a request, without a buffer, and reads them.
+    async fn await_first_bytes(&mut self) -> Result<(), ReadEnd> {
+        let deadline = Deadline::now() + self.limits.borrow().idle_timeout;
+        loop {
+            self.reader.free_input();
+            tokio::select! {
+                biased;
+                readable = self.stream.readable() => readable.map_err(|_| ReadEnd::Closed)?,
+                () = self.lease.evicted.cancelled() => return Err(ReadEnd::Closed),
+                () = self.stopping.cancelled() => return Err(ReadEnd::Closed),
+                () = tokio::time::sleep_until(deadline) => return Err(ReadEnd::Closed),
+            }
+            let (input, room) = self.reader.input();
+            match self.stream.read_buf(&mut input.limit(room)).now_or_never() {
+                Some(Ok(0) | Err(_)) => return Err(ReadEnd::Closed),
+                Some(Ok(_)) => return Ok(()),
+                // The last read had taken all bytes without noticing that there were no more.
+                None => {}
+            }
         }
     }
 
