--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -109,7 +109,9 @@
             callers_per_address: self
                 .parse_or("clients.connections_per_address", derived.callers_per_address),
             operators: self.parse_or("clients.operator_connections", derived.operators),
+            peers: self.parse_or("clients.peer_connections", derived.peers),
             bytes: self.parse_or("clients.buffered_bytes", derived.bytes),
+            answer_bytes: self.parse_or("clients.answer_bytes", derived.answer_bytes),
         }
     }
 
