--- a/src/kernel/cell/cell_notice.rs
+++ b/src/kernel/cell/cell_notice.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{EndedRun, SlowRun, TaskKey};
+use crate::kernel::cell::{EndedRun, SlowRun, StepKey, TaskKey};
 use crate::prelude::*;
 
 /// An observation of the scheduler that changes nothing, for logs.
@@ -36,4 +36,15 @@
         /// Number of its runs that are marked as lost.
         tasks: usize,
     },
+    /// A step was ranked behind waiting steps of other teams because of the past use of its team.
+    MovedBack {
+        /// The step.
+        step: StepKey,
+        /// Its team.
+        team: TeamId,
+        /// By how much later it ranks.
+        correction: Duration,
+        /// Number of the steps that it was ranked behind.
+        steps: usize,
+    },
 }
--- a/src/kernel/cell/cell_record.rs
+++ b/src/kernel/cell/cell_record.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::kernel::cell::{EndCause, JobSnapshot, JobStatus, TaskKey};
+use crate::kernel::cell::{EndCause, JobSnapshot, JobStatus, TaskKey, UsageRecord};
 use crate::prelude::*;
 
 /// A decision of the owner, stored in the log of the cell before it takes effect.
@@ -28,4 +28,7 @@
     /// Backoffs, permits and averages of run times are not part of it.
     #[serde(rename = "k")]
     Snapshot(Box<JobSnapshot>),
+    /// Past use of all teams. Releases that do not know it pass it over.
+    #[serde(rename = "u")]
+    Usage(UsageRecord),
 }
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,10 +1,10 @@
-use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
     CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause, PlacementPhase,
     PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch, StartPass, StepKey,
-    TaskKey, WorkerListing,
+    TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerListing,
 };
+use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
 
 /// How long a closed job is kept, so that its state can still be queried, and how long a cancellation is
@@ -50,6 +50,8 @@
     last_snapshots: Option<Instant>,
     /// Numbers of replayed records that could not be applied.
     skipped_records: SkippedRecords,
+    /// When past use is recorded; `None` while it is not accounted for.
+    usage_schedule: Option<UsageSchedule>,
 }
 
 impl CellScheduler {
@@ -67,6 +69,7 @@
             snapshot_interval: None,
             last_snapshots: None,
             skipped_records: SkippedRecords::default(),
+            usage_schedule: None,
         }
     }
 
@@ -75,6 +78,16 @@
     #[must_use]
     pub fn with_log_retention(mut self, retention: Duration) -> Self {
         self.snapshot_interval = Some(retention / SNAPSHOTS_PER_RETENTION);
+        self.state.log_retention = Some(retention);
+        self
+    }
+
+    /// Lets the past use of the teams correct the order of starts; use loses half of its weight in `half_life`.
+    /// With a half-life of zero, past use is not accounted for.
+    #[must_use]
+    pub fn with_usage_half_life(mut self, half_life: Duration) -> Self {
+        self.state.shares.set_decay(UsageDecay::with_half_life(half_life));
+        self.usage_schedule = (!half_life.is_zero()).then(UsageSchedule::default);
         self
     }
 
@@ -221,6 +234,12 @@
         CellSummary::of(&self.state, now)
     }
 
+    /// Returns the past use of each configured team and its effect; nothing while it is not accounted for.
+    #[must_use]
+    pub fn team_usages(&self) -> Vec<TeamUsage> {
+        if self.usage_schedule.is_some() { TeamUsage::all(&self.state) } else { Vec::new() }
+    }
+
     /// Gives tests read access to the state.
     #[must_use]
     pub const fn state(&self) -> &CellState {
@@ -236,6 +255,7 @@
             // `zip` serves as a map here; the second operand is ignored.
             let limit = rule.limit.zip(ResourceVector::default(), |amount, _| zero_as_unlimited(amount));
             self.state.shares.set_allotment(team, limit);
+            self.state.shares.set_weight(team, f64::from(rule.weight.max(1)));
         }
         self.state.config = config;
     }
@@ -449,6 +469,7 @@
         self.stop_unconfirmed_gangs(now);
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
+        self.account_usage(now);
         self.state.demote_late(now);
         let scheduled: Vec<JobId> = self
             .state
@@ -468,6 +489,20 @@
         });
     }
 
+    /// Charges what teams use, and records the account if that is due.
+    fn account_usage(&mut self, now: Instant) {
+        let Some(schedule) = &mut self.usage_schedule else { return };
+        UsageWatch { state: &mut self.state, now }.run();
+        let retention = self.state.log_retention.unwrap_or(Duration::MAX);
+        if !schedule.is_due(retention, now) {
+            return;
+        }
+        let record = UsageRecord::of(&self.state.shares, self.state.unix_time);
+        if let Some(record) = schedule.record(record, retention, now) {
+            self.state.effects.push(CellEffect::Record(CellRecord::Usage(record)));
+        }
+    }
+
     /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval, the oldest
     /// first, so that none is left out for long.
     fn snapshot_old_jobs(&mut self, now: Instant) {
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,10 +2,10 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, EndSource, GraphSpec, JobStatus, LossCause,
-    OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, SlowRunState,
+    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, DiscardedRun, EndSource, GraphSpec, JobStatus,
+    LossCause, OccurrenceState, PlacementPhase, PreemptionHeadroom, RunEnd, RunTimeEstimator, SlowRunState,
     StartCommand, StartInputs, StepKey, StepRank, StepRanking, StepSpec, StepState, StopCommand, SubmitRate,
-    TaskKey, TaskPlacement, TaskState,
+    TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
 };
 use crate::prelude::*;
 
@@ -45,6 +45,10 @@
     pub ready: BTreeSet<(StepRank, StepKey)>,
     /// Resources that each team uses, and its limit, which is called allotment there.
     pub shares: ShareAccounting,
+    /// How the past use of the teams corrects the order of starts; nothing while past use is not accounted for.
+    pub usage_correction: UsageCorrection,
+    /// How long the store keeps records; `None` if they do not expire.
+    pub log_retention: Option<Duration>,
     /// Submission rates of the teams.
     pub rates: SubmitRate,
     /// Ratios of observed to estimated run times, by queue.
@@ -139,6 +143,7 @@
         for index in due {
             let key = StepKey { job: id.clone(), occurrence, step: index };
             let rank = StepRanking { state: self }.rank(&key, now);
+            UsageWatch { state: self, now }.note_rank(&key, rank);
             if let Some(step_state) = self.step_mut(&key) {
                 step_state.rank = Some(rank);
                 if !step_state.waiting.is_empty() {
@@ -149,13 +154,14 @@
     }
 
     /// Updates the rank of each ready step whose job has reached a worse
-    /// [`JobLateness`](crate::kernel::cell::JobLateness) since the step was ranked.
+    /// [`JobLateness`](crate::kernel::cell::JobLateness) since the step was ranked, or whose correction for past
+    /// use has become smaller.
     pub fn demote_late(&mut self, now: Instant) {
         let stale: Vec<(StepRank, StepKey, StepRank)> = self
             .ready
             .iter()
             .map(|(rank, key)| (*rank, key.clone(), StepRanking { state: self }.rank(key, now)))
-            .filter(|(old, _, new)| old.lateness < new.lateness)
+            .filter(|(old, _, new)| old.lateness < new.lateness || new.correction < old.correction)
             .collect();
         for (old, key, new) in stale {
             self.ready.remove(&(old, key.clone()));
@@ -295,6 +301,7 @@
         let Some(placement) = self.remove_placement(key) else { return };
         let record = CellRecord::Lost(key.clone(), placement.run);
         self.record_end(record, placement.slot, EndSource::Lost(cause));
+        DiscardedRun { state: self, task: key, placement: &placement, now }.refund();
         self.requeue(key);
         self.break_gang(key, now);
         self.complete_if_done(&key.step.job, now);
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellRecord, CellState, EndCause, EndSource, ExpectationSource, JobStatus, PlacementPhase, RunForecast,
-    StepExpectations, TaskKey, TaskPlacement,
+    CellRecord, CellState, DiscardedRun, EndCause, EndSource, ExpectationSource, JobStatus, PlacementPhase,
+    RunForecast, StepExpectations, TaskKey, TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -49,6 +49,8 @@
             }
             EndCause::Failed => self.apply_failure(key, run, &placement),
             EndCause::Stopped | EndCause::LeaseExpired | EndCause::GangBroken | EndCause::GangIncomplete => {
+                let (state, now) = (&mut *self.state, self.now);
+                DiscardedRun { state, task: key, placement: &placement, now }.refund();
                 self.state.requeue(key);
             }
         }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -51,6 +51,7 @@
 mod submit_rate;
 mod task_key;
 mod task_placement;
+mod usage;
 mod victim_search;
 mod worker_lease;
 
@@ -97,5 +98,8 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use usage::{
+    DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
+};
 pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -33,7 +33,9 @@
                 Some(_) => ReplayOutcome::Applied,
                 None => ReplayOutcome::UnknownJob,
             },
-            CellRecord::LeaseBounds(_) | CellRecord::Snapshot(_) => ReplayOutcome::Applied,
+            CellRecord::LeaseBounds(_) | CellRecord::Snapshot(_) | CellRecord::Usage(_) => {
+                ReplayOutcome::Applied
+            }
         }
     }
 
@@ -64,6 +66,10 @@
                 }
             }
             CellRecord::Closed(job, status) => self.state.close(&job, status, self.now),
+            CellRecord::Usage(record) => {
+                let max_age = self.state.log_retention.unwrap_or(Duration::MAX);
+                record.restore(&mut self.state.shares, self.state.unix_time, max_age);
+            }
             CellRecord::Snapshot(snapshot) => {
                 let now = self.now;
                 snapshot.restore(self.state, |state, worker| slot_of(state, worker, now), now);
--- a/src/kernel/cell/step_ranking.rs
+++ b/src/kernel/cell/step_ranking.rs
@@ -21,7 +21,14 @@
     pub fn rank(&self, key: &StepKey, now: Instant) -> StepRank {
         let Some(job) = self.state.jobs.get(&key.job) else {
             let lateness = JobLateness::Expired;
-            return StepRank { excess: true, priority: u32::MAX, expired: true, latest_start: now, lateness };
+            return StepRank {
+                excess: true,
+                priority: u32::MAX,
+                expired: true,
+                latest_start: now,
+                lateness,
+                correction: Duration::ZERO,
+            };
         };
         let priority = self.state.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
         let objective = self.objective(&job.spec);
@@ -43,7 +50,26 @@
         };
         let latest_start = (due_at + limit).checked_sub(remaining).unwrap_or(due_at);
         let expired = lateness == JobLateness::Expired;
-        StepRank { excess: job.excess, priority, expired, latest_start, lateness }
+        let correction = self.correction(&job.spec, key.step, objective, latest_start, now);
+        let latest_start = latest_start + correction;
+        StepRank { excess: job.excess, priority, expired, latest_start, lateness, correction }
+    }
+
+    /// Returns by how much later a step ranks because of the past use of its team. Long-running tasks have to
+    /// run again soon, whatever their team has used.
+    fn correction(
+        &self,
+        spec: &GraphSpec,
+        step: u32,
+        objective: Duration,
+        latest_start: Instant,
+        now: Instant,
+    ) -> Duration {
+        if spec.steps.get(step as usize).is_none_or(|step| step.long_running) {
+            return Duration::ZERO;
+        }
+        let slack = latest_start.saturating_duration_since(now);
+        self.state.usage_correction.of(&spec.team, objective, slack)
     }
 
     /// Returns the latency objective of a job, counted from the time at which it is due.
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -46,6 +46,17 @@
     pub latest_start: Instant,
     /// How late the job is expected to be.
     pub lateness: JobLateness,
+    /// Part of `latest_start` by which the step ranks later because of the past use of its team.
+    pub correction: Duration,
+}
+
+impl StepRank {
+    /// Returns the rank that the step would have if the past use of its team did not count.
+    #[must_use]
+    pub fn without_correction(self) -> Self {
+        let latest_start = self.latest_start.checked_sub(self.correction).unwrap_or(self.latest_start);
+        Self { latest_start, correction: Duration::ZERO, ..self }
+    }
 }
 
 /// How late a job is expected to be. The value of its result falls with its lateness.
--- a/src/kernel/share_accounting.rs
+++ b/src/kernel/usage/share_accounting.rs
@@ -1,9 +1,6 @@
+use crate::kernel::usage::{DecayedShare, UsageDecay};
 use crate::prelude::*;
 
-/// Time constant of the decay of past usage, after which it has lost 1 - 1/e of its weight. It is long enough
-/// to compensate a team for a wait of minutes, and short enough that a burst in the morning has no effect at
-/// noon.
-const USAGE_DECAY_TIME: Duration = Duration::from_secs(600);
 /// Minimum time between updates of the averages.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -11,6 +8,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ShareAccounting {
     teams: FastMap<TeamId, TeamUse>,
+    decay: UsageDecay,
     refreshed_at: Option<Instant>,
 }
 
@@ -25,7 +23,7 @@
     /// Weight of the team, its `share` in the policy bundle.
     weight: f64,
     /// Exponentially decaying average of the dominant share.
-    average: f64,
+    average: DecayedShare,
     /// Fair share of the fleet as computed last, as a fraction.
     fair_share: f64,
     /// Dominant share now plus its average, divided by the weight; orders the teams.
@@ -40,7 +38,7 @@
             expected: zero,
             allotment: zero,
             weight: 1.0,
-            average: 0.0,
+            average: DecayedShare::default(),
             fair_share: 0.0,
             score: 0.0,
         }
@@ -48,6 +46,22 @@
 }
 
 impl ShareAccounting {
+    /// Sets the speed at which past use loses its weight.
+    pub const fn set_decay(&mut self, decay: UsageDecay) {
+        self.decay = decay;
+    }
+
+    /// Returns the speed at which past use loses its weight.
+    #[must_use]
+    pub const fn decay(&self) -> UsageDecay {
+        self.decay
+    }
+
+    /// Sets the weight of a team.
+    pub fn set_weight(&mut self, team: &TeamId, weight: f64) {
+        self.teams.entry(team.clone()).or_default().weight = weight;
+    }
+
     /// Sets the weights of the teams from the policy bundle.
     #[expect(clippy::cast_precision_loss, reason = "shares are small numbers")]
     pub fn apply_bundle(&mut self, bundle: &PolicyBundle) {
@@ -155,13 +169,44 @@
             return;
         }
         self.refreshed_at = Some(now);
-        let keep = (-since.as_secs_f64() / USAGE_DECAY_TIME.as_secs_f64()).exp();
+        let kept = self.decay.kept_part(since);
         for team in self.teams.values_mut() {
-            team.average = team.average * keep + team.used.dominant_fraction(total) * (1.0 - keep);
+            team.average.advance(team.used.dominant_fraction(total), kept);
+            team.update_score(total);
+        }
+    }
+
+    /// Takes back the past use of a run that has used `amount` for `run_time` until now; `total` is the capacity
+    /// of the fleet.
+    pub fn refund(&mut self, team: &str, amount: ResourceVector, run_time: Duration, total: ResourceVector) {
+        let decay = self.decay;
+        if let Some(team) = self.teams.get_mut(team) {
+            team.average.refund(amount.dominant_fraction(total), run_time, decay);
             team.update_score(total);
         }
     }
 
+    /// Returns the past use of a team, as the decayed average of its dominant share.
+    #[must_use]
+    pub fn past_use(&self, team: &str) -> DecayedShare {
+        self.teams.get(team).map(|team| team.average).unwrap_or_default()
+    }
+
+    /// Returns the past use of each team.
+    pub fn past_uses(&self) -> impl Iterator<Item = (&TeamId, DecayedShare)> {
+        self.teams.iter().map(|(id, team)| (id, team.average))
+    }
+
+    /// Replaces the past use of all teams; those that are not given have none.
+    pub fn restore_past_uses(&mut self, past_uses: impl IntoIterator<Item = (TeamId, DecayedShare)>) {
+        for team in self.teams.values_mut() {
+            team.average = DecayedShare::default();
+        }
+        for (team, past_use) in past_uses {
+            self.teams.entry(team).or_default().average = past_use;
+        }
+    }
+
     /// Returns usage and allotment of each team.
     pub fn iter(&self) -> impl Iterator<Item = (&TeamId, ResourceVector, ResourceVector)> {
         self.teams.iter().map(|(id, team)| (id, team.used, team.allotment))
@@ -170,6 +215,6 @@
 
 impl TeamUse {
     fn update_score(&mut self, total: ResourceVector) {
-        self.score = (self.used.dominant_fraction(total) + self.average) / self.weight;
+        self.score = (self.used.dominant_fraction(total) + self.average.get()) / self.weight;
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,15 @@
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::store_limits::StoreLimits;
 
+/// Half-life of past use if the settings file names none: a team that used too much in the morning has most of
+/// that behind it by the evening.
+const DEFAULT_USAGE_HALF_LIFE: Duration = Duration::from_secs(4 * 3_600);
+
+/// Setting with the half-life of past use in seconds.
+const USAGE_HALF_LIFE: &str = "usage.half_life_s";
+/// Variable that takes the place of that setting, as the platform's own settings file does not have it.
+const USAGE_HALF_LIFE_VARIABLE: &str = "GODWITHAVEN_USAGE_HALF_LIFE_S";
+
 /// Settings by name, with the faults found so far.
 struct SettingsParser {
     values: FastMap<String, String>,
@@ -92,6 +101,11 @@
         (share * 1_000.0).round() as Millicores
     }
 
+    /// Returns the half-life of past use, a whole number of seconds; zero switches the account off.
+    fn usage_half_life(&mut self) -> Duration {
+        Duration::from_secs(self.parse_or(USAGE_HALF_LIFE, DEFAULT_USAGE_HALF_LIFE.as_secs()))
+    }
+
     /// Returns the first port of the range for internal use, which serves the metrics.
     fn metrics_port(&mut self) -> u16 {
         let text = self.text("internal_ports");
@@ -108,8 +122,12 @@
 
 /// Loads the settings file; the returned fault lists everything that is wrong with it.
 pub fn load(path: &str) -> Result<CellSettings, SettingFault> {
-    let text = std::fs::read_to_string(path)
+    let mut text = std::fs::read_to_string(path)
         .map_err(|error| SettingFault { text: format!("{path} cannot be read: {error}") })?;
+    if let Ok(half_life) = std::env::var(USAGE_HALF_LIFE_VARIABLE) {
+        // The last line of a name counts.
+        text.extend(["\n", USAGE_HALF_LIFE, "=", &half_life]);
+    }
     parse(&text)
 }
 
@@ -134,6 +152,7 @@
         cpu_limit: parser.cpu_limit(),
         longest_lease: parser.milliseconds("bounds.max_hold_ms"),
         log_retention: Duration::from_secs(parser.parse("platform.keep_s", 300)),
+        usage_half_life: parser.usage_half_life(),
         grace: Duration::from_secs(parser.parse("bounds.grace_s", 6)),
     };
     if parser.faults.is_empty() { Ok(settings) } else { Err(SettingFault { text: parser.faults.join("\n") }) }
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -115,6 +115,8 @@
     pub longest_lease: Duration,
     /// How long the store retains records.
     pub log_retention: Duration,
+    /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
+    pub usage_half_life: Duration,
     /// Decides from the claim log when to claim the cell.
     pub claim_watch: ClaimWatch,
     /// Decides when to hand the cell over to a process with a higher CPU limit.
@@ -353,6 +355,7 @@
             ownership: ownership.clone(),
             released_term: self.claim_watch.released_term(),
             log_retention: self.log_retention,
+            usage_half_life: self.usage_half_life,
             metrics: self.metrics.clone(),
         };
         self.handover_watch.note_term(Instant::now());
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -67,6 +67,10 @@
         CellNotice::LeaseExpired { worker, tasks } => {
             log::info!(worker = &**worker, token = token, tasks = *tasks; "lease has expired");
         }
+        CellNotice::MovedBack { step, team, correction, steps } => {
+            log::info!(step:%, team = &**team, token = token, correction_ms = milliseconds(*correction),
+                steps = *steps; "step is ranked later for past use");
+        }
     }
 }
 
@@ -74,8 +78,8 @@
 pub(super) fn log_record(record: &CellRecord) {
     match record {
         // Starts are logged by `log_start_decision`, together with the inputs of the decision, and ends of runs
-        // by `log_run_end`.
-        CellRecord::Started(..) | CellRecord::Ended(..) | CellRecord::Lost(..) => {}
+        // by `log_run_end`. Past use is in the metrics.
+        CellRecord::Started(..) | CellRecord::Ended(..) | CellRecord::Lost(..) | CellRecord::Usage(_) => {}
         CellRecord::LeaseBounds(bounds) => {
             for (worker, left) in bounds {
                 let left_ms = left.map_or(0, milliseconds);
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     exponential_buckets,
 };
 
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::kernel::cell::TeamUsage;
 use crate::log_pipe;
 use crate::plugins::http;
 
@@ -56,6 +57,14 @@
     pub waiting_tasks: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Decayed average of the dominant share, by team; nothing unless this process owns the cell.
+    team_past_use: GaugeVec,
+    /// Weight by team, as above.
+    team_weight: GaugeVec,
+    /// Part of the latency objective by which steps of a team rank later, as above.
+    team_correction: GaugeVec,
+    /// Steps that were ranked behind those of other teams because of past use, by team, in this term.
+    team_moved_back: GaugeVec,
 }
 
 impl CellMetrics {
@@ -85,6 +94,11 @@
         let looks =
             IntCounter::new("godwithaven_progress_requests_total", "Requests for the progress of runs")?;
         registry.register(Box::new(looks.clone()))?;
+        let by_team = |name: &str, help: &str| -> prometheus::Result<GaugeVec> {
+            let gauge = GaugeVec::new(Opts::new(name, help), &["team"])?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
@@ -117,10 +131,35 @@
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
+            team_past_use: by_team("godwithaven_team_past_use", "Decayed average of the dominant share")?,
+            team_weight: by_team("godwithaven_team_weight", "Weight of the team")?,
+            team_correction: by_team(
+                "godwithaven_team_correction",
+                "Part of the latency objective by which steps rank later because of past use",
+            )?,
+            team_moved_back: by_team(
+                "godwithaven_team_moved_back",
+                "Steps ranked behind those of other teams because of past use, in this term",
+            )?,
             registry,
         })
     }
 
+    /// Replaces the past use of all teams.
+    pub fn set_team_usages(&self, usages: &[TeamUsage]) {
+        for gauge in [&self.team_past_use, &self.team_weight, &self.team_correction, &self.team_moved_back] {
+            gauge.reset();
+        }
+        for usage in usages {
+            let team = [&*usage.team];
+            self.team_past_use.with_label_values(&team).set(usage.past_use);
+            self.team_weight.with_label_values(&team).set(usage.weight);
+            self.team_correction.with_label_values(&team).set(usage.correction);
+            let steps = u32::try_from(usage.steps_moved_back).unwrap_or(u32::MAX);
+            self.team_moved_back.with_label_values(&team).set(f64::from(steps));
+        }
+    }
+
     /// Serves the metrics at `/metrics` until the token is cancelled.
     pub async fn serve(self, listener: TcpListener, token: CancellationToken) {
         let registry = self.registry;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -90,6 +90,8 @@
     pub released_term: Option<Duration>,
     /// How long the store retains records.
     pub log_retention: Duration,
+    /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
+    pub usage_half_life: Duration,
     /// Metrics of the process.
     pub metrics: CellMetrics,
 }
@@ -109,6 +111,7 @@
         self.metrics.owner.set(0);
         self.metrics.open_jobs.set(0);
         self.metrics.waiting_tasks.set(0);
+        self.metrics.set_team_usages(&[]);
         log::info!(token = self.token, reason = &*ended; "ownership ended");
         ended
     }
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -68,6 +68,7 @@
         let summary = self.scheduler.summary(Instant::now());
         metrics.open_jobs.set(i64::try_from(summary.open_jobs).unwrap_or(i64::MAX));
         metrics.waiting_tasks.set(i64::try_from(summary.waiting_tasks).unwrap_or(i64::MAX));
+        metrics.set_team_usages(&self.scheduler.team_usages());
         for (service, pool) in &summary.pools {
             log::info!(service = &**service, listed = pool.listed, open = pool.schedulable,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -127,6 +127,7 @@
             cpu_limit,
             longest_lease: settings.longest_lease,
             log_retention: settings.log_retention,
+            usage_half_life: settings.usage_half_life,
             peers: settings.peer_addresses.iter().filter(|peer| **peer != own_address).cloned().collect(),
         };
         actix_rt::spawn(claim_task.run(claim_inbox, token.clone()));
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -85,8 +85,9 @@
             ..RecoverySummary::default()
         };
         let now = Instant::now();
-        let mut scheduler =
-            CellScheduler::new(now + self.inherited_lease()).with_log_retention(self.owner.log_retention);
+        let mut scheduler = CellScheduler::new(now + self.inherited_lease())
+            .with_log_retention(self.owner.log_retention)
+            .with_usage_half_life(self.owner.usage_half_life);
         scheduler.handle(CellEvent::Tick(clock::unix_time()), now);
         if let Some(config) = &self.owner.config {
             scheduler.handle(CellEvent::Configured(config.clone()), now);
--- a/src/tasks/cell/settings.rs
+++ b/src/tasks/cell/settings.rs
@@ -35,6 +35,8 @@
     pub longest_lease: Duration,
     /// How long the store retains records.
     pub log_retention: Duration,
+    /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
+    pub usage_half_life: Duration,
     /// Time within which the process must exit after it was asked to stop.
     pub grace: Duration,
 }
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -138,6 +138,7 @@
         ownership: OwnershipLease::new(),
         released_term: None,
         log_retention: Duration::from_secs(300),
+        usage_half_life: Duration::ZERO,
         metrics: CellMetrics::new().or_fail()?,
     };
     let stop = token.clone();
--- a/tests/cell_recovery_log.rs
+++ b/tests/cell_recovery_log.rs
@@ -129,6 +129,7 @@
         ownership: OwnershipLease::new(),
         released_term: None,
         log_retention: Duration::from_secs(300),
+        usage_half_life: Duration::ZERO,
         metrics: CellMetrics::new().or_fail()?,
     };
     let stop = CancellationToken::new();
