--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -75,6 +75,11 @@
             /// Operators' address of an entry process; repeat for several.
             repeated --entry address: String
         }
+        /// Show past use, weight and correction of the teams of a cell; its owner has to be among the entries.
+        cmd usage {
+            /// Metrics address of an entry process that serves a cell; repeat for several.
+            repeated --entry address: String
+        }
         /// Show all availability zones.
         cmd zones {
             /// Operators' address of an entry process; repeat for several.
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -18,6 +18,7 @@
 mod table;
 mod tally;
 mod timeline;
+mod usage;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -61,6 +62,7 @@
         GodwithavenCmd::Status(status) => summary::status(&status.entry, json).await?,
         GodwithavenCmd::Fleet(fleet) => summary::fleet(&fleet.entry, json).await?,
         GodwithavenCmd::Teams(teams) => summary::teams(&teams.entry, json).await?,
+        GodwithavenCmd::Usage(flags) => usage::usage(&flags.entry, json).await?,
         GodwithavenCmd::Zones(zones) => summary::zones(&zones.entry, json).await?,
         GodwithavenCmd::Endpoints(endpoints) => summary::endpoints(&endpoints.entry, json).await?,
         GodwithavenCmd::Explain(command) => match command.subcommand {
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -68,6 +68,26 @@
         Ok(pages)
     }
 
+    /// Fetches the metrics of every entry process; returns each address with the text, or why it cannot be read.
+    pub async fn fetch_metrics(&self) -> Vec<(String, Result<String, String>)> {
+        let mut texts = Vec::new();
+        for entry in &self.entries {
+            texts.push((entry.clone(), self.fetch_text(entry, "/metrics").await));
+        }
+        texts
+    }
+
+    async fn fetch_text(&self, entry: &str, path: &str) -> Result<String, String> {
+        let response = self.client.get(format!("http://{entry}{path}")).send().await;
+        let mut response = response.map_err(|error| error.to_string())?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(status.to_string());
+        }
+        let body = response.body().limit(MAX_PAGE_BYTES).await.map_err(|error| error.to_string())?;
+        String::from_utf8(body.to_vec()).map_err(|error| error.to_string())
+    }
+
     /// Fetches a path from the entry processes in order and returns the first page that can be read.
     pub async fn fetch_first(&self, path: &str) -> Result<Value, CommandFailure> {
         let mut errors = Vec::new();
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -7,8 +7,12 @@
 use std::os::unix::fs::PermissionsExt;
 
 use fixture::{Platform, bundle_text};
+use godwithaven::kernel::cell::TeamUsage;
+use godwithaven::tasks::cell::metrics::CellMetrics;
 use googletest::prelude::*;
 use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// Guards against scripts that take a usage error for a failure of the system, and against a command that
 /// fails or succeeds without printing anything.
@@ -219,3 +223,42 @@
         (eq(1), contains_substring("no log line names it"))
     );
 }
+
+/// Guards against a table that leaves out a team, or mixes up its columns, and against an empty table of a process
+/// that does not own the cell, which would pass for an account without use.
+#[gtest]
+#[actix_rt::test]
+async fn usage_shows_the_account_of_the_owner() -> Result<()> {
+    let dir = fixture::directory("usage");
+    let token = CancellationToken::new();
+    let usage = |team: &str, past_use, correction, steps_moved_back| TeamUsage {
+        team: team.into(),
+        past_use,
+        weight: 3.0,
+        correction,
+        steps_moved_back,
+    };
+    let (owner, other) = (CellMetrics::new().or_fail()?, CellMetrics::new().or_fail()?);
+    owner.set_team_usages(&[usage("blue {x}", 0.25, 0.0, 0), usage("red", 0.5, 0.125, 7)]);
+    let mut addresses = Vec::new();
+    for metrics in [owner, other] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
+        addresses.push(listener.local_addr().or_fail()?);
+        actix_rt::spawn(metrics.serve(listener, token.child_token()));
+    }
+    let (owner, other) = (addresses[0], addresses[1]);
+
+    let table =
+        fixture::shell(&dir, &format!("godwithaven usage --entry {other} --entry {owner}"), &[]).await;
+    let json = fixture::shell(&dir, &format!("godwithaven usage --json --entry {owner}"), &[]).await;
+    let refused = fixture::shell(&dir, &format!("godwithaven usage --entry {other}"), &[]).await;
+    token.cancel();
+
+    let expected = "TEAM      WEIGHT  PAST USE  CORRECTION  MOVED BACK\n\
+                    blue {x}  3       0.2500    0.0%        0\n\
+                    red       3       0.5000    12.5%       7\n";
+    let page: Value = serde_json::from_str(&json.stdout).or_fail()?;
+    verify_that!(table.stdout, eq(expected))?;
+    verify_that!(page["teams"][1]["past_use"], eq(&Value::from(0.5)))?;
+    verify_that!((refused.exit_code, refused.stdout.is_empty()), eq((1, true)))
+}
