--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -106,6 +106,29 @@
                 /// Log of one process; standard input if none is given, or for -.
                 repeated file: PathBuf
             }
+            /// Tell what the owner of a cell would do now with a job, without submitting it.
+            cmd place {
+                /// Host name of the queue.
+                required host: String
+                /// Path prefix of the queue.
+                required path: String
+                /// File with the job as callers submit it; otherwise the job is one step of --tasks tasks.
+                optional --file file: PathBuf
+                /// Number of tasks; otherwise 1.
+                optional --tasks count: u32
+                /// Thousandths of a core that each task needs; otherwise 1000.
+                optional --cores-milli amount: u64
+                /// MiB of memory that each task needs.
+                optional --memory-mib amount: u64
+                /// Accelerators that each task needs.
+                optional --accelerators amount: u64
+                /// Estimated run time of a task in milliseconds.
+                optional --run-ms millis: u64
+                /// File with the team's key; otherwise the variable GODWITHAVEN_KEY, or no key.
+                optional --key-file file: PathBuf
+                /// Metrics address of the owner's process [GODWITHAVEN_ENTRY]; repeat for several.
+                repeated --entry address: String
+            }
             /// Explain a request to a service.
             cmd request {
                 /// Id of the request, TEAM/ID.
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,6 +13,7 @@
 mod flags;
 mod key;
 mod operators;
+mod place;
 mod publish;
 mod summary;
 mod table;
@@ -68,6 +69,7 @@
         GodwithavenCmd::Explain(command) => match command.subcommand {
             ExplainCmd::Job(job) => explain::job(&job, json).await?,
             ExplainCmd::Log(log) => timeline::print(&log, json)?,
+            ExplainCmd::Place(flags) => place::place(&flags, json).await?,
             ExplainCmd::Request(request) => explain::request(&request, json).await?,
         },
     }
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use awc::error::PayloadError;
+use bytes::Bytes;
+use futures_util::Stream;
 use serde_json::Value;
 
 use crate::failure::CommandFailure;
@@ -77,6 +80,24 @@
         texts
     }
 
+    /// Posts a JSON document to the entry processes in order and returns the first page that can be read.
+    pub async fn post_first(&self, path: &str, document: &Value) -> Result<Value, CommandFailure> {
+        let mut errors = Vec::new();
+        for entry in &self.entries {
+            let request = self.client.post(format!("http://{entry}{path}"));
+            let response = request.send_json(document).await.map_err(|error| error.to_string());
+            let page = match response {
+                Ok(response) => read_page(response).await,
+                Err(error) => Err(error),
+            };
+            match page {
+                Ok(page) => return Ok(page),
+                Err(error) => errors.push(format!("{entry}: {error}")),
+            }
+        }
+        Err(CommandFailure::Failed(errors.join("\n")))
+    }
+
     async fn fetch_text(&self, entry: &str, path: &str) -> Result<String, String> {
         let response = self.client.get(format!("http://{entry}{path}")).send().await;
         let mut response = response.map_err(|error| error.to_string())?;
@@ -104,12 +125,19 @@
     /// for an HTTP status other than 2xx the `error` field of the page, or else the status.
     async fn fetch(&self, entry: &str, path: &str) -> PageResult {
         let response = self.client.get(format!("http://{entry}{path}")).send().await;
-        let mut response = response.map_err(|error| error.to_string())?;
-        let status = response.status();
-        let page: Value = response.json().limit(MAX_PAGE_BYTES).await.map_err(|error| error.to_string())?;
-        if status.is_success() {
-            return Ok(page);
-        }
-        Err(page["error"].as_str().map_or_else(|| status.to_string(), str::to_owned))
+        read_page(response.map_err(|error| error.to_string())?).await
+    }
+}
+
+/// Reads a JSON page, or the error that it gives.
+async fn read_page<S>(mut response: awc::ClientResponse<S>) -> PageResult
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let status = response.status();
+    let page: Value = response.json().limit(MAX_PAGE_BYTES).await.map_err(|error| error.to_string())?;
+    if status.is_success() {
+        return Ok(page);
     }
+    Err(page["error"].as_str().map_or_else(|| status.to_string(), str::to_owned))
 }
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -4,14 +4,18 @@
 mod fixture;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 
 use fixture::{Platform, bundle_text};
-use godwithaven::kernel::cell::TeamUsage;
+use godwithaven::kernel::cell::{JobForecast, StepForecast, TeamUsage};
+use godwithaven::tasks::cell::intake::{CallAction, IntakeMessage};
 use godwithaven::tasks::cell::metrics::CellMetrics;
+use godwithaven::tasks::cell::operator_pages::OperatorPages;
 use googletest::prelude::*;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// Guards against scripts that take a usage error for a failure of the system, and against a command that
@@ -240,13 +244,9 @@
     };
     let (owner, other) = (CellMetrics::new().or_fail()?, CellMetrics::new().or_fail()?);
     owner.set_team_usages(&[usage("blue {x}", 0.25, 0.0, 0), usage("red", 0.5, 0.125, 7)]);
-    let mut addresses = Vec::new();
-    for metrics in [owner, other] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
-        addresses.push(listener.local_addr().or_fail()?);
-        actix_rt::spawn(metrics.serve(listener, token.child_token()));
-    }
-    let (owner, other) = (addresses[0], addresses[1]);
+    let (sender, _inbox) = mpsc::channel(1);
+    let owner = serve_pages(owner, sender.clone(), &token).await;
+    let other = serve_pages(other, sender, &token).await;
 
     let table =
         fixture::shell(&dir, &format!("godwithaven usage --entry {other} --entry {owner}"), &[]).await;
@@ -262,3 +262,86 @@
     verify_that!(page["teams"][1]["past_use"], eq(&Value::from(0.5)))?;
     verify_that!((refused.exit_code, refused.stdout.is_empty()), eq((1, true)))
 }
+
+/// Serves the operators' pages of a process; returns their address.
+async fn serve_pages(
+    metrics: CellMetrics,
+    intake_sender: mpsc::Sender<IntakeMessage>,
+    token: &CancellationToken,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let pages = OperatorPages { metrics, intake_sender, parse_job: |_| Err("no steps".to_owned()) };
+    actix_rt::spawn(pages.serve(listener, token.child_token()));
+    address
+}
+
+/// Answers each question for a forecast: with a refusal for another key than `secret`, otherwise with the forecast
+/// of one step.
+async fn answer_forecasts(mut inbox: mpsc::Receiver<IntakeMessage>) {
+    while let Some(message) = inbox.recv().await {
+        let IntakeMessage::Forecast(call, reply) = message else { continue };
+        let CallAction::Submit(Ok(submission)) = call.action else { continue };
+        let step = StepForecast {
+            tasks: submission.steps[0].tasks,
+            starts: vec![("w1".into(), 2)],
+            wait: Some("room".to_owned()),
+            latest_start_ms: -20,
+            correction_ms: 250,
+            before: vec![("red".into(), 1), ("blue".into(), 4)],
+            workers: vec![("fits".to_owned(), 1), ("no_room".to_owned(), 7)],
+            permits_asked: 3,
+            expected_start_ms: Some(1_500),
+            ..StepForecast::default()
+        };
+        let forecast = JobForecast {
+            queue: "q".into(),
+            team: "red".into(),
+            excess: true,
+            steps: vec![step],
+            oldest_report_ms: 40,
+            submissions_read_ms: 60,
+            ..JobForecast::default()
+        };
+        let known = call.key.as_deref() == Some("secret");
+        let _ = reply.send(if known { Ok(forecast) } else { Err("refused: unknown key".to_owned()) });
+    }
+}
+
+/// Guards against a forecast that leaves out why work would wait, against a key that is printed or taken from the
+/// command line, and against errors that do not say what is wrong.
+#[gtest]
+#[actix_rt::test]
+async fn explain_place_tells_where_a_job_would_go() -> Result<()> {
+    let dir = fixture::directory("place");
+    fs::write(dir.join("key"), "secret\n").or_fail()?;
+    fs::write(dir.join("wrong"), "other").or_fail()?;
+    fs::write(dir.join("job.json"), "{}").or_fail()?;
+    let token = CancellationToken::new();
+    let (sender, inbox) = mpsc::channel(1);
+    actix_rt::spawn(answer_forecasts(inbox));
+    let entry = serve_pages(CellMetrics::new().or_fail()?, sender, &token).await;
+    let line = format!("godwithaven explain place host /jobs/ --entry {entry}");
+
+    let table = fixture::shell(&dir, &format!("{line} --tasks 3 --key-file key"), &[]).await;
+    let json = fixture::shell(&dir, &format!("GODWITHAVEN_KEY=secret {line} --json"), &[]).await;
+    let wrong_key = fixture::shell(&dir, &format!("{line} --key-file wrong"), &[]).await;
+    let malformed = fixture::shell(&dir, &format!("{line} --file job.json --key-file key"), &[]).await;
+    token.cancel();
+
+    let expected = "admitted to queue q for team red, above its submission rate\n\
+        STEP  TASKS  START NOW  WAIT  EXPECTED  LATEST START  MOVED BACK  ASKED\n\
+        0     3      2          room  1500 ms   -20 ms        250 ms      3\n\
+        step 0: 5 steps rank before it: 4 of blue, 1 of red\n\
+        step 0: 1 workers x fits\n\
+        step 0: 7 workers x no_room\n\
+        step 0: 2 tasks would start on w1\n\
+        reports of workers up to 40 ms old, submissions read 60 ms ago\n";
+    let page: Value = serde_json::from_str(&json.stdout).or_fail()?;
+    verify_that!(table.stdout, eq(expected))?;
+    verify_that!(page["steps"][0]["wait"], eq(&Value::from("room")))?;
+    verify_that!((wrong_key.exit_code, malformed.exit_code), eq((1, 1)))?;
+    verify_that!(wrong_key.stderr, contains_substring("refused: unknown key"))?;
+    verify_that!(malformed.stderr, contains_substring("malformed job: no steps"))?;
+    verify_that!(format!("{table:?}{json:?}"), not(contains_substring("secret")))
+}
--- a/src/kernel/cell/admission/load_refusal.rs
+++ b/src/kernel/cell/admission/load_refusal.rs
@@ -1,7 +1,8 @@
 use crate::prelude::*;
 
 /// Why a job is refused, and when its caller may try again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display("expected wait {wait:?}, usable wait {usable_wait:?}, estimate {estimate_age:?} old")]
 pub struct LoadRefusal {
     /// Expected wait before the first task of the job would start.
     pub wait: Duration,
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -36,7 +36,7 @@
 /// Decides for one cell which tasks start, stop and end.
 ///
 /// It does no I/O: [`Self::handle`] applies events, and [`Self::decide`] returns the effects to carry out.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct CellScheduler {
     state: CellState,
     /// Whether an event since the last start pass may allow further starts.
@@ -240,7 +240,13 @@
         if self.usage_schedule.is_some() { TeamUsage::all(&self.state) } else { Vec::new() }
     }
 
-    /// Gives tests read access to the state.
+    /// Returns the state, for a scheduler that is a copy.
+    #[must_use]
+    pub fn into_state(self) -> CellState {
+        self.state
+    }
+
+    /// Gives forecasts and tests read access to the state.
     #[must_use]
     pub const fn state(&self) -> &CellState {
         &self.state
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -21,7 +21,7 @@
 /// Jobs, placements and workers of a cell.
 ///
 /// The methods keep the counts of workers, teams, jobs and steps consistent with the placements.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct CellState {
     /// Configuration in force.
     pub config: Arc<CellConfig>,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,5 +23,6 @@
     advisor: advisor::connect,
     parse_operator_change: config::parse_operator_change,
     parse_worker_registration: workers::parse_worker_registration,
+    parse_job: jobs::decode,
     serve: front::serve,
 });
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -6,7 +6,9 @@
 
 use crate::clock;
 use crate::kernel::cell::admission::{AdmissionGate, AdmissionNotice, RefusalTally};
-use crate::kernel::cell::{CellConfig, GraphSpec, JobStatus, QueueRule, RepeatSchedule, StepSpec};
+use crate::kernel::cell::{
+    CellConfig, GraphSpec, JobForecast, JobStatus, QueueRule, RepeatSchedule, StepSpec,
+};
 use crate::prelude::*;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::JobAnswer;
@@ -145,6 +147,8 @@
     LongWaits(AdmissionNotice),
     /// The owner's answer on a job that is to be refused for load; an error says why there is none.
     Inspected(Box<PendingRefusal>, Result<JobAnswer, String>),
+    /// Asks what the owner would do now with the job of a submission, without submitting it.
+    Forecast(CellCall, oneshot::Sender<Result<JobForecast, String>>),
     /// Asks whether this process can serve calls, that is, has a configuration.
     Ready(oneshot::Sender<bool>),
 }
@@ -183,6 +187,7 @@
                     Some(IntakeMessage::LongWaits(notice)) => self.gate.apply(notice, Instant::now()),
                     Some(IntakeMessage::Inspected(pending, answer)) => self.conclude(*pending, &answer),
                     Some(IntakeMessage::Ready(reply)) => respond(reply, self.config.is_some()),
+                    Some(IntakeMessage::Forecast(call, reply)) => self.forecast(&call, reply),
                     Some(IntakeMessage::Call(call, reply)) => self.admit(&call, reply),
                 },
             }
@@ -265,6 +270,25 @@
         }
     }
 
+    /// Asks the owner for a forecast of the job of a submission, and adds whether it would be refused for load now.
+    fn forecast(&self, call: &CellCall, reply: oneshot::Sender<Result<JobForecast, String>>) {
+        let spec = match self.plan(call) {
+            Ok(CallPlan::Store(JobRecord::Submit(spec))) => spec,
+            Ok(_) => return respond(reply, Err("not a submission".to_owned())),
+            Err(refusal) => return respond(reply, Err(format!("refused: {refusal}"))),
+        };
+        let now = Instant::now();
+        let config = self.config.as_ref();
+        // A copy of the gate, as its answer changes what it refuses next.
+        let refusal = config.and_then(|config| self.gate.clone().refusal(&spec, config, now));
+        let load_refusal = refusal.map(|refusal| refusal.to_string());
+        let route = self.route.borrow().clone();
+        actix_rt::spawn(async move {
+            let forecast = route.forecast(spec, now + DEFAULT_DEADLINE).await;
+            respond(reply, forecast.map(|forecast| JobForecast { load_refusal, ..forecast }));
+        });
+    }
+
     /// Validates a call against the configuration; returns how to handle it or why it is refused.
     fn plan(&self, call: &CellCall) -> Result<CallPlan, CellRefusal> {
         let config = self.config.as_ref().ok_or(CellRefusal::NoConfiguration)?;
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -8,12 +8,9 @@
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::TeamUsage;
 use crate::log_pipe;
-use crate::plugins::http;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
 const SMALLEST_BUCKET_SECONDS: f64 = 0.001;
@@ -160,31 +157,22 @@
         }
     }
 
-    /// Serves the metrics at `/metrics` until the token is cancelled.
-    pub async fn serve(self, listener: TcpListener, token: CancellationToken) {
-        let registry = self.registry;
-        http::serve(listener, token, move |request| {
-            let response = respond(&registry, request.path());
-            async move { response }
-        })
-        .await;
-    }
-}
-
-fn respond(registry: &Registry, path: &str) -> Response<Bytes> {
-    if path != "/metrics" {
-        return Response::with_body(StatusCode::NOT_FOUND, Bytes::new());
-    }
-    match TextEncoder::new().encode_to_string(&registry.gather()) {
-        Ok(text) => {
-            let mut response = Response::with_body(StatusCode::OK, Bytes::from(text));
-            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
-            response.headers_mut().insert(CONTENT_TYPE, kind);
-            response
+    /// Returns the page at a path; only `/metrics` exists.
+    pub(super) fn respond(&self, path: &str) -> Response<Bytes> {
+        if path != "/metrics" {
+            return Response::with_body(StatusCode::NOT_FOUND, Bytes::new());
         }
-        Err(error) => {
-            log::error!(error:%; "metrics cannot be encoded");
-            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => {
+                let mut response = Response::with_body(StatusCode::OK, Bytes::from(text));
+                let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => {
+                log::error!(error:%; "metrics cannot be encoded");
+                Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
         }
     }
 }
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod metrics;
 mod not_sent_reason;
+pub mod operator_pages;
 pub mod owner;
 mod owner_state;
 pub mod ownership_check;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,7 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, JobStatus, WorkerLease, WorkerListing, longest_real_time,
+    CellConfig, CellEffect, CellEvent, CellRecord, GraphSpec, JobForecast, JobStatus, WorkerLease,
+    WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -59,6 +60,8 @@
     Fenced(WorkerId),
     /// Queries the state of a job.
     Inspect(JobId, oneshot::Sender<JobAnswer>),
+    /// Asks what this owner would do now with a job, without submitting it.
+    Forecast(Box<GraphSpec>, oneshot::Sender<Result<JobForecast, String>>),
     /// Queries how many jobs of a queue have not started; the answer is `None` if the submissions were not
     /// read recently.
     Count(QueueId, oneshot::Sender<Option<u64>>),
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -4,7 +4,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::{
-    CellEffect, CellEvent, CellScheduler, CommandOutcome, JobStatus, StartCommand, WorkerListing,
+    CellEffect, CellEvent, CellScheduler, CommandOutcome, GraphSpec, JobForecast, JobForecaster, JobStatus,
+    StartCommand, WorkerListing,
 };
 use crate::prelude::*;
 use crate::tasks::cell::admission_report::AdmissionReport;
@@ -25,6 +26,9 @@
 /// it.
 const MAX_SUBMISSION_READ_AGE: Duration = Duration::from_millis(2_500);
 
+/// Shortest time between two forecasts, each of which copies the state.
+const FORECAST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// State of a term after recovery.
 pub(super) struct OwnerState {
     pub(super) token: FencingToken,
@@ -38,6 +42,8 @@
     pub(super) unpublished: FastSet<JobId>,
     /// When the last read that reached the end of each partition of submissions was sent.
     pub(super) submissions_read_at: Vec<Instant>,
+    /// When the last forecast was made.
+    pub(super) forecast_at: Option<Instant>,
     /// Whether leases were granted at the last tick.
     pub(super) ownership_confirmed: bool,
 }
@@ -55,6 +61,7 @@
                 OwnerMessage::Event(event) => self.scheduler.handle(event, Instant::now()),
                 OwnerMessage::Fenced(worker) => return Err(format!("{worker} knows a newer owner")),
                 OwnerMessage::Inspect(job, reply) => respond(reply, self.inspect(&job)),
+                OwnerMessage::Forecast(spec, reply) => respond(reply, self.forecast(*spec)),
                 OwnerMessage::Count(queue, reply) => {
                     let count = u64::try_from(self.scheduler.queued_jobs(&queue)).unwrap_or(u64::MAX);
                     respond(reply, self.submissions_are_current().then_some(count));
@@ -103,6 +110,19 @@
         self.submissions_read_at.iter().all(|read| read.elapsed() < MAX_SUBMISSION_READ_AGE)
     }
 
+    /// Returns what this owner would do now with a job; at most one a [`FORECAST_INTERVAL`].
+    fn forecast(&mut self, spec: GraphSpec) -> Result<JobForecast, String> {
+        let now = Instant::now();
+        if self.forecast_at.is_some_and(|at| now.saturating_duration_since(at) < FORECAST_INTERVAL) {
+            return Err("another forecast was made within the last second; try again".to_owned());
+        }
+        self.forecast_at = Some(now);
+        let forecast = JobForecaster { scheduler: &self.scheduler, now }.forecast(spec)?;
+        let read_age = self.submissions_read_at.iter().map(Instant::elapsed).max().unwrap_or_default();
+        let submissions_read_ms = u64::try_from(read_age.as_millis()).unwrap_or(u64::MAX);
+        Ok(JobForecast { submissions_read_ms, ..forecast })
+    }
+
     fn inspect(&self, job: &str) -> JobAnswer {
         match self.scheduler.status(job) {
             Some(status) if status.is_final() && self.unpublished.contains(job) => {
--- a/src/tasks/cell/peer.rs
+++ b/src/tasks/cell/peer.rs
@@ -12,7 +12,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Code, Request, Response, Status, Streaming};
 
-use crate::kernel::cell::{CellOwner, JobStatus, Millicores, StepKey};
+use crate::kernel::cell::{CellOwner, GraphSpec, JobForecast, JobStatus, Millicores, StepKey};
 use crate::prelude::*;
 use crate::proto::cell::cell_client::CellClient;
 use crate::proto::cell::cell_server::{Cell, CellServer};
@@ -97,6 +97,21 @@
         }
     }
 
+    /// Asks an owner in this process what it would do now with a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no forecast, such as the name of another process that owns the cell.
+    pub async fn forecast(&self, spec: GraphSpec, deadline: Instant) -> Result<JobForecast, String> {
+        match self {
+            Self::Unknown => Err("cell has no owner".to_owned()),
+            Self::Local(_, owner) => {
+                query_owner(owner, |reply| OwnerMessage::Forecast(spec.into(), reply), deadline).await?
+            }
+            Self::Remote(owner, _) => Err(format!("{} owns the cell; ask that process", owner.process)),
+        }
+    }
+
     /// Queries the owner for the number of jobs of a queue that have not started; `None` if an owner in this
     /// process has not read the submissions recently. An owner in another process returns an error instead.
     ///
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -14,7 +14,7 @@
 };
 use crate::prelude::*;
 use crate::settings::SettingFault;
-use crate::tasks::cell::intake::IntakeMessage;
+use crate::tasks::cell::intake::{IntakeMessage, JobSubmission};
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::store_limits::StoreLimits;
 
@@ -227,6 +227,8 @@
     pub parse_operator_change: fn(key: &str, value: &[u8]) -> Result<OperatorChange, String>,
     /// Parses the registration of a worker from its key and value; an error names the invalid part.
     pub parse_worker_registration: fn(key: &str, value: &[u8]) -> Result<WorkerListing, String>,
+    /// Parses a job in the form in which callers submit it; an error describes the first fault.
+    pub parse_job: fn(&[u8]) -> Result<JobSubmission, String>,
     /// Serves callers until the token in the context is cancelled.
     pub serve: fn(FrontEndContext) -> LocalBoxFuture<'static, ()>,
 }
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -18,6 +18,7 @@
 use crate::tasks::cell::config_feed::ConfigFeed;
 use crate::tasks::cell::intake::{IntakeTask, JOB_PARTITIONS};
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::cell::operator_pages::OperatorPages;
 use crate::tasks::cell::peer::{self, CellService, OwnerRoute};
 use crate::tasks::cell::ports::{CellAdapter, FrontEndContext};
 use crate::tasks::cell::settings::CellSettings;
@@ -62,7 +63,6 @@
         let peer_listener = bind(settings.peer_listen).await?;
         let metrics_listener = bind(settings.metrics_listen).await?;
         let metrics = CellMetrics::new().map_err(|error| SettingFault { text: error.to_string() })?;
-        let metrics_pages = metrics.clone();
         let incarnation =
             getrandom::u64().map_err(|error| SettingFault { text: format!("no random numbers: {error}") })?;
         let process: ProcessId = format!("{}.{incarnation:016x}", settings.vm).into();
@@ -76,7 +76,12 @@
         let (admission_sender, admission_inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let (route, routes) = watch::channel(OwnerRoute::Unknown);
 
-        actix_rt::spawn(metrics_pages.serve(metrics_listener, token.clone()));
+        let pages = OperatorPages {
+            metrics: metrics.clone(),
+            intake_sender: intake_sender.clone(),
+            parse_job: adapter.parse_job,
+        };
+        actix_rt::spawn(pages.serve(metrics_listener, token.clone()));
         let feed = ConfigFeed {
             adapter,
             store: store.clone(),
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -131,6 +131,7 @@
             registrations: FastMap::default(),
             unpublished: FastSet::default(),
             submissions_read_at,
+            forecast_at: None,
             ownership_confirmed: true,
         };
         Ok((state, next_offsets, summary))
--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -91,6 +91,33 @@
     verify_that!(tally.duplicated, is_empty())
 }
 
+/// Guards against a forecast that only works beside the process, or that submits the job.
+#[gtest]
+#[actix_rt::test]
+async fn a_running_owner_forecasts_a_job_without_submitting_it() -> Result<()> {
+    let platform = start_platform("forecast", 2).await;
+    let (_process, url) = start_entry(&platform, "e1").await;
+    let path = "/jobs/00000000000000c1";
+    // The owner is there once it answers a query.
+    call("GET", &format!("{url}{path}"), None, &[410]).await;
+    let port: u16 = url.rsplit(':').next().unwrap_or_default().parse()?;
+    // The last of the four ports serves the operators' pages.
+    let operators = format!("http://127.0.0.1:{}/v1/forecast", port + 3);
+    let question = |key: &str| {
+        let job = job("ms=50").to_string();
+        serde_json::json!({ "host": "host.example", "path": path, "key": key, "job": job })
+    };
+
+    let (forecast_status, forecast) = call("POST", &operators, Some(question("secret")), &[200]).await;
+    let (refused_status, refused) = call("POST", &operators, Some(question("other")), &[409]).await;
+    let (unknown, _) = call("GET", &format!("{url}{path}"), None, &[410]).await;
+    platform.token.cancel();
+
+    verify_that!((forecast_status, refused_status, unknown), eq((200, 409, 410)))?;
+    verify_that!(forecast["steps"].as_array().map(Vec::len), some(ge(1)))?;
+    verify_that!(refused["error"], eq(&Value::from("refused: unknown key")))
+}
+
 /// Guards against a job that is lost, or whose tasks run twice, when its owner stops and another process
 /// takes over.
 #[gtest]
--- a/tests/cell_usage.rs
+++ b/tests/cell_usage.rs
@@ -6,8 +6,8 @@
 
 use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, step, submit};
 use godwithaven::kernel::cell::{
-    CellEvent, CellNotice, CellRecord, CellScheduler, EndCause, GraphSpec, StepSpec, TeamStanding, TeamUsage,
-    UsageCorrection, UsageRecord,
+    CellEvent, CellNotice, CellRecord, CellScheduler, EndCause, GraphSpec, JobForecast, JobForecaster,
+    StepSpec, TeamStanding, TeamUsage, UsageCorrection, UsageRecord,
 };
 use godwithaven::kernel::{DecayedShare, ResourceVector, ShareAccounting, UsageDecay};
 use googletest::prelude::*;
@@ -341,3 +341,27 @@
     verify_that!(red, some(eq(&expected)))?;
     verify_that!(driver.notices, contains(matches_pattern!(CellNotice::MovedBack { steps: ge(&1), .. })))
 }
+
+/// Guards against a forecast that differs from what is done, or that changes the order, the account or the submission
+/// rate of the team.
+#[gtest]
+fn a_forecast_tells_what_happens_and_changes_nothing() -> Result<()> {
+    let mut driver = accounting_cell();
+    let running = job_of(&driver, "blue", "running", step(12));
+    submit(&mut driver, running);
+    let spec = job_of(&driver, "red", "r", step(8));
+    let forecaster = JobForecaster { scheduler: &driver.scheduler, now: driver.now };
+
+    let forecasts: Vec<JobForecast> =
+        (0..100).filter_map(|_| forecaster.forecast(spec.clone()).ok()).collect();
+    submit(&mut driver, spec);
+
+    let forecast = forecasts.last().or_fail()?;
+    let starts: u32 = forecast.steps[0].starts.iter().map(|(_, tasks)| tasks).sum();
+    let started = driver.started_tasks().iter().filter(|task| task.starts_with("r.")).count();
+    verify_that!((starts, started), eq((4, 4)))?;
+    verify_that!(forecast.steps[0].wait.as_deref(), some(eq("room")))?;
+    verify_that!((forecasts.len(), forecast.excess), eq((100, false)))?;
+    // The run times of the others are estimated as a second.
+    verify_that!(forecast.steps[0].expected_start_ms, some(all!(gt(0), le(1_000))))
+}
