--- a/src/kernel/cell/forecast/job_forecaster.rs
+++ b/src/kernel/cell/forecast/job_forecaster.rs
@@ -6,7 +6,7 @@
 };
 use crate::prelude::*;
 
-/// Largest number of jobs and placed tasks of a cell that is copied, which takes some tens of milliseconds.
+/// Largest number of jobs and of their tasks in a cell that is copied. The owner does nothing else meanwhile.
 const MAX_COPIED_ITEMS: usize = 50_000;
 
 /// Tells what the owner would do now with a job: it submits the job to a copy of the scheduler, and runs a start
@@ -26,7 +26,9 @@
     /// Returns the reason if the cell is too large to be copied beside its work.
     pub fn forecast(&self, spec: GraphSpec) -> Result<JobForecast, String> {
         let state = self.scheduler.state();
-        let items = state.jobs.len() + state.placements.len();
+        let steps =
+            state.jobs.values().flat_map(|job| job.occurrences.values()).flat_map(|state| &state.steps);
+        let items = state.jobs.len() + steps.map(|step| step.tasks.len()).sum::<usize>();
         if items > MAX_COPIED_ITEMS {
             return Err(format!("cell of {items} jobs and tasks is too large for a forecast"));
         }
