--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -9,9 +9,11 @@
 
 use fixture::{Platform, bundle_text};
 use godwithaven::kernel::cell::{JobForecast, StepForecast, TeamUsage};
+use godwithaven::kernel::connections::{ClientLimits, ConnectionCapacity};
 use godwithaven::tasks::cell::intake::{CallAction, IntakeMessage};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::operator_pages::OperatorPages;
+use godwithaven::tasks::connections::ClientAccess;
 use googletest::prelude::*;
 use serde_json::Value;
 use tokio::net::TcpListener;
@@ -271,8 +273,12 @@
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
+    let capacity = ConnectionCapacity::of_machine(256, 4_096);
+    let connections = metrics.connections.clone();
+    let (access, _limits) =
+        ClientAccess::start(capacity, ClientLimits::default(), connections, token.clone());
     let pages = OperatorPages { metrics, intake_sender, parse_job: |_| Err("no steps".to_owned()) };
-    actix_rt::spawn(pages.serve(listener, token.child_token()));
+    actix_rt::spawn(pages.serve(listener, access, token.child_token()));
     address
 }
 
--- a/src/kernel/cell/cell_config.rs
+++ b/src/kernel/cell/cell_config.rs
@@ -1,3 +1,4 @@
+use crate::kernel::connections::ClientLimits;
 use crate::prelude::*;
 
 /// Expected response time of a permit request to the placement advisor, and validity of the permits.
@@ -11,13 +12,21 @@
     pub validity: Duration,
 }
 
+impl PermitRule {
+    /// Returns the time that the advisor takes for a request that names `workers` workers.
+    #[must_use]
+    pub fn decision_time_for(&self, workers: usize) -> Duration {
+        self.decision_time + self.time_per_worker * u32::try_from(workers).unwrap_or(u32::MAX)
+    }
+}
+
 /// Configuration of a queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueueRule {
     /// Service whose workers run the tasks of the queue.
     pub service: ServiceId,
-    /// Priority of the queue, 0 first. Jobs above the rate of their team rank after all others, whatever
-    /// their priority.
+    /// Priority of the queue, 0 first. It decides within a class of steps, see
+    /// [`StepClass`](crate::kernel::cell::StepClass).
     pub priority: u32,
     /// Failed attempts of a task or gang after which its job fails.
     pub max_attempts: u32,
@@ -36,11 +45,20 @@
     pub prefix: Arc<str>,
 }
 
+impl QueueRule {
+    /// Returns the latency objective of a job with this critical path, counted from the time at which it is due.
+    #[must_use]
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = Duration::try_from_secs_f64(critical_path.as_secs_f64() * self.stretch);
+        self.target.saturating_add(stretched.unwrap_or_default())
+    }
+}
+
 /// Configuration of a team.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamRule {
-    /// Submission rate of the team in jobs per second, taken from its configured weight. Jobs above the
-    /// rate of their team rank behind all others.
+    /// Configured weight of the team: its submission rate in jobs per second, above which jobs rank behind those
+    /// of other teams, and its weight in the comparison of shares.
     pub weight: u32,
     /// Limit on the resources of the team's running tasks; a dimension of 0 has no limit.
     pub limit: ResourceVector,
@@ -57,6 +75,8 @@
     pub teams: FastMap<TeamId, TeamRule>,
     /// Teams by the key that callers present.
     pub keys: FastMap<Arc<str>, TeamId>,
+    /// Limits on each connection of a client.
+    pub client_limits: ClientLimits,
 }
 
 impl CellConfig {
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -107,9 +107,9 @@
             CellEvent::PermitsAnswered { step, requested_workers, granted, validity } => {
                 self.apply_permits(&step, &requested_workers, granted, validity, now);
             }
-            CellEvent::ProxiesChanged(proxies) => self.state.advisor_proxies = proxies,
+            CellEvent::ProxiesChanged(proxies) => self.state.permit_load.set_proxies(proxies),
             CellEvent::PermitsFailed(step) => {
-                self.state.open_permit_requests = self.state.open_permit_requests.saturating_sub(1);
+                self.state.permit_load.remove(&step);
                 if let Some(state) = self.state.step_mut(&step) {
                     state.permit_cache.fail_request(now);
                 }
@@ -261,7 +261,7 @@
             // `zip` serves as a map here; the second operand is ignored.
             let limit = rule.limit.zip(ResourceVector::default(), |amount, _| zero_as_unlimited(amount));
             self.state.shares.set_allotment(team, limit);
-            self.state.shares.set_weight(team, f64::from(rule.weight.max(1)));
+            self.state.shares.set_weight(team, rule.weight);
         }
         self.state.config = config;
     }
@@ -366,12 +366,19 @@
         validity: Duration,
         now: Instant,
     ) {
-        self.state.open_permit_requests = self.state.open_permit_requests.saturating_sub(1);
+        self.state.permit_load.remove(step);
         let requested_slots: Vec<u32> =
             requested_workers.iter().filter_map(|worker| self.state.slot(worker)).collect();
         let granted = granted.into_iter();
         let granted = granted.filter_map(|(worker, ticket)| Some((self.state.slot(&worker)?, ticket)));
         let granted: Vec<(u32, PermitTicket)> = granted.collect();
+        let Some((spec, _, state)) = self.state.step(step) else { return };
+        let (queue, tickets) = (spec.queue.clone(), granted.len() as u64);
+        let judged =
+            requested_slots.iter().filter(|slot| !state.permit_cache.has_verdict(**slot)).count() as u64;
+        let newly_granted =
+            granted.iter().filter(|(slot, _)| !state.permit_cache.has_verdict(*slot)).count() as u64;
+        self.state.permit_stats.count_answer(&queue, tickets, judged, newly_granted);
         if let Some(state) = self.state.step_mut(step) {
             state.permit_cache.apply_answer(&requested_slots, granted, validity, now);
         }
@@ -476,7 +483,7 @@
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
         self.account_usage(now);
-        self.state.demote_late(now);
+        self.state.rerank(now);
         let scheduled: Vec<JobId> = self
             .state
             .jobs
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -1,4 +1,7 @@
-use crate::kernel::cell::{CellState, PlacementPhase, StepWait};
+use crate::kernel::cell::{
+    CellState, ClassSummary, IdleAccelerators, PermitSkipCounts, PlacementPhase, QueuePermitStats,
+    StepRanking, StepWait,
+};
 use crate::prelude::*;
 
 /// Load of the workers of one service.
@@ -38,8 +41,22 @@
     pub ready_steps: usize,
     /// Number of ready steps with an open permit request to the advisor.
     pub requesting_steps: usize,
+    /// Number of ready steps by the reason why they send no permit request.
+    pub permit_skips: PermitSkipCounts,
+    /// Number of processes that send permit requests.
+    pub advisor_proxies: usize,
+    /// Decision time of the open permit requests.
+    pub open_decision_time: Duration,
+    /// Free accelerators for want of permits.
+    pub idle_accelerators: IdleAccelerators,
+    /// Permit requests and answers of each queue, sorted by its name.
+    pub queues: Vec<(QueueId, QueuePermitStats)>,
     /// Number of ready steps by wait reason.
     pub waits: WaitSummary,
+    /// Number of ready steps by class.
+    pub classes: ClassSummary,
+    /// Number of ready steps whose job has no estimate from which its lateness can be told.
+    pub unestimated_steps: usize,
     /// Number of tasks in ready steps that wait to be placed.
     pub waiting_tasks: usize,
     /// Number of placed tasks.
@@ -54,7 +71,10 @@
     /// Returns the load of a cell at `now`.
     #[must_use]
     pub fn of(state: &CellState, now: Instant) -> Self {
+        let ranking = StepRanking { state };
         let steps = state.ready.iter().filter_map(|(_, key)| state.step(key));
+        let unestimated = steps.clone().filter(|(spec, ..)| !ranking.has_usable_estimate(spec));
+        let unestimated_steps = unestimated.count();
         let steps: Vec<_> = steps.map(|(_, _, step)| step).collect();
         let unconfirmed = |phase: PlacementPhase| !matches!(phase, PlacementPhase::Running(_));
         let count = |wait: StepWait| steps.iter().filter(|step| step.wait_reason == Some(wait)).count();
@@ -69,12 +89,19 @@
             excess_jobs: state.jobs.values().filter(|job| job.excess && !job.status.is_final()).count(),
             ready_steps: steps.len(),
             requesting_steps: steps.iter().filter(|step| step.permit_cache.has_open_request()).count(),
+            permit_skips: PermitSkipCounts::of(steps.iter().filter_map(|step| step.permit_skip)),
+            advisor_proxies: state.permit_load.proxies(),
+            open_decision_time: state.permit_load.open_decision_time(),
+            idle_accelerators: IdleAccelerators::of(state, now),
+            queues: state.permit_stats.sorted(),
             waits: WaitSummary {
                 team_limit: count(StepWait::TeamLimit),
                 worker: count(StepWait::Worker),
                 permit: count(StepWait::Permit),
                 room: count(StepWait::Room),
             },
+            classes: ClassSummary::of(state.ready.iter().map(|(rank, _)| rank.class)),
+            unestimated_steps,
             waiting_tasks: steps.iter().map(|step| step.waiting.len()).sum(),
             placed_tasks: state.placements.len(),
             unconfirmed_tasks: state
--- a/src/kernel/cell/forecast/job_forecaster.rs
+++ b/src/kernel/cell/forecast/job_forecaster.rs
@@ -139,8 +139,8 @@
             CellEffect::Start(command) if command.task.step == *key => {
                 *starts.entry(command.worker.clone()).or_default() += 1;
             }
-            CellEffect::RequestPermits { step, workers, .. } if step == key => {
-                forecast.permits_asked += workers.len();
+            CellEffect::RequestPermits(request) if request.step == *key => {
+                forecast.permits_asked += request.workers.len();
             }
             _ => {}
         }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -32,11 +32,10 @@
 mod job_snapshot;
 mod job_status;
 mod lease_watch;
-mod permit_cache;
+mod order;
+mod permits;
 mod poll_reconciler;
 mod poll_report;
-mod preemption_headroom;
-mod preemption_rule;
 mod record_replayer;
 mod replay_outcome;
 mod run_end;
@@ -45,7 +44,6 @@
 mod slow_runs;
 mod start_pass;
 mod step_key;
-mod step_ranking;
 mod step_spec;
 mod step_state;
 mod store_health;
@@ -53,7 +51,6 @@
 mod task_key;
 mod task_placement;
 mod usage;
-mod victim_search;
 mod worker_lease;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -72,16 +69,22 @@
 pub use clock_reading::ClockReading;
 pub use end_handler::EndHandler;
 pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
-pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_TASKS_PER_JOB, RepeatSchedule};
+pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use lease_watch::LeaseWatch;
-pub use permit_cache::PermitCache;
+pub use order::{
+    ClassSummary, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding, StepClass,
+    StepRank, StepRanking, TaskRank, VictimSearch,
+};
+pub use permits::{
+    IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
+    PermitPlanner, PermitRequest, PermitRequestKind, PermitRequestNumber, PermitSkip, PermitSkipCounts,
+    PermitStats, QueuePermitStats, RoomForecast,
+};
 pub use poll_reconciler::PollReconciler;
 pub use poll_report::{EndCause, EndedRun, PollReport, RunningRun};
-pub use preemption_headroom::PreemptionHeadroom;
-pub use preemption_rule::PreemptionRule;
 pub use record_replayer::RecordReplayer;
 pub use replay_outcome::ReplayOutcome;
 pub use run_end::{EndSource, LossCause, RunEnd};
@@ -93,9 +96,8 @@
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
-pub use step_ranking::StepRanking;
 pub use step_spec::StepSpec;
-pub use step_state::{JobLateness, StepRank, StepState, StepWait, TaskState};
+pub use step_state::{StepState, StepWait, TaskState};
 pub use store_health::StoreHealth;
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
@@ -103,5 +105,4 @@
 pub use usage::{
     DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
 };
-pub use victim_search::{TaskRank, VictimSearch};
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -11,13 +11,15 @@
 use pending_step::PendingStep;
 use worker_demand::WorkerDemand;
 
-use crate::kernel::cell::{CellState, PreemptionRule, StepKey, StepWait, TaskRank};
+use crate::kernel::cell::{
+    CellState, PassOrder, PreemptionRule, StepClass, StepKey, StepRank, StepWait, TaskRank,
+};
 use crate::prelude::*;
 
 /// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
 const MAX_STEPS_PER_PASS: usize = 4_000;
 /// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same
-/// priority that need the same kind of worker. The search over the workers costs most of a pass, and the
+/// class and priority that need the same kind of worker. The search over the workers costs most of a pass, and the
 /// skipped steps would hardly find room or a permit either.
 const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
 /// Number of preemptions after which a pass starts no further one. The tasks that have to stop on a worker
@@ -37,6 +39,10 @@
     stopping_by_team: Option<FastMap<TeamId, ResourceVector>>,
     /// Teams in which a search found no task to preempt in this pass, with the rank that it searched for.
     teams_without_victims: FastMap<TeamId, TaskRank>,
+    /// Room that steps wait for on workers that are granted to them, beside what is reserved, by worker slot.
+    claimed_by_worker: FastMap<u32, ResourceVector>,
+    /// Room that steps wait for on any workers, by service.
+    claimed_by_service: FastMap<ServiceId, ResourceVector>,
     /// Number of steps that found no room or no permit, by the kind of worker that they need.
     blocked_steps: FastMap<WorkerDemand, usize>,
     /// Number of tasks that this pass may still preempt.
@@ -53,6 +59,8 @@
             reserved_by_worker: FastMap::default(),
             stopping_by_team: None,
             teams_without_victims: FastMap::default(),
+            claimed_by_worker: FastMap::default(),
+            claimed_by_service: FastMap::default(),
             blocked_steps: FastMap::default(),
             preemptions_left: MAX_PREEMPTIONS_PER_PASS,
         }
@@ -60,17 +68,16 @@
 
     /// Tries to place the ready steps in the order of their ranks.
     pub fn run(mut self) {
-        let steps: Vec<StepKey> =
-            self.state.ready.iter().take(MAX_STEPS_PER_PASS).map(|(_, key)| key.clone()).collect();
-        for key in steps {
-            self.place(&key);
+        let steps = PassOrder { state: self.state, now: self.now }.steps(MAX_STEPS_PER_PASS);
+        for (rank, key) in steps {
+            self.place(&key, rank);
         }
     }
 
-    fn place(&mut self, key: &StepKey) {
+    fn place(&mut self, key: &StepKey, rank: StepRank) {
         let Some((spec, step, state)) = self.state.step(key) else { return };
         let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
-        let demand = WorkerDemand::of(step, rule);
+        let demand = WorkerDemand::of(step, rule, rank.class);
         if self.blocked_steps.get(&demand).is_some_and(|blocked| *blocked >= MAX_BLOCKED_STEPS_PER_DEMAND) {
             return;
         }
@@ -79,7 +86,8 @@
             return;
         }
         let (task_capacity, gang) = (step.occupied_capacity(), step.gang);
-        let task_rank = (state.rank.is_some_and(|step_rank| step_rank.excess), rule.priority);
+        let excess = self.state.jobs.get(&key.job).is_some_and(|job| job.excess);
+        let task_rank = (excess && rank.class != StepClass::Restart, rule.priority);
         let may_preempt = PreemptionRule::of(step, &rule, state.rank).may_preempt(self.now);
         let (waiting, wanted_tasks) = self.count_startable(key);
         if wanted_tasks < waiting && may_preempt {
@@ -89,26 +97,43 @@
             self.set_wait_reason(key, StepWait::TeamLimit);
             return;
         }
-        let pending = PendingStep { key, rule, task_rank, task_capacity, wanted_tasks, may_preempt };
+        let blocked_before = self.blocked_steps.get(&demand).copied().unwrap_or_default();
+        let position = blocked_before + 1;
+        let pending =
+            PendingStep { key, rank, rule, task_rank, task_capacity, wanted_tasks, may_preempt, position };
         let candidates = self.candidates(&pending);
         let started = if gang {
             self.start_gang(&pending, &candidates)
         } else {
             self.start_tasks(&pending, &candidates)
         };
+        if started > 0
+            && pending.rule.permits.is_some()
+            && let Some(queue) = self.state.step(key).map(|(spec, ..)| spec.queue.clone())
+        {
+            self.state.permit_stats.count_starts(&queue, started);
+            if let Some(state) = self.state.step_mut(key) {
+                state.permit_cache.note_start();
+            }
+        }
         let missing = wanted_tasks - started;
         if missing == 0 {
             return;
         }
         let candidates = if started > 0 { self.candidates(&pending) } else { candidates };
-        let blocked = self.blocked_steps.entry(demand).or_default();
-        *blocked += 1;
-        let blocked_position = *blocked;
+        self.blocked_steps.insert(demand, position);
         if let Some(permit_rule) = pending.rule.permits {
-            self.request_permits(&pending, permit_rule, &candidates, blocked_position);
+            self.request_permits(&pending, permit_rule, &candidates, missing);
         }
         self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
-        self.reserve_or_preempt(&pending, &candidates, missing);
+        let unreserved = if rank.may_claim_room() {
+            self.reserve_or_preempt(&pending, &candidates, missing)
+        } else {
+            missing
+        };
+        if let Some(permit_rule) = pending.rule.permits {
+            self.claim_room(&pending, permit_rule, &candidates, unreserved);
+        }
     }
 
     /// Returns why tasks of a step wait that the limit of the team allows.
@@ -137,8 +162,9 @@
         if spec.team.is_empty() {
             return (waiting, waiting);
         }
-        let may_use_headroom =
-            step.long_running || step.gang || state.rank.is_some_and(|step_rank| step_rank.priority == 0);
+        let may_use_headroom = state.rank.is_some_and(|rank| {
+            rank.may_claim_room() && (step.long_running || step.gang || rank.priority == 0)
+        });
         let remaining = self.state.shares.remaining_allotment(&spec.team);
         let remaining = if may_use_headroom { remaining } else { remaining.minus(self.headroom(&spec.team)) };
         let task_count = if step.need.fits(remaining) { step.need.count_in(remaining) } else { 0 };
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use crate::kernel::cell::PermitCache;
+use crate::kernel::cell::{PermitCache, PermitSkip, StepRank};
 use crate::prelude::*;
 
 /// State of one task of a step.
@@ -30,46 +30,6 @@
     }
 }
 
-/// Position of a step in the order of starts; lower ranks start first.
-///
-/// The derived order compares the fields from top to bottom, so their order matters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StepRank {
-    /// Whether the job was submitted above the rate of its team.
-    pub excess: bool,
-    /// Priority of its queue, 0 first.
-    pub priority: u32,
-    /// Whether the job has expired, as in [`JobLateness::Expired`].
-    pub expired: bool,
-    /// Latest start with which the job still meets its next limit, which is its latency objective or the
-    /// time of its expiry.
-    pub latest_start: Instant,
-    /// How late the job is expected to be.
-    pub lateness: JobLateness,
-    /// Part of `latest_start` by which the step ranks later because of the past use of its team.
-    pub correction: Duration,
-}
-
-impl StepRank {
-    /// Returns the rank that the step would have if the past use of its team did not count.
-    #[must_use]
-    pub fn without_correction(self) -> Self {
-        let latest_start = self.latest_start.checked_sub(self.correction).unwrap_or(self.latest_start);
-        Self { latest_start, correction: Duration::ZERO, ..self }
-    }
-}
-
-/// How late a job is expected to be. The value of its result falls with its lateness.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum JobLateness {
-    /// The job may complete within its latency objective, with its full value.
-    InTime,
-    /// The job will miss its objective and loses most of its value.
-    Late,
-    /// The job will be so late that it has no value left.
-    Expired,
-}
-
 /// Why tasks of a ready step were not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum StepWait {
@@ -113,6 +73,8 @@
     pub rank: Option<StepRank>,
     /// Why tasks waited when a pass last tried to place the step.
     pub wait_reason: Option<StepWait>,
+    /// Why the step sent no permit request when a pass last found that it lacks room or a permit.
+    pub permit_skip: Option<PermitSkip>,
 }
 
 impl StepState {
@@ -130,6 +92,7 @@
             completed_run_times: Vec::new(),
             rank: None,
             wait_reason: None,
+            permit_skip: None,
         }
     }
 }
--- a/src/kernel/cell/usage/usage_watch.rs
+++ b/src/kernel/cell/usage/usage_watch.rs
@@ -42,7 +42,7 @@
             return;
         }
         let Some(team) = self.state.jobs.get(&key.job).map(|job| job.spec.team.clone()) else { return };
-        let uncorrected = (rank.without_correction(), key.clone());
+        let uncorrected = (rank.with_correction(Duration::ZERO), key.clone());
         let before = self.state.ready.range(uncorrected..(rank, key.clone())).take(MAX_COMPARED_STEPS);
         let of_others = before
             .filter(|(_, other)| self.state.jobs.get(&other.job).is_some_and(|job| job.spec.team != team));
--- a/src/kernel/usage/share_accounting.rs
+++ b/src/kernel/usage/share_accounting.rs
@@ -26,6 +26,8 @@
     average: DecayedShare,
     /// Fair share of the fleet as computed last, as a fraction.
     fair_share: f64,
+    /// Dominant share now.
+    present: f64,
     /// Dominant share now plus its average, divided by the weight; orders the teams.
     score: f64,
 }
@@ -40,6 +42,7 @@
             weight: 1.0,
             average: DecayedShare::default(),
             fair_share: 0.0,
+            present: 0.0,
             score: 0.0,
         }
     }
@@ -57,11 +60,6 @@
         self.decay
     }
 
-    /// Sets the weight of a team.
-    pub fn set_weight(&mut self, team: &TeamId, weight: f64) {
-        self.teams.entry(team.clone()).or_default().weight = weight;
-    }
-
     /// Sets the weights of the teams from the policy bundle.
     #[expect(clippy::cast_precision_loss, reason = "shares are small numbers")]
     pub fn apply_bundle(&mut self, bundle: &PolicyBundle) {
@@ -70,6 +68,11 @@
         }
     }
 
+    /// Sets the weight of a team.
+    pub fn set_weight(&mut self, team: &TeamId, weight: u32) {
+        self.teams.entry(team.clone()).or_default().weight = f64::from(weight.max(1));
+    }
+
     /// Sets the allotment of a team.
     pub fn set_allotment(&mut self, team: &TeamId, amount: ResourceVector) {
         self.teams.entry(team.clone()).or_default().allotment = amount;
@@ -138,6 +141,12 @@
         self.teams.get(team).map_or(0.0, |team| team.score)
     }
 
+    /// Returns the dominant share of what a team uses now.
+    #[must_use]
+    pub fn present_use(&self, team: &str) -> f64 {
+        self.teams.get(team).map_or(0.0, |team| team.present)
+    }
+
     /// Sets the fair share of a team, as a fraction of the fleet.
     pub fn set_fair_share(&mut self, team: &TeamId, fair_share: f64) {
         self.teams.entry(team.clone()).or_default().fair_share = fair_share;
@@ -215,6 +224,7 @@
 
 impl TeamUse {
     fn update_score(&mut self, total: ResourceVector) {
-        self.score = (self.used.dominant_fraction(total) + self.average.get()) / self.weight;
+        self.present = self.used.dominant_fraction(total);
+        self.score = (self.present + self.average.get()) / self.weight;
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use crate::kernel::cell::Millicores;
+use crate::kernel::connections::{ClientLimits, ConnectionCapacity};
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::cell::settings::CellSettings;
@@ -18,6 +19,10 @@
 const USAGE_HALF_LIFE: &str = "usage.half_life_s";
 /// Variable that takes the place of that setting, as the platform's own settings file does not have it.
 const USAGE_HALF_LIFE_VARIABLE: &str = "GODWITHAVEN_USAGE_HALF_LIFE_S";
+/// Memory of a process whose settings name none, in MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Descriptors of a process whose settings name none.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
 
 /// Settings by name, with the faults found so far.
 struct SettingsParser {
@@ -106,6 +111,28 @@
         Duration::from_secs(self.parse_or(USAGE_HALF_LIFE, DEFAULT_USAGE_HALF_LIFE.as_secs()))
     }
 
+    /// Returns the room for connections of clients: a part of the memory and descriptors of the process, or what
+    /// is set in their place.
+    fn connection_capacity(&mut self) -> ConnectionCapacity {
+        let memory_mb = self.parse_or("limits.memory_mb", DEFAULT_MEMORY_MB);
+        let descriptors = self.parse_or("limits.max_fds", DEFAULT_DESCRIPTORS);
+        let derived = ConnectionCapacity::of_machine(memory_mb, descriptors);
+        ConnectionCapacity {
+            callers: self.parse_or("clients.connections", derived.callers),
+            callers_per_address: self
+                .parse_or("clients.connections_per_address", derived.callers_per_address),
+            operators: self.parse_or("clients.operator_connections", derived.operators),
+            bytes: self.parse_or("clients.buffered_bytes", derived.bytes),
+        }
+    }
+
+    /// Returns the longest time for the body of a request, and for an answer.
+    fn exchange_timeout(&mut self) -> Duration {
+        let default = ClientLimits::default().exchange_timeout;
+        let millis = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.parse_or("clients.exchange_timeout_ms", millis))
+    }
+
     /// Returns the first port of the range for internal use, which serves the metrics.
     fn metrics_port(&mut self) -> u16 {
         let text = self.text("internal_ports");
@@ -150,6 +177,8 @@
         store_address: parser.text("platform.address").into(),
         store_limits: parser.store_limits(),
         cpu_limit: parser.cpu_limit(),
+        connection_capacity: parser.connection_capacity(),
+        exchange_timeout: parser.exchange_timeout(),
         longest_lease: parser.milliseconds("bounds.max_hold_ms"),
         log_retention: Duration::from_secs(parser.parse("platform.keep_s", 300)),
         usage_half_life: parser.usage_half_life(),
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -9,7 +9,7 @@
 pub(super) fn log_start_decision(command: &StartCommand, token: FencingToken) {
     let inputs = &command.inputs;
     log::info!(task:% = command.task, run = command.run, worker = &*command.worker, token = token,
-        config = inputs.config, report_age_ms = milliseconds(inputs.report_age),
+        config = inputs.config, class:% = inputs.class, report_age_ms = milliseconds(inputs.report_age),
         waited_ms = milliseconds(inputs.waited), free:% = inputs.free, permit = command.ticket.is_some(),
         checkpoint = command.checkpoint.is_some(); "task is started");
 }
@@ -64,6 +64,9 @@
                 expected_ms = milliseconds(slow.expected), source:%, misses_objective = slow.misses_objective;
                 "run is too slow");
         }
+        CellNotice::ShareStandingChanged { team, above, used } => {
+            log::info!(team = &**team, token = token, above = *above, used:%; "share of a team has changed");
+        }
         CellNotice::LeaseExpired { worker, tasks } => {
             log::info!(worker = &**worker, token = token, tasks = *tasks; "lease has expired");
         }
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
 
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
@@ -11,6 +11,7 @@
 
 use crate::kernel::cell::TeamUsage;
 use crate::log_pipe;
+use crate::tasks::connection_metrics::ConnectionMetrics;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
 const SMALLEST_BUCKET_SECONDS: f64 = 0.001;
@@ -52,6 +53,11 @@
     pub open_jobs: IntGauge,
     /// Tasks that wait to be placed; 0 unless this process owns the cell.
     pub waiting_tasks: IntGauge,
+    /// Steps that wait to be placed, by class; 0 unless this process owns the cell.
+    pub waiting_steps: IntGaugeVec,
+    /// Free accelerators on workers that are granted to a waiting step without a valid ticket; 0 unless this
+    /// process owns the cell.
+    pub accelerators_without_ticket: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Decayed average of the dominant share, by team; nothing unless this process owns the cell.
@@ -62,6 +68,8 @@
     team_correction: GaugeVec,
     /// Steps that were ranked behind those of other teams because of past use, by team, in this term.
     team_moved_back: GaugeVec,
+    /// Metrics of the connections of clients.
+    pub connections: ConnectionMetrics,
 }
 
 impl CellMetrics {
@@ -96,6 +104,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let waiting_steps = IntGaugeVec::new(
+            Opts::new("godwithaven_cell_waiting_steps", "Steps that wait to be placed, by class"),
+            &["class"],
+        )?;
+        registry.register(Box::new(waiting_steps.clone()))?;
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
@@ -127,6 +140,11 @@
             owner: gauge("godwithaven_owner", "1 while this process owns the cell")?,
             open_jobs: gauge("godwithaven_open_jobs", "Jobs that are not in a final state")?,
             waiting_tasks: gauge("godwithaven_cell_waiting_tasks", "Tasks that wait to be placed")?,
+            waiting_steps,
+            accelerators_without_ticket: gauge(
+                "godwithaven_accelerators_without_ticket",
+                "Free accelerators on workers granted to a waiting step without a ticket",
+            )?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
             team_past_use: by_team("godwithaven_team_past_use", "Decayed average of the dominant share")?,
             team_weight: by_team("godwithaven_team_weight", "Weight of the team")?,
@@ -138,6 +156,7 @@
                 "godwithaven_team_moved_back",
                 "Steps ranked behind those of other teams because of past use, in this term",
             )?,
+            connections: ConnectionMetrics::new(&registry)?,
             registry,
         })
     }
--- a/src/tasks/cell/operator_pages.rs
+++ b/src/tasks/cell/operator_pages.rs
@@ -1,7 +1,7 @@
 //! Operators' interface of an entry process that serves a cell: metrics and forecasts.
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{Method, Response, StatusCode};
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -10,15 +10,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::StepSpec;
-use crate::plugins::http;
+use crate::kernel::connections::ConnectionClass;
+use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
 use crate::prelude::*;
 use crate::tasks::cell::intake::{CallAction, CellCall, IntakeMessage, JobSubmission};
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::connections::ClientAccess;
 
 /// Path at which a job is described and its forecast is returned.
 pub const FORECAST_PATH: &str = "/v1/forecast";
-/// Largest accepted description of a job.
-const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// The pages of the operators' interface.
 #[derive(Clone)]
@@ -52,25 +52,24 @@
 
 impl OperatorPages {
     /// Serves the pages until the token is cancelled.
-    pub async fn serve(self, listener: TcpListener, token: CancellationToken) {
-        http::serve(listener, token, move |request| {
+    pub async fn serve(self, listener: TcpListener, access: ClientAccess, token: CancellationToken) {
+        let class = ConnectionClass::Operator;
+        let server = HttpServer { listener, class, access, refuse: refuse_without_body, token };
+        let handler = move |request: BufferedRequest| {
             let pages = self.clone();
             async move { pages.answer(request).await }
-        })
-        .await;
+        };
+        server.serve(handler).await;
     }
 
-    async fn answer(&self, mut request: Request) -> Response<Bytes> {
+    async fn answer(&self, request: BufferedRequest) -> Response<Bytes> {
         if request.path() != FORECAST_PATH {
             return self.metrics.respond(request.path());
         }
         if *request.method() != Method::POST {
             return json_response(StatusCode::METHOD_NOT_ALLOWED, &json!({ "error": "not a POST" }));
         }
-        let Some(body) = http::read_body(&mut request, MAX_BODY_BYTES).await else {
-            return json_response(StatusCode::PAYLOAD_TOO_LARGE, &json!({ "error": "job is too large" }));
-        };
-        match self.forecast(&body).await {
+        match self.forecast(&request.body).await {
             Ok(forecast) => json_response(StatusCode::OK, &forecast),
             // The error names neither the key nor the job, as both are the caller's.
             Err((status, reason)) => json_response(status, &json!({ "error": reason })),
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -80,13 +80,31 @@
             log::info!(service = &**service, listed = pool.listed, open = pool.schedulable,
                 used:% = pool.used, capacity:% = pool.capacity; "load of a service");
         }
-        let waits = summary.waits;
+        for (queue, stats) in &summary.queues {
+            log::info!(queue:%, first = stats.first, renewals = stats.renewals,
+                more_workers = stats.more_workers, tickets = stats.tickets, starts = stats.starts,
+                grant_rate:% = format_args!("{:.2}", stats.grant_rate()); "permits of a queue");
+        }
+        let (skips, idle) = (summary.permit_skips, summary.idle_accelerators);
+        log::info!(proxies = summary.advisor_proxies, open = summary.requesting_steps,
+            open_ms = summary.open_decision_time.as_millis(), steps_requested = skips.requested,
+            steps_ticketed = skips.ticketed, steps_without_room = skips.no_room, steps_behind = skips.behind,
+            steps_queue_full = skips.queue, accelerators_without_ticket = idle.without_ticket,
+            accelerators_without_verdict = idle.without_verdict; "load of the advisor");
+        metrics.accelerators_without_ticket.set(i64::try_from(idle.without_ticket).unwrap_or(i64::MAX));
+        let (waits, classes) = (summary.waits, summary.classes);
+        for (class, count) in classes.by_name() {
+            let gauge = metrics.waiting_steps.with_label_values(&[class]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
         log::info!(open_jobs = summary.open_jobs,
             excess_jobs = summary.excess_jobs, ready_steps = summary.ready_steps,
             asking_steps = summary.requesting_steps, waiting_tasks = summary.waiting_tasks,
             placed_tasks = summary.placed_tasks, unconfirmed_tasks = summary.unconfirmed_tasks,
             steps_at_limit = waits.team_limit, steps_without_worker = waits.worker,
-            steps_without_permit = waits.permit, steps_without_room = waits.room;
+            steps_without_permit = waits.permit, steps_without_room = waits.room,
+            steps_restart = classes.restart, steps_useful = classes.useful, steps_excess = classes.excess,
+            steps_expired = classes.expired, steps_unestimated = summary.unestimated_steps;
             "load of the cell");
     }
 
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -9,9 +9,10 @@
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, CellScheduler, CommandOutcome, EndCause,
-    EndedRun, GraphSpec, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand, StartInputs,
-    StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
+    EndedRun, GraphSpec, PermitRequest, PermitRule, PollReport, QueueRule, RunEnd, RunningRun, StartCommand,
+    StartInputs, StepClass, StepSpec, StopCommand, TaskKey, TeamRule, WorkerListing,
 };
+use godwithaven::kernel::connections::ClientLimits;
 use godwithaven::prelude::FastMap;
 
 /// Unix time at the start of each test.
@@ -42,6 +43,8 @@
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
     pub answers_first_poll: bool,
+    /// Whether the advisor answers permit requests; those that it does not answer stay open.
+    pub advisor_answers: bool,
     ends: FastMap<String, u64>,
 }
 
@@ -89,8 +92,11 @@
                 self.scheduler.handle(event, self.now);
             }
             CellEffect::Stop(command) => self.stops.push(command),
-            CellEffect::RequestPermits { step, rule, workers, .. } => {
+            CellEffect::RequestPermits(PermitRequest { step, rule, workers, .. }) => {
                 self.permit_requests.push((step.to_string(), workers.len()));
+                if !self.advisor_answers {
+                    return;
+                }
                 let granted = workers.iter().filter(|worker| !worker.starts_with("denied"));
                 let granted = granted.map(|worker| (worker.clone(), "ticket".into())).collect();
                 let event = CellEvent::PermitsAnswered {
@@ -178,6 +184,7 @@
         looks: Vec::new(),
         effect_order: Vec::new(),
         answers_first_poll: true,
+        advisor_answers: true,
         ends: FastMap::default(),
     };
     driver.advance(0);
@@ -228,6 +235,7 @@
         .into_iter()
         .collect(),
         keys: FastMap::default(),
+        client_limits: ClientLimits::default(),
     }
 }
 
@@ -262,6 +270,7 @@
 /// Returns the first start of a task on `w0`, based on a report of this incarnation, that expires in a minute.
 pub fn start_command(task: &str, incarnation: Duration) -> StartCommand {
     let inputs = StartInputs {
+        class: StepClass::Useful,
         config: 1,
         report_age: Duration::ZERO,
         waited: Duration::ZERO,
