--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,10 +1,10 @@
-use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
     CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause, PlacementPhase,
     PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch, StartPass, StepKey,
-    TaskKey, WorkerListing,
+    TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerListing,
 };
+use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
 
 /// How long a closed job is kept, so that its state can still be queried, and how long a cancellation is
@@ -36,7 +36,7 @@
 /// Decides for one cell which tasks start, stop and end.
 ///
 /// It does no I/O: [`Self::handle`] applies events, and [`Self::decide`] returns the effects to carry out.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct CellScheduler {
     state: CellState,
     /// Whether an event since the last start pass may allow further starts.
@@ -50,6 +50,8 @@
     last_snapshots: Option<Instant>,
     /// Numbers of replayed records that could not be applied.
     skipped_records: SkippedRecords,
+    /// When past use is recorded; `None` while it is not accounted for.
+    usage_schedule: Option<UsageSchedule>,
 }
 
 impl CellScheduler {
@@ -67,6 +69,7 @@
             snapshot_interval: None,
             last_snapshots: None,
             skipped_records: SkippedRecords::default(),
+            usage_schedule: None,
         }
     }
 
@@ -75,6 +78,16 @@
     #[must_use]
     pub fn with_log_retention(mut self, retention: Duration) -> Self {
         self.snapshot_interval = Some(retention / SNAPSHOTS_PER_RETENTION);
+        self.state.log_retention = Some(retention);
+        self
+    }
+
+    /// Lets the past use of the teams correct the order of starts; use loses half of its weight in `half_life`.
+    /// With a half-life of zero, past use is not accounted for.
+    #[must_use]
+    pub fn with_usage_half_life(mut self, half_life: Duration) -> Self {
+        self.state.shares.set_decay(UsageDecay::with_half_life(half_life));
+        self.usage_schedule = (!half_life.is_zero()).then(UsageSchedule::default);
         self
     }
 
@@ -221,7 +234,19 @@
         CellSummary::of(&self.state, now)
     }
 
-    /// Gives tests read access to the state.
+    /// Returns the past use of each configured team and its effect; nothing while it is not accounted for.
+    #[must_use]
+    pub fn team_usages(&self) -> Vec<TeamUsage> {
+        if self.usage_schedule.is_some() { TeamUsage::all(&self.state) } else { Vec::new() }
+    }
+
+    /// Returns the state, for a scheduler that is a copy.
+    #[must_use]
+    pub fn into_state(self) -> CellState {
+        self.state
+    }
+
+    /// Gives forecasts and tests read access to the state.
     #[must_use]
     pub const fn state(&self) -> &CellState {
         &self.state
@@ -457,6 +482,7 @@
         self.stop_unconfirmed_gangs(now);
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
+        self.account_usage(now);
         self.state.rerank(now);
         let scheduled: Vec<JobId> = self
             .state
@@ -476,6 +502,20 @@
         });
     }
 
+    /// Charges what teams use, and records the account if that is due.
+    fn account_usage(&mut self, now: Instant) {
+        let Some(schedule) = &mut self.usage_schedule else { return };
+        UsageWatch { state: &mut self.state, now }.run();
+        let retention = self.state.log_retention.unwrap_or(Duration::MAX);
+        if !schedule.is_due(retention, now) {
+            return;
+        }
+        let record = UsageRecord::of(&self.state.shares, self.state.unix_time);
+        if let Some(record) = schedule.record(record, retention, now) {
+            self.state.effects.push(CellEffect::Record(CellRecord::Usage(record)));
+        }
+    }
+
     /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval, the oldest
     /// first, so that none is left out for long.
     fn snapshot_old_jobs(&mut self, now: Instant) {
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,11 +2,11 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, EstimateRatios,
-    GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase,
-    PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand,
-    StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand,
-    SubmitRate, TaskKey, TaskPlacement, TaskState,
+    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, DiscardedRun, EndSource,
+    EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats,
+    PlacementPhase, PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState,
+    StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait,
+    StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
 };
 use crate::prelude::*;
 
@@ -22,7 +22,7 @@
 /// Jobs, placements and workers of a cell.
 ///
 /// The methods keep the counts of workers, teams, jobs and steps consistent with the placements.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct CellState {
     /// Configuration in force.
     pub config: Arc<CellConfig>,
@@ -48,6 +48,10 @@
     pub shares: ShareAccounting,
     /// How much longer than estimated the tasks of each queue may take.
     pub estimate_ratios: EstimateRatios,
+    /// How the past use of the teams corrects the order of starts; nothing while past use is not accounted for.
+    pub usage_correction: UsageCorrection,
+    /// How long the store keeps records; `None` if they do not expire.
+    pub log_retention: Option<Duration>,
     /// Teams far above their weighted share.
     pub share_standing: ShareStanding,
     /// Submission rates of the teams.
@@ -146,6 +150,7 @@
         for index in due {
             let key = StepKey { job: id.clone(), occurrence, step: index };
             let rank = StepRanking { state: self }.rank(&key, now);
+            UsageWatch { state: self, now }.note_rank(&key, rank);
             if let Some(step_state) = self.step_mut(&key) {
                 step_state.rank = Some(rank);
                 if !step_state.waiting.is_empty() {
@@ -156,7 +161,7 @@
     }
 
     /// Updates the rank of each ready step whose class, lateness or team standing has changed since it was
-    /// ranked.
+    /// ranked, or whose correction for past use has become smaller.
     pub fn rerank(&mut self, now: Instant) {
         self.estimate_ratios.update(&self.slow_runs.estimate_profiles);
         self.compare_shares();
@@ -328,6 +333,7 @@
         let Some(placement) = self.remove_placement(key) else { return };
         let record = CellRecord::Lost(key.clone(), placement.run);
         self.record_end(record, placement.slot, EndSource::Lost(cause));
+        DiscardedRun { state: self, task: key, placement: &placement, now }.refund();
         self.requeue(key);
         self.break_gang(key, now);
         self.complete_if_done(&key.step.job, now);
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -26,6 +26,7 @@
 mod claim_watch;
 mod clock_reading;
 mod end_handler;
+mod forecast;
 mod graph_spec;
 mod handover_watch;
 mod job_snapshot;
@@ -49,6 +50,7 @@
 mod submit_rate;
 mod task_key;
 mod task_placement;
+mod usage;
 mod worker_lease;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -66,6 +68,7 @@
 pub use claim_watch::{CellOwner, ClaimWatch};
 pub use clock_reading::ClockReading;
 pub use end_handler::EndHandler;
+pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
 pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
@@ -99,4 +102,7 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use usage::{
+    DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
+};
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/order/share_standing.rs
+++ b/src/kernel/cell/order/share_standing.rs
@@ -28,12 +28,14 @@
         let competing: FastSet<&TeamId> =
             shares.teams_in_use().chain(waiting).filter(|team| !team.is_empty()).collect();
         let weight: f64 = competing.iter().map(|team| shares.weight(team)).sum();
-        let used: f64 = competing.iter().map(|team| shares.score(team) * shares.weight(team)).sum();
+        let used: f64 = competing.iter().map(|team| shares.present_use(team)).sum();
         let is_above = |team: &TeamId| {
-            let (own_weight, own_score) = (shares.weight(team), shares.score(team));
+            let (own_weight, own_use) = (shares.weight(team), shares.present_use(team));
             let factor = if self.above.contains(team) { BELOW_FACTOR } else { ABOVE_FACTOR };
-            let others = (used - own_score * own_weight) / (weight - own_weight);
-            others.is_finite() && own_score > others * factor && waiting.iter().any(|other| other != team)
+            let others = (used - own_use) / (weight - own_weight);
+            others.is_finite()
+                && own_use / own_weight > others * factor
+                && waiting.iter().any(|other| other != team)
         };
         let above: FastSet<TeamId> = competing.into_iter().filter(|team| is_above(team)).cloned().collect();
         let mut changes: Vec<(TeamId, bool)> = above
--- a/src/kernel/cell/order/step_rank.rs
+++ b/src/kernel/cell/order/step_rank.rs
@@ -17,9 +17,18 @@
     /// Latest start with which the job still meets its next limit, which is its latency objective or the
     /// time of its expiry.
     pub latest_start: Instant,
+    /// Part of `latest_start` by which the step ranks later because of the past use of its team.
+    pub correction: Duration,
 }
 
 impl StepRank {
+    /// Returns the rank with another correction for past use.
+    #[must_use]
+    pub fn with_correction(self, correction: Duration) -> Self {
+        let uncorrected = self.latest_start.checked_sub(self.correction).unwrap_or(self.latest_start);
+        Self { latest_start: uncorrected + correction, correction, ..self }
+    }
+
     /// Whether less urgent tasks may be stopped for the step, room be kept free for it, and the headroom of its
     /// team be used. Expired steps only use what is left.
     #[must_use]
@@ -51,10 +60,11 @@
     #[must_use]
     pub fn replaced_by(&self, new: Self) -> Option<Self> {
         if new.lateness < self.lateness && new.class != StepClass::Restart {
-            let standing = Self { above_share: new.above_share, ..*self };
+            let corrected = self.with_correction(self.correction.min(new.correction));
+            let standing = Self { above_share: new.above_share, ..corrected };
             return (standing != *self).then_some(standing);
         }
         let order = |rank: &Self| (rank.class, rank.priority, rank.lateness, rank.above_share);
-        (order(&new) != order(self)).then_some(new)
+        (order(&new) != order(self) || new.correction < self.correction).then_some(new)
     }
 }
--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -21,7 +21,15 @@
     pub fn rank(&self, key: &StepKey, now: Instant) -> StepRank {
         let Some(job) = self.state.jobs.get(&key.job) else {
             let (class, lateness) = (StepClass::Expired, JobLateness::Expired);
-            return StepRank { class, priority: 0, lateness, above_share: false, latest_start: now };
+            let correction = Duration::ZERO;
+            return StepRank {
+                class,
+                priority: 0,
+                lateness,
+                above_share: false,
+                latest_start: now,
+                correction,
+            };
         };
         let spec = &job.spec;
         let objective = self.objective(spec, 1.0);
@@ -55,8 +63,16 @@
                 (rule.map_or(u32::MAX, |rule| rule.priority), above_share)
             }
         };
-        let latest_start = latest_start + past_use_delay(self.state, &spec.team);
-        StepRank { class, priority, lateness, above_share, latest_start }
+        let correction = match class {
+            // Long-running tasks have to run again soon, whatever their team has used.
+            StepClass::Useful | StepClass::Excess if !long_running => {
+                let slack = latest_start.saturating_duration_since(now);
+                self.state.usage_correction.of(&spec.team, objective, slack)
+            }
+            _ => Duration::ZERO,
+        };
+        let latest_start = latest_start + correction;
+        StepRank { class, priority, lateness, above_share, latest_start, correction }
     }
 
     /// Whether the estimated run time of a job can be used to tell that it is of no use any more. Without an
@@ -116,8 +132,3 @@
 const fn expiry(objective: Duration) -> Duration {
     objective.saturating_mul(EXPIRY_OBJECTIVE_MULTIPLE)
 }
-
-/// Returns how much later the steps of a team are ranked for its past use.
-const fn past_use_delay(_state: &CellState, _team: &TeamId) -> Duration {
-    Duration::ZERO
-}
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -1,20 +1,16 @@
 //! Counters and latency histograms of an entry process that serves a cell, served at `/metrics`.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
 
-use crate::kernel::connections::ConnectionClass;
+use crate::kernel::cell::TeamUsage;
 use crate::log_pipe;
-use crate::plugins::http::{BufferedRequest, HttpServer, refuse_without_body};
-use crate::tasks::client_access::ClientAccess;
 use crate::tasks::connection_metrics::ConnectionMetrics;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
@@ -64,6 +60,14 @@
     pub accelerators_without_ticket: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Decayed average of the dominant share, by team; nothing unless this process owns the cell.
+    team_past_use: GaugeVec,
+    /// Weight by team, as above.
+    team_weight: GaugeVec,
+    /// Part of the latency objective by which steps of a team rank later, as above.
+    team_correction: GaugeVec,
+    /// Steps that were ranked behind those of other teams because of past use, by team, in this term.
+    team_moved_back: GaugeVec,
     /// Metrics of the connections of clients.
     pub connections: ConnectionMetrics,
 }
@@ -95,6 +99,11 @@
         let looks =
             IntCounter::new("godwithaven_progress_requests_total", "Requests for the progress of runs")?;
         registry.register(Box::new(looks.clone()))?;
+        let by_team = |name: &str, help: &str| -> prometheus::Result<GaugeVec> {
+            let gauge = GaugeVec::new(Opts::new(name, help), &["team"])?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
         let waiting_steps = IntGaugeVec::new(
             Opts::new("godwithaven_cell_waiting_steps", "Steps that wait to be placed, by class"),
             &["class"],
@@ -137,38 +146,52 @@
                 "Free accelerators on workers granted to a waiting step without a ticket",
             )?,
             config_version: gauge("godwithaven_config_version", "Version of the configuration in force")?,
+            team_past_use: by_team("godwithaven_team_past_use", "Decayed average of the dominant share")?,
+            team_weight: by_team("godwithaven_team_weight", "Weight of the team")?,
+            team_correction: by_team(
+                "godwithaven_team_correction",
+                "Part of the latency objective by which steps rank later because of past use",
+            )?,
+            team_moved_back: by_team(
+                "godwithaven_team_moved_back",
+                "Steps ranked behind those of other teams because of past use, in this term",
+            )?,
             connections: ConnectionMetrics::new(&registry)?,
             registry,
         })
     }
 
-    /// Serves the metrics at `/metrics` until the token is cancelled.
-    pub async fn serve(self, listener: TcpListener, access: ClientAccess, token: CancellationToken) {
-        let registry = self.registry;
-        let class = ConnectionClass::Operator;
-        let server = HttpServer { listener, class, access, refuse: refuse_without_body, token };
-        let handler = move |request: BufferedRequest| {
-            let response = respond(&registry, request.path());
-            async move { response }
-        };
-        server.serve(handler).await;
+    /// Replaces the past use of all teams.
+    pub fn set_team_usages(&self, usages: &[TeamUsage]) {
+        for gauge in [&self.team_past_use, &self.team_weight, &self.team_correction, &self.team_moved_back] {
+            gauge.reset();
+        }
+        for usage in usages {
+            let team = [&*usage.team];
+            self.team_past_use.with_label_values(&team).set(usage.past_use);
+            self.team_weight.with_label_values(&team).set(usage.weight);
+            self.team_correction.with_label_values(&team).set(usage.correction);
+            let steps = u32::try_from(usage.steps_moved_back).unwrap_or(u32::MAX);
+            self.team_moved_back.with_label_values(&team).set(f64::from(steps));
+        }
     }
-}
 
-fn respond(registry: &Registry, path: &str) -> Response<Bytes> {
-    if path != "/metrics" {
-        return Response::with_body(StatusCode::NOT_FOUND, Bytes::new());
-    }
-    match TextEncoder::new().encode_to_string(&registry.gather()) {
-        Ok(text) => {
-            let mut response = Response::with_body(StatusCode::OK, Bytes::from(text));
-            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
-            response.headers_mut().insert(CONTENT_TYPE, kind);
-            response
+    /// Returns the page at a path; only `/metrics` exists.
+    pub(super) fn respond(&self, path: &str) -> Response<Bytes> {
+        if path != "/metrics" {
+            return Response::with_body(StatusCode::NOT_FOUND, Bytes::new());
         }
-        Err(error) => {
-            log::error!(error:%; "metrics cannot be encoded");
-            Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => {
+                let mut response = Response::with_body(StatusCode::OK, Bytes::from(text));
+                let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => {
+                log::error!(error:%; "metrics cannot be encoded");
+                Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
         }
     }
 }
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,7 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, JobStatus, WorkerLease, WorkerListing, longest_real_time,
+    CellConfig, CellEffect, CellEvent, CellRecord, GraphSpec, JobForecast, JobStatus, WorkerLease,
+    WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -59,6 +60,8 @@
     Fenced(WorkerId),
     /// Queries the state of a job.
     Inspect(JobId, oneshot::Sender<JobAnswer>),
+    /// Asks what this owner would do now with a job, without submitting it.
+    Forecast(Box<GraphSpec>, oneshot::Sender<Result<JobForecast, String>>),
     /// Queries how many jobs of a queue have not started; the answer is `None` if the submissions were not
     /// read recently.
     Count(QueueId, oneshot::Sender<Option<u64>>),
@@ -90,6 +93,8 @@
     pub released_term: Option<Duration>,
     /// How long the store retains records.
     pub log_retention: Duration,
+    /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
+    pub usage_half_life: Duration,
     /// Metrics of the process.
     pub metrics: CellMetrics,
 }
@@ -109,6 +114,7 @@
         self.metrics.owner.set(0);
         self.metrics.open_jobs.set(0);
         self.metrics.waiting_tasks.set(0);
+        self.metrics.set_team_usages(&[]);
         self.metrics.waiting_steps.reset();
         self.metrics.accelerators_without_ticket.set(0);
         log::info!(token = self.token, reason = &*ended; "ownership ended");
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -2,14 +2,12 @@
 
 use actix_rt::task::JoinHandle;
 use std::hash::{BuildHasher, BuildHasherDefault};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::admission::{AdmissionGate, RefusalTally};
 use crate::kernel::cell::{ClaimWatch, HandoverWatch, MIN_OWNER_MILLICORES};
 use crate::kernel::connections::ClientLimits;
-use crate::plugins::http;
 use crate::prelude::*;
 use crate::settings::SettingFault;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -19,8 +17,10 @@
 use crate::tasks::cell::config_feed::ConfigFeed;
 use crate::tasks::cell::intake::{IntakeTask, JOB_PARTITIONS};
 use crate::tasks::cell::metrics::CellMetrics;
+use crate::tasks::cell::operator_pages::OperatorPages;
 use crate::tasks::cell::peer::{self, CellService, OwnerRoute};
 use crate::tasks::cell::ports::{CellAdapter, FrontEndContext};
+use crate::tasks::cell::process_listeners::ProcessListeners;
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::submit_queue::SubmitQueue;
 use crate::tasks::client_access::ClientAccess;
@@ -59,16 +59,8 @@
     /// Returns a fault if a socket cannot be bound, a metric is registered twice or no random number is
     /// available.
     pub async fn start(adapter: CellAdapter, settings: CellSettings) -> Result<Self, SettingFault> {
-        let fault = |address, error| SettingFault { text: format!("cannot listen on {address}: {error}") };
-        let bind = |address| http::listen(address).map_err(|error| fault(address, error));
-        let listener = bind(settings.front_end_listen)?;
-        let readiness_listener = bind(settings.readiness_listen)?;
-        let peer_listener = TcpListener::bind(settings.peer_listen)
-            .await
-            .map_err(|error| fault(settings.peer_listen, error))?;
-        let metrics_listener = bind(settings.metrics_listen)?;
+        let listeners = ProcessListeners::bind(&settings).await?;
         let metrics = CellMetrics::new().map_err(|error| SettingFault { text: error.to_string() })?;
-        let metrics_pages = metrics.clone();
         let incarnation =
             getrandom::u64().map_err(|error| SettingFault { text: format!("no random numbers: {error}") })?;
         let process: ProcessId = format!("{}.{incarnation:016x}", settings.vm).into();
@@ -89,7 +81,12 @@
             metrics.connections.clone(),
             token.clone(),
         );
-        actix_rt::spawn(metrics_pages.serve(metrics_listener, access.clone(), token.clone()));
+        let pages = OperatorPages {
+            metrics: metrics.clone(),
+            intake_sender: intake_sender.clone(),
+            parse_job: adapter.parse_job,
+        };
+        actix_rt::spawn(pages.serve(listeners.operators, access.clone(), token.clone()));
         let feed = ConfigFeed {
             adapter,
             store: store.clone(),
@@ -121,7 +118,7 @@
             claim_sender: claim_sender.clone(),
             intake_sender: intake_sender.clone(),
         };
-        actix_rt::spawn(peer::serve(peer_listener, service, access.clone(), token.clone()));
+        actix_rt::spawn(peer::serve(listeners.peers, service, access.clone(), token.clone()));
         let cpu_limit = settings.cpu_limit;
         let own_address: Arc<str> = settings.peer_listen.to_string().into();
         let claim_task = ClaimTask {
@@ -141,12 +138,13 @@
             cpu_limit,
             longest_lease: settings.longest_lease,
             log_retention: settings.log_retention,
+            usage_half_life: settings.usage_half_life,
             peers: settings.peer_addresses.iter().filter(|peer| **peer != own_address).cloned().collect(),
         };
         actix_rt::spawn(claim_task.run(claim_inbox, token.clone()));
         let front = FrontEndContext {
-            listener,
-            readiness_listener,
+            listener: listeners.front_end,
+            readiness_listener: listeners.readiness,
             access,
             intake_sender,
             draining: draining.clone(),
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -194,8 +194,15 @@
 }
 
 fn rank(priority: u32, latest_start: Instant) -> StepRank {
-    let (class, lateness) = (StepClass::Useful, JobLateness::InTime);
-    StepRank { class, priority, lateness, above_share: false, latest_start }
+    let lateness = JobLateness::InTime;
+    StepRank {
+        class: StepClass::Useful,
+        priority,
+        lateness,
+        above_share: false,
+        latest_start,
+        correction: Duration::ZERO,
+    }
 }
 
 /// With a full pool, steps that ask whenever their tickets have expired take all of the decision time of the
