--- a/src/kernel/cell/permits/permit_planner.rs
+++ b/src/kernel/cell/permits/permit_planner.rs
@@ -7,7 +7,7 @@
 const MAX_UNKNOWN_WORKERS: usize = 40;
 /// Number of workers that a first request names at least, if there are as many: the verdicts are used again when
 /// the step waits for longer, and a worker costs little beside the request.
-const MIN_WORKERS_PER_REQUEST: usize = 20;
+const MIN_WORKERS_PER_REQUEST: usize = 40;
 /// Tasks that the named workers should hold by the grant rate, as a multiple of the wanted ones.
 const SPARE_FACTOR: f64 = 1.5;
 
