--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -45,7 +45,8 @@
             JobLateness::InTime => objective,
             JobLateness::Late | JobLateness::Expired => expiry(objective),
         };
-        let latest_start = (due_at + limit).checked_sub(remaining).unwrap_or(due_at);
+        let latest_start =
+            due_at.checked_add(limit).and_then(|end| end.checked_sub(remaining)).unwrap_or(due_at);
         let rule = self.state.config.queues.get(&spec.queue);
         let (priority, above_share) = match class {
             StepClass::Expired => (0, false),
@@ -55,7 +56,8 @@
                 (rule.map_or(u32::MAX, |rule| rule.priority), above_share)
             }
         };
-        let latest_start = latest_start + past_use_delay(self.state, &spec.team);
+        let delay = past_use_delay(self.state, &spec.team);
+        let latest_start = latest_start.checked_add(delay).unwrap_or(latest_start);
         StepRank { class, priority, lateness, above_share, latest_start }
     }
 
--- a/tests/cell_order.rs
+++ b/tests/cell_order.rs
@@ -6,7 +6,9 @@
 
 use fixture_cell::{CellDriver, START_UNIX_TIME, cell, cell_with, config, job, step, submit, worker};
 use godwithaven::kernel::ResourceVector;
-use godwithaven::kernel::cell::{EndCause, GraphSpec, PermitRule, StepClass, StepSpec, TeamRule};
+use godwithaven::kernel::cell::{
+    EndCause, GraphSpec, MAX_ESTIMATE, PermitRule, StepClass, StepSpec, TeamRule,
+};
 use googletest::prelude::*;
 
 /// Age at which the jobs of [`step`] have long expired: their objective is 3 s.
@@ -200,6 +202,24 @@
     verify_that!(started_later(&driver), elements_are![eq("red.0.0.0")])
 }
 
+/// Guards against a process that ends because the objective of a job is out of the range of time.
+#[gtest]
+fn an_objective_out_of_range_ends_no_process() -> Result<()> {
+    for stretch in [3e11, 1e12, f64::INFINITY, f64::NAN] {
+        let mut config = config(None);
+        config.queues.values_mut().for_each(|rule| rule.stretch = stretch);
+        let mut driver = cell_with(config, vec![worker("w0")]);
+        let long = StepSpec { estimate: MAX_ESTIMATE, ..step(1) };
+        let spec = fresh(&driver, "j", "urgent", vec![long]);
+
+        submit(&mut driver, spec);
+        driver.advance(100);
+
+        verify_that!(driver.started("j.0.0.0"), some(anything()))?;
+    }
+    Ok(())
+}
+
 /// Guards against jobs that are taken for expired because their estimate is missing or cannot be right; they keep
 /// the order by priority.
 #[gtest]
