--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -53,7 +53,8 @@
             JobLateness::InTime => objective,
             JobLateness::Late | JobLateness::Expired => expiry(objective),
         };
-        let latest_start = (due_at + limit).checked_sub(remaining).unwrap_or(due_at);
+        let latest_start =
+            due_at.checked_add(limit).and_then(|end| end.checked_sub(remaining)).unwrap_or(due_at);
         let rule = self.state.config.queues.get(&spec.queue);
         let (priority, above_share) = match class {
             StepClass::Expired => (0, false),
@@ -71,7 +72,7 @@
             }
             _ => Duration::ZERO,
         };
-        let latest_start = latest_start + correction;
+        let latest_start = latest_start.checked_add(correction).unwrap_or(latest_start);
         StepRank { class, priority, lateness, above_share, latest_start, correction }
     }
 
