--- a/src/kernel/cell/cell_notice.rs
+++ b/src/kernel/cell/cell_notice.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{EndedRun, SlowRun, TaskKey};
+use crate::kernel::cell::{EndedRun, SlowRun, SlowRunAction, TaskKey};
 use crate::prelude::*;
 
 /// An observation of the scheduler that changes nothing, for logs.
@@ -28,6 +28,8 @@
         run: RunNumber,
         /// Why the run counts as slow.
         slow: SlowRun,
+        /// What is done about it.
+        action: SlowRunAction,
     },
     /// A team is far above its weighted share of what runs while others wait, or no longer so.
     ShareStandingChanged {
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,9 +1,9 @@
 use crate::kernel::WorkerHealth;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause, PlacementPhase,
-    PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch, StartPass, StepKey,
-    TaskKey, WorkerListing,
+    CommandOutcome, CopyKeeper, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause,
+    PlacementPhase, PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch,
+    StartPass, StepKey, TaskKey, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -103,12 +103,12 @@
             }
             CellEvent::StartAnswered(task, run, worker, outcome) => {
                 if self.accept_outcome(&task, run, &worker, outcome, now) {
-                    self.apply_start_outcome(&task, outcome, now);
+                    self.apply_start_outcome(&task, run, outcome, now);
                 }
             }
             CellEvent::StopAnswered(task, run, worker, outcome) => {
                 if self.accept_outcome(&task, run, &worker, outcome, now) {
-                    self.apply_stop_outcome(&task, outcome, now);
+                    self.apply_stop_outcome(&task, run, outcome, now);
                 }
             }
             CellEvent::WorkerPolled(worker, report) => self.apply_report(&worker, report, now),
@@ -174,7 +174,7 @@
             worker.suspended_until = None;
             worker.health = WorkerHealth::default();
         }
-        for placement in self.state.placements.values_mut() {
+        for placement in self.state.placements.values_mut().chain(self.state.copies.values_mut()) {
             placement.stop_sent = None;
         }
         self.state.effects.clear();
@@ -289,11 +289,9 @@
     /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
     /// replaced.
     fn await_no_answers(&mut self, slot: u32, now: Instant) {
-        let starting = self
-            .state
-            .placements
-            .values_mut()
-            .filter(|placement| placement.slot == slot && placement.phase == PlacementPhase::Starting);
+        let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
+        let starting =
+            runs.filter(|placement| placement.slot == slot && placement.phase == PlacementPhase::Starting);
         starting.for_each(|placement| placement.phase = PlacementPhase::Unanswered(now));
     }
 
@@ -360,7 +358,7 @@
     }
 
     /// Returns whether the outcome of a command has to be applied, which is so if it concerns the current
-    /// run of the task.
+    /// run of the task or a copy.
     ///
     /// If another incarnation of the worker answered, marks all runs on the worker as lost instead.
     fn accept_outcome(
@@ -372,14 +370,19 @@
         now: Instant,
     ) -> bool {
         let is_current = self.state.placements.get(task).is_some_and(|placement| placement.run == run);
-        if is_current && outcome == CommandOutcome::Replaced {
+        let is_known = is_current || self.state.copies.contains_key(&(task.clone(), run));
+        if is_known && outcome == CommandOutcome::Replaced {
             self.mark_runs_lost(worker, now);
             return false;
         }
-        is_current
+        is_known
     }
 
-    fn apply_start_outcome(&mut self, task: &TaskKey, outcome: CommandOutcome, now: Instant) {
+    fn apply_start_outcome(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome, now: Instant) {
+        if self.state.copies.contains_key(&(task.clone(), run)) {
+            CopyKeeper { state: &mut self.state, now }.apply_start_outcome(task, run, outcome);
+            return;
+        }
         let Some(placement) = self.state.placements.get_mut(task) else { return };
         let slot = placement.slot;
         match outcome {
@@ -402,9 +405,10 @@
         }
     }
 
-    fn apply_stop_outcome(&mut self, task: &TaskKey, outcome: CommandOutcome, now: Instant) {
+    fn apply_stop_outcome(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome, now: Instant) {
+        let copy = self.state.copies.get_mut(&(task.clone(), run));
         if outcome == CommandOutcome::Accepted
-            && let Some(placement) = self.state.placements.get_mut(task)
+            && let Some(placement) = copy.or_else(|| self.state.placements.get_mut(task))
         {
             placement.stop_confirmed = Some(now);
         }
@@ -420,6 +424,7 @@
         for task in tasks {
             self.state.mark_lost(&task, LossCause::WorkerReplaced, now);
         }
+        CopyKeeper { state: &mut self.state, now }.mark_lost_on(slot, LossCause::WorkerReplaced);
     }
 
     fn apply_report(&mut self, worker: &str, report: PollReport, now: Instant) {
@@ -448,7 +453,10 @@
                 placement.note_progress(reported.percent, now);
             }
         }
+        let effects = self.state.effects.len();
         SlowRunWatch { state: &mut self.state, now }.run_on(slot);
+        // A slow run whose task may run twice lets the task wait to be placed again.
+        self.changed |= self.state.effects.len() > effects;
     }
 
     fn tick(&mut self, unix_time: Duration, now: Instant) {
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,11 +2,11 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, EndSource, EstimateRatios,
-    GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase,
-    PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand,
-    StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand,
-    SubmitRate, TaskKey, TaskPlacement, TaskState,
+    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, CopyKeeper, EndSource,
+    EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats,
+    PlacementPhase, PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState,
+    StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait,
+    StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
 };
 use crate::prelude::*;
 
@@ -16,8 +16,6 @@
 const PREEMPTION_BACKOFF: Duration = Duration::from_millis(400);
 /// Bounds the doublings of the backoff, so that it is at most 3.2 s.
 const MAX_PREEMPTION_DOUBLINGS: u32 = 3;
-/// Time after which the stop of a run is sent again if it is not confirmed, as a command may get lost.
-const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Jobs, placements and workers of a cell.
 ///
@@ -41,6 +39,9 @@
     pub early_cancels: FastMap<JobId, Instant>,
     /// The current run of each placed task. It occupies its worker until its end is known.
     pub placements: FastMap<TaskKey, TaskPlacement>,
+    /// Runs beside the current run of their task, by task and number; see
+    /// [`CopyKeeper`](crate::kernel::cell::CopyKeeper).
+    pub copies: FastMap<(TaskKey, RunNumber), TaskPlacement>,
     /// The ready steps: those with complete dependencies and tasks that wait to be placed, in the order of
     /// starts.
     pub ready: BTreeSet<(StepRank, StepKey)>,
@@ -282,6 +283,15 @@
     /// never starts.
     pub fn remove_placement(&mut self, key: &TaskKey) -> Option<TaskPlacement> {
         let placement = self.placements.remove(key)?;
+        if let Some(worker) = self.worker_mut(placement.slot) {
+            worker.tasks.remove(key);
+        }
+        self.uncount(key, &placement);
+        Some(placement)
+    }
+
+    /// Removes a run from the counts of its worker, team, job and step.
+    pub(super) fn uncount(&mut self, key: &TaskKey, placement: &TaskPlacement) {
         if let Some((spec, step, _)) = self.step(&key.step) {
             let (team, need, occupied) = (spec.team.clone(), step.need, step.occupied_capacity());
             self.shares.remove(&team, need, self.capacity);
@@ -290,7 +300,6 @@
                 if placement.stop_reason.is_some() {
                     worker.capacity_being_freed = worker.capacity_being_freed.minus(occupied);
                 }
-                worker.tasks.remove(key);
             }
         }
         if let Some(job) = self.jobs.get_mut(&key.step.job) {
@@ -302,14 +311,15 @@
                 *count = count.saturating_sub(1);
             }
         }
-        Some(placement)
     }
 
     /// Lets a task wait to be placed again, unless it is done or its job is closed.
     pub fn requeue(&mut self, key: &TaskKey) {
         let live = self.jobs.get(&key.step.job).is_some_and(|job| !job.status.is_final());
         let long_running = self.step(&key.step).is_some_and(|(_, step, _)| step.long_running);
-        let Some(state) = self.step_mut(&key.step).filter(|_| live) else { return };
+        // The end of a copy leaves the task with its current run.
+        let idle = live && !self.placements.contains_key(key);
+        let Some(state) = self.step_mut(&key.step).filter(|_| idle) else { return };
         if state.tasks.get(key.index as usize).is_none_or(|task| task.done) {
             return;
         }
@@ -352,17 +362,10 @@
     }
 
     /// Emits the command that stops a run, unless the stop is confirmed or was sent less than
-    /// `STOP_RETRY_INTERVAL` ago. The run occupies its worker until its end is known.
+    /// 400 ms ago. The run occupies its worker until its end is known.
     pub fn stop(&mut self, key: &TaskKey, reason: &'static str, now: Instant) {
         let Some(placement) = self.placements.get_mut(key) else { return };
-        let due =
-            placement.stop_sent.is_none_or(|sent| now.saturating_duration_since(sent) >= STOP_RETRY_INTERVAL);
-        if placement.stop_confirmed.is_some() || !due {
-            return;
-        }
-        placement.stop_sent = Some(now);
-        let first = placement.stop_reason.is_none();
-        let reason = *placement.stop_reason.get_or_insert(reason);
+        let Some((reason, first)) = placement.request_stop(reason, now) else { return };
         let (slot, run) = (placement.slot, placement.run);
         if first {
             self.count_capacity_being_freed(key, slot);
@@ -385,7 +388,7 @@
     }
 
     /// Counts the capacity that a run frees on its worker once it has stopped.
-    fn count_capacity_being_freed(&mut self, key: &TaskKey, slot: u32) {
+    pub(super) fn count_capacity_being_freed(&mut self, key: &TaskKey, slot: u32) {
         let Some(freed) = self.step(&key.step).map(|(_, step, _)| step.occupied_capacity()) else { return };
         if let Some(worker) = self.worker_mut(slot) {
             worker.capacity_being_freed = worker.capacity_being_freed.plus(freed);
@@ -440,12 +443,17 @@
     }
 
     /// Drops a job and its placements; emits no record and stops no run.
-    pub fn remove_job(&mut self, id: &JobId) {
+    pub fn remove_job(&mut self, id: &JobId, now: Instant) {
         let placed: Vec<TaskKey> =
             self.placements.keys().filter(|key| key.step.job == *id).cloned().collect();
         for key in placed {
             self.remove_placement(&key);
         }
+        let copies = self.copies.keys().filter(|(key, _)| key.step.job == *id).cloned();
+        let copies: Vec<(TaskKey, RunNumber)> = copies.collect();
+        for (key, run) in copies {
+            CopyKeeper { state: self, now }.remove(&key, run);
+        }
         self.clear_waiting(id);
         self.jobs.remove(id);
     }
@@ -478,5 +486,10 @@
                 self.stop(&key.task(index), "job_ended", now);
             }
         }
+        let copies = self.copies.keys().filter(|(key, _)| key.step.job == *id).cloned();
+        let copies: Vec<(TaskKey, RunNumber)> = copies.collect();
+        for (key, run) in copies {
+            CopyKeeper { state: self, now }.stop(&key, run, "job_ended");
+        }
     }
 }
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -42,8 +42,10 @@
     pub used: ResourceVector,
     /// Part of `used` that becomes free once the tasks that are being stopped have ended.
     pub capacity_being_freed: ResourceVector,
-    /// Tasks that are placed on it.
+    /// Tasks whose current run is placed on it.
     pub tasks: FastSet<TaskKey>,
+    /// Runs on it beside the current run of their task.
+    pub copies: FastSet<(TaskKey, RunNumber)>,
     /// Failures of tasks on the worker since the last success there.
     pub health: WorkerHealth,
     /// Forecasts from its reports that proved far too long, less those that proved right.
@@ -75,6 +77,7 @@
             used: ResourceVector::default(),
             capacity_being_freed: ResourceVector::default(),
             tasks: FastSet::default(),
+            copies: FastSet::default(),
             health: WorkerHealth::default(),
             misleading_forecasts: 0,
             slow_until: None,
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellRecord, CellState, EndCause, EndSource, ExpectationSource, JobStatus, PlacementPhase, RunForecast,
-    StepExpectations, TaskKey, TaskPlacement,
+    CellRecord, CellState, CopyKeeper, EndCause, EndSource, ExpectationSource, JobStatus, PlacementPhase,
+    RunForecast, StepExpectations, TaskKey, TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -35,7 +35,11 @@
     ) -> bool {
         let is_current = self.state.placements.get(key).is_some_and(|placement| placement.run == run);
         if !is_current {
-            return self.apply_late_end(key, run, cause);
+            let copy = CopyKeeper { state: self.state, now: self.now }.remove(key, run);
+            return match copy {
+                Some(placement) => self.apply_copy_end(key, run, cause, checkpoint, &placement),
+                None => self.apply_late_end(key, run, cause),
+            };
         }
         let Some(placement) = self.state.remove_placement(key) else { return false };
         self.learn_stop_time(&placement, cause);
@@ -46,6 +50,7 @@
             EndCause::Done => {
                 self.record_success(key, &placement);
                 self.apply_done(key);
+                CopyKeeper { state: self.state, now: self.now }.stop_all_of(key);
             }
             EndCause::Failed => self.apply_failure(key, run, &placement),
             EndCause::Stopped | EndCause::LeaseExpired | EndCause::GangBroken | EndCause::GangIncomplete => {
@@ -59,6 +64,35 @@
         true
     }
 
+    /// Applies the end of a copy. The first run of a task that is done counts; the others are stopped.
+    fn apply_copy_end(
+        &mut self,
+        key: &TaskKey,
+        run: RunNumber,
+        cause: EndCause,
+        checkpoint: Option<CheckpointId>,
+        placement: &TaskPlacement,
+    ) -> bool {
+        self.learn_stop_time(placement, cause);
+        let record = CellRecord::Ended(key.clone(), run, cause, checkpoint);
+        self.state.record_end(record, self.reporter.unwrap_or(placement.slot), EndSource::Copy);
+        let is_open = self.state.jobs.get(&key.step.job).is_some_and(|job| !job.status.is_final())
+            && self.state.task_mut(key).is_some_and(|task| !task.done);
+        if is_open {
+            match cause {
+                EndCause::Done => {
+                    self.record_success(key, placement);
+                    self.apply_done(key);
+                    CopyKeeper { state: self.state, now: self.now }.stop_all_of(key);
+                }
+                EndCause::Failed => self.apply_failure(key, run, placement),
+                _ => self.state.requeue(key),
+            }
+        }
+        self.state.complete_if_done(&key.step.job, self.now);
+        true
+    }
+
     /// Counts a success for the worker, and adds the run time of a completed task to the averages of its
     /// queue and its step.
     fn record_success(&mut self, key: &TaskKey, placement: &TaskPlacement) {
--- a/src/kernel/cell/job_snapshot.rs
+++ b/src/kernel/cell/job_snapshot.rs
@@ -1,8 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::kernel::cell::{
-    CellJob, CellState, GraphSpec, JobStatus, OccurrenceState, PlacementPhase, StepKey, StepState, TaskKey,
-    TaskPlacement,
+    CellJob, CellState, CopyKeeper, GraphSpec, JobStatus, OccurrenceState, PlacementPhase, StepKey,
+    StepState, TaskKey, TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -24,6 +24,9 @@
     pub occurrences: Vec<OccurrenceSnapshot>,
     /// Current runs of placed tasks, with their workers.
     pub placed: Vec<(TaskKey, RunNumber, WorkerId)>,
+    /// The runs beside the current run of their task, with their workers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub copies: Vec<(TaskKey, RunNumber, WorkerId)>,
 }
 
 /// State of one occurrence of a job.
@@ -72,6 +75,7 @@
             steps: occurrence.steps.iter().map(StepSnapshot::of).collect(),
         });
         let placed = if job.placed > 0 { placed_runs(state, job) } else { Vec::new() };
+        let copies = if job.placed > 0 { copies(state, job) } else { Vec::new() };
         Self {
             spec: job.spec.clone(),
             status: job.status,
@@ -79,6 +83,7 @@
             next_occurrence: job.next_occurrence,
             occurrences: occurrences.collect(),
             placed,
+            copies,
         }
     }
 
@@ -93,6 +98,7 @@
             next_occurrence: job.next_occurrence,
             occurrences: Vec::new(),
             placed: Vec::new(),
+            copies: Vec::new(),
         }
     }
 
@@ -105,7 +111,7 @@
         now: Instant,
     ) {
         let id = self.spec.id.clone();
-        state.remove_job(&id);
+        state.remove_job(&id, now);
         let mut job = CellJob::new(self.spec.clone(), now, self.excess);
         job.status = self.status;
         job.closed_at = self.status.is_final().then_some(now);
@@ -121,6 +127,13 @@
         for number in numbers {
             state.enqueue_ready_steps(&id, number, now);
         }
+        // The current run of a task is added last, so that no copy takes its place.
+        for (task, run, worker) in self.copies {
+            let slot = slot_of(state, worker);
+            state.add_placement(&task, TaskPlacement::new(slot, run, PlacementPhase::Inherited, now));
+            CopyKeeper { state, now }.demote(&task);
+            state.requeue(&task);
+        }
         for (task, run, worker) in self.placed {
             let slot = slot_of(state, worker);
             state.add_placement(&task, TaskPlacement::new(slot, run, PlacementPhase::Inherited, now));
@@ -167,6 +180,15 @@
     }
 }
 
+/// Returns the runs of a job beside the current run of their task.
+fn copies(state: &CellState, job: &CellJob) -> Vec<(TaskKey, RunNumber, WorkerId)> {
+    let copies = state.copies.iter().filter(|((task, _), _)| task.step.job == job.spec.id);
+    let copies = copies.filter_map(|((task, run), placement)| {
+        Some((task.clone(), *run, state.worker(placement.slot)?.listing.worker.clone()))
+    });
+    copies.collect()
+}
+
 fn placed_runs(state: &CellState, job: &CellJob) -> Vec<(TaskKey, RunNumber, WorkerId)> {
     let mut placed = Vec::new();
     for (occurrence, occurrence_state) in &job.occurrences {
--- a/src/kernel/cell/lease_watch.rs
+++ b/src/kernel/cell/lease_watch.rs
@@ -1,4 +1,6 @@
-use crate::kernel::cell::{CellEffect, CellNotice, CellRecord, CellState, CellWorker, LossCause, TaskKey};
+use crate::kernel::cell::{
+    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey,
+};
 use crate::prelude::*;
 
 /// Time for which a worker has to be silent before its lease is bounded in the records: its lease can then only
@@ -27,13 +29,15 @@
             let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
             let unwatch = worker.watched && !worker.listed;
             let name = worker.listing.worker.clone();
-            if !tasks.is_empty() {
-                let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: tasks.len() };
+            let runs = tasks.len() + worker.copies.len();
+            if runs > 0 {
+                let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: runs };
                 self.state.effects.push(CellEffect::Log(notice));
             }
             for task in tasks {
                 self.state.mark_lost(&task, LossCause::LeaseExpired, self.now);
             }
+            CopyKeeper { state: self.state, now: self.now }.mark_lost_on(slot, LossCause::LeaseExpired);
             if unwatch && let Some(worker) = self.state.worker_mut(slot) {
                 worker.watched = false;
                 self.state.effects.push(CellEffect::Unwatch(name));
@@ -50,7 +54,8 @@
                 Some(recorded_at) => (recorded_at, BOUND_RECORD_INTERVAL),
                 None => (worker.silent_since, MIN_RECORDED_SILENCE),
             };
-            !worker.responsive && !worker.tasks.is_empty() && now.saturating_duration_since(since) >= interval
+            let has_runs = !worker.tasks.is_empty() || !worker.copies.is_empty();
+            !worker.responsive && has_runs && now.saturating_duration_since(since) >= interval
         };
         let due = self.state.workers.iter_mut().filter(|worker| is_due(worker));
         let bounds = due.map(|worker| {
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -88,8 +88,9 @@
 pub use run_time_estimator::RunTimeEstimator;
 pub use skipped_records::SkippedRecords;
 pub use slow_runs::{
-    CallerSlack, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast, RunTimeProfile,
-    SlowRun, SlowRunEvidence, SlowRunState, SlowRunWatch, StepExpectations, StopCost,
+    CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast,
+    RunTimeProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState, SlowRunWatch, StepExpectations,
+    StopCost,
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellNotice, CellRecord, CellState, EndHandler, EndedRun, LossCause, PlacementPhase,
-    PollReport, RunningRun, StopCommand, TaskKey,
+    CellEffect, CellNotice, CellRecord, CellState, CopyKeeper, EndHandler, EndedRun, LossCause,
+    PlacementPhase, PollReport, RunningRun, StopCommand, TaskKey,
 };
 use crate::prelude::*;
 
@@ -33,13 +33,18 @@
         }
         self.note_handled(last);
         let mut present: FastSet<TaskKey> = FastSet::default();
+        let mut present_copies: FastSet<(TaskKey, RunNumber)> = FastSet::default();
         for reported in report.running {
-            if self.apply_running(&reported) {
+            if self.apply_running_copy(&reported) {
+                present_copies.insert((reported.task, reported.run));
+            } else if self.apply_running(&reported) {
                 present.insert(reported.task);
             }
         }
         if report.ends_complete {
             self.handle_absent(&present, report.poll_sent_at);
+            let mut keeper = CopyKeeper { state: self.state, now: self.now };
+            keeper.handle_absent(self.slot, &present_copies, report.poll_sent_at);
         }
         if last > 0
             && let Some(worker) = self.state.worker(self.slot)
@@ -78,7 +83,8 @@
         }
         worker.last_handled_end = 0;
         let slot = self.slot;
-        for placement in self.state.placements.values_mut().filter(|placement| placement.slot == slot) {
+        let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
+        for placement in runs.filter(|placement| placement.slot == slot) {
             (placement.stop_sent, placement.stop_confirmed) = (None, None);
         }
     }
@@ -126,6 +132,25 @@
         true
     }
 
+    /// Applies a reported run beside the current run of its task; returns whether it is one.
+    fn apply_running_copy(&mut self, reported: &RunningRun) -> bool {
+        let (slot, now) = (self.slot, self.now);
+        let copy = self.state.copies.get_mut(&(reported.task.clone(), reported.run));
+        let Some(placement) = copy.filter(|placement| placement.slot == slot) else { return false };
+        if !matches!(placement.phase, PlacementPhase::Running(_)) {
+            placement.phase = PlacementPhase::Running(now);
+        }
+        placement.note_progress(reported.percent, now);
+        let stop_reason = placement.stop_reason;
+        let job_ended = self.state.jobs.get(&reported.task.step.job).is_none_or(|job| job.status.is_final());
+        let done = self.state.task_mut(&reported.task).is_none_or(|task| task.done);
+        let needless = if job_ended { Some("job_ended") } else { done.then_some("copy_done") };
+        if let Some(reason) = stop_reason.or(needless) {
+            CopyKeeper { state: self.state, now }.stop(&reported.task, reported.run, reason);
+        }
+        true
+    }
+
     /// Stops a run that is not placed on this worker, so that its task can run elsewhere.
     fn stop_unexpected(&mut self, reported: &RunningRun) {
         let Some(worker) = self.state.worker(self.slot) else { return };
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellRecord, CellState, CellWorker, EndHandler, PlacementPhase, ReplayOutcome, StepKey, TaskPlacement,
-    WorkerListing,
+    CellRecord, CellState, CellWorker, CopyKeeper, EndHandler, PlacementPhase, ReplayOutcome, StepKey,
+    TaskPlacement, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -43,7 +43,13 @@
                 let slot = slot_of(self.state, worker, self.now);
                 // A start renews the lease; this owner thus did not go by the bound.
                 self.bound_lease(slot, None);
-                self.state.remove_placement(&task);
+                let may_have_copies = self.state.step(&task.step).is_some_and(|(_, step, _)| step.copies);
+                let newer = self.state.placements.get(&task).is_some_and(|placement| placement.run < run);
+                if may_have_copies && newer {
+                    CopyKeeper { state: self.state, now: self.now }.demote(&task);
+                } else {
+                    self.state.remove_placement(&task);
+                }
                 let placement = TaskPlacement::new(slot, run, PlacementPhase::Inherited, self.now);
                 self.state.add_placement(&task, placement);
             }
@@ -55,6 +61,8 @@
                 if self.state.placements.get(&task).is_some_and(|placement| placement.run == run) {
                     self.state.remove_placement(&task);
                     self.state.requeue(&task);
+                } else {
+                    CopyKeeper { state: self.state, now: self.now }.remove(&task, run);
                 }
             }
             CellRecord::LeaseBounds(bounds) => {
--- a/src/kernel/cell/run_end.rs
+++ b/src/kernel/cell/run_end.rs
@@ -27,6 +27,9 @@
     /// The worker reported the end of a run that had been marked as lost.
     #[display("late_report")]
     LateReport,
+    /// The worker reported the end of a run beside the current run of the task.
+    #[display("copy")]
+    Copy,
     /// The run counts as ended without a report of its end.
     #[display("{_0}")]
     Lost(LossCause),
--- a/src/kernel/cell/slow_runs/slow_run.rs
+++ b/src/kernel/cell/slow_runs/slow_run.rs
@@ -15,6 +15,20 @@
     Stalled,
 }
 
+/// What is done about a slow run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum SlowRunAction {
+    /// The run is stopped, and the task starts again once it has ended.
+    #[display("restart")]
+    Restart,
+    /// The run is stopped, and the task starts again without waiting for its end.
+    #[display("replace")]
+    Replace,
+    /// A second run of the task starts, and the first one that is done counts.
+    #[display("copy")]
+    Copy,
+}
+
 /// Why a run counts as slow, for the decision and for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlowRun {
--- a/src/kernel/cell/slow_runs/slow_run_watch.rs
+++ b/src/kernel/cell/slow_runs/slow_run_watch.rs
@@ -1,6 +1,7 @@
 use crate::kernel::cell::{
-    CallerSlack, CellEffect, CellNotice, CellState, PlacementPhase, RunForecast, SlowRun, SlowRunEvidence,
-    StepExpectations, TaskKey, TaskPlacement,
+    CallerSlack, CellEffect, CellNotice, CellState, CopyKeeper, PlacementPhase, RunForecast, SlowRun,
+    SlowRunAction, SlowRunEvidence, StepExpectations, StepKey, StepRank, StepWait, StopCost, TaskKey,
+    TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -14,6 +15,9 @@
 /// Remaining time of a run, as a multiple of the time until a new run would end, from which a restart is worth
 /// it: if the job misses its objective otherwise, and if not.
 const WORTHWHILE_FACTORS: (f64, f64) = (1.2, 2.0);
+/// Remaining time of a run, as a multiple of the time until a new run would end, above which the run is stopped
+/// rather than kept beside the new one: it would hardly end first.
+const MAX_COPY_FACTOR: f64 = 2.5;
 /// Bounds the restarts of one task as slow.
 const MAX_RESTARTS: u32 = 2;
 /// Time for which a worker that had a slow run is used last.
@@ -85,11 +89,47 @@
         if let Some(task) = self.state.task_mut(key) {
             task.slow_restarts += 1;
         }
-        let notice = CellNotice::SlowRun { worker, task: key.clone(), run: number, slow: run };
+        let action = self.action(key, &run);
+        let notice = CellNotice::SlowRun { worker, task: key.clone(), run: number, slow: run, action };
         self.state.effects.push(CellEffect::Log(notice));
-        let stalled = run.evidence == SlowRunEvidence::Stalled;
-        self.state.stop(key, if stalled { "stalled" } else { "too_slow" }, self.now);
-        self.state.break_gang(key, self.now);
+        if action == SlowRunAction::Restart {
+            let stalled = run.evidence == SlowRunEvidence::Stalled;
+            self.state.stop(key, if stalled { "stalled" } else { "too_slow" }, self.now);
+            self.state.break_gang(key, self.now);
+            return;
+        }
+        let mut keeper = CopyKeeper { state: self.state, now: self.now };
+        keeper.demote(key);
+        if action == SlowRunAction::Replace {
+            keeper.stop(key, number, "too_slow");
+        }
+        self.state.requeue(key);
+    }
+
+    /// Returns what is done about a slow run. A second run starts beside it only where the step allows that, the
+    /// job would be late otherwise, the limit of the team has room, and no step of the same or a higher priority
+    /// waits for room on a worker.
+    fn action(&self, key: &TaskKey, run: &SlowRun) -> SlowRunAction {
+        let Some((spec, step, state)) = self.state.step(&key.step) else { return SlowRunAction::Restart };
+        let allowed = step.copies && !step.gang && !step.long_running && run.misses_objective;
+        if !allowed || !step.need.fits(self.state.shares.remaining_allotment(&spec.team)) {
+            return SlowRunAction::Restart;
+        }
+        let rank = state.rank;
+        let waits_for_room = |(other_rank, other): &(StepRank, StepKey)| {
+            rank.is_some_and(|rank| other_rank.priority <= rank.priority)
+                && *other != key.step
+                && self.state.step(other).is_some_and(|(_, _, state)| {
+                    matches!(state.wait_reason, Some(StepWait::Room | StepWait::TeamLimit))
+                })
+        };
+        if self.state.ready.iter().any(waits_for_room) {
+            SlowRunAction::Restart
+        } else if run.left > run.rerun.mul_f64(MAX_COPY_FACTOR) {
+            SlowRunAction::Replace
+        } else {
+            SlowRunAction::Copy
+        }
     }
 
     /// Returns why a run is to be restarted; `None` if it is not.
@@ -143,7 +183,8 @@
         } else {
             1.0
         };
-        let restart_time = self.state.slow_runs.stop_cost.restart_time();
+        let stop_cost = &self.state.slow_runs.stop_cost;
+        let restart_time = if step.copies { StopCost::START_TIME } else { stop_cost.restart_time() };
         let rerun = expectation.run_time.mul_f64(part_left).saturating_add(restart_time);
         let slack = CallerSlack::of(self.state, &key.step, Some(&expectation));
         let misses_objective = slack.is_none_or(|slack| slack.left < left);
--- a/src/kernel/cell/slow_runs/stop_cost.rs
+++ b/src/kernel/cell/slow_runs/stop_cost.rs
@@ -4,8 +4,6 @@
 const INITIAL_STOP_TIME: Duration = Duration::from_millis(300);
 /// Longest time that counts for one stop, as a worker may be out of touch.
 const MAX_STOP_TIME: Duration = Duration::from_secs(2);
-/// Time from the end of a run to the start of the next one of the task.
-const START_TIME: Duration = Duration::from_millis(100);
 /// Part by which one stop moves the average.
 const NEWEST_WEIGHT: f64 = 0.05;
 
@@ -22,6 +20,9 @@
 }
 
 impl StopCost {
+    /// Time from the decision that a task starts again to the beginning of its run.
+    pub const START_TIME: Duration = Duration::from_millis(100);
+
     /// Adds the time from the stop of a run to its end.
     pub fn observe(&mut self, took: Duration) {
         let newest = took.min(MAX_STOP_TIME).mul_f64(NEWEST_WEIGHT);
@@ -31,6 +32,6 @@
     /// Returns the expected time from the decision to stop a run to the beginning of the next run.
     #[must_use]
     pub const fn restart_time(&self) -> Duration {
-        self.stop_time.saturating_add(START_TIME)
+        self.stop_time.saturating_add(Self::START_TIME)
     }
 }
--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -37,6 +37,9 @@
             if with_permits && state.permit_cache.is_denied(*slot) {
                 continue;
             }
+            if worker.copies.iter().any(|(task, _)| task.step == *pending.key) {
+                continue;
+            }
             let placed_on_worker = state.per_worker.get(slot).copied().unwrap_or_default();
             let allowed_by_worker_limit =
                 step.most_per_worker.map_or(u32::MAX, |limit| limit.saturating_sub(placed_on_worker));
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -1,5 +1,8 @@
 use crate::prelude::*;
 
+/// Time after which the stop of a run is sent again if it is not confirmed, as a command may get lost.
+const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(400);
+
 /// What is known about the start of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementPhase {
@@ -78,6 +81,19 @@
         self.reported_at = now;
     }
 
+    /// Notes that a command to stop the run is sent now; returns its reason and whether it is the first one.
+    /// `None` if no command is due: the stop is confirmed or was sent less than `STOP_RETRY_INTERVAL` ago.
+    pub fn request_stop(&mut self, reason: &'static str, now: Instant) -> Option<(&'static str, bool)> {
+        let due =
+            self.stop_sent.is_none_or(|sent| now.saturating_duration_since(sent) >= STOP_RETRY_INTERVAL);
+        if self.stop_confirmed.is_some() || !due {
+            return None;
+        }
+        self.stop_sent = Some(now);
+        let first = self.stop_reason.is_none();
+        Some((*self.stop_reason.get_or_insert(reason), first))
+    }
+
     /// Whether a poll that was sent at `poll_sent_at` and whose report lacks the run proves that it does
     /// not run.
     #[must_use]
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -56,9 +56,9 @@
                 job_known = *job_known, task_known = last_run.is_some(), last_run = last_run.unwrap_or_default();
                 "end of an unknown run is acknowledged");
         }
-        CellNotice::SlowRun { worker, task, run, slow } => {
+        CellNotice::SlowRun { worker, task, run, slow, action } => {
             let source = slow.source.map_or_else(|| "none".to_owned(), |source| source.to_string());
-            log::info!(task:%, run = *run, worker = &**worker, token = token, evidence:% = slow.evidence,
+            log::info!(task:%, run = *run, worker = &**worker, token = token, action:%, evidence:% = slow.evidence,
                 elapsed_ms = milliseconds(slow.elapsed), percent = slow.percent,
                 left_ms = milliseconds(slow.left), rerun_ms = milliseconds(slow.rerun),
                 expected_ms = milliseconds(slow.expected), source:%, misses_objective = slow.misses_objective;
--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -35,6 +35,8 @@
     pub store_seconds: Histogram,
     /// Start and stop commands to workers, by kind and outcome.
     pub commands: IntCounterVec,
+    /// Slow runs, by what was done about them.
+    pub slow_runs: IntCounterVec,
     /// Requests to workers for the progress of their runs, beside the usual polls.
     pub looks: IntCounter,
     /// Ended runs, by cause.
@@ -113,6 +115,7 @@
                 "Time from a submission or cancellation to its answer",
             )?,
             commands: counter("godwithaven_orders_total", "Orders to workers", &["kind", "outcome"])?,
+            slow_runs: counter("godwithaven_slow_runs_total", "Slow runs that were acted on", &["action"])?,
             looks,
             run_ends: counter("godwithaven_run_ends_total", "Ended runs", &["cause"])?,
             run_stops: counter("godwithaven_run_stops_total", "Stopped runs", &["reason"])?,
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,7 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellRecord, JobStatus, WorkerLease, WorkerListing, longest_real_time,
+    CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, JobStatus, WorkerLease, WorkerListing,
+    longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -252,7 +253,12 @@
                     log_run_end(&record, &end, self.token);
                     self.record(state, &record);
                 }
-                CellEffect::Log(notice) => log_notice(&notice, self.token),
+                CellEffect::Log(notice) => {
+                    if let CellNotice::SlowRun { action, .. } = &notice {
+                        self.metrics.slow_runs.with_label_values(&[&action.to_string()]).inc();
+                    }
+                    log_notice(&notice, self.token);
+                }
                 CellEffect::RequestPermits(request) => {
                     let message = AdvisorMessage::Request(request, self.own_sender.clone());
                     // The advisor task ends only with the process.
--- a/tests/cell_slow_runs.rs
+++ b/tests/cell_slow_runs.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
-use fixture_cell::{CellDriver, INCARNATION, cell, job, running, step, submit};
+use fixture_cell::{CellDriver, INCARNATION, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::ResourceVector;
-use godwithaven::kernel::cell::{CellEvent, CellNotice, EndCause, SlowRunEvidence, StepSpec};
+use godwithaven::kernel::cell::{
+    CellEvent, CellNotice, CellScheduler, CommandOutcome, EndCause, EndedRun, JobStatus, SlowRunAction,
+    SlowRunEvidence, StepSpec, TaskKey,
+};
 use googletest::prelude::*;
 
 /// Run time of the usual tasks.
@@ -204,3 +207,155 @@
     let progress = driver.scheduler.state().placements.values().next().map(|placement| placement.progress.0);
     verify_that!(progress, some(eq(0)))
 }
+
+/// Returns a cell with a job `j` of five tasks that may run twice, of which the first reports `percent` after 200 ms
+/// and the others the usual progress, and the worker of the slow run.
+fn cell_with_slow_run(percent: u32, copies: bool) -> (CellDriver, String) {
+    let mut driver = cell(4);
+    let mut spec = job("j", "urgent", vec![StepSpec { copies, ..step(5) }]);
+    spec.submitted -= RUN_TIME * 2;
+    submit(&mut driver, spec);
+    driver.advance(200);
+    for index in 1..5 {
+        report_progress(&mut driver, &[(&format!("j.0.0.{index}"), 25)]);
+    }
+    let slow = driver.started("j.0.0.0").expect("the task was started").worker.to_string();
+    report_progress(&mut driver, &[("j.0.0.0", percent)]);
+    (driver, slow)
+}
+
+/// Reports that a run of the first task of `j` ended on a worker that runs nothing else.
+fn end_run(driver: &mut CellDriver, worker: &str, run: u64, cause: EndCause) {
+    let task = TaskKey::parse("j.0.0.0").expect("the name is valid");
+    let ended = EndedRun { number: 100 + run, task, run, cause, checkpoint: None };
+    let running = driver.running_on(worker).into_iter().filter(|reported| reported.run != run);
+    let report = report(driver.now, running.collect(), vec![ended]);
+    driver.handle(CellEvent::WorkerPolled(worker.into(), report));
+}
+
+/// A task that must not run twice breaks that rule if it starts again before its slow run has ended.
+#[gtest]
+fn without_copies_a_task_starts_again_after_its_slow_run_has_ended() -> Result<()> {
+    let (mut driver, slow) = cell_with_slow_run(3, false);
+
+    let before = driver.started("j.0.0.0").or_fail()?.run;
+    end_run(&mut driver, &slow, 1, EndCause::Stopped);
+
+    verify_that!(before, eq(1))?;
+    verify_that!(driver.started("j.0.0.0").or_fail()?.run, eq(2))
+}
+
+/// Waiting for the end of a slow run makes a job late whose tasks may run twice.
+#[gtest]
+fn with_copies_a_task_starts_again_at_once_on_another_worker() -> Result<()> {
+    let (driver, slow) = cell_with_slow_run(2, true);
+
+    let second = driver.started("j.0.0.0").or_fail()?;
+    let action = |notice: &CellNotice| match notice {
+        CellNotice::SlowRun { action, .. } => Some(*action),
+        _ => None,
+    };
+
+    verify_that!(second.run, eq(2))?;
+    verify_that!(&*second.worker, not(eq(&*slow)))?;
+    verify_that!(slow_tasks(&driver), eq(&vec!["j.0.0.0".to_owned()]))?;
+    verify_that!(driver.notices.iter().find_map(action), some(eq(SlowRunAction::Replace)))
+}
+
+/// The end of a copy that is not counted wastes its work; one that is counted twice ends the job too early, and a copy
+/// that goes on occupies its worker.
+#[gtest]
+fn the_first_end_of_two_copies_counts_and_the_other_is_stopped() -> Result<()> {
+    for first_wins in [true, false] {
+        let (mut driver, slow) = cell_with_slow_run(11, true);
+        let second = driver.started("j.0.0.0").or_fail()?;
+        let stopped_early = driver.stops.len();
+        driver.advance(100);
+
+        let workers = [slow.clone(), second.worker.to_string()];
+        let (winner, loser) = if first_wins { (1, 2) } else { (2, 1) };
+        let worker_of = |run: u64| workers[usize::try_from(run).expect("the number is small") - 1].clone();
+        end_run(&mut driver, &worker_of(winner), winner, EndCause::Done);
+        let stops: Vec<u64> = driver.stops.iter().skip(stopped_early).map(|command| command.run).collect();
+        (1..5).for_each(|index| driver.end(&format!("j.0.0.{index}"), EndCause::Done));
+        let status = driver.scheduler.status("j");
+        end_run(&mut driver, &worker_of(loser), loser, EndCause::Done);
+        end_run(&mut driver, &worker_of(loser), loser, EndCause::Done);
+
+        verify_that!(second.run, eq(2))?;
+        verify_that!(stops, eq(&vec![loser]))?;
+        verify_that!(status, some(eq(JobStatus::Completed)))?;
+        verify_that!(driver.started("j.0.0.0").or_fail()?.run, eq(2))?;
+        let state = driver.scheduler.state();
+        verify_that!(state.copies.is_empty() && state.placements.is_empty(), eq(true))?;
+        let idle = |name: &String| {
+            let slot = state.slot(name).expect("the worker is known");
+            state.worker(slot).is_some_and(|worker| worker.used == ResourceVector::default())
+        };
+        verify_that!(workers.iter().all(idle), eq(true))?;
+    }
+    Ok(())
+}
+
+/// A copy on a worker that is gone must neither complete its task nor keep its team's share.
+#[gtest]
+fn a_copy_on_a_replaced_worker_leaves_the_task_with_its_other_run() -> Result<()> {
+    let (mut driver, slow) = cell_with_slow_run(11, true);
+    let second = driver.started("j.0.0.0").or_fail()?;
+    let task = TaskKey::parse("j.0.0.0").or_fail()?;
+
+    driver.handle(CellEvent::StopAnswered(task.clone(), 1, slow.into(), CommandOutcome::Replaced));
+
+    let state = driver.scheduler.state();
+    verify_that!(state.copies.is_empty(), eq(true))?;
+    verify_that!(state.placements.get(&task).map(|placement| placement.run), some(eq(second.run)))?;
+    verify_that!(driver.started("j.0.0.0").or_fail()?.run, eq(2))
+}
+
+/// A new owner that does not know of a copy starts another one, or never stops it.
+#[gtest]
+fn a_new_owner_adopts_both_copies() -> Result<()> {
+    let (mut driver, slow) = cell_with_slow_run(11, true);
+    let second = driver.started("j.0.0.0").or_fail()?;
+    let mut spec = job("j", "urgent", vec![StepSpec { copies: true, ..step(5) }]);
+    spec.submitted -= RUN_TIME * 2;
+
+    driver.scheduler = CellScheduler::new(driver.now);
+    submit(&mut driver, spec);
+    let records = driver.records.clone();
+    let starts = driver.starts.len();
+    for record in records {
+        driver.scheduler.replay(record, driver.now);
+    }
+    driver.scheduler.end_replay();
+    let workers = (0..4).map(|number| worker(&format!("w{number}"))).collect();
+    driver.answers_first_poll = false;
+    driver.handle(CellEvent::Configured(fixture_cell::config(None).into()));
+    driver.handle(CellEvent::WorkersListed(workers));
+    let first = report(driver.now, vec![running("j.0.0.0", 1, 10)], vec![]);
+    driver.handle(CellEvent::WorkerPolled(slow.as_str().into(), first));
+    let adopted = driver.scheduler.state().copies.len();
+    end_run(&mut driver, &second.worker, 2, EndCause::Done);
+
+    verify_that!(adopted, eq(1))?;
+    verify_that!(driver.starts.iter().skip(starts).any(|command| command.task.index == 0), eq(false))?;
+    let last = driver.stops.last().map(|command| (command.run, command.worker.to_string()));
+    verify_that!(last, some(eq(&(1, slow))))
+}
+
+/// A second copy must not take the room for which urgent work waits.
+#[gtest]
+fn no_copy_starts_while_urgent_work_waits_for_room() -> Result<()> {
+    let mut driver = cell(1);
+    let mut spec = job("j", "urgent", vec![StepSpec { copies: true, ..step(5) }]);
+    spec.submitted -= RUN_TIME * 2;
+    submit(&mut driver, spec);
+    submit(&mut driver, job("other", "urgent", vec![step(12)]));
+    driver.advance(200);
+
+    (1..5).for_each(|index| report_progress(&mut driver, &[(&format!("j.0.0.{index}"), 25)]));
+    report_progress(&mut driver, &[("j.0.0.0", 3)]);
+
+    verify_that!(slow_tasks(&driver), eq(&vec!["j.0.0.0".to_owned()]))?;
+    verify_that!(driver.scheduler.state().copies.is_empty(), eq(true))
+}
