--- a/src/kernel/cell/slow_runs/slow_run_watch.rs
+++ b/src/kernel/cell/slow_runs/slow_run_watch.rs
@@ -117,7 +117,7 @@
         }
         let rank = state.rank;
         let waits_for_room = |(other_rank, other): &(StepRank, StepKey)| {
-            rank.is_some_and(|rank| other_rank.priority <= rank.priority)
+            rank.is_some_and(|rank| other_rank.class <= rank.class && other_rank.priority <= rank.priority)
                 && *other != key.step
                 && self.state.step(other).is_some_and(|(_, _, state)| {
                     matches!(state.wait_reason, Some(StepWait::Room | StepWait::TeamLimit))
