--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -1,5 +1,5 @@
 use crate::kernel::WorkerHealth;
-use crate::kernel::cell::{StepSpec, TaskKey, WorkerListing};
+use crate::kernel::cell::{RunnerProfile, StepSpec, TaskKey, WorkerListing};
 use crate::prelude::*;
 
 /// Time for which nothing is started on a worker after tasks of several jobs failed there.
@@ -48,6 +48,8 @@
     pub copies: FastSet<(TaskKey, RunNumber)>,
     /// Failures of tasks on the worker since the last success there.
     pub health: WorkerHealth,
+    /// Run times on it relative to those elsewhere.
+    pub profile: RunnerProfile,
     /// Forecasts from its reports that proved far too long, less those that proved right.
     pub misleading_forecasts: u32,
     /// Until when the worker is the last choice, as a slow run was stopped on it.
@@ -79,6 +81,7 @@
             tasks: FastSet::default(),
             copies: FastSet::default(),
             health: WorkerHealth::default(),
+            profile: RunnerProfile::default(),
             misleading_forecasts: 0,
             slow_until: None,
             suspended_until: None,
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -113,7 +113,10 @@
         let profiles = &mut self.state.slow_runs;
         profiles.estimate_profiles.entry(queue.clone()).or_default().observe(estimate, took);
         if let Some(siblings) = siblings.filter(|siblings| siblings.source == ExpectationSource::Siblings) {
-            profiles.sibling_profiles.entry(queue).or_default().observe(siblings.run_time, took);
+            profiles.sibling_profiles.entry(queue.clone()).or_default().observe(siblings.run_time, took);
+            if let Some(worker) = self.state.worker_mut(placement.slot) {
+                worker.profile.observe(&queue, took, siblings.run_time, self.now);
+            }
         }
         if let Some(state) = self.state.step_mut(&key.step) {
             state.completed_run_times.push(took);
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -89,8 +89,8 @@
 pub use skipped_records::SkippedRecords;
 pub use slow_runs::{
     CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast,
-    RunTimeProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState, SlowRunWatch, StepExpectations,
-    StopCost,
+    RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState, SlowRunWatch,
+    StepExpectations, StopCost,
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
--- a/src/kernel/cell/start_pass/candidate.rs
+++ b/src/kernel/cell/start_pass/candidate.rs
@@ -5,10 +5,12 @@
 /// The derived order puts the best worker first, so the order of the fields matters.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Candidate {
-    /// Whether a straggler was stopped on the worker a short time ago; such workers come last.
+    /// Whether a slow run was stopped on the worker a short time ago; such workers come last.
     pub(super) had_recent_straggler: bool,
     /// Whether the worker is outside the preferred rack of the step; those on that rack come first.
     pub(super) off_rack: bool,
+    /// Whether tasks of the queue take longer on the worker than elsewhere; false for steps that are not urgent.
+    pub(super) slow_for_queue: bool,
     /// Free part of the capacity in thousandths, negated for steps with accelerators.
     pub(super) score: Reverse<i64>,
     pub(super) slot: u32,
--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -15,7 +15,7 @@
     /// Returns the workers of the search window and of the preferred rack that may run tasks of the step,
     /// best first, including those without free capacity.
     pub(super) fn candidates(&self, pending: &PendingStep<'_>) -> Vec<Candidate> {
-        let Some((_, step, state)) = self.state.step(pending.key) else { return Vec::new() };
+        let Some((spec, step, state)) = self.state.step(pending.key) else { return Vec::new() };
         let Some(pool) = self.state.pools.get(&pending.rule.service) else { return Vec::new() };
         let with_permits = pending.rule.permits.is_some();
         let mut candidates = Vec::new();
@@ -53,10 +53,13 @@
             let fitting = u32::try_from(fitting).unwrap_or(u32::MAX).min(allowed_by_worker_limit);
             let off_rack = step.rack.as_ref().is_some_and(|rack| worker.listing.rack.as_ref() != Some(rack));
             let score = Reverse(score(step, free, capacity));
+            let slow_for_queue =
+                pending.rule.priority == 0 && worker.profile.is_slow_for(&spec.queue, self.now);
             let had_recent_straggler = worker.had_recent_straggler(self.now);
             candidates.push(Candidate {
                 had_recent_straggler,
                 off_rack,
+                slow_for_queue,
                 score,
                 slot: *slot,
                 fitting,
--- a/tests/cell_slow_runs.rs
+++ b/tests/cell_slow_runs.rs
@@ -359,3 +359,40 @@
     verify_that!(slow_tasks(&driver), eq(&vec!["j.0.0.0".to_owned()]))?;
     verify_that!(driver.scheduler.state().copies.is_empty(), eq(true))
 }
+
+/// Urgent tasks on workers that are known to be slow miss objectives that other workers would meet.
+#[gtest]
+fn urgent_tasks_prefer_workers_that_are_not_slow() -> Result<()> {
+    let mut driver = cell(4);
+    for number in 0..10 {
+        let id = format!("wide{number}");
+        submit(&mut driver, job(&id, "urgent", vec![step(8)]));
+        let tasks: Vec<String> = (0..8).map(|index| format!("{id}.0.0.{index}")).collect();
+        let on_slow = |driver: &CellDriver, task: &String| {
+            driver.started(task).is_some_and(|command| &*command.worker == "w0")
+        };
+        let (slow, usual): (Vec<String>, Vec<String>) =
+            tasks.into_iter().partition(|task| on_slow(&driver, task));
+        driver.advance(1_000);
+        for task in &usual {
+            driver.end(task, EndCause::Done);
+        }
+        driver.advance(500);
+        for task in &slow {
+            driver.end(task, EndCause::Done);
+        }
+    }
+
+    let before = driver.starts.len();
+    submit(&mut driver, job("urgent", "urgent", vec![step(3)]));
+    submit(&mut driver, job("batch", "batch", vec![step(4)]));
+
+    let on_slow = |prefix: &str| {
+        let started = driver.starts.iter().skip(before);
+        started
+            .filter(|command| command.task.to_string().starts_with(prefix) && &*command.worker == "w0")
+            .count()
+    };
+    verify_that!(on_slow("urgent"), eq(0))?;
+    verify_that!(on_slow("batch"), ge(1))
+}
