--- a/src/kernel/cell/slow_runs/slow_run_watch.rs
+++ b/src/kernel/cell/slow_runs/slow_run_watch.rs
@@ -14,10 +14,13 @@
 const ELAPSED_FACTOR: f64 = 1.3;
 /// Remaining time of a run, as a multiple of the time until a new run would end, from which a restart is worth
 /// it: if the job misses its objective otherwise, and if not.
-const WORTHWHILE_FACTORS: (f64, f64) = (1.2, 2.0);
+const WORTHWHILE_FACTORS: (f64, f64) = (2.5, 3.0);
 /// Remaining time of a run, as a multiple of the time until a new run would end, above which the run is stopped
 /// rather than kept beside the new one: it would hardly end first.
-const MAX_COPY_FACTOR: f64 = 2.5;
+const MAX_COPY_FACTOR: f64 = 4.0;
+/// Failed attempts that a task must still be allowed to have for a second run beside a slow one: tasks that fail by
+/// their own fault fail in both.
+const MIN_ATTEMPTS_LEFT: u32 = 3;
 /// Bounds the restarts of one task as slow.
 const MAX_RESTARTS: u32 = 2;
 /// Time for which a worker that had a slow run is used last.
@@ -115,6 +118,9 @@
         if !allowed || !step.need.fits(self.state.shares.remaining_allotment(&spec.team)) {
             return SlowRunAction::Restart;
         }
+        let max_attempts = self.state.config.queues.get(&spec.queue).map_or(0, |rule| rule.max_attempts);
+        let failures = state.tasks.get(key.index as usize).map_or(0, |task| task.failures);
+        let attempts_left = max_attempts.saturating_sub(failures);
         let rank = state.rank;
         let waits_for_room = |(other_rank, other): &(StepRank, StepKey)| {
             rank.is_some_and(|rank| other_rank.class <= rank.class && other_rank.priority <= rank.priority)
@@ -125,7 +131,7 @@
         };
         if self.state.ready.iter().any(waits_for_room) {
             SlowRunAction::Restart
-        } else if run.left > run.rerun.mul_f64(MAX_COPY_FACTOR) {
+        } else if attempts_left < MIN_ATTEMPTS_LEFT || run.left > run.rerun.mul_f64(MAX_COPY_FACTOR) {
             SlowRunAction::Replace
         } else {
             SlowRunAction::Copy
--- a/src/kernel/cell/slow_runs/step_expectations.rs
+++ b/src/kernel/cell/slow_runs/step_expectations.rs
@@ -4,11 +4,11 @@
 /// Number of tasks of a step, with ended runs or a forecast, from which they are compared with each other.
 const MIN_SIBLINGS: usize = 3;
 /// Quantile of the run times of a queue up to which runs are usual; about one run in thirty is far slower.
-const USUAL_QUANTILE: f64 = 0.9;
+const USUAL_QUANTILE: f64 = 0.97;
 /// Factor on the usual run time up to which a run is not slow.
 const TOLERANCE: f64 = 1.4;
 /// Bounds the run time up to which a run is not slow, as a multiple of the median of its step.
-const SIBLING_FACTORS: (f64, f64) = (1.8, 4.0);
+const SIBLING_FACTORS: (f64, f64) = (2.0, 4.0);
 /// The same while too few runs of the queue are known.
 const UNKNOWN_SIBLING_FACTOR: f64 = 2.5;
 
