--- a/tests/cell_session.rs
+++ b/tests/cell_session.rs
@@ -231,3 +231,28 @@
 
     verify_that!((listed, configured), eq((0, false)))
 }
+
+/// Guards against an account of past use that cannot be switched off, and against a half-life that is ignored because
+/// it cannot be read.
+#[gtest]
+#[actix_rt::test]
+async fn the_settings_give_the_half_life_of_past_use() -> Result<()> {
+    let platform = start_platform("half_life", 0).await;
+    platform.token.cancel();
+    let path = write_settings(&platform, "e1", 1);
+    let text = std::fs::read_to_string(&path)?;
+    let (adapter, _) = CellAdapter::find(|_| Some(String::new())).or_fail()?;
+    let load = |line: &str| {
+        std::fs::write(&path, format!("{text}{line}\n")).expect("the file can be written");
+        let settings = (adapter.load)(&path.to_string_lossy());
+        settings.map(|settings| settings.usage_half_life).map_err(|fault| fault.text)
+    };
+
+    let (usual, off) = (load(""), load("usage.half_life_s=0"));
+    let (minute, malformed) = (load("usage.half_life_s=60"), load("usage.half_life_s=-1"));
+
+    verify_that!(usual, ok(eq(&Duration::from_secs(4 * 3_600))))?;
+    verify_that!(off, ok(eq(&Duration::ZERO)))?;
+    verify_that!(minute, ok(eq(&Duration::from_secs(60))))?;
+    verify_that!(malformed, err(contains_substring("usage.half_life_s")))
+}
