--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -13,7 +13,7 @@
 use godwithaven::tasks::cell::intake::{CallAction, IntakeMessage};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::operator_pages::OperatorPages;
-use godwithaven::tasks::connections::ClientAccess;
+use godwithaven::tasks::client_access::ClientAccess;
 use googletest::prelude::*;
 use serde_json::Value;
 use tokio::net::TcpListener;
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,11 +2,11 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, DiscardedRun, EndSource, GraphSpec,
-    JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom,
-    RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs,
-    StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait, StopCommand, SubmitRate,
-    TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
+    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, DiscardedRun, EndSource,
+    EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats,
+    PlacementPhase, PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState,
+    StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait,
+    StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
 };
 use crate::prelude::*;
 
@@ -46,6 +46,8 @@
     pub ready: BTreeSet<(StepRank, StepKey)>,
     /// Resources that each team uses, and its limit, which is called allotment there.
     pub shares: ShareAccounting,
+    /// How much longer than estimated the tasks of each queue may take.
+    pub estimate_ratios: EstimateRatios,
     /// How the past use of the teams corrects the order of starts; nothing while past use is not accounted for.
     pub usage_correction: UsageCorrection,
     /// How long the store keeps records; `None` if they do not expire.
@@ -161,6 +163,7 @@
     /// Updates the rank of each ready step whose class, lateness or team standing has changed since it was
     /// ranked, or whose correction for past use has become smaller.
     pub fn rerank(&mut self, now: Instant) {
+        self.estimate_ratios.update(&self.slow_runs.estimate_profiles);
         self.compare_shares();
         let stale: Vec<(StepRank, StepKey, StepRank)> = self
             .ready
--- a/src/kernel/cell/permits/permit_planner.rs
+++ b/src/kernel/cell/permits/permit_planner.rs
@@ -2,12 +2,12 @@
 
 /// Bounds the workers that one permit request may name; the advisor accepts no more.
 const MAX_WORKERS_PER_REQUEST: usize = 100;
+/// Bounds the unknown workers that a request of a step other than a gang names: its tasks start one by one, so that
+/// further workers are asked about when they are needed.
+const MAX_UNKNOWN_WORKERS: usize = 40;
 /// Number of workers that a first request names at least, if there are as many: the verdicts are used again when
 /// the step waits for longer, and a worker costs little beside the request.
 const MIN_WORKERS_PER_REQUEST: usize = 40;
-/// Blocked steps per kind of demand that learn their verdicts whether or not room is expected, so that room can be
-/// reserved for them.
-const MAX_STEPS_ASKING_EARLY: usize = 4;
 /// Tasks that the named workers should hold by the grant rate, as a multiple of the wanted ones.
 const SPARE_FACTOR: f64 = 1.5;
 
@@ -51,7 +51,7 @@
 
     fn plan_first(&self, unknown: &[PermitOption]) -> PermitPlan {
         let fitting = sum(unknown.iter(), |option| option.fitting_soon);
-        let early = self.demand.may_preempt || self.demand.position <= MAX_STEPS_ASKING_EARLY;
+        let early = self.demand.asks_early;
         if unknown.is_empty() || (fitting == 0 && !early) {
             return PermitPlan::Skip(PermitSkip::NoRoom);
         }
@@ -126,11 +126,13 @@
         #[expect(clippy::cast_precision_loss, reason = "the counts are small")]
         let competing = self.demand.claimed_tasks as f64 * self.demand.grant_rate;
         let wanted = f64::from(self.demand.missing) * SPARE_FACTOR + competing;
+        let most = if self.demand.gang { MAX_WORKERS_PER_REQUEST } else { MAX_UNKNOWN_WORKERS + named };
+        let most = most.min(MAX_WORKERS_PER_REQUEST);
         let mut expected = 0.0;
         let mut slots = Vec::new();
         for option in by_room {
             let count = slots.len() + named;
-            if count >= MAX_WORKERS_PER_REQUEST || (count >= MIN_WORKERS_PER_REQUEST && expected >= wanted) {
+            if count >= most || (count >= MIN_WORKERS_PER_REQUEST && expected >= wanted) {
                 break;
             }
             expected += f64::from(option.fitting_soon) * self.demand.grant_rate;
@@ -145,12 +147,12 @@
     }
 
     /// Returns the number of tasks that have to fit so that a further request is of use: all tasks of a gang, or
-    /// half of the waiting ones of another step.
+    /// as many of another step as are worth a request.
     fn needed_tasks(&self) -> u64 {
         match self.demand {
             PermitDemand { gang: true, missing, .. } => u64::from(missing),
             PermitDemand { accepts_small_batch: true, position: ..=Self::MAX_STEPS_AT_FRONT, .. } => 1,
-            PermitDemand { waiting, .. } => u64::from(waiting.div_ceil(2)),
+            PermitDemand { worthwhile_tasks, .. } => u64::from(worthwhile_tasks),
         }
     }
 }
--- a/src/kernel/connections/connection_capacity.rs
+++ b/src/kernel/connections/connection_capacity.rs
@@ -8,11 +8,14 @@
 pub const MAX_DESCRIPTORS: usize = 1 << 20;
 
 /// Bytes of a connection beside its buffers: the task and the entries in tables.
-const OVERHEAD_BYTES: usize = 4_096;
+const OVERHEAD_BYTES: usize = 12_288;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Part of the memory for the buffers of bodies and heads, and the same part for what each connection needs.
 const MEMORY_SHARE: usize = 6;
+/// Part of the memory for answers that clients have not received. It is larger, as an answer to a request that has
+/// run cannot be refused.
+const ANSWER_SHARE: usize = 3;
 /// Part of the descriptors for connections of clients; the others are for workers, the store and other
 /// processes.
 const DESCRIPTOR_SHARE: usize = 2;
@@ -32,8 +35,12 @@
     pub callers_per_address: usize,
     /// Connections of operators and readiness checks.
     pub operators: usize,
-    /// Bytes that all connections together may buffer beyond [`INCLUDED_BYTES`] each.
+    /// Connections of other entry processes.
+    pub peers: usize,
+    /// Bytes of requests that all connections together may buffer beyond [`INCLUDED_BYTES`] each.
     pub bytes: usize,
+    /// Bytes of answers that clients have not received, beyond the same.
+    pub answer_bytes: usize,
 }
 
 impl ConnectionCapacity {
@@ -52,7 +59,9 @@
             callers,
             callers_per_address: callers - callers / 4,
             operators,
+            peers: (by_descriptors / DESCRIPTOR_SHARE).max(MIN_CONNECTIONS),
             bytes: (memory / MEMORY_SHARE).max(MIN_BYTES),
+            answer_bytes: (memory / ANSWER_SHARE).max(MIN_BYTES),
         }
     }
 
@@ -62,6 +71,7 @@
         match class {
             ConnectionClass::Caller => self.callers,
             ConnectionClass::Operator => self.operators,
+            ConnectionClass::Peer => self.peers,
         }
     }
 
@@ -71,6 +81,7 @@
         match class {
             ConnectionClass::Caller => self.callers_per_address,
             ConnectionClass::Operator => self.operators,
+            ConnectionClass::Peer => self.peers,
         }
     }
 }
--- a/src/plugins/http/connection.rs
+++ b/src/plugins/http/connection.rs
@@ -7,7 +7,8 @@
 use actix_http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, Method, Response, ServiceConfig, StatusCode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use futures_util::FutureExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant as Deadline;
@@ -16,7 +17,8 @@
 
 use crate::kernel::connections::{ClientLimits, ConnectionPhase, INCLUDED_BYTES, RequestFault};
 use crate::plugins::http::BufferedRequest;
-use crate::plugins::http::request_reader::{ReadStep, RequestReader};
+use crate::plugins::http::read_step::ReadStep;
+use crate::plugins::http::request_reader::RequestReader;
 use crate::plugins::http::server::RefusalEncoder;
 use crate::prelude::*;
 use crate::tasks::connection_lease::ConnectionLease;
@@ -80,7 +82,12 @@
                 Ok(request) => {
                     self.lease.set_phase(ConnectionPhase::Handling);
                     let is_head = *request.method() == Method::HEAD;
-                    let response = handler(request).await;
+                    let response = tokio::select! {
+                        biased;
+                        response = handler(request) => response,
+                        // The connection is broken, so nobody waits for the answer any more.
+                        _ = self.stream.ready(Interest::ERROR) => return,
+                    };
                     if !self.answer(response, is_head).await {
                         return;
                     }
@@ -102,7 +109,7 @@
     async fn read_request(&mut self) -> Result<BufferedRequest, ReadEnd> {
         self.reader.allow(INCLUDED_BYTES);
         if self.reader.is_idle() {
-            self.await_first_byte().await?;
+            self.await_first_bytes().await?;
         }
         let limits = *self.limits.borrow();
         let started = Deadline::now();
@@ -138,16 +145,25 @@
         }
     }
 
-    /// Waits for a request, without a buffer.
-    async fn await_first_byte(&mut self) -> Result<(), ReadEnd> {
-        self.reader.free_input();
-        let idle_timeout = self.limits.borrow().idle_timeout;
-        tokio::select! {
-            biased;
-            readable = self.stream.readable() => readable.map_err(|_| ReadEnd::Closed),
-            () = self.lease.evicted.cancelled() => Err(ReadEnd::Closed),
-            () = self.stopping.cancelled() => Err(ReadEnd::Closed),
-            () = tokio::time::sleep(idle_timeout) => Err(ReadEnd::Closed),
+    /// Waits for the first bytes of a request, without a buffer, and reads them.
+    async fn await_first_bytes(&mut self) -> Result<(), ReadEnd> {
+        let deadline = Deadline::now() + self.limits.borrow().idle_timeout;
+        loop {
+            self.reader.free_input();
+            tokio::select! {
+                biased;
+                readable = self.stream.readable() => readable.map_err(|_| ReadEnd::Closed)?,
+                () = self.lease.evicted.cancelled() => return Err(ReadEnd::Closed),
+                () = self.stopping.cancelled() => return Err(ReadEnd::Closed),
+                () = tokio::time::sleep_until(deadline) => return Err(ReadEnd::Closed),
+            }
+            let (input, room) = self.reader.input();
+            match self.stream.read_buf(&mut input.limit(room)).now_or_never() {
+                Some(Ok(0) | Err(_)) => return Err(ReadEnd::Closed),
+                Some(Ok(_)) => return Ok(()),
+                // The last read had taken all bytes without noticing that there were no more.
+                None => {}
+            }
         }
     }
 
@@ -244,7 +260,7 @@
     /// Sends the rest of an answer to a client that reads slowly; returns whether all of it was sent.
     async fn send_rest(&mut self, mut head: BytesMut, mut body: Bytes) -> bool {
         let extra = (head.len() + body.len()).saturating_sub(INCLUDED_BYTES);
-        self.lease.hold(extra);
+        self.lease.hold_answer(extra);
         self.lease.set_phase(ConnectionPhase::Answering);
         let limits = *self.limits.borrow();
         let evicted = self.lease.evicted.clone();
@@ -282,7 +298,7 @@
     async fn answer_fault(&mut self, fault: RequestFault) {
         self.reader.clear();
         self.lease.report_fault(fault);
-        self.lease.hold(0);
+        self.lease.hold_answer(0);
         let Some((head, body)) = self.encode_fault(fault) else { return };
         if !matches!(self.try_send(head, body), Ok(None)) || self.stream.shutdown().await.is_err() {
             return;
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -22,6 +22,7 @@
 pub mod pending_refusal;
 pub mod ports;
 pub mod process;
+mod process_listeners;
 pub mod record_codec;
 mod recovery;
 mod recovery_summary;
--- a/src/tasks/cell/operator_pages.rs
+++ b/src/tasks/cell/operator_pages.rs
@@ -15,7 +15,7 @@
 use crate::prelude::*;
 use crate::tasks::cell::intake::{CallAction, CellCall, IntakeMessage, JobSubmission};
 use crate::tasks::cell::metrics::CellMetrics;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 
 /// Path at which a job is described and its forecast is returned.
 pub const FORECAST_PATH: &str = "/v1/forecast";
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -2,8 +2,6 @@
 
 use actix_rt::task::JoinHandle;
 use std::hash::{BuildHasher, BuildHasherDefault};
-use std::net::SocketAddr;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -22,9 +20,10 @@
 use crate::tasks::cell::operator_pages::OperatorPages;
 use crate::tasks::cell::peer::{self, CellService, OwnerRoute};
 use crate::tasks::cell::ports::{CellAdapter, FrontEndContext};
+use crate::tasks::cell::process_listeners::ProcessListeners;
 use crate::tasks::cell::settings::CellSettings;
 use crate::tasks::cell::submit_queue::SubmitQueue;
-use crate::tasks::connections::ClientAccess;
+use crate::tasks::client_access::ClientAccess;
 
 /// Additional delay before a process with a low CPU limit claims the cell, so that others claim it first.
 const LOW_CPU_CLAIM_DELAY: Duration = Duration::from_millis(900);
@@ -60,10 +59,7 @@
     /// Returns a fault if a socket cannot be bound, a metric is registered twice or no random number is
     /// available.
     pub async fn start(adapter: CellAdapter, settings: CellSettings) -> Result<Self, SettingFault> {
-        let listener = bind(settings.front_end_listen).await?;
-        let readiness_listener = bind(settings.readiness_listen).await?;
-        let peer_listener = bind(settings.peer_listen).await?;
-        let metrics_listener = bind(settings.metrics_listen).await?;
+        let listeners = ProcessListeners::bind(&settings).await?;
         let metrics = CellMetrics::new().map_err(|error| SettingFault { text: error.to_string() })?;
         let incarnation =
             getrandom::u64().map_err(|error| SettingFault { text: format!("no random numbers: {error}") })?;
@@ -90,7 +86,7 @@
             intake_sender: intake_sender.clone(),
             parse_job: adapter.parse_job,
         };
-        actix_rt::spawn(pages.serve(metrics_listener, access.clone(), token.clone()));
+        actix_rt::spawn(pages.serve(listeners.operators, access.clone(), token.clone()));
         let feed = ConfigFeed {
             adapter,
             store: store.clone(),
@@ -122,7 +118,7 @@
             claim_sender: claim_sender.clone(),
             intake_sender: intake_sender.clone(),
         };
-        actix_rt::spawn(peer::serve(peer_listener, service, token.clone()));
+        actix_rt::spawn(peer::serve(listeners.peers, service, access.clone(), token.clone()));
         let cpu_limit = settings.cpu_limit;
         let own_address: Arc<str> = settings.peer_listen.to_string().into();
         let claim_task = ClaimTask {
@@ -147,8 +143,8 @@
         };
         actix_rt::spawn(claim_task.run(claim_inbox, token.clone()));
         let front = FrontEndContext {
-            listener,
-            readiness_listener,
+            listener: listeners.front_end,
+            readiness_listener: listeners.readiness,
             access,
             intake_sender,
             draining: draining.clone(),
@@ -207,8 +203,3 @@
     let spread = Duration::from_millis(hash_vm(&settings.vm) % MAX_CLAIM_SPREAD_MS);
     if settings.cpu_limit < MIN_OWNER_MILLICORES { LOW_CPU_CLAIM_DELAY + spread } else { spread }
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, SettingFault> {
-    let fault = |error| SettingFault { text: format!("cannot listen on {address}: {error}") };
-    TcpListener::bind(address).await.map_err(fault)
-}
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -4,6 +4,7 @@
 pub mod adapter;
 pub mod admission;
 pub mod cell;
+pub mod client_access;
 pub mod connection_lease;
 pub mod connection_metrics;
 pub mod connections;
@@ -13,6 +14,7 @@
 pub mod forward;
 pub mod heartbeat;
 pub mod journal;
+mod leased_stream;
 pub mod metrics;
 pub mod operator;
 pub mod operator_view;
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -169,11 +169,11 @@
 fn demand(missing: u32) -> PermitDemand {
     PermitDemand {
         missing,
-        waiting: missing,
+        worthwhile_tasks: missing.div_ceil(2),
         gang: false,
         verdicts: 0,
         accepts_small_batch: true,
-        may_preempt: false,
+        asks_early: true,
         position: 1,
         claimed_tasks: 0,
         unused_renewals: 0,
@@ -280,7 +280,7 @@
 /// Steps behind others would ask for permits for room that these take.
 #[gtest]
 fn a_step_does_not_ask_for_room_that_steps_before_it_wait_for() -> Result<()> {
-    let behind = PermitDemand { position: 30, claimed_tasks: 4, ..demand(2) };
+    let behind = PermitDemand { asks_early: false, position: 30, claimed_tasks: 4, ..demand(2) };
     let options = [option(1, false, 0, 2), option(2, false, 0, 2)];
 
     let plan = PermitPlanner { demand: behind }.plan(&options);
@@ -300,6 +300,23 @@
     verify_that!(plan, eq(&PermitPlan::Request(PermitRequestKind::MoreWorkers, vec![2])))
 }
 
+/// Accelerators that wait for a ticket are the figure by which an operator sees that the advisor is the bottleneck;
+/// those that no waiting step could use must not count.
+#[gtest]
+fn accelerators_are_idle_for_want_of_a_ticket_only_if_a_waiting_step_fits_there() -> Result<()> {
+    let mut simulation = simulation(4, 1);
+    submit_all(&mut simulation, "fits", "middle", 1, &accelerated(1, 4));
+    submit_all(&mut simulation, "too-large", "middle", 1, &accelerated(1, 8));
+
+    let before = simulation.driver.scheduler.summary(simulation.driver.now).idle_accelerators;
+    simulation.run(Duration::from_secs(2));
+    let after = simulation.driver.scheduler.summary(simulation.driver.now).idle_accelerators;
+
+    // Without any answer, half of the workers count as granted.
+    verify_that!((before.without_ticket, before.without_verdict), eq((0, 2)))?;
+    verify_that!((after.without_ticket, after.without_verdict), eq((0, 0)))
+}
+
 /// An urgent request that waits for all bulk requests before it is answered too late.
 #[gtest]
 fn an_urgent_request_does_not_wait_for_bulk_requests() -> Result<()> {
