--- a/src/kernel/cell/permits/permit_planner.rs
+++ b/src/kernel/cell/permits/permit_planner.rs
@@ -2,9 +2,6 @@
 
 /// Bounds the workers that one permit request may name; the advisor accepts no more.
 const MAX_WORKERS_PER_REQUEST: usize = 100;
-/// Bounds the unknown workers that a request of a step other than a gang names: its tasks start one by one, so that
-/// further workers are asked about when they are needed.
-const MAX_UNKNOWN_WORKERS: usize = 40;
 /// Number of workers that a first request names at least, if there are as many: the verdicts are used again when
 /// the step waits for longer, and a worker costs little beside the request.
 const MIN_WORKERS_PER_REQUEST: usize = 40;
@@ -126,13 +123,11 @@
         #[expect(clippy::cast_precision_loss, reason = "the counts are small")]
         let competing = self.demand.claimed_tasks as f64 * self.demand.grant_rate;
         let wanted = f64::from(self.demand.missing) * SPARE_FACTOR + competing;
-        let most = if self.demand.gang { MAX_WORKERS_PER_REQUEST } else { MAX_UNKNOWN_WORKERS + named };
-        let most = most.min(MAX_WORKERS_PER_REQUEST);
         let mut expected = 0.0;
         let mut slots = Vec::new();
         for option in by_room {
             let count = slots.len() + named;
-            if count >= most || (count >= MIN_WORKERS_PER_REQUEST && expected >= wanted) {
+            if count >= MAX_WORKERS_PER_REQUEST || (count >= MIN_WORKERS_PER_REQUEST && expected >= wanted) {
                 break;
             }
             expected += f64::from(option.fitting_soon) * self.demand.grant_rate;
