--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,8 @@
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CellWorker,
-    CommandOutcome, CopyKeeper, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, LookPlanner, LossCause,
+    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
+    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LookPlanner,
     PlacementPhase, PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch,
-    StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerListing,
+    StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -101,7 +101,9 @@
         match event {
             CellEvent::Configured(config) => self.configure(config),
             CellEvent::ZonesClosed(zones) => self.set_closed_zones(zones),
-            CellEvent::WorkersListed(listings) => self.apply_listings(listings, now),
+            CellEvent::WorkersListed(listings) => {
+                ListingUpdate { state: &mut self.state, now }.apply(listings);
+            }
             CellEvent::Submitted(spec) => self.submit(spec, now),
             CellEvent::Cancelled(job) => self.cancel(job, now),
             CellEvent::PermitsAnswered { step, requested_workers, granted, validity } => {
@@ -115,14 +117,10 @@
                 }
             }
             CellEvent::StartAnswered(task, run, worker, outcome) => {
-                if self.accept_outcome(&task, run, &worker, outcome, now) {
-                    self.apply_start_outcome(&task, run, outcome, now);
-                }
+                CommandAnswer { state: &mut self.state, now }.apply_to_start(&task, run, &worker, outcome);
             }
             CellEvent::StopAnswered(task, run, worker, outcome) => {
-                if self.accept_outcome(&task, run, &worker, outcome, now) {
-                    self.apply_stop_outcome(&task, run, outcome, now);
-                }
+                CommandAnswer { state: &mut self.state, now }.apply_to_stop(&task, run, &worker, outcome);
             }
             CellEvent::WorkerPolled(worker, report) => self.apply_report(&worker, report, now),
             CellEvent::ProgressReported(worker, incarnation, running) => {
@@ -273,53 +271,6 @@
         self.state.closed_zones = zones;
     }
 
-    fn apply_listings(&mut self, listings: Vec<WorkerListing>, now: Instant) {
-        let listed_workers: FastSet<WorkerId> =
-            listings.iter().map(|listing| listing.worker.clone()).collect();
-        for worker in &mut self.state.workers {
-            worker.listed &= listed_workers.contains(&worker.listing.worker);
-        }
-        self.state.pools.clear();
-        self.state.racks.clear();
-        self.state.capacity = ResourceVector::default();
-        for listing in listings {
-            self.apply_listing(listing, now);
-        }
-    }
-
-    fn apply_listing(&mut self, listing: WorkerListing, now: Instant) {
-        let slot = self.state.slot(&listing.worker).unwrap_or_else(|| {
-            let lease_expires_at = self.state.inherited_lease_expires_at.unwrap_or(now);
-            self.state.add_worker(CellWorker::new(listing.clone(), lease_expires_at, now))
-        });
-        let zone_open = !self.state.closed_zones.contains(&listing.zone);
-        self.state.capacity = self.state.capacity.plus(listing.capacity);
-        self.state.pools.entry(listing.service.clone()).or_default().push(slot);
-        if let Some(rack) = &listing.rack {
-            self.state.racks.entry(rack.clone()).or_default().push(slot);
-        }
-        let Some(worker) = self.state.worker_mut(slot) else { return };
-        worker.listed = true;
-        worker.zone_open = zone_open;
-        let address_changed = worker.listing.address != listing.address;
-        worker.listing = listing.clone();
-        if !worker.watched || address_changed {
-            worker.watched = true;
-            worker.renewable = false;
-            self.state.effects.push(CellEffect::Watch(listing));
-            self.await_no_answers(slot, now);
-        }
-    }
-
-    /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
-    /// replaced.
-    fn await_no_answers(&mut self, slot: u32, now: Instant) {
-        let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
-        let starting =
-            runs.filter(|placement| placement.slot == slot && placement.phase == PlacementPhase::Starting);
-        starting.for_each(|placement| placement.phase = PlacementPhase::Unanswered(now));
-    }
-
     fn submit(&mut self, spec: Arc<GraphSpec>, now: Instant) {
         if self.state.jobs.contains_key(&spec.id) {
             return;
@@ -382,76 +333,6 @@
         }
     }
 
-    /// Returns whether the outcome of a command has to be applied, which is so if it concerns the current
-    /// run of the task or a copy.
-    ///
-    /// If another incarnation of the worker answered, marks all runs on the worker as lost instead.
-    fn accept_outcome(
-        &mut self,
-        task: &TaskKey,
-        run: RunNumber,
-        worker: &str,
-        outcome: CommandOutcome,
-        now: Instant,
-    ) -> bool {
-        let is_current = self.state.placements.get(task).is_some_and(|placement| placement.run == run);
-        let is_known = is_current || self.state.copies.contains_key(&(task.clone(), run));
-        if is_known && outcome == CommandOutcome::Replaced {
-            self.mark_runs_lost(worker, now);
-            return false;
-        }
-        is_known
-    }
-
-    fn apply_start_outcome(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome, now: Instant) {
-        if self.state.copies.contains_key(&(task.clone(), run)) {
-            CopyKeeper { state: &mut self.state, now }.apply_start_outcome(task, run, outcome);
-            return;
-        }
-        let Some(placement) = self.state.placements.get_mut(task) else { return };
-        let slot = placement.slot;
-        match outcome {
-            CommandOutcome::Accepted => placement.phase = PlacementPhase::Running(now),
-            CommandOutcome::Unknown => placement.phase = PlacementPhase::Unanswered(now),
-            // `Fenced` ends the term of this owner. On `Replaced`, the runs on the worker are already marked
-            // as lost.
-            CommandOutcome::Fenced | CommandOutcome::Replaced => {}
-            CommandOutcome::NoPermit
-            | CommandOutcome::NoRoom
-            | CommandOutcome::Refused
-            | CommandOutcome::NotSent => {
-                if outcome == CommandOutcome::NoPermit
-                    && let Some(state) = self.state.step_mut(&task.step)
-                {
-                    state.permit_cache.revoke(slot);
-                }
-                self.state.mark_lost(task, LossCause::StartFailed(outcome), now);
-            }
-        }
-    }
-
-    fn apply_stop_outcome(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome, now: Instant) {
-        let copy = self.state.copies.get_mut(&(task.clone(), run));
-        if outcome == CommandOutcome::Accepted
-            && let Some(placement) = copy.or_else(|| self.state.placements.get_mut(task))
-        {
-            placement.stop_confirmed = Some(now);
-        }
-    }
-
-    /// Marks all runs on a worker as lost after another incarnation of it has answered, and treats the
-    /// worker as unresponsive until its next poll report.
-    fn mark_runs_lost(&mut self, worker: &str, now: Instant) {
-        let Some(slot) = self.state.slot(worker) else { return };
-        let Some(worker) = self.state.worker_mut(slot) else { return };
-        worker.fall_silent(now);
-        let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
-        for task in tasks {
-            self.state.mark_lost(&task, LossCause::WorkerReplaced, now);
-        }
-        CopyKeeper { state: &mut self.state, now }.mark_lost_on(slot, LossCause::WorkerReplaced);
-    }
-
     fn apply_report(&mut self, worker: &str, report: PollReport, now: Instant) {
         let Some(slot) = self.state.slot(worker) else { return };
         PollReconciler { state: &mut self.state, slot, now }.apply(report);
--- /dev/null
+++ b/src/kernel/cell/listing_update.rs
@@ -0,0 +1,60 @@
+use crate::kernel::cell::{CellEffect, CellState, CellWorker, PlacementPhase, WorkerListing};
+use crate::prelude::*;
+
+/// Applies the platform's list of workers to the cell.
+pub struct ListingUpdate<'a> {
+    /// State of the cell that the list changes.
+    pub state: &'a mut CellState,
+    /// Time at which the list is applied.
+    pub now: Instant,
+}
+
+impl ListingUpdate<'_> {
+    /// Applies the platform's list of workers, which holds all of its entries.
+    pub fn apply(mut self, listings: Vec<WorkerListing>) {
+        let listed_workers: FastSet<WorkerId> =
+            listings.iter().map(|listing| listing.worker.clone()).collect();
+        for worker in &mut self.state.workers {
+            worker.listed &= listed_workers.contains(&worker.listing.worker);
+        }
+        self.state.pools.clear();
+        self.state.racks.clear();
+        self.state.capacity = ResourceVector::default();
+        for listing in listings {
+            self.apply_listing(listing);
+        }
+    }
+
+    fn apply_listing(&mut self, listing: WorkerListing) {
+        let slot = self.state.slot(&listing.worker).unwrap_or_else(|| {
+            let lease_expires_at = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+            self.state.add_worker(CellWorker::new(listing.clone(), lease_expires_at, self.now))
+        });
+        let zone_open = !self.state.closed_zones.contains(&listing.zone);
+        self.state.capacity = self.state.capacity.plus(listing.capacity);
+        self.state.pools.entry(listing.service.clone()).or_default().push(slot);
+        if let Some(rack) = &listing.rack {
+            self.state.racks.entry(rack.clone()).or_default().push(slot);
+        }
+        let Some(worker) = self.state.worker_mut(slot) else { return };
+        worker.listed = true;
+        worker.zone_open = zone_open;
+        let address_changed = worker.listing.address != listing.address;
+        worker.listing = listing.clone();
+        if !worker.watched || address_changed {
+            worker.watched = true;
+            worker.renewable = false;
+            self.state.effects.push(CellEffect::Watch(listing));
+            self.await_no_answers(slot);
+        }
+    }
+
+    /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
+    /// replaced.
+    fn await_no_answers(&mut self, slot: u32) {
+        let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
+        let starting =
+            runs.filter(|placement| placement.slot == slot && placement.phase == PlacementPhase::Starting);
+        starting.for_each(|placement| placement.phase = PlacementPhase::Unanswered(self.now));
+    }
+}
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -25,6 +25,7 @@
 mod claim_record;
 mod claim_watch;
 mod clock_reading;
+mod command_answer;
 mod end_handler;
 mod forecast;
 mod graph_spec;
@@ -32,6 +33,7 @@
 mod job_snapshot;
 mod job_status;
 mod lease_watch;
+mod listing_update;
 mod order;
 mod permits;
 mod poll_reconciler;
@@ -67,6 +69,7 @@
 pub use claim_record::{ClaimKind, ClaimRecord};
 pub use claim_watch::{CellOwner, ClaimWatch};
 pub use clock_reading::ClockReading;
+pub use command_answer::CommandAnswer;
 pub use end_handler::EndHandler;
 pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
 pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
@@ -74,6 +77,7 @@
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use lease_watch::LeaseWatch;
+pub use listing_update::ListingUpdate;
 pub use order::{
     ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
     StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
