--- a/src/kernel/cell/admission/admission_watch.rs
+++ b/src/kernel/cell/admission/admission_watch.rs
@@ -22,7 +22,7 @@
 }
 
 impl AdmissionWatch {
-    /// Adds the estimate of `now`, and returns the waits that have been long for [`SUSTAIN_TIME`]. Each is the
+    /// Adds the estimate of `now`, and returns the waits that have been long for `SUSTAIN_TIME`. Each is the
     /// shortest of this time, so that a moment without a wait ends the notice.
     pub fn update(
         &mut self,
--- a/src/kernel/cell/slow_runs/discard_budget.rs
+++ b/src/kernel/cell/slow_runs/discard_budget.rs
@@ -6,7 +6,7 @@
 const AVERAGING_PERIOD: Duration = Duration::from_secs(10);
 
 /// Bounds the work of one service that restarts of slow runs throw away, as a bucket that drains at
-/// [`MAX_DISCARDED_SHARE`] of the capacity.
+/// `MAX_DISCARDED_SHARE` of the capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct DiscardBudget {
     /// Work in the bucket, in core seconds.
--- a/src/kernel/cell/usage/usage_schedule.rs
+++ b/src/kernel/cell/usage/usage_schedule.rs
@@ -6,7 +6,7 @@
 /// Records that are written within the retention time of the store, so that the store always keeps one of them.
 const RECORDS_PER_RETENTION: u32 = 3;
 
-/// Decides when the past use is recorded: on a change after [`RECORD_INTERVAL`], and in any case before the last
+/// Decides when the past use is recorded: on a change after `RECORD_INTERVAL`, and in any case before the last
 /// record expires.
 #[derive(Clone, Debug, Default)]
 pub struct UsageSchedule {
--- a/src/tasks/client_access.rs
+++ b/src/tasks/client_access.rs
@@ -40,7 +40,7 @@
         (Self { sender, limits }, limits_sender)
     }
 
-    /// Asks for a place for a connection; `None` if there is none within [`OPEN_TIMEOUT`]. Does not return while
+    /// Asks for a place for a connection; `None` if there is none within `OPEN_TIMEOUT`. Does not return while
     /// another connection must end first.
     pub async fn open(&self, address: IpAddr, class: ConnectionClass) -> Option<ConnectionLease> {
         let (reply, lease) = oneshot::channel();
