--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -123,7 +123,7 @@
 
     /// Whether a slow run was stopped on the worker a short time ago.
     #[must_use]
-    pub fn had_recent_straggler(&self, now: Instant) -> bool {
+    pub fn had_recent_slow_run(&self, now: Instant) -> bool {
         self.slow_until.is_some_and(|until| now < until)
     }
 
--- a/src/kernel/cell/start_pass/candidate.rs
+++ b/src/kernel/cell/start_pass/candidate.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Candidate {
     /// Whether a slow run was stopped on the worker a short time ago; such workers come last.
-    pub(super) had_recent_straggler: bool,
+    pub(super) had_recent_slow_run: bool,
     /// Whether the worker is outside the preferred rack of the step; those on that rack come first.
     pub(super) off_rack: bool,
     /// Whether tasks of the queue take longer on the worker than elsewhere; false for steps that are not urgent.
--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -55,9 +55,9 @@
             let score = Reverse(score(step, free, capacity));
             let slow_for_queue =
                 pending.rule.priority == 0 && worker.profile.is_slow_for(&spec.queue, self.now);
-            let had_recent_straggler = worker.had_recent_straggler(self.now);
+            let had_recent_slow_run = worker.had_recent_slow_run(self.now);
             candidates.push(Candidate {
-                had_recent_straggler,
+                had_recent_slow_run,
                 off_rack,
                 slow_for_queue,
                 score,
--- a/src/kernel/cell/usage/discarded_run.rs
+++ b/src/kernel/cell/usage/discarded_run.rs
@@ -2,7 +2,7 @@
 use crate::prelude::*;
 
 /// A run that has ended without a result because of the system and not of its team: it was preempted, replaced as
-/// a straggler or by a copy, or lost with its worker.
+/// a slow run or by a copy, or lost with its worker.
 pub struct DiscardedRun<'a> {
     /// State of the cell that holds the account.
     pub state: &'a mut CellState,
