--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -20,6 +20,9 @@
 const SMALL_BATCH_FACTOR: u32 = 16;
 /// The same while most processes are busy.
 const BUSY_BATCH_FACTOR: u32 = 32;
+/// Bounds that time for a step without any run: if few workers are granted to it, a small part is all that they can
+/// hold, and its job must not stand still beside free workers for 3 s.
+const IDLE_STEP_DELAY: Duration = Duration::from_secs(1);
 
 impl StartPass<'_> {
     /// Sends a permit request for the step if [`PermitPlanner`] finds one of use.
@@ -62,6 +65,8 @@
         let busy = self.state.permit_load.is_busy();
         let small_batch_delay =
             permit_rule.decision_time * if busy { BUSY_BATCH_FACTOR } else { SMALL_BATCH_FACTOR };
+        let small_batch_delay =
+            if state.placed == 0 { small_batch_delay.min(IDLE_STEP_DELAY) } else { small_batch_delay };
         let accepts_small_batch =
             step.long_running || state.permit_cache.last_request_is_older(small_batch_delay, now);
         let verdicts = state.permit_cache.verdict_count();
--- a/tests/cell_permits.rs
+++ b/tests/cell_permits.rs
@@ -236,6 +236,18 @@
     verify_that!(simulation.started.contains("gang000.0.0.0"), eq(true))
 }
 
+/// A wide step with few granted workers can never start a large part of its tasks at once. If it waited for that, its
+/// job would stand still beside free workers for longer than 3 s.
+#[gtest]
+fn a_step_with_few_granted_workers_goes_on_within_three_seconds() -> Result<()> {
+    let mut simulation = simulation(1, 8);
+    submit_all(&mut simulation, "wide", "middle", 1, &accelerated(7, 4));
+
+    simulation.run((RUN_TIME + Duration::from_secs(3)) * 7);
+
+    verify_that!(simulation.started.len(), eq(7))
+}
+
 /// A renewal that names workers without room, or workers that are not known to be granted, costs decision time
 /// for tickets that are not used.
 #[gtest]
