Log what the bound of a worker's lease rests on

Cause: two hypotheses of the incident differ in the clock and the grant behind a bound, and no line named them. Change: the lease keeps the reason of its latest end; the first answer of each incarnation and each unanswered poll log it, with the incarnation, the worker's clock and the latest granted end. The decisions on leases get a folder of their own, and the state of polling a file. No bound changes.

--- a/src/kernel/cell/worker_lease.rs
+++ b/src/kernel/cell/leases/worker_lease.rs
@@ -1,3 +1,4 @@
+use crate::kernel::cell::LeaseBasis;
 use crate::prelude::*;
 
 /// Assumed lower bound on the rate of a worker's clock, in percent of the true rate.
@@ -14,6 +15,7 @@
     clock_reading: Option<(WorkerTime, Instant)>,
     granted_until: WorkerTime,
     expires_by: Instant,
+    basis: LeaseBasis,
 }
 
 impl WorkerLease {
@@ -21,7 +23,8 @@
     /// accepts none above `longest`. Earlier owners may have granted leases that last until `expires_by`.
     #[must_use]
     pub const fn new(duration: Duration, longest: Duration, expires_by: Instant) -> Self {
-        Self { duration, longest, clock_reading: None, granted_until: Duration::ZERO, expires_by }
+        let basis = LeaseBasis::Inherited;
+        Self { duration, longest, clock_reading: None, granted_until: Duration::ZERO, expires_by, basis }
     }
 
     /// Records the worker's clock from an answer that arrived at `now`.
@@ -32,14 +35,14 @@
     /// Records that the worker has answered a call of this owner at `now`, and thus refuses those of earlier
     /// owners. None of them can have granted it a lease after that.
     pub fn note_fenced(&mut self, now: Instant) {
-        self.expires_by = self.expires_by.min(now + longest_real_time(self.duration));
+        self.shorten(now + longest_real_time(self.duration), LeaseBasis::FirstAnswer);
     }
 
     /// Ends the lease after the worker was found to be gone; nothing runs there any more.
     pub fn end(&mut self, now: Instant) {
         self.clock_reading = None;
         self.granted_until = Duration::ZERO;
-        self.expires_by = now;
+        (self.expires_by, self.basis) = (now, LeaseBasis::Ended);
     }
 
     /// Starts anew for another incarnation of the worker, whose clock begins anew. Calls that were on their way
@@ -47,13 +50,13 @@
     /// it accepts.
     pub fn restart(&mut self, now: Instant) {
         self.end(now);
-        self.expires_by = now + longest_real_time(self.longest);
+        self.extend(now + longest_real_time(self.longest), LeaseBasis::FormerIncarnation);
     }
 
     /// Records that another incarnation of the worker has answered a call at `now` that may have granted it a
     /// lease by the clock of the earlier one. The worker has shortened it to the longest that it accepts.
     pub fn extend_to_longest(&mut self, now: Instant) {
-        self.expires_by = self.expires_by.max(now + longest_real_time(self.longest));
+        self.extend(now + longest_real_time(self.longest), LeaseBasis::FormerIncarnation);
     }
 
     /// Returns the worker's clock in its last answer to a poll, if it is known.
@@ -69,7 +72,7 @@
         let until = clock + now.saturating_duration_since(read_at) + self.duration;
         self.granted_until = self.granted_until.max(until);
         let left = self.granted_until.saturating_sub(clock);
-        self.expires_by = self.expires_by.max(read_at + longest_real_time(left));
+        self.extend(read_at + longest_real_time(left), LeaseBasis::Grant);
         Some(until)
     }
 
@@ -78,6 +81,30 @@
     pub const fn expires_by(&self) -> Instant {
         self.expires_by
     }
+
+    /// Returns what [`Self::expires_by`] was worked out from.
+    #[must_use]
+    pub const fn basis(&self) -> LeaseBasis {
+        self.basis
+    }
+
+    /// Returns the latest end of a lease that this owner granted by the clock of the present incarnation.
+    #[must_use]
+    pub const fn granted_until(&self) -> WorkerTime {
+        self.granted_until
+    }
+
+    fn extend(&mut self, expires_by: Instant, basis: LeaseBasis) {
+        if expires_by > self.expires_by {
+            (self.expires_by, self.basis) = (expires_by, basis);
+        }
+    }
+
+    fn shorten(&mut self, expires_by: Instant, basis: LeaseBasis) {
+        if expires_by < self.expires_by {
+            (self.expires_by, self.basis) = (expires_by, basis);
+        }
+    }
 }
 
 /// Returns the longest real time that a lease of this duration on the worker's clock, which may run slowly, may
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -32,7 +32,7 @@
 mod handover_watch;
 mod job_snapshot;
 mod job_status;
-mod lease_watch;
+mod leases;
 mod listing_update;
 mod order;
 mod permits;
@@ -53,7 +53,6 @@
 mod task_key;
 mod task_placement;
 mod usage;
-mod worker_lease;
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
@@ -76,7 +75,7 @@
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
-pub use lease_watch::LeaseWatch;
+pub use leases::{LeaseBasis, LeaseWatch, WorkerLease, longest_real_time};
 pub use listing_update::ListingUpdate;
 pub use order::{
     ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
@@ -110,4 +109,3 @@
 pub use usage::{
     DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
 };
-pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -14,6 +14,7 @@
 use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::OwnerMessage;
 use crate::tasks::cell::ownership_lease::OwnershipLease;
+use crate::tasks::cell::poll_state::PollState;
 use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
 
 /// How long a worker may hold a poll open while no run ends. The answer also reports the progress of its
@@ -77,37 +78,11 @@
     Stop(StopCommand, CommandAnswer, KnownWorker),
 }
 
-/// State of polling one worker.
-struct PollState {
-    incarnation: Option<WorkerIncarnation>,
-    acknowledged: TaskEndNumber,
-    last_reported: TaskEndNumber,
-    /// Whether the last poll was answered, and no answer to a command since then came from another incarnation.
-    answered: bool,
-    /// Whether the owner allows that the lease is renewed. An earlier owner may have recorded that it is not.
-    renewable: bool,
-    /// When the last unanswered poll ended.
-    silent_at: Option<Instant>,
-    /// Whether the last report named no running task and no start was sent since.
-    idle: bool,
-    /// Earliest time of the next poll; `None` if it is sent at once.
-    not_before: Option<Instant>,
-}
-
 impl WorkerLink {
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<LinkMessage>, token: CancellationToken) {
         let mut commands: FuturesUnordered<LocalBoxFuture<'static, LinkAnswer>> = FuturesUnordered::new();
-        let mut poll_state = PollState {
-            incarnation: None,
-            acknowledged: 0,
-            last_reported: 0,
-            answered: false,
-            renewable: false,
-            silent_at: None,
-            idle: false,
-            not_before: None,
-        };
+        let mut poll_state = PollState::default();
         let mut poll: Option<LocalBoxFuture<'static, PollOutcome>> = None;
         let mut look: Option<LocalBoxFuture<'static, PollOutcome>> = None;
         loop {
@@ -313,11 +288,11 @@
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
-                        log::info!(worker = &*self.worker, token = self.token; "worker has restarted");
                         self.lease.restart(now);
                     } else {
                         self.lease.note_fenced(now);
                     }
+                    self.log_incarnation(previous, report.incarnation, clock, now);
                 }
                 self.lease.note_clock(clock, now);
                 poll_state.answered = true;
@@ -347,10 +322,7 @@
             PollOutcome::Failed(reason) => {
                 poll_state.fall_silent(now);
                 poll_state.not_before = Some(now + POLL_RETRY_DELAY);
-                let left = self.lease.expires_by().saturating_duration_since(now);
-                log::info!(worker = &*self.worker, token = self.token, reason = &*reason,
-                    lease_left_ms = milliseconds(left);
-                    "worker does not answer");
+                self.log_silence(&reason, now);
                 let event = CellEvent::WorkerUnresponsive(self.worker.clone(), self.lease.expires_by());
                 self.send_to_owner(OwnerMessage::Event(event)).await;
                 true
@@ -358,6 +330,30 @@
         }
     }
 
+    /// Logs which incarnation answers now, and until when it may hold a lease that this link has not granted.
+    fn log_incarnation(
+        &self,
+        previous: Option<WorkerIncarnation>,
+        incarnation: WorkerIncarnation,
+        clock: WorkerTime,
+        now: Instant,
+    ) {
+        let left = self.lease.expires_by().saturating_duration_since(now);
+        let message = if previous.is_some() { "worker has restarted" } else { "worker answers" };
+        log::info!(worker = &*self.worker, token = self.token, incarnation = milliseconds(incarnation),
+            previous = previous.map_or(0, milliseconds), clock_ms = milliseconds(clock),
+            lease_left_ms = milliseconds(left), basis:% = self.lease.basis(); "{message}");
+    }
+
+    /// Logs that a poll was not answered, with what the bound of the lease rests on.
+    fn log_silence(&self, reason: &str, now: Instant) {
+        let left = self.lease.expires_by().saturating_duration_since(now);
+        let clock = self.lease.last_clock();
+        log::info!(worker = &*self.worker, token = self.token, reason = reason,
+            clock_ms = clock.map_or(0, milliseconds), until_ms = milliseconds(self.lease.granted_until()),
+            lease_left_ms = milliseconds(left), basis:% = self.lease.basis(); "worker does not answer");
+    }
+
     /// Logs that the link ends before the worker has answered these commands.
     fn log_pending(&self, commands: usize) {
         if commands > 0 {
@@ -377,53 +373,3 @@
         }
     }
 }
-
-impl PollState {
-    /// Returns why a start must not be sent; `None` if the worker answers, is the incarnation that the decision
-    /// is based on, and the command has not expired.
-    fn start_obstacle(&self, command: &StartCommand, now: Instant) -> Option<NotSentReason> {
-        if !self.answered {
-            Some(NotSentReason::WorkerSilent)
-        } else if !self.renewable {
-            Some(NotSentReason::WorkerNotRenewable)
-        } else if self.incarnation != command.incarnation {
-            Some(NotSentReason::OtherIncarnation)
-        } else if now > command.expires_at {
-            Some(NotSentReason::Expired)
-        } else {
-            None
-        }
-    }
-
-    /// Returns whether the lease may be renewed.
-    const fn may_renew(&self) -> bool {
-        self.answered && self.renewable
-    }
-
-    /// Lets the next poll be sent at once, without an acknowledgement, whose number would be that of an earlier
-    /// incarnation. Until it is answered, no start is sent.
-    const fn expect_restart(&mut self) {
-        self.answered = false;
-        self.not_before = None;
-    }
-
-    const fn fall_silent(&mut self, now: Instant) {
-        self.answered = false;
-        self.renewable = false;
-        self.silent_at = Some(now);
-    }
-
-    /// Lets the next poll be sent at once if the ends of the last one are acknowledged and it can renew the
-    /// lease.
-    const fn poll_if_ready(&mut self) {
-        if self.may_renew() && self.acknowledged >= self.last_reported {
-            self.not_before = None;
-        }
-    }
-
-    /// Returns the delay before the next poll; `None` if it is due.
-    fn poll_delay(&self) -> Option<Duration> {
-        let left = self.not_before?.saturating_duration_since(Instant::now());
-        (!left.is_zero()).then_some(left)
-    }
-}
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -20,6 +20,7 @@
 pub mod ownership_lease;
 pub mod peer;
 pub mod pending_refusal;
+mod poll_state;
 pub mod ports;
 pub mod process;
 mod process_listeners;
