Show that a new owner misses a lease granted to a former incarnation

Cause: callers saw tasks that must run once run twice after workers had restarted under their ids, the owner had been lost and the workers were cut off. A worker that restarted may hold a lease of 10 s by a call with an expiry on the former clock; a new owner counts 6.9 s from its first answer.

--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -140,7 +140,16 @@
         Self::start_with_ownership(worker, ownership_for_the_test())
     }
 
+    /// Starts the link of a new owner that knows that earlier ones may have granted a lease for this long.
+    fn start_with_inherited(worker: &FakeWorker, inherited: Duration) -> Self {
+        Self::start_with(worker, ownership_for_the_test(), inherited)
+    }
+
     fn start_with_ownership(worker: &FakeWorker, ownership: OwnershipLease) -> Self {
+        Self::start_with(worker, ownership, Duration::ZERO)
+    }
+
+    fn start_with(worker: &FakeWorker, ownership: OwnershipLease, inherited: Duration) -> Self {
         let (commands, inbox) = mpsc::channel(64);
         let (owner_sender, events) = mpsc::channel(64);
         let token = CancellationToken::new();
@@ -148,7 +157,7 @@
             worker: "w0".into(),
             token: 1,
             client: worker.client(),
-            lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now()),
+            lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited),
             ownership,
             owner_sender,
             metrics: CellMetrics::new().expect("the metrics are valid"),
@@ -398,6 +407,42 @@
     verify_that!(lines_with(&restarted), is_empty())
 }
 
+/// Returns by when the lease of a worker ends at the latest that has answered a new owner once, as the incarnation
+/// that started this long ago; counted from just before that answer.
+async fn first_bound_of_a_worker_started(age: Duration) -> Result<Duration> {
+    let worker = FakeWorker::default();
+    let incarnation = clock::unix_time() - age;
+    worker.answer_as(incarnation, Duration::from_secs(600));
+    let polled_at = Instant::now();
+    let mut link = RunningLink::start_with_inherited(&worker, LONGEST_LEASE);
+    link.await_report(incarnation).await.or_fail()?;
+    worker.answer.set(None);
+    let expires_at = link.await_lease_bound().await.or_fail()?;
+    link.token.cancel();
+    Ok(expires_at.saturating_duration_since(polled_at))
+}
+
+/// Guards against tasks that run twice: a new owner bounded the lease of a worker that had restarted just before by
+/// what owners grant, although a call of the former owner, by the clock of the former incarnation, had granted it
+/// the longest lease that it accepts.
+#[gtest]
+#[actix_rt::test]
+async fn a_new_owner_counts_a_lease_by_the_clock_of_a_former_incarnation() -> Result<()> {
+    let bound = first_bound_of_a_worker_started(Duration::from_secs(2)).await?;
+
+    verify_that!(bound, ge(LONGEST_LEASE * 100 / 98))
+}
+
+/// Guards against work that waits for nothing: a worker that has run for long holds no lease by an earlier clock.
+#[gtest]
+#[actix_rt::test]
+async fn a_new_owner_counts_the_usual_lease_of_a_worker_that_has_run_for_long() -> Result<()> {
+    let bound = first_bound_of_a_worker_started(Duration::from_secs(60)).await?;
+
+    verify_that!(bound, ge(LEASE))?;
+    verify_that!(bound, lt(LONGEST_LEASE))
+}
+
 /// Guards against tasks that run twice: a new owner goes by the recorded bound of a lease, which must not be
 /// renewed before a further record takes the bound back. A start renews the lease too.
 #[gtest]
