Count the lease that a call for a former incarnation may have granted

Callers saw tasks run twice: a new owner gave the runs of a restarted worker up while the worker still held a lease.

Cause: a call names the worker by its id and carries the expiry on the worker's clock. A restarted worker takes calls for its former incarnation, and shortens an expiry that is far ahead of its own clock to the longest lease that it accepts. The bound of a new owner rested on what owners grant. Change: RestartRule tells from the start of the incarnation, which reports and the list of workers name, how much longer a lease may last. It holds for the first answer to a new owner, for workers that do not answer it, and for unanswered starts on a worker that the list shows as restarted. Grants to former incarnations are bounded by their expiries where these are known.

--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -12,6 +12,8 @@
     pub service: ServiceId,
     /// Availability zone of the worker.
     pub zone: ZoneId,
+    /// Incarnation that wrote the entry; `None` if the entry does not name one.
+    pub incarnation: Option<WorkerIncarnation>,
     /// Total capacity of the worker.
     pub capacity: ResourceVector,
     /// Labels of the worker, its rack among them.
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,8 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
     CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LookPlanner,
-    PlacementPhase, PollReconciler, PollReport, RecordReplayer, RunningRun, SkippedRecords, SlowRunWatch,
-    StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch,
+    PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun, SkippedRecords,
+    SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -82,6 +82,13 @@
         self
     }
 
+    /// Lets workers that have restarted a short time ago hold the leases of earlier owners for longer.
+    #[must_use]
+    pub const fn with_restart_rule(mut self, rule: RestartRule) -> Self {
+        self.state.restart_rule = rule;
+        self
+    }
+
     /// Lets the past use of the teams correct the order of starts; use loses half of its weight in `half_life`.
     /// With a half-life of zero, past use is not accounted for.
     #[must_use]
@@ -208,7 +215,7 @@
     #[must_use]
     pub fn inherited_lease_of(&self, worker: &str) -> Option<Instant> {
         let worker = self.state.worker(self.state.slot(worker)?)?;
-        worker.polled_at.is_none().then_some(worker.lease_expires_at)
+        worker.polled_at.is_none().then_some(worker.lease_bound())
     }
 
     /// Returns whether a start that was decided earlier may still be sent: the run was neither given up nor
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -4,9 +4,9 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
     EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats,
-    PlacementPhase, PreemptionHeadroom, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState,
-    StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState, StepWait,
-    StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
+    PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding,
+    SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState,
+    StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
 };
 use crate::prelude::*;
 
@@ -70,6 +70,8 @@
     pub unix_time: Duration,
     /// When every lease that earlier owners granted has expired; `None` only in the default state.
     pub inherited_lease_expires_at: Option<Instant>,
+    /// How much longer workers that have restarted may hold a lease.
+    pub restart_rule: RestartRule,
     /// Permit requests to the advisor without an answer, and the processes that send them.
     pub permit_load: PermitLoad,
     /// Permit requests and answers by queue.
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -27,8 +27,12 @@
     pub renewable: bool,
     /// When the poll of its newest report was sent.
     pub polled_at: Option<Instant>,
-    /// When every lease that the worker may hold has expired; used only while the worker is unresponsive.
+    /// When every lease has expired that was granted to the incarnations that have answered an owner; used only while
+    /// the worker is unresponsive.
     pub lease_expires_at: Instant,
+    /// When every lease has expired that calls for a former incarnation may have granted to the listed one; `None` if
+    /// the listed incarnation has answered this owner or is not known to be new.
+    pub former_lease_expires_at: Option<Instant>,
     /// Since when the worker has not answered; used only while it is unresponsive.
     pub silent_since: Instant,
     /// When its lease was last bounded in the records. It must then not be renewed before they say that the
@@ -72,6 +76,7 @@
             renewable: false,
             polled_at: None,
             lease_expires_at: inherited_lease_expires_at,
+            former_lease_expires_at: None,
             silent_since: now,
             lease_bound_recorded_at: None,
             incarnation: None,
@@ -88,6 +93,12 @@
         }
     }
 
+    /// Returns when every lease that the worker may hold has expired; used only while it is unresponsive.
+    #[must_use]
+    pub fn lease_bound(&self) -> Instant {
+        self.former_lease_expires_at.map_or(self.lease_expires_at, |former| former.max(self.lease_expires_at))
+    }
+
     /// Records that the worker does not answer.
     pub fn fall_silent(&mut self, now: Instant) {
         if self.responsive {
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -23,7 +23,7 @@
     pub fn expire(&mut self) {
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
-            if worker.responsive || worker.lease_expires_at > self.now {
+            if worker.responsive || worker.lease_bound() > self.now {
                 continue;
             }
             let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
@@ -60,7 +60,7 @@
         let due = self.state.workers.iter_mut().filter(|worker| is_due(worker));
         let bounds = due.map(|worker| {
             worker.lease_bound_recorded_at = Some(now);
-            (worker.listing.worker.clone(), Some(worker.lease_expires_at.saturating_duration_since(now)))
+            (worker.listing.worker.clone(), Some(worker.lease_bound().saturating_duration_since(now)))
         });
         let bounds: Vec<(WorkerId, Option<Duration>)> = bounds.collect();
         if !bounds.is_empty() {
--- /dev/null
+++ b/src/kernel/cell/leases/restart_rule.rs
@@ -0,0 +1,43 @@
+use crate::kernel::cell::longest_real_time;
+use crate::prelude::*;
+
+/// Time after the start of a worker in which it may carry out calls that were meant for its former incarnation:
+/// workers carry calls out up to 12 s late, and an owner stops sending them within 3 s of the restart.
+pub const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
+/// Allowed difference between the wall clocks of a worker and of an owner.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
+
+/// Tells how much longer than usual a worker may hold a lease that an earlier owner granted.
+///
+/// A worker that restarts keeps its id, so it carries out calls that were meant for its former incarnation. They
+/// renew the lease until a time on the former clock. A worker whose clock is behind shortens that to the longest
+/// lease that it accepts, which is longer than the leases that owners grant.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RestartRule {
+    /// Longest real time that a lease of the longest duration lasts.
+    longest_lease: Duration,
+    longest_extension: Duration,
+}
+
+impl RestartRule {
+    /// Returns the rule for owners that grant leases of `usual` to workers that accept leases up to `longest`.
+    #[must_use]
+    pub fn new(usual: Duration, longest: Duration) -> Self {
+        let longest_lease = longest_real_time(longest);
+        Self { longest_lease, longest_extension: longest_lease.saturating_sub(longest_real_time(usual)) }
+    }
+
+    /// Returns how long a lease that a worker takes from a call for its former incarnation lasts at most.
+    #[must_use]
+    pub const fn longest_lease(&self) -> Duration {
+        self.longest_lease
+    }
+
+    /// Returns how much longer a lease may last at `unix_time`, by a call of an earlier owner that was meant for the
+    /// incarnation before the one that started at `started`.
+    #[must_use]
+    pub fn extension(&self, started: WorkerIncarnation, unix_time: Duration) -> Duration {
+        let age = unix_time.saturating_sub(started);
+        self.longest_extension.saturating_sub(age.saturating_sub(FORMER_CALL_WINDOW + CLOCK_TOLERANCE))
+    }
+}
--- a/src/kernel/cell/leases/worker_lease.rs
+++ b/src/kernel/cell/leases/worker_lease.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::LeaseBasis;
+use crate::kernel::cell::{FORMER_CALL_WINDOW, LeaseBasis};
 use crate::prelude::*;
 
 /// Assumed lower bound on the rate of a worker's clock, in percent of the true rate.
@@ -13,7 +13,13 @@
     /// Longest lease that a worker accepts; it shortens longer ones.
     longest: Duration,
     clock_reading: Option<(WorkerTime, Instant)>,
+    /// Latest end of a lease by the clock of the present incarnation.
     granted_until: WorkerTime,
+    /// Latest end of a lease by the clocks of former incarnations.
+    former_until: WorkerTime,
+    /// Until when calls of earlier owners may be carried out, whose grants are not known; `None` before the first
+    /// answer.
+    earlier_calls_until: Option<Instant>,
     expires_by: Instant,
     basis: LeaseBasis,
 }
@@ -23,8 +29,16 @@
     /// accepts none above `longest`. Earlier owners may have granted leases that last until `expires_by`.
     #[must_use]
     pub const fn new(duration: Duration, longest: Duration, expires_by: Instant) -> Self {
-        let basis = LeaseBasis::Inherited;
-        Self { duration, longest, clock_reading: None, granted_until: Duration::ZERO, expires_by, basis }
+        Self {
+            duration,
+            longest,
+            clock_reading: None,
+            granted_until: Duration::ZERO,
+            former_until: Duration::ZERO,
+            earlier_calls_until: None,
+            expires_by,
+            basis: LeaseBasis::Inherited,
+        }
     }
 
     /// Records the worker's clock from an answer that arrived at `now`.
@@ -33,9 +47,16 @@
     }
 
     /// Records that the worker has answered a call of this owner at `now`, and thus refuses those of earlier
-    /// owners. None of them can have granted it a lease after that.
-    pub fn note_fenced(&mut self, now: Instant) {
-        self.shorten(now + longest_real_time(self.duration), LeaseBasis::FirstAnswer);
+    /// owners. None of them can have granted it a lease after that. A call for a former incarnation may have
+    /// granted it one that is longer than usual by `extension`.
+    pub fn note_fenced(&mut self, extension: Duration, now: Instant) {
+        self.earlier_calls_until = Some(now + FORMER_CALL_WINDOW);
+        let expires_by = now + longest_real_time(self.duration) + extension;
+        if extension.is_zero() {
+            self.shorten(expires_by, LeaseBasis::FirstAnswer);
+        } else {
+            (self.expires_by, self.basis) = (expires_by, LeaseBasis::FormerIncarnation);
+        }
     }
 
     /// Ends the lease after the worker was found to be gone; nothing runs there any more.
@@ -45,16 +66,24 @@
         (self.expires_by, self.basis) = (now, LeaseBasis::Ended);
     }
 
-    /// Starts anew for another incarnation of the worker, whose clock begins anew. Calls that were on their way
-    /// may have granted it leases by the clock of the earlier one, which it has shortened to the longest that
-    /// it accepts.
-    pub fn restart(&mut self, now: Instant) {
+    /// Starts anew for another incarnation of the worker, which has answered at `now` and whose clock shows `clock`.
+    pub fn restart(&mut self, clock: WorkerTime, now: Instant) {
+        self.former_until = self.former_until.max(self.granted_until);
         self.end(now);
-        self.extend(now + longest_real_time(self.longest), LeaseBasis::FormerIncarnation);
+        self.note_former_calls(clock, now);
+    }
+
+    /// Records that calls for former incarnations may have been carried out until `now`, when the worker's clock
+    /// shows `clock`. Their expiry is a time on a former clock, and the worker shortens a lease to the longest that
+    /// it accepts.
+    pub fn note_former_calls(&mut self, clock: WorkerTime, now: Instant) {
+        let all_grants_known = self.earlier_calls_until.is_some_and(|until| now > until);
+        let left = if all_grants_known { self.former_until.saturating_sub(clock) } else { self.longest };
+        self.extend(now + longest_real_time(left.min(self.longest)), LeaseBasis::FormerIncarnation);
     }
 
     /// Records that another incarnation of the worker has answered a call at `now` that may have granted it a
-    /// lease by the clock of the earlier one. The worker has shortened it to the longest that it accepts.
+    /// lease by the clock of the earlier one.
     pub fn extend_to_longest(&mut self, now: Instant) {
         self.extend(now + longest_real_time(self.longest), LeaseBasis::FormerIncarnation);
     }
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -40,7 +40,12 @@
         worker.listed = true;
         worker.zone_open = zone_open;
         let address_changed = worker.listing.address != listing.address;
+        let incarnation_changed = worker.listing.incarnation != listing.incarnation;
         worker.listing = listing.clone();
+        if incarnation_changed || !worker.watched {
+            self.bound_former_lease(slot);
+        }
+        let Some(worker) = self.state.worker_mut(slot) else { return };
         if !worker.watched || address_changed {
             worker.watched = true;
             worker.renewable = false;
@@ -49,6 +54,36 @@
         }
     }
 
+    /// Bounds the leases that calls for a former incarnation may have granted to the listed one, which has not
+    /// answered this owner yet. This owner knows the runs that the listed incarnation cannot have: those that the
+    /// former one has confirmed.
+    fn bound_former_lease(&mut self, slot: u32) {
+        let inherited = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+        let (rule, unix_time, now) = (self.state.restart_rule, self.state.unix_time, self.now);
+        let has_open_starts = self.has_open_starts(slot);
+        let Some(worker) = self.state.worker_mut(slot) else { return };
+        let Some(started) = worker.listing.incarnation.filter(|listed| worker.incarnation != Some(*listed))
+        else {
+            return;
+        };
+        let extension = rule.extension(started, unix_time);
+        worker.former_lease_expires_at = match worker.polled_at {
+            _ if extension.is_zero() => None,
+            None => Some(inherited + extension),
+            Some(_) if has_open_starts => Some(now + rule.longest_lease()),
+            Some(_) => None,
+        };
+    }
+
+    /// Returns whether a start on the worker is not answered yet.
+    fn has_open_starts(&self, slot: u32) -> bool {
+        let runs = self.state.placements.values().chain(self.state.copies.values());
+        let mut runs = runs.filter(|placement| placement.slot == slot);
+        runs.any(|placement| {
+            matches!(placement.phase, PlacementPhase::Starting | PlacementPhase::Unanswered(_))
+        })
+    }
+
     /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
     /// replaced.
     fn await_no_answers(&mut self, slot: u32) {
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -77,6 +77,7 @@
     /// its report proves; but a start without an answer may have reached it, and it knows of no earlier stop.
     fn apply_incarnation(&mut self, incarnation: WorkerIncarnation) {
         let Some(worker) = self.state.worker_mut(self.slot) else { return };
+        worker.former_lease_expires_at = None;
         let previous = worker.incarnation.replace(incarnation);
         if previous.is_none_or(|previous| previous == incarnation) {
             return;
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -131,6 +131,7 @@
         address: "".into(),
         service: "".into(),
         zone: "".into(),
+        incarnation: None,
         capacity: ResourceVector::default(),
         labels: Vec::new(),
         rack: None,
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -51,6 +51,9 @@
     service: ServiceId,
     address: SocketAddr,
     zone: ZoneId,
+    /// Start of the incarnation that wrote the entry, in Unix milliseconds.
+    #[serde(default)]
+    born: Option<u64>,
     state: ServerState,
     capacity: ResourceBody,
     /// The kind of the worker, then its rack.
@@ -144,6 +147,7 @@
         address: body.address.to_string().into(),
         service: body.service,
         zone: body.zone,
+        incarnation: body.born.map(Duration::from_millis),
         capacity,
         rack: body.labels.get(1).cloned(),
         labels: body.labels,
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -6,7 +6,8 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::{CellEvent, CommandOutcome, StartCommand, StopCommand, WorkerLease};
+use crate::clock;
+use crate::kernel::cell::{CellEvent, CommandOutcome, RestartRule, StartCommand, StopCommand, WorkerLease};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
 use crate::tasks::cell::decision_log::{log_start_not_sent, milliseconds};
@@ -56,6 +57,8 @@
     pub client: WorkerClient,
     /// The leases granted to the worker.
     pub lease: WorkerLease,
+    /// How much longer the worker may hold a lease of earlier owners if it has restarted.
+    pub restart_rule: RestartRule,
     /// The lease under which the owner grants them.
     pub ownership: OwnershipLease,
     /// Sends answers and reports to the owner task.
@@ -288,9 +291,10 @@
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
-                        self.lease.restart(now);
+                        self.lease.restart(clock, now);
                     } else {
-                        self.lease.note_fenced(now);
+                        let extension = self.restart_rule.extension(report.incarnation, clock::unix_time());
+                        self.lease.note_fenced(extension, now);
                     }
                     self.log_incarnation(previous, report.incarnation, clock, now);
                 }
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, GraphSpec, JobForecast, JobStatus,
-    WorkerLease, WorkerListing, longest_real_time,
+    RestartRule, WorkerLease, WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -191,6 +191,10 @@
         WORKER_LEASE.min(self.longest_lease)
     }
 
+    pub(super) fn restart_rule(&self) -> RestartRule {
+        RestartRule::new(self.lease(), self.longest_lease)
+    }
+
     /// Returns how long a worker may hold a lease of an earlier owner after this owner has fenced it.
     pub(super) fn longest_deposed_lease(&self) -> Duration {
         longest_real_time(self.lease()) + DEPOSED_LEASE_MARGIN
@@ -325,6 +329,7 @@
             token: self.token,
             client: (self.adapter.worker)(listing),
             lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
+            restart_rule: self.restart_rule(),
             ownership: self.ownership.clone(),
             owner_sender: self.own_sender.clone(),
             metrics: self.metrics.clone(),
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -87,6 +87,7 @@
         let now = Instant::now();
         let mut scheduler = CellScheduler::new(now + self.inherited_lease())
             .with_log_retention(self.owner.log_retention)
+            .with_restart_rule(self.owner.restart_rule())
             .with_usage_half_life(self.owner.usage_half_life);
         scheduler.handle(CellEvent::Tick(clock::unix_time()), now);
         if let Some(config) = &self.owner.config {
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use fixture_cell::{CellDriver, cell, job, report, running, step, submit, worker};
+use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::cell::{
-    CellEvent, CellRecord, CellScheduler, GraphSpec, StartCommand, StepSpec, WorkerListing,
+    CellEvent, CellRecord, CellScheduler, CommandOutcome, GraphSpec, RestartRule, StartCommand, StepSpec,
+    WorkerListing,
 };
 use googletest::prelude::*;
 
@@ -14,6 +15,10 @@
 const INHERITED_LEASE: Duration = Duration::from_secs(9);
 /// Lease that a worker holds when it falls silent.
 const LEASE: Duration = Duration::from_secs(7);
+/// Lease that owners grant.
+const GRANTED_LEASE: Duration = Duration::from_millis(6_500);
+/// Longest lease that workers accept.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Duration of a term in a series of restarts.
 const TERM_MS: u64 = 4_000;
 
@@ -93,6 +98,71 @@
     verify_that!(restarted_on(&without_bound), none())
 }
 
+/// Returns an owner that follows one with a running task on `w0`, does not reach that worker, and reads that it
+/// restarted this long before.
+fn next_owner_of_a_worker_started(age: Duration) -> CellDriver {
+    let mut first = cell(1);
+    submit(&mut first, service());
+    let mut driver = cell(0);
+    driver.answers_first_poll = false;
+    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
+    driver.scheduler = CellScheduler::new(driver.now + INHERITED_LEASE).with_restart_rule(rule);
+    driver.advance(0);
+    driver.handle(CellEvent::Configured(fixture_cell::config(None).into()));
+    submit(&mut driver, service());
+    for record in &first.records {
+        driver.scheduler.replay(record.clone(), driver.now);
+    }
+    driver.scheduler.end_replay();
+    let restarted = WorkerListing { incarnation: Some(START_UNIX_TIME.saturating_sub(age)), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
+    let polled = report(driver.now, Vec::new(), Vec::new());
+    driver.handle(CellEvent::WorkerPolled("w1".into(), polled));
+    driver
+}
+
+/// Guards against tasks that run twice: a call of the former owner for an earlier incarnation of a worker may have
+/// granted the present one the longest lease, and the worker does not answer the new owner.
+#[gtest]
+fn a_new_owner_waits_longer_for_a_worker_that_is_listed_as_restarted() -> Result<()> {
+    let mut restarted = next_owner_of_a_worker_started(Duration::from_secs(1));
+    let mut long_lived = next_owner_of_a_worker_started(Duration::from_secs(60));
+    pass(&mut restarted, 10_000);
+    pass(&mut long_lived, 10_000);
+    let early = restarted_on(&restarted);
+    pass(&mut restarted, 4_000);
+
+    verify_that!(early, none())?;
+    verify_that!(restarted_on(&long_lived), some(eq("w1")))?;
+    verify_that!(restarted_on(&restarted), some(eq("w1")))
+}
+
+/// Guards against tasks that run twice: an owner whose start was not answered sees in the list of workers that the
+/// worker has restarted. The new incarnation may have accepted the start and, with it, the longest lease.
+#[gtest]
+fn an_unanswered_start_on_a_worker_that_is_listed_as_restarted_is_awaited() -> Result<()> {
+    let mut driver = cell(1);
+    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
+    driver.scheduler = std::mem::take(&mut driver.scheduler).with_restart_rule(rule);
+    submit(&mut driver, service());
+    let start = driver.started("j.0.0.0").or_fail()?;
+    let unanswered = CellEvent::StartAnswered(start.task, start.run, start.worker, CommandOutcome::Unknown);
+    driver.handle(unanswered);
+    driver.handle(CellEvent::WorkersListed(vec![worker("w0"), worker("w1")]));
+    let lease_expires_at = driver.now + LEASE;
+    driver.handle(CellEvent::WorkerUnresponsive("w0".into(), lease_expires_at));
+    let restarted_at = START_UNIX_TIME + driver.now.duration_since(driver.start);
+    let restarted = WorkerListing { incarnation: Some(restarted_at), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
+
+    pass(&mut driver, 9_000);
+    let early = restarted_on(&driver);
+    pass(&mut driver, 2_000);
+
+    verify_that!(early, some(eq("w0")))?;
+    verify_that!(restarted_on(&driver), some(eq("w1")))
+}
+
 /// Guards against tasks that run twice: once a worker answers again its lease is renewed, so that the bound
 /// must be taken back in the records first, and a later owner must not go by it.
 #[gtest]
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -12,8 +12,8 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, StartCommand, TaskKey,
-    WorkerLease,
+    CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule, StartCommand,
+    TaskKey, WorkerLease,
 };
 use godwithaven::prelude::{TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
@@ -158,6 +158,7 @@
             token: 1,
             client: worker.client(),
             lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited),
+            restart_rule: RestartRule::new(LEASE, LONGEST_LEASE),
             ownership,
             owner_sender,
             metrics: CellMetrics::new().expect("the metrics are valid"),
@@ -411,7 +412,7 @@
 /// that started this long ago; counted from just before that answer.
 async fn first_bound_of_a_worker_started(age: Duration) -> Result<Duration> {
     let worker = FakeWorker::default();
-    let incarnation = clock::unix_time() - age;
+    let incarnation = clock::unix_time().saturating_sub(age);
     worker.answer_as(incarnation, Duration::from_secs(600));
     let polled_at = Instant::now();
     let mut link = RunningLink::start_with_inherited(&worker, LONGEST_LEASE);
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -204,7 +204,7 @@
     let (duration, longest) = (Duration::from_secs(5), Duration::from_secs(10));
     let mut lease = WorkerLease::new(duration, longest, start + Duration::from_secs(20));
 
-    lease.note_fenced(start);
+    lease.note_fenced(Duration::ZERO, start);
     let fenced = lease.expires_by();
     lease.note_clock(Duration::from_secs(1), start);
     lease.grant(start + Duration::from_secs(2));
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -200,6 +200,7 @@
         address: "127.0.0.1:1".into(),
         service: "planner".into(),
         zone: "a".into(),
+        incarnation: Some(INCARNATION),
         capacity: ResourceVector::new(8_000, 8_192, 4),
         labels: vec!["kind".into(), "r1".into()],
         rack: Some("r1".into()),
