Fence the calls that were meant for a former incarnation of a worker

Cause: within one term, calls for a former incarnation carry the token of the owner, so that a restarted worker carries them out also after newer calls, up to 12 s late; they renew its lease and acknowledge ends by numbers of the former one. Change: the token of the calls to a worker rises after a restart, to the offset up to which the owner has read the claim log, which is below the token of each successor. No start is sent before a call with it is answered, and the bound of the lease is worked out again then. A call that is refused for its lower token had no effect and does not end the term.

--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -1,11 +1,13 @@
 //! Leases under which workers run tasks: what an owner grants, and when every lease that a worker may hold has
 //! certainly expired.
 
+mod call_fence;
 mod lease_basis;
 mod lease_watch;
 mod restart_rule;
 mod worker_lease;
 
+pub use call_fence::CallFence;
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
 pub use restart_rule::{FORMER_CALL_WINDOW, RestartRule};
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -75,7 +75,9 @@
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
-pub use leases::{FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerLease, longest_real_time};
+pub use leases::{
+    CallFence, FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerLease, longest_real_time,
+};
 pub use listing_update::ListingUpdate;
 pub use order::{
     ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -304,6 +304,7 @@
             && let Some(term) = &state.term
         {
             term.ownership.confirm(sent_at);
+            term.ownership.note_claim_log(page.next);
         }
         Duration::ZERO
     }
@@ -451,7 +452,10 @@
         actix_rt::spawn(async move {
             match append.await {
                 // No other process had claimed the cell, as its claim would have moved the end of the log.
-                AppendOutcome::Stored(_) => ownership.confirm(sent_at),
+                AppendOutcome::Stored(offset) => {
+                    ownership.confirm(sent_at);
+                    ownership.note_claim_log(offset + 1);
+                }
                 outcome => log::info!(outcome:%; "ownership heartbeat was not stored"),
             }
         });
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -7,10 +7,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
-use crate::kernel::cell::{CellEvent, CommandOutcome, RestartRule, StartCommand, StopCommand, WorkerLease};
+use crate::kernel::cell::{
+    CallFence, CellEvent, CommandOutcome, RestartRule, StartCommand, StopCommand, WorkerLease,
+};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
 use crate::tasks::cell::decision_log::{log_start_not_sent, milliseconds};
+use crate::tasks::cell::link_answer::{KnownWorker, LinkAnswer, LinkCommand};
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::OwnerMessage;
@@ -26,6 +29,9 @@
 /// The same for a worker with tasks while no lease may be granted, so that its lease is renewed soon after the
 /// ownership is confirmed.
 const UNCONFIRMED_LONG_POLL_WAIT: Duration = Duration::from_millis(500);
+/// The same while calls for a former incarnation of the worker may still be carried out, as a later poll is needed to
+/// have them refused.
+const UNFENCED_LONG_POLL_WAIT: Duration = Duration::from_millis(500);
 /// Delay before a poll is repeated after a worker did not answer.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest wait for the owner to record reported ends, or to allow that the lease is renewed, before the next
@@ -51,8 +57,10 @@
 pub struct WorkerLink {
     /// Name of the worker.
     pub worker: WorkerId,
-    /// Fencing token of the owner, sent with each call.
+    /// Fencing token of the owner, for logs.
     pub token: FencingToken,
+    /// The fencing token of the calls.
+    pub fence: CallFence,
     /// Client of the worker.
     pub client: WorkerClient,
     /// The leases granted to the worker.
@@ -67,27 +75,13 @@
     pub metrics: CellMetrics,
 }
 
-/// What the link knew of the worker when it sent a command.
-#[derive(Clone, Copy)]
-struct KnownWorker {
-    incarnation: Option<WorkerIncarnation>,
-    /// The worker's clock in its last answer to a poll.
-    clock: Option<WorkerTime>,
-}
-
-/// A command and the worker's answer to it.
-enum LinkAnswer {
-    Start(StartCommand, CommandAnswer, KnownWorker),
-    Stop(StopCommand, CommandAnswer, KnownWorker),
-}
-
 impl WorkerLink {
     /// Runs until the token is cancelled.
     pub async fn run(mut self, mut inbox: mpsc::Receiver<LinkMessage>, token: CancellationToken) {
         let mut commands: FuturesUnordered<LocalBoxFuture<'static, LinkAnswer>> = FuturesUnordered::new();
         let mut poll_state = PollState::default();
         let mut poll: Option<LocalBoxFuture<'static, PollOutcome>> = None;
-        let mut look: Option<LocalBoxFuture<'static, PollOutcome>> = None;
+        let mut look: Option<LocalBoxFuture<'static, (FencingToken, PollOutcome)>> = None;
         loop {
             let delay = poll_state.poll_delay();
             if poll.is_none() && delay.is_none() {
@@ -110,9 +104,9 @@
                         return;
                     }
                 }
-                outcome = await_optional(&mut look) => {
+                (token, outcome) = await_optional(&mut look) => {
                     look = None;
-                    self.finish_look(outcome).await;
+                    self.finish_look(token, outcome).await;
                 }
                 message = inbox.recv() => {
                     let Some(message) = message else { return };
@@ -135,7 +129,11 @@
         poll_state: &mut PollState,
         commands: &FuturesUnordered<LocalBoxFuture<'static, LinkAnswer>>,
     ) {
-        let known = KnownWorker { incarnation: poll_state.incarnation, clock: self.lease.last_clock() };
+        let known = KnownWorker {
+            incarnation: poll_state.incarnation,
+            clock: self.lease.last_clock(),
+            token: self.fence.token(),
+        };
         match message {
             LinkMessage::Start(command) => {
                 let lease = match self.grant_for_start(&command, poll_state) {
@@ -143,17 +141,22 @@
                     Err(reason) => {
                         log_start_not_sent(&command, self.token, reason);
                         let answer = CommandAnswer { outcome: CommandOutcome::NotSent, clock: None };
-                        commands.push(Box::pin(async move { LinkAnswer::Start(command, answer, known) }));
+                        let answer = LinkAnswer { command: LinkCommand::Start(command), answer, known };
+                        commands.push(Box::pin(std::future::ready(answer)));
                         return;
                     }
                 };
                 poll_state.idle = false;
-                let answer = (self.client.start)(command.clone(), self.token, lease);
-                commands.push(Box::pin(async move { LinkAnswer::Start(command, answer.await, known) }));
+                let answer = (self.client.start)(command.clone(), known.token, lease);
+                commands.push(Box::pin(async move {
+                    LinkAnswer { command: LinkCommand::Start(command), answer: answer.await, known }
+                }));
             }
             LinkMessage::Stop(command) => {
-                let answer = (self.client.stop)(command.clone(), self.token);
-                commands.push(Box::pin(async move { LinkAnswer::Stop(command, answer.await, known) }));
+                let answer = (self.client.stop)(command.clone(), known.token);
+                commands.push(Box::pin(async move {
+                    LinkAnswer { command: LinkCommand::Stop(command), answer: answer.await, known }
+                }));
             }
             LinkMessage::Acknowledge(incarnation, number) if poll_state.incarnation == Some(incarnation) => {
                 poll_state.acknowledged = poll_state.acknowledged.max(number);
@@ -187,6 +190,7 @@
     /// awaited, and none is renewed by an owner that may have a successor.
     fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
         let now = Instant::now();
+        self.fence.raise(self.ownership.newest_token());
         let is_confirmed = self.ownership.is_valid();
         let may_renew = is_confirmed && poll_state.may_renew();
         let lease = if may_renew { self.lease.grant(now) } else { None };
@@ -195,35 +199,35 @@
         // runs to report.
         let wait = match (poll_state.answered, poll_state.idle) {
             (false, _) => Duration::ZERO,
+            (true, _) if self.fence.is_open() => UNFENCED_LONG_POLL_WAIT,
             (true, false) if !is_confirmed => UNCONFIRMED_LONG_POLL_WAIT,
             (true, false) => LONG_POLL_WAIT,
             (true, true) => IDLE_LONG_POLL_WAIT,
         };
         // Another incarnation of the worker may answer, whose ends have the same numbers.
         let acknowledged = if poll_state.answered { poll_state.acknowledged } else { 0 };
-        let request = PollRequest { token: self.token, acknowledged, lease, wait };
+        let request = PollRequest { token: self.fence.token(), acknowledged, lease, wait };
         (self.client.poll)(request)
     }
 
     /// Asks for the progress of the runs at once. This renews no lease and acknowledges no ends.
-    fn look(&self) -> LocalBoxFuture<'static, PollOutcome> {
+    fn look(&self) -> LocalBoxFuture<'static, (FencingToken, PollOutcome)> {
         self.metrics.looks.inc();
-        (self.client.poll)(PollRequest {
-            token: self.token,
-            acknowledged: 0,
-            lease: None,
-            wait: Duration::ZERO,
-        })
+        let token = self.fence.token();
+        let request = PollRequest { token, acknowledged: 0, lease: None, wait: Duration::ZERO };
+        let outcome = (self.client.poll)(request);
+        Box::pin(async move { (token, outcome.await) })
     }
 
     /// Passes on the reported progress. Ends, and workers that do not answer, are left to the polls.
-    async fn finish_look(&self, outcome: PollOutcome) {
+    async fn finish_look(&self, token: FencingToken, outcome: PollOutcome) {
         match outcome {
             PollOutcome::Answered(report, _) => {
                 let worker = self.worker.clone();
                 let event = CellEvent::ProgressReported(worker, report.incarnation, report.running);
                 self.send_to_owner(OwnerMessage::Event(event)).await;
             }
+            PollOutcome::Fenced if token < self.fence.token() => {}
             PollOutcome::Fenced => self.send_to_owner(OwnerMessage::Fenced(self.worker.clone())).await,
             PollOutcome::Replaced => {}
             PollOutcome::Failed(reason) => {
@@ -235,27 +239,20 @@
     /// Applies the answer to a command; returns whether it is the first one that shows that the worker has
     /// restarted since its last answer to a poll.
     async fn finish_command(&mut self, answer: LinkAnswer, poll_state: &mut PollState) -> bool {
-        let (event, answer, known) = match answer {
-            LinkAnswer::Start(command, answer, known) => {
-                self.count_command("start", answer.outcome);
-                let event =
-                    CellEvent::StartAnswered(command.task, command.run, command.worker, answer.outcome);
-                (event, answer, known)
-            }
-            LinkAnswer::Stop(command, answer, known) => {
-                self.count_command("stop", answer.outcome);
-                let event =
-                    CellEvent::StopAnswered(command.task, command.run, command.worker, answer.outcome);
-                (event, answer, known)
-            }
-        };
+        let LinkAnswer { command, answer, known } = answer;
+        self.count_command(command.kind(), answer.outcome);
         if answer.outcome == CommandOutcome::Fenced {
-            self.send_to_owner(OwnerMessage::Fenced(self.worker.clone())).await;
+            if known.token == self.fence.token() {
+                self.send_to_owner(OwnerMessage::Fenced(self.worker.clone())).await;
+            } else {
+                // The token has risen since: the command was meant for a former incarnation.
+                self.send_to_owner(OwnerMessage::Event(command.into_event(CommandOutcome::Refused))).await;
+            }
             return false;
         }
         let restarted = self.note_restart(&answer, known, poll_state);
         // The outcome holds for the new incarnation too: its next report shows the run or its end.
-        self.send_to_owner(OwnerMessage::Event(event)).await;
+        self.send_to_owner(OwnerMessage::Event(command.into_event(answer.outcome))).await;
         restarted
     }
 
@@ -277,6 +274,7 @@
         if is_first {
             log::info!(worker = &*self.worker, token = self.token, clock_ms = milliseconds(clock),
                 last_clock_ms = milliseconds(last_clock); "command is answered by another incarnation");
+            self.fence.note_restart();
             poll_state.expect_restart();
         }
         is_first
@@ -288,15 +286,21 @@
         match outcome {
             PollOutcome::Answered(report, clock) => {
                 let previous = poll_state.incarnation.replace(report.incarnation);
+                let is_fenced = self.fence.note_answer();
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
                         self.lease.restart(clock, now);
+                        if !is_fenced {
+                            self.fence.note_restart();
+                        }
                     } else {
                         let extension = self.restart_rule.extension(report.incarnation, clock::unix_time());
                         self.lease.note_fenced(extension, now);
                     }
                     self.log_incarnation(previous, report.incarnation, clock, now);
+                } else if is_fenced {
+                    self.lease.note_former_calls(clock, now);
                 }
                 self.lease.note_clock(clock, now);
                 poll_state.answered = true;
@@ -306,6 +310,9 @@
                 if poll_state.last_reported > 0 || !poll_state.renewable {
                     poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
                 }
+                if self.fence.raise(self.ownership.newest_token()) {
+                    poll_state.expect_restart();
+                }
                 self.send_to_owner(OwnerMessage::Event(CellEvent::WorkerPolled(self.worker.clone(), report)))
                     .await;
                 true
--- a/src/tasks/cell/mod.rs
+++ b/src/tasks/cell/mod.rs
@@ -11,6 +11,7 @@
 pub mod inbox;
 pub mod intake;
 pub mod link;
+mod link_answer;
 pub mod metrics;
 mod not_sent_reason;
 pub mod operator_pages;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,7 +5,7 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, GraphSpec, JobForecast, JobStatus,
+    CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, GraphSpec, JobForecast, JobStatus,
     RestartRule, WorkerLease, WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
@@ -327,6 +327,8 @@
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
+            // An earlier link of this term may have raised the token.
+            fence: CallFence::new(self.token.max(self.ownership.newest_token())),
             client: (self.adapter.worker)(listing),
             lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
             restart_rule: self.restart_rule(),
--- a/src/tasks/cell/ownership_lease.rs
+++ b/src/tasks/cell/ownership_lease.rs
@@ -19,13 +19,15 @@
     /// When the newest call was sent whose answer shows that no successor had fenced this owner when the store
     /// handled it; `None` before the first.
     confirmed: watch::Sender<Option<ClockReading>>,
+    /// See [`Self::newest_token`].
+    newest_token: watch::Sender<FencingToken>,
 }
 
 impl OwnershipLease {
     /// Returns a lease that is not valid until it is confirmed.
     #[must_use]
     pub fn new() -> Self {
-        Self { confirmed: watch::Sender::new(None) }
+        Self { confirmed: watch::Sender::new(None), newest_token: watch::Sender::new(0) }
     }
 
     /// Extends the lease, as the answer to a call that was sent at this time shows that the process still owned
@@ -40,6 +42,23 @@
         });
     }
 
+    /// Records that no other process has claimed the cell before this offset of the claim log, where its next record
+    /// comes.
+    pub fn note_claim_log(&self, next_offset: LogOffset) {
+        self.newest_token.send_if_modified(|token| {
+            let is_newer = next_offset > *token;
+            *token = next_offset.max(*token);
+            is_newer
+        });
+    }
+
+    /// Returns the highest fencing token below that of each successor, whose token is above the offset of its claim;
+    /// zero before the claim log was read.
+    #[must_use]
+    pub fn newest_token(&self) -> FencingToken {
+        *self.newest_token.borrow()
+    }
+
     /// Returns whether the newest confirmation was sent at most this long ago.
     #[must_use]
     pub fn is_confirmed_within(&self, age: Duration) -> bool {
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -12,10 +12,10 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule, StartCommand,
-    TaskKey, WorkerLease,
+    CallFence, CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule,
+    StartCommand, TaskKey, WorkerLease,
 };
-use godwithaven::prelude::{TaskEndNumber, WorkerIncarnation};
+use godwithaven::prelude::{FencingToken, TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerMessage;
@@ -33,6 +33,8 @@
 const USUAL_HOLD: Duration = Duration::from_millis(20);
 /// Number of an end that an earlier incarnation of the worker reported.
 const EARLIER_END: TaskEndNumber = 311;
+/// The highest token below that of each successor.
+const NEWEST_TOKEN: FencingToken = 9;
 /// Longest wait for a message, far above the usual time.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -53,6 +55,10 @@
     acknowledged: Rc<RefCell<Vec<(WorkerIncarnation, TaskEndNumber)>>>,
     /// Number of polls that renewed the lease.
     renewals: Rc<Cell<usize>>,
+    /// Fencing tokens of the starts.
+    start_tokens: Rc<RefCell<Vec<FencingToken>>>,
+    /// Highest fencing token of the polls that the present incarnation has answered.
+    highest_token: Rc<Cell<FencingToken>>,
 }
 
 impl FakeWorker {
@@ -66,6 +72,7 @@
         self.answer_as(incarnation, Duration::ZERO);
         self.command_clock.set(Some(Duration::ZERO));
         self.ended.set(None);
+        self.highest_token.set(0);
     }
 
     /// Returns the numbers that the polls which this incarnation answered have acknowledged.
@@ -77,12 +84,16 @@
     fn client(&self) -> WorkerClient {
         let (starter, stopper, poller) = (self.clone(), self.clone(), self.clone());
         WorkerClient {
-            start: Rc::new(move |command, _, _| {
+            start: Rc::new(move |command, token, _| {
                 starter.started.borrow_mut().push(command.task);
-                let (answer, delay) = (starter.accepted(), starter.start_delay.get());
+                starter.start_tokens.borrow_mut().push(token);
+                let (answer, delay, highest_token) =
+                    (starter.accepted(), starter.start_delay.get(), starter.highest_token.clone());
                 async move {
                     tokio::time::sleep(delay).await;
-                    answer
+                    let is_fenced = token < highest_token.get();
+                    let outcome = if is_fenced { CommandOutcome::Fenced } else { answer.outcome };
+                    CommandAnswer { outcome, ..answer }
                 }
                 .boxed_local()
             }),
@@ -102,6 +113,7 @@
             return PollOutcome::Failed("no answer".to_owned());
         };
         self.acknowledged.borrow_mut().push((incarnation, request.acknowledged));
+        self.highest_token.set(self.highest_token.get().max(request.token));
         let ended = self.ended.get().filter(|number| *number > request.acknowledged).map(ended_run);
         let report = report(Instant::now(), Vec::new(), ended.into_iter().collect());
         PollOutcome::Answered(PollReport { incarnation, ..report }, clock)
@@ -156,6 +168,7 @@
         let link = WorkerLink {
             worker: "w0".into(),
             token: 1,
+            fence: CallFence::new(1),
             client: worker.client(),
             lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited),
             restart_rule: RestartRule::new(LEASE, LONGEST_LEASE),
@@ -408,6 +421,59 @@
     verify_that!(lines_with(&restarted), is_empty())
 }
 
+/// Guards against tasks that run twice: a call that was meant for a former incarnation of a worker and is carried out
+/// late renews the lease, or starts a run, after the owner has counted both as over. The worker can refuse it only by
+/// its token.
+#[gtest]
+#[actix_rt::test]
+async fn calls_after_a_restart_fence_those_for_the_former_incarnation() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(700));
+    let ownership = ownership_for_the_test();
+    let mut link = RunningLink::start_with_ownership(&worker, ownership.clone());
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    ownership.note_claim_log(NEWEST_TOKEN);
+    link.send(start("j.0.0.0", INCARNATION)).await.or_fail()?;
+
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    link.await_report(next).await.or_fail()?;
+    link.await_report(next).await.or_fail()?;
+    link.send(start("j.0.0.1", next)).await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(worker.highest_token.get(), eq(NEWEST_TOKEN))?;
+    verify_that!(*worker.start_tokens.borrow(), eq(&vec![1, NEWEST_TOKEN]))
+}
+
+/// Guards against an owner that ends its term for nothing: a start that was on its way when the worker restarted is
+/// refused for its token, which is not that of a successor.
+#[gtest]
+#[actix_rt::test]
+async fn a_start_that_a_restart_fences_is_refused() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(800));
+    let ownership = ownership_for_the_test();
+    let mut link = RunningLink::start_with_ownership(&worker, ownership.clone());
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    ownership.note_claim_log(NEWEST_TOKEN);
+    worker.start_delay.set(Duration::from_millis(300));
+    link.commands.send(LinkMessage::Start(start("j.0.0.0", INCARNATION))).await.or_fail()?;
+
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    link.await_report(next).await.or_fail()?;
+    link.await_report(next).await.or_fail()?;
+    let outcome = link.await_start_outcome().await;
+    let later = link.send(start("j.0.0.1", next)).await;
+    link.token.cancel();
+
+    verify_that!(outcome, some(eq(CommandOutcome::Refused)))?;
+    verify_that!(later, some(eq(CommandOutcome::Accepted)))
+}
+
 /// Returns by when the lease of a worker ends at the latest that has answered a new owner once, as the incarnation
 /// that started this long ago; counted from just before that answer.
 async fn first_bound_of_a_worker_started(age: Duration) -> Result<Duration> {
