Record from when a worker refuses calls for its former incarnation

Cause: a new owner can tell from the start of an incarnation only that a former one may have been granted a lease. Change: the owner records the age at which a young incarnation refuses the calls for its former one; a new owner takes that age in place of the 15 s in which such calls may be carried out.

--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellConfig, GraphSpec, PollReport, RunningRun, StepKey, TaskKey};
+use crate::kernel::cell::{CellConfig, GraphSpec, PollReport, RunningRun, StepKey, TaskKey, WorkerFence};
 use crate::prelude::*;
 
 /// Entry of a worker in the platform's list of workers.
@@ -89,6 +89,8 @@
     WorkerPolled(WorkerId, PollReport),
     /// An incarnation of a worker told the progress of its runs when it was asked beside the usual polls.
     ProgressReported(WorkerId, WorkerIncarnation, Vec<RunningRun>),
+    /// A worker refuses calls that were meant for a former incarnation of it.
+    WorkerFenced(WorkerId, WorkerFence),
     /// A worker does not answer, or another incarnation of it does. Every lease that the expected
     /// incarnation may hold has expired by the given time.
     WorkerUnresponsive(WorkerId, Instant),
--- a/src/kernel/cell/cell_record.rs
+++ b/src/kernel/cell/cell_record.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::kernel::cell::{EndCause, JobSnapshot, JobStatus, TaskKey, UsageRecord};
+use crate::kernel::cell::{EndCause, JobSnapshot, JobStatus, TaskKey, UsageRecord, WorkerFence};
 use crate::prelude::*;
 
 /// A decision of the owner, stored in the log of the cell before it takes effect.
@@ -31,4 +31,8 @@
     /// Past use of all teams. Releases that do not know it pass it over.
     #[serde(rename = "u")]
     Usage(UsageRecord),
+    /// Workers that refuse calls for their former incarnations. Only those that started a short time before are
+    /// recorded. Releases that do not know it pass it over.
+    #[serde(rename = "f")]
+    Fences(Vec<(WorkerId, WorkerFence)>),
 }
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -3,6 +3,7 @@
     CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LookPlanner,
     PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun, SkippedRecords,
     SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch,
+    WorkerFence,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -103,7 +104,9 @@
         // An accepted start and a report of progress change nothing that a start pass depends on.
         self.changed |= !matches!(
             event,
-            CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted) | CellEvent::ProgressReported(..)
+            CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted)
+                | CellEvent::ProgressReported(..)
+                | CellEvent::WorkerFenced(..)
         );
         match event {
             CellEvent::Configured(config) => self.configure(config),
@@ -133,6 +136,7 @@
             CellEvent::ProgressReported(worker, incarnation, running) => {
                 self.apply_progress(&worker, incarnation, &running, now);
             }
+            CellEvent::WorkerFenced(worker, fence) => self.note_fence(&worker, fence),
             CellEvent::WorkerUnresponsive(worker, lease_expires_at) => {
                 if let Some(slot) = self.state.slot(&worker)
                     && let Some(worker) = self.state.worker_mut(slot)
@@ -205,9 +209,18 @@
         self.state.jobs.get(job).map(|job| job.status)
     }
 
-    /// Emits a record of how long the workers that do not answer may hold a lease.
+    /// Emits records of how long the workers that do not answer may hold a lease, and of those that refuse calls for
+    /// their former incarnations.
     pub fn record_lease_bounds(&mut self, now: Instant) {
-        LeaseWatch { state: &mut self.state, now }.record_bounds();
+        let mut watch = LeaseWatch { state: &mut self.state, now };
+        watch.record_bounds();
+        watch.record_fences();
+    }
+
+    /// Returns from when a worker refuses calls for its former incarnation; `None` if the records do not tell.
+    #[must_use]
+    pub fn fence_of(&self, worker: &str) -> Option<WorkerFence> {
+        self.state.worker(self.state.slot(worker)?)?.fence
     }
 
     /// Returns when every lease that earlier owners granted to a worker has expired; `None` once this owner has
@@ -340,6 +353,18 @@
         }
     }
 
+    /// Notes from when a worker refuses calls for its former incarnation. Only the first of such times for an
+    /// incarnation counts.
+    fn note_fence(&mut self, worker: &str, fence: WorkerFence) {
+        let Some(slot) = self.state.slot(worker) else { return };
+        let is_worth_recording = self.state.restart_rule.is_worth_recording(fence);
+        let Some(worker) = self.state.worker_mut(slot) else { return };
+        if worker.fence.is_none_or(|known| known.incarnation != fence.incarnation) {
+            worker.fence = Some(fence);
+            worker.fence_unrecorded = is_worth_recording;
+        }
+    }
+
     fn apply_report(&mut self, worker: &str, report: PollReport, now: Instant) {
         let Some(slot) = self.state.slot(worker) else { return };
         PollReconciler { state: &mut self.state, slot, now }.apply(report);
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -1,5 +1,5 @@
 use crate::kernel::WorkerHealth;
-use crate::kernel::cell::{RunnerProfile, StepSpec, TaskKey, WorkerListing};
+use crate::kernel::cell::{RunnerProfile, StepSpec, TaskKey, WorkerFence, WorkerListing};
 use crate::prelude::*;
 
 /// Time for which nothing is started on a worker after tasks of several jobs failed there.
@@ -38,6 +38,10 @@
     /// When its lease was last bounded in the records. It must then not be renewed before they say that the
     /// worker answers. `None` if they do not bound it.
     pub lease_bound_recorded_at: Option<Instant>,
+    /// From when the worker refuses calls for its former incarnation, as far as is known.
+    pub fence: Option<WorkerFence>,
+    /// Whether `fence` has yet to be recorded.
+    pub fence_unrecorded: bool,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
     /// Highest number of an end in the reports of this incarnation.
@@ -79,6 +83,8 @@
             former_lease_expires_at: None,
             silent_since: now,
             lease_bound_recorded_at: None,
+            fence: None,
+            fence_unrecorded: false,
             incarnation: None,
             last_handled_end: 0,
             used: ResourceVector::default(),
--- a/src/kernel/cell/leases/call_fence.rs
+++ b/src/kernel/cell/leases/call_fence.rs
@@ -28,6 +28,13 @@
         Self { token, phase: FencePhase::Closed }
     }
 
+    /// Returns the fence of a further connection to a worker during one term. Earlier calls of the term may be on their
+    /// way and carry this token.
+    #[must_use]
+    pub const fn reopened(token: FencingToken) -> Self {
+        Self { token, phase: FencePhase::Open }
+    }
+
     /// Returns the token of the calls that are sent now.
     #[must_use]
     pub const fn token(&self) -> FencingToken {
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -1,5 +1,5 @@
 use crate::kernel::cell::{
-    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey,
+    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey, WorkerFence,
 };
 use crate::prelude::*;
 
@@ -45,6 +45,19 @@
         }
     }
 
+    /// Emits a record of the workers that refuse calls for their former incarnations since the last one.
+    pub fn record_fences(&mut self) {
+        let unrecorded = self.state.workers.iter_mut().filter(|worker| worker.fence_unrecorded);
+        let fences = unrecorded.filter_map(|worker| {
+            worker.fence_unrecorded = false;
+            Some((worker.listing.worker.clone(), worker.fence?))
+        });
+        let fences: Vec<(WorkerId, WorkerFence)> = fences.collect();
+        if !fences.is_empty() {
+            self.state.effects.push(CellEffect::Record(CellRecord::Fences(fences)));
+        }
+    }
+
     /// Emits a record of how long the workers that do not answer may hold a lease. A new owner goes by it, and
     /// need not wait for as long as if they had been granted a lease just before its term.
     pub fn record_bounds(&mut self) {
--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -5,10 +5,12 @@
 mod lease_basis;
 mod lease_watch;
 mod restart_rule;
+mod worker_fence;
 mod worker_lease;
 
 pub use call_fence::CallFence;
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
 pub use restart_rule::{FORMER_CALL_WINDOW, RestartRule};
+pub use worker_fence::WorkerFence;
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/leases/restart_rule.rs
+++ b/src/kernel/cell/leases/restart_rule.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::longest_real_time;
+use crate::kernel::cell::{WorkerFence, longest_real_time};
 use crate::prelude::*;
 
 /// Time after the start of a worker in which it may carry out calls that were meant for its former incarnation:
@@ -34,10 +34,23 @@
     }
 
     /// Returns how much longer a lease may last at `unix_time`, by a call of an earlier owner that was meant for the
-    /// incarnation before the one that started at `started`.
+    /// incarnation before the one that started at `started`. `fence` is what the records say of the worker.
     #[must_use]
-    pub fn extension(&self, started: WorkerIncarnation, unix_time: Duration) -> Duration {
+    pub fn extension(
+        &self,
+        started: WorkerIncarnation,
+        fence: Option<WorkerFence>,
+        unix_time: Duration,
+    ) -> Duration {
+        let fence = fence.filter(|fence| fence.incarnation == started);
+        let window = fence.map_or(FORMER_CALL_WINDOW, |fence| fence.age.min(FORMER_CALL_WINDOW));
         let age = unix_time.saturating_sub(started);
-        self.longest_extension.saturating_sub(age.saturating_sub(FORMER_CALL_WINDOW + CLOCK_TOLERANCE))
+        self.longest_extension.saturating_sub(age.saturating_sub(window + CLOCK_TOLERANCE))
+    }
+
+    /// Returns whether a record of this fence would let a new owner wait for less.
+    #[must_use]
+    pub fn is_worth_recording(&self, fence: WorkerFence) -> bool {
+        fence.age < FORMER_CALL_WINDOW
     }
 }
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -66,7 +66,7 @@
         else {
             return;
         };
-        let extension = rule.extension(started, unix_time);
+        let extension = rule.extension(started, worker.fence, unix_time);
         worker.former_lease_expires_at = match worker.polled_at {
             _ if extension.is_zero() => None,
             None => Some(inherited + extension),
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -76,7 +76,8 @@
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use leases::{
-    CallFence, FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerLease, longest_real_time,
+    CallFence, FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerFence, WorkerLease,
+    longest_real_time,
 };
 pub use listing_update::ListingUpdate;
 pub use order::{
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -33,9 +33,10 @@
                 Some(_) => ReplayOutcome::Applied,
                 None => ReplayOutcome::UnknownJob,
             },
-            CellRecord::LeaseBounds(_) | CellRecord::Snapshot(_) | CellRecord::Usage(_) => {
-                ReplayOutcome::Applied
-            }
+            CellRecord::LeaseBounds(_)
+            | CellRecord::Snapshot(_)
+            | CellRecord::Usage(_)
+            | CellRecord::Fences(_) => ReplayOutcome::Applied,
         }
     }
 
@@ -73,6 +74,14 @@
                     self.bound_lease(slot, left);
                 }
             }
+            CellRecord::Fences(fences) => {
+                for (worker, fence) in fences {
+                    let slot = slot_of(self.state, worker, self.now);
+                    if let Some(worker) = self.state.worker_mut(slot) {
+                        worker.fence = Some(fence);
+                    }
+                }
+            }
             CellRecord::Closed(job, status) => self.state.close(&job, status, self.now),
             CellRecord::Usage(record) => {
                 let max_age = self.state.log_retention.unwrap_or(Duration::MAX);
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -90,6 +90,12 @@
                     "bound of a lease is recorded");
             }
         }
+        CellRecord::Fences(fences) => {
+            for (worker, fence) in fences {
+                log::info!(worker = &**worker, incarnation = milliseconds(fence.incarnation),
+                    age_ms = milliseconds(fence.age); "fence of a worker is recorded");
+            }
+        }
         CellRecord::Closed(job, status) => log::info!(job = &**job, status:%; "job is closed"),
         CellRecord::Snapshot(snapshot) => {
             log::info!(job = &*snapshot.spec.id, status:% = snapshot.status, placed = snapshot.placed.len();
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CallFence, CellEvent, CommandOutcome, RestartRule, StartCommand, StopCommand, WorkerLease,
+    CallFence, CellEvent, CommandOutcome, RestartRule, StartCommand, StopCommand, WorkerFence, WorkerLease,
 };
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
@@ -65,6 +65,8 @@
     pub client: WorkerClient,
     /// The leases granted to the worker.
     pub lease: WorkerLease,
+    /// From when the worker refused calls for a former incarnation, by the records of earlier owners.
+    pub recorded_fence: Option<WorkerFence>,
     /// How much longer the worker may hold a lease of earlier owners if it has restarted.
     pub restart_rule: RestartRule,
     /// The lease under which the owner grants them.
@@ -287,6 +289,7 @@
             PollOutcome::Answered(report, clock) => {
                 let previous = poll_state.incarnation.replace(report.incarnation);
                 let is_fenced = self.fence.note_answer();
+                let is_first_answer = previous.is_none() && !self.fence.is_open();
                 if previous != Some(report.incarnation) {
                     poll_state.acknowledged = 0;
                     if previous.is_some() {
@@ -295,13 +298,17 @@
                             self.fence.note_restart();
                         }
                     } else {
-                        let extension = self.restart_rule.extension(report.incarnation, clock::unix_time());
-                        self.lease.note_fenced(extension, now);
+                        self.note_first_answer(report.incarnation, now);
                     }
                     self.log_incarnation(previous, report.incarnation, clock, now);
                 } else if is_fenced {
                     self.lease.note_former_calls(clock, now);
                 }
+                if is_fenced || is_first_answer {
+                    let fence = WorkerFence::new(report.incarnation, clock::unix_time());
+                    let event = CellEvent::WorkerFenced(self.worker.clone(), fence);
+                    self.send_to_owner(OwnerMessage::Event(event)).await;
+                }
                 self.lease.note_clock(clock, now);
                 poll_state.answered = true;
                 poll_state.idle = report.running.is_empty();
@@ -341,6 +348,13 @@
         }
     }
 
+    /// Bounds the leases of earlier owners after the first answer to this one.
+    fn note_first_answer(&mut self, incarnation: WorkerIncarnation, now: Instant) {
+        let unix_time = clock::unix_time();
+        let extension = self.restart_rule.extension(incarnation, self.recorded_fence, unix_time);
+        self.lease.note_fenced(extension, now);
+    }
+
     /// Logs which incarnation answers now, and until when it may hold a lease that this link has not granted.
     fn log_incarnation(
         &self,
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -324,11 +324,16 @@
         let stop = token.child_token();
         let inherited = state.scheduler.inherited_lease_of(&listing.worker);
         let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.longest_deposed_lease());
+        let fence = match inherited {
+            Some(_) => CallFence::new(self.token),
+            // An earlier link of this term may have raised the token.
+            None => CallFence::reopened(self.token.max(self.ownership.newest_token())),
+        };
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
-            // An earlier link of this term may have raised the token.
-            fence: CallFence::new(self.token.max(self.ownership.newest_token())),
+            fence,
+            recorded_fence: state.scheduler.fence_of(&listing.worker),
             client: (self.adapter.worker)(listing),
             lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
             restart_rule: self.restart_rule(),
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -7,7 +7,7 @@
 use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::cell::{
     CellEvent, CellRecord, CellScheduler, CommandOutcome, GraphSpec, RestartRule, StartCommand, StepSpec,
-    WorkerListing,
+    WorkerFence, WorkerListing,
 };
 use googletest::prelude::*;
 
@@ -99,10 +99,17 @@
 }
 
 /// Returns an owner that follows one with a running task on `w0`, does not reach that worker, and reads that it
-/// restarted this long before.
-fn next_owner_of_a_worker_started(age: Duration) -> CellDriver {
+/// restarted this long before. The former owner knew that the worker refused calls for its former incarnation from
+/// this age on.
+fn next_owner_of_a_worker_started(age: Duration, fence_age: Option<Duration>) -> CellDriver {
     let mut first = cell(1);
     submit(&mut first, service());
+    if let Some(fence_age) = fence_age {
+        let fence = WorkerFence { incarnation: START_UNIX_TIME.saturating_sub(age), age: fence_age };
+        first.handle(CellEvent::WorkerFenced("w0".into(), fence));
+        first.scheduler.record_lease_bounds(first.now);
+        first.advance(0);
+    }
     let mut driver = cell(0);
     driver.answers_first_poll = false;
     let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
@@ -125,8 +132,8 @@
 /// granted the present one the longest lease, and the worker does not answer the new owner.
 #[gtest]
 fn a_new_owner_waits_longer_for_a_worker_that_is_listed_as_restarted() -> Result<()> {
-    let mut restarted = next_owner_of_a_worker_started(Duration::from_secs(1));
-    let mut long_lived = next_owner_of_a_worker_started(Duration::from_secs(60));
+    let mut restarted = next_owner_of_a_worker_started(Duration::from_secs(1), None);
+    let mut long_lived = next_owner_of_a_worker_started(Duration::from_secs(60), None);
     pass(&mut restarted, 10_000);
     pass(&mut long_lived, 10_000);
     let early = restarted_on(&restarted);
@@ -137,6 +144,20 @@
     verify_that!(restarted_on(&restarted), some(eq("w1")))
 }
 
+/// Guards against work that waits for nothing: the records of the former owner say that the worker has refused calls
+/// for its former incarnation for so long that no lease of such a call is left.
+#[gtest]
+fn a_recorded_fence_ends_the_longer_wait_for_a_restarted_worker() -> Result<()> {
+    let age = Duration::from_secs(12);
+    let mut fenced = next_owner_of_a_worker_started(age, Some(Duration::from_secs(1)));
+    let mut unfenced = next_owner_of_a_worker_started(age, None);
+    pass(&mut fenced, 10_000);
+    pass(&mut unfenced, 10_000);
+
+    verify_that!(restarted_on(&fenced), some(eq("w1")))?;
+    verify_that!(restarted_on(&unfenced), none())
+}
+
 /// Guards against tasks that run twice: an owner whose start was not answered sees in the list of workers that the
 /// worker has restarted. The new incarnation may have accepted the start and, with it, the longest lease.
 #[gtest]
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -13,7 +13,7 @@
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
     CallFence, CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule,
-    StartCommand, TaskKey, WorkerLease,
+    StartCommand, TaskKey, WorkerFence, WorkerLease,
 };
 use godwithaven::prelude::{FencingToken, TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
@@ -152,16 +152,22 @@
         Self::start_with_ownership(worker, ownership_for_the_test())
     }
 
-    /// Starts the link of a new owner that knows that earlier ones may have granted a lease for this long.
-    fn start_with_inherited(worker: &FakeWorker, inherited: Duration) -> Self {
-        Self::start_with(worker, ownership_for_the_test(), inherited)
+    /// Starts the link of a new owner that knows that earlier ones may have granted a lease for this long, and from
+    /// when the worker refused calls for its former incarnation.
+    fn start_with_inherited(worker: &FakeWorker, inherited: Duration, fence: Option<WorkerFence>) -> Self {
+        Self::start_with(worker, ownership_for_the_test(), inherited, fence)
     }
 
     fn start_with_ownership(worker: &FakeWorker, ownership: OwnershipLease) -> Self {
-        Self::start_with(worker, ownership, Duration::ZERO)
+        Self::start_with(worker, ownership, Duration::ZERO, None)
     }
 
-    fn start_with(worker: &FakeWorker, ownership: OwnershipLease, inherited: Duration) -> Self {
+    fn start_with(
+        worker: &FakeWorker,
+        ownership: OwnershipLease,
+        inherited: Duration,
+        fence: Option<WorkerFence>,
+    ) -> Self {
         let (commands, inbox) = mpsc::channel(64);
         let (owner_sender, events) = mpsc::channel(64);
         let token = CancellationToken::new();
@@ -169,6 +175,7 @@
             worker: "w0".into(),
             token: 1,
             fence: CallFence::new(1),
+            recorded_fence: fence,
             client: worker.client(),
             lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited),
             restart_rule: RestartRule::new(LEASE, LONGEST_LEASE),
@@ -476,12 +483,13 @@
 
 /// Returns by when the lease of a worker ends at the latest that has answered a new owner once, as the incarnation
 /// that started this long ago; counted from just before that answer.
-async fn first_bound_of_a_worker_started(age: Duration) -> Result<Duration> {
+async fn first_bound_of_a_worker_started(age: Duration, fence_age: Option<Duration>) -> Result<Duration> {
     let worker = FakeWorker::default();
     let incarnation = clock::unix_time().saturating_sub(age);
     worker.answer_as(incarnation, Duration::from_secs(600));
     let polled_at = Instant::now();
-    let mut link = RunningLink::start_with_inherited(&worker, LONGEST_LEASE);
+    let fence = fence_age.map(|age| WorkerFence { incarnation, age });
+    let mut link = RunningLink::start_with_inherited(&worker, LONGEST_LEASE, fence);
     link.await_report(incarnation).await.or_fail()?;
     worker.answer.set(None);
     let expires_at = link.await_lease_bound().await.or_fail()?;
@@ -495,16 +503,30 @@
 #[gtest]
 #[actix_rt::test]
 async fn a_new_owner_counts_a_lease_by_the_clock_of_a_former_incarnation() -> Result<()> {
-    let bound = first_bound_of_a_worker_started(Duration::from_secs(2)).await?;
+    let bound = first_bound_of_a_worker_started(Duration::from_secs(2), None).await?;
 
     verify_that!(bound, ge(LONGEST_LEASE * 100 / 98))
 }
 
+/// Guards against work that waits for nothing: by the records, the worker refused calls for its former incarnation long
+/// enough ago that no lease of such a call is left. A fence of a short time ago does not tell that.
+#[gtest]
+#[actix_rt::test]
+async fn a_new_owner_goes_by_the_recorded_fence_of_a_worker() -> Result<()> {
+    let age = Duration::from_secs(14);
+    let early = first_bound_of_a_worker_started(age, Some(Duration::from_secs(1))).await?;
+    let late = first_bound_of_a_worker_started(age, Some(Duration::from_secs(13))).await?;
+
+    verify_that!(early, ge(LEASE))?;
+    verify_that!(early, lt(LONGEST_LEASE))?;
+    verify_that!(late, ge(LONGEST_LEASE * 100 / 98))
+}
+
 /// Guards against work that waits for nothing: a worker that has run for long holds no lease by an earlier clock.
 #[gtest]
 #[actix_rt::test]
 async fn a_new_owner_counts_the_usual_lease_of_a_worker_that_has_run_for_long() -> Result<()> {
-    let bound = first_bound_of_a_worker_started(Duration::from_secs(60)).await?;
+    let bound = first_bound_of_a_worker_started(Duration::from_secs(60), None).await?;
 
     verify_that!(bound, ge(LEASE))?;
     verify_that!(bound, lt(LONGEST_LEASE))
