--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -118,11 +118,19 @@
     pub fn is_schedulable(&self, now: Instant) -> bool {
         self.listed
             && self.responsive
+            && !self.is_listed_as_restarted()
             && self.zone_open
             && !self.listing.draining
             && self.suspended_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether the list of workers names a later incarnation than the newest report. A start would carry an expiry by
+    /// the former clock.
+    #[must_use]
+    pub fn is_listed_as_restarted(&self) -> bool {
+        matches!((self.listing.incarnation, self.incarnation), (Some(listed), Some(reported)) if listed > reported)
+    }
+
     /// Notes whether the forecast from its reports about a run that is done was far too long.
     pub fn note_forecast(&mut self, misled: bool) {
         self.misleading_forecasts = if misled {
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey, WorkerFence,
+    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey, TaskPlacement,
+    WorkerFence,
 };
 use crate::prelude::*;
 
@@ -23,13 +24,19 @@
     pub fn expire(&mut self) {
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
-            if worker.responsive || worker.lease_bound() > self.now {
+            if worker.responsive || worker.lease_expires_at > self.now {
                 continue;
             }
-            let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
-            let unwatch = worker.watched && !worker.listed;
+            // A run that an incarnation confirmed before it restarted cannot be on the listed one.
+            let only_confirmed = worker.lease_bound() > self.now;
+            let is_over = |placement: &TaskPlacement| !only_confirmed || placement.is_confirmed();
+            let tasks =
+                worker.tasks.iter().filter(|task| self.state.placements.get(task).is_none_or(is_over));
+            let tasks: Vec<TaskKey> = tasks.cloned().collect();
+            let copies = if only_confirmed { 0 } else { worker.copies.len() };
+            let unwatch = worker.watched && !worker.listed && !only_confirmed;
             let name = worker.listing.worker.clone();
-            let runs = tasks.len() + worker.copies.len();
+            let runs = tasks.len() + copies;
             if runs > 0 {
                 let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: runs };
                 self.state.effects.push(CellEffect::Log(notice));
@@ -37,7 +44,9 @@
             for task in tasks {
                 self.state.mark_lost(&task, LossCause::LeaseExpired, self.now);
             }
-            CopyKeeper { state: self.state, now: self.now }.mark_lost_on(slot, LossCause::LeaseExpired);
+            if copies > 0 {
+                CopyKeeper { state: self.state, now: self.now }.mark_lost_on(slot, LossCause::LeaseExpired);
+            }
             if unwatch && let Some(worker) = self.state.worker_mut(slot) {
                 worker.watched = false;
                 self.state.effects.push(CellEffect::Unwatch(name));
--- a/src/kernel/cell/leases/restart_rule.rs
+++ b/src/kernel/cell/leases/restart_rule.rs
@@ -27,10 +27,11 @@
         Self { longest_lease, longest_extension: longest_lease.saturating_sub(longest_real_time(usual)) }
     }
 
-    /// Returns how long a lease that a worker takes from a call for its former incarnation lasts at most.
+    /// Returns for how long after `unix_time` an incarnation that no call has fenced may hold a lease, by calls for the
+    /// former one that it carries out late.
     #[must_use]
-    pub const fn longest_lease(&self) -> Duration {
-        self.longest_lease
+    pub fn unfenced_lease(&self, started: WorkerIncarnation, unix_time: Duration) -> Duration {
+        FORMER_CALL_WINDOW.saturating_sub(unix_time.saturating_sub(started)) + self.longest_lease
     }
 
     /// Returns how much longer a lease may last at `unix_time`, by a call of an earlier owner that was meant for the
--- a/src/kernel/cell/leases/worker_lease.rs
+++ b/src/kernel/cell/leases/worker_lease.rs
@@ -62,13 +62,13 @@
     /// Ends the lease after the worker was found to be gone; nothing runs there any more.
     pub fn end(&mut self, now: Instant) {
         self.clock_reading = None;
+        self.former_until = self.former_until.max(self.granted_until);
         self.granted_until = Duration::ZERO;
         (self.expires_by, self.basis) = (now, LeaseBasis::Ended);
     }
 
     /// Starts anew for another incarnation of the worker, which has answered at `now` and whose clock shows `clock`.
     pub fn restart(&mut self, clock: WorkerTime, now: Instant) {
-        self.former_until = self.former_until.max(self.granted_until);
         self.end(now);
         self.note_former_calls(clock, now);
     }
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -67,10 +67,12 @@
             return;
         };
         let extension = rule.extension(started, worker.fence, unix_time);
+        let is_fenced = worker.fence.is_some_and(|fence| fence.incarnation == started);
         worker.former_lease_expires_at = match worker.polled_at {
             _ if extension.is_zero() => None,
-            None => Some(inherited + extension),
-            Some(_) if has_open_starts => Some(now + rule.longest_lease()),
+            None if is_fenced => Some(inherited + extension),
+            None => Some(inherited.max(now + rule.unfenced_lease(started, unix_time))),
+            Some(_) if has_open_starts => Some(now + rule.unfenced_lease(started, unix_time)),
             Some(_) => None,
         };
     }
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -94,6 +94,12 @@
         Some((*self.stop_reason.get_or_insert(reason), first))
     }
 
+    /// Whether the worker has confirmed the run to this owner.
+    #[must_use]
+    pub const fn is_confirmed(&self) -> bool {
+        matches!(self.phase, PlacementPhase::Running(_))
+    }
+
     /// Whether a poll that was sent at `poll_sent_at` and whose report lacks the run proves that it does
     /// not run.
     #[must_use]
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -87,7 +87,7 @@
         loop {
             let delay = poll_state.poll_delay();
             if poll.is_none() && delay.is_none() {
-                poll = Some(self.poll(&poll_state));
+                poll = Some(self.poll(&mut poll_state));
             }
             tokio::select! {
                 // A term that has ended grants no lease any more, so its end comes first.
@@ -190,9 +190,9 @@
 
     /// Polls the worker. The lease of one that does not answer is not renewed, so that its expiry can be
     /// awaited, and none is renewed by an owner that may have a successor.
-    fn poll(&mut self, poll_state: &PollState) -> LocalBoxFuture<'static, PollOutcome> {
+    fn poll(&mut self, poll_state: &mut PollState) -> LocalBoxFuture<'static, PollOutcome> {
         let now = Instant::now();
-        self.fence.raise(self.ownership.newest_token());
+        self.raise_token(poll_state);
         let is_confirmed = self.ownership.is_valid();
         let may_renew = is_confirmed && poll_state.may_renew();
         let lease = if may_renew { self.lease.grant(now) } else { None };
@@ -301,7 +301,7 @@
                         self.note_first_answer(report.incarnation, now);
                     }
                     self.log_incarnation(previous, report.incarnation, clock, now);
-                } else if is_fenced {
+                } else if is_fenced || self.fence.is_open() {
                     self.lease.note_former_calls(clock, now);
                 }
                 if is_fenced || is_first_answer {
@@ -317,9 +317,7 @@
                 if poll_state.last_reported > 0 || !poll_state.renewable {
                     poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
                 }
-                if self.fence.raise(self.ownership.newest_token()) {
-                    poll_state.expect_restart();
-                }
+                self.raise_token(poll_state);
                 self.send_to_owner(OwnerMessage::Event(CellEvent::WorkerPolled(self.worker.clone(), report)))
                     .await;
                 true
@@ -348,6 +346,14 @@
         }
     }
 
+    /// Raises the token if a restart calls for it. Calls with the higher token grant no lease and start nothing before
+    /// one of them is answered, as they would not be fenced if the worker restarted once more.
+    fn raise_token(&mut self, poll_state: &mut PollState) {
+        if self.fence.raise(self.ownership.newest_token()) {
+            poll_state.expect_restart();
+        }
+    }
+
     /// Bounds the leases of earlier owners after the first answer to this one.
     fn note_first_answer(&mut self, incarnation: WorkerIncarnation, now: Instant) {
         let unix_time = clock::unix_time();
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -132,7 +132,8 @@
 /// granted the present one the longest lease, and the worker does not answer the new owner.
 #[gtest]
 fn a_new_owner_waits_longer_for_a_worker_that_is_listed_as_restarted() -> Result<()> {
-    let mut restarted = next_owner_of_a_worker_started(Duration::from_secs(1), None);
+    let age = Duration::from_secs(1);
+    let mut restarted = next_owner_of_a_worker_started(age, Some(age));
     let mut long_lived = next_owner_of_a_worker_started(Duration::from_secs(60), None);
     pass(&mut restarted, 10_000);
     pass(&mut long_lived, 10_000);
@@ -176,7 +177,7 @@
     let restarted = WorkerListing { incarnation: Some(restarted_at), ..worker("w0") };
     driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
 
-    pass(&mut driver, 9_000);
+    pass(&mut driver, 24_000);
     let early = restarted_on(&driver);
     pass(&mut driver, 2_000);
 
@@ -237,3 +238,51 @@
     verify_that!(bounds, eq(0))?;
     verify_that!(driver.renewals, eq(&vec![("w0".to_owned(), false)]))
 }
+
+/// Guards against tasks that run twice: the list of workers shows a restart before the link sees it, and a start that
+/// is sent after that carries an expiry by the former clock.
+#[gtest]
+fn no_start_goes_to_a_worker_that_is_listed_as_restarted() -> Result<()> {
+    let mut driver = cell(1);
+    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
+    driver.scheduler = std::mem::take(&mut driver.scheduler).with_restart_rule(rule);
+    let restarted_at = START_UNIX_TIME + driver.now.duration_since(driver.start);
+    let restarted = WorkerListing { incarnation: Some(restarted_at), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
+    submit(&mut driver, service());
+
+    verify_that!(restarted_on(&driver), some(eq("w1")))
+}
+
+/// Guards against tasks that run twice: a call of the former owner for an earlier incarnation is carried out up to 12 s
+/// after it was sent, by a worker that no call of the new owner has reached.
+#[gtest]
+fn a_worker_that_never_answers_may_carry_out_a_late_call() -> Result<()> {
+    let mut restarted = next_owner_of_a_worker_started(Duration::from_secs(1), None);
+
+    pass(&mut restarted, 18_000);
+
+    verify_that!(restarted_on(&restarted), none())
+}
+
+/// Guards against work that waits for nothing: a run that the former incarnation has confirmed cannot be on the listed
+/// one, whatever lease that one holds by an unanswered start of another task.
+#[gtest]
+fn a_confirmed_run_waits_no_longer_for_an_unanswered_start_beside_it() -> Result<()> {
+    let mut driver = cell(1);
+    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
+    driver.scheduler = std::mem::take(&mut driver.scheduler).with_restart_rule(rule);
+    submit(&mut driver, job("j", "urgent", vec![StepSpec { long_running: true, ..step(2) }]));
+    let start = driver.started("j.0.0.1").or_fail()?;
+    driver.handle(CellEvent::StartAnswered(start.task, start.run, start.worker, CommandOutcome::Unknown));
+    driver.handle(CellEvent::WorkersListed(vec![worker("w0"), worker("w1")]));
+    let lease_expires_at = driver.now + LEASE;
+    driver.handle(CellEvent::WorkerUnresponsive("w0".into(), lease_expires_at));
+    let restarted_at = START_UNIX_TIME + driver.now.duration_since(driver.start);
+    let restarted = WorkerListing { incarnation: Some(restarted_at), ..worker("w0") };
+    driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
+
+    pass(&mut driver, 9_000);
+
+    verify_that!(restarted_on(&driver), some(eq("w1")))
+}
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -632,3 +632,68 @@
     verify_that!(not_sent("reason.0.0.1", "other_incarnation"), eq(1))?;
     verify_that!(lines_with(&["start is not sent", "reason.0.0.2"]), is_empty())
 }
+
+/// Guards against tasks that run twice: the token rises with a poll that grants a lease, or a start, and the worker
+/// restarts again before it answers. The next incarnation would not refuse these calls, whose token is not lower.
+#[gtest]
+#[actix_rt::test]
+async fn a_raised_token_grants_no_lease_before_it_is_answered() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(700));
+    let ownership = ownership_for_the_test();
+    let mut link = RunningLink::start_with_ownership(&worker, ownership.clone());
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    let second = INCARNATION + Duration::from_secs(1);
+    worker.answer_as(second, Duration::from_secs(500));
+    worker.ended.set(Some(1));
+    link.await_report(second).await.or_fail()?;
+    ownership.note_claim_log(NEWEST_TOKEN);
+    worker.answer.set(None);
+    let renewals = worker.renewals.get();
+    link.commands.send(LinkMessage::Acknowledge(second, 1)).await.or_fail()?;
+    let outcome = link.send(start("j.0.0.1", second)).await;
+    link.await_lease_bound().await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(outcome, some(eq(CommandOutcome::NotSent)))?;
+    verify_that!(worker.renewals.get(), eq(renewals))?;
+    verify_that!(*worker.start_tokens.borrow(), is_empty())
+}
+
+/// Guards against tasks that run twice: as long as the token cannot rise, a call for the former incarnation may be
+/// carried out after any answer of the present one.
+#[gtest]
+#[actix_rt::test]
+async fn an_open_fence_bounds_the_lease_from_the_last_answer() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(700));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    link.await_report(next).await.or_fail()?;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let last = Instant::now();
+    worker.answer.set(None);
+    let expires_at = link.await_lease_bound().await.or_fail()?;
+    link.token.cancel();
+
+    verify_that!(expires_at.saturating_duration_since(last), ge(LONGEST_LEASE))
+}
+
+/// Guards against tasks that run twice: another worker answers at the address for a while (status 421), and the
+/// worker is then back as another incarnation, while a call for the former one is on its way.
+#[gtest]
+fn grants_from_before_another_worker_answered_are_kept() -> Result<()> {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut lease = WorkerLease::new(LEASE, LONGEST_LEASE, start);
+    lease.note_fenced(Duration::ZERO, start);
+    lease.note_clock(Duration::from_secs(3_000), at(20));
+    lease.grant(at(20));
+    lease.end(at(21));
+    lease.restart(Duration::from_secs(100), at(22));
+
+    verify_that!(lease.expires_by().saturating_duration_since(at(22)), ge(LONGEST_LEASE))
+}
