Show the lease of a former incarnation with real entry processes

Cause: no test with entry processes restarted a worker, so none showed that a new owner misses the lease that a call for a former incarnation grants. Change: the stand-in worker restarts at its address with a new incarnation and a clock that is behind, resets its connections or leaves them open, and can hold calls and carry them out later, whatever its incarnation is then. Its registration names the incarnation. It can be cut off from all callers, which also ends the answers to calls that wait. Its state has a file of its own; the tally of runs counts an end that a restart discards like one of an expired lease. Tests that run entry processes share a fixture.

--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -3,7 +3,9 @@
 mod advisor;
 mod store;
 mod worker;
+mod worker_state;
 
 pub use advisor::AdvisorStandin;
 pub use store::StoreStandin;
-pub use worker::{PlatformWorker, WorkerEvent};
+pub use worker::PlatformWorker;
+pub use worker_state::WorkerEvent;
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -45,7 +45,7 @@
 }
 
 /// A running store; a topic and its partitions exist from their first append on.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct StoreStandin {
     /// Address of its HTTP server.
     pub address: SocketAddr,
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +29,21 @@
 where
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Response<Bytes>> + 'static,
+{
+    let (_sender, refuses) = watch::channel(false);
+    serve_unless_refused(listener, refuses, token, handler).await;
+}
+
+/// Answers requests like [`serve`]. Each change of `refuses` resets the open connections, and new ones are closed
+/// at once while it is true.
+pub async fn serve_unless_refused<F, R>(
+    listener: TcpListener,
+    mut refuses: watch::Receiver<bool>,
+    token: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request) -> R + Clone + 'static,
+    R: Future<Output = Response<Bytes>> + 'static,
 {
     let factory = HttpService::build().h1(fn_service(move |request: Request| {
         let response = handler(request);
@@ -40,8 +56,12 @@
         tokio::select! {
             () = token.cancelled() => return,
             Some(_) = connections.join_next() => {}
+            Ok(()) = refuses.changed() => connections.shutdown().await,
             accepted = listener.accept() => {
                 let Ok((stream, address)) = accepted else { continue };
+                if *refuses.borrow() {
+                    continue;
+                }
                 let service = service.clone();
                 connections.spawn_local(async move {
                     let _ = service.call((stream, Some(address))).await;
--- /dev/null
+++ b/tests/cell_restarts.rs
@@ -0,0 +1,62 @@
+//! Tests of entry processes whose workers restart under their ids.
+
+mod fixture_platform;
+
+use std::time::Duration;
+
+use fixture_platform::{Entry, Platform, RunTally, await_starts, start_entry, start_platform, submit_task};
+use godwithaven_standins::relay::RelayMode;
+use googletest::prelude::*;
+
+/// Run time of the task that is started again while it runs, if leases are bounded wrongly.
+const LONG_RUN_TIME: Duration = Duration::from_secs(60);
+/// Run time of a task before the restart.
+const SHORT_RUN_TIME: Duration = Duration::from_millis(100);
+/// Time for which the workers are watched after the last start.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
+/// Lets the first worker, the only one that the entry process reaches, restart while it holds a call that renews the
+/// lease of the former incarnation. Returns once a long task, the second start, runs on the present one.
+async fn restart_with_a_held_call(platform: &mut Platform, tally: &mut RunTally, entry: &Entry) {
+    platform.workers[1].set_reachable_by(0..=0);
+    submit_task(entry, 1, SHORT_RUN_TIME).await;
+    await_starts(platform, tally, 1).await;
+    platform.workers[0].hold_calls().await;
+    platform.workers[0].await_held_lease().await;
+    platform.workers[0].restart(Duration::ZERO, true).await;
+    submit_task(entry, 2, LONG_RUN_TIME).await;
+    await_starts(platform, tally, 2).await;
+}
+
+/// Guards against tasks that run twice: a worker that had restarted carried out a call for its former incarnation,
+/// which granted it the longest lease that it accepts. A new owner did not know of that lease, and started the task
+/// elsewhere while it ran.
+#[gtest]
+#[actix_rt::test]
+async fn a_new_owner_waits_for_a_lease_by_the_clock_of_a_former_incarnation() -> Result<()> {
+    let mut platform = start_platform("restarts", 2).await;
+    let mut tally = RunTally::default();
+    let first = start_entry(&platform, "e1").await;
+    restart_with_a_held_call(&mut platform, &mut tally, &first).await;
+    let [restarted, other] = [platform.workers[0].clone(), platform.workers[1].clone()];
+    let first_token = restarted.highest_token();
+    let second = start_entry(&platform, "e2").await;
+
+    restarted.set_reachable_by(0..=0);
+    first.store_relay.set_mode(RelayMode::Cut);
+    // The call to the other worker shows that the second process owns the cell.
+    other.set_reachable_by(first_token + 1..=u64::MAX);
+    other.await_token_above(first_token).await;
+    restarted.release_calls(false).await;
+    restarted.set_reachable_by(first_token + 1..=u64::MAX);
+    restarted.await_token_above(first_token).await;
+    restarted.set_reachable_by(0..=0);
+    await_starts(&mut platform, &mut tally, 3).await;
+    tokio::time::sleep(WATCH_TIME).await;
+    tally.add_events(&mut platform.events);
+    platform.token.cancel();
+    tokio::join!(first.process.stop(), second.process.stop());
+
+    verify_that!(tally.starts, eq(3))?;
+    verify_that!(tally.duplicated, is_empty())
+}
--- a/tests/fixture_platform/mod.rs
+++ b/tests/fixture_platform/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test program uses a part of the fixture")]
 
+mod entry;
 mod run_tally;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+pub use entry::{Entry, await_starts, start_entry, submit_task};
 pub use run_tally::RunTally;
 
 /// First of the ports that tests may use.
--- a/tests/fixture_platform/run_tally.rs
+++ b/tests/fixture_platform/run_tally.rs
@@ -23,7 +23,7 @@
 /// Tally of the runs on all workers so far.
 ///
 /// An end as done that is acknowledged stands for good, and so does one that is not acknowledged yet. Only if
-/// the lease of the worker expires before the acknowledgement may the task start again.
+/// the lease of the worker expires, or the worker restarts, before the acknowledgement may the task start again.
 #[derive(Debug, Default)]
 pub struct RunTally {
     /// Starts of tasks that were running or done.
@@ -65,7 +65,8 @@
                     let open = self.unacknowledged.entry(worker.clone()).or_default();
                     open.retain(|end| *end != (worker.clone(), task.clone(), run));
                 }
-                WorkerEvent::Lapsed(worker) => self.record_lapse(&worker),
+                // Ends that a worker has lost cannot be acknowledged any more either.
+                WorkerEvent::Lapsed(worker) | WorkerEvent::Restarted(worker) => self.record_lapse(&worker),
             }
         }
     }
