Show the lease of a late call for a former incarnation

Cause: a worker may carry out a call for its former incarnation seconds after it has answered newer calls. The call renews the lease until a time on the former clock, shortened to the longest lease; the owner counts that lease from the first answer of the new incarnation only.

--- a/tests/cell_restarts.rs
+++ b/tests/cell_restarts.rs
@@ -12,6 +12,8 @@
 const LONG_RUN_TIME: Duration = Duration::from_secs(60);
 /// Run time of a task before the restart.
 const SHORT_RUN_TIME: Duration = Duration::from_millis(100);
+/// Time after which a held call is carried out, in which later calls are answered; workers may take longer.
+const CALL_DELAY: Duration = Duration::from_secs(4);
 /// Time for which the workers are watched after the last start.
 const WATCH_TIME: Duration = Duration::from_secs(2);
 
@@ -60,3 +62,28 @@
     verify_that!(tally.starts, eq(3))?;
     verify_that!(tally.duplicated, is_empty())
 }
+
+/// Guards against tasks that run twice: a worker that had restarted and answered carried out a call for its former
+/// incarnation seconds later, which granted it the longest lease that it accepts. The owner that had sent the call
+/// counted that lease from the first answer only.
+#[gtest]
+#[actix_rt::test]
+async fn an_owner_waits_for_a_lease_by_a_call_that_is_carried_out_after_later_ones() -> Result<()> {
+    let mut platform = start_platform("late_calls", 2).await;
+    let mut tally = RunTally::default();
+    let entry = start_entry(&platform, "e1").await;
+    restart_with_a_held_call(&mut platform, &mut tally, &entry).await;
+
+    tokio::time::sleep(CALL_DELAY).await;
+    platform.workers[0].release_calls(false).await;
+    platform.workers[0].set_reachable_by(0..=0);
+    platform.workers[1].set_reachable_by(0..=u64::MAX);
+    await_starts(&mut platform, &mut tally, 3).await;
+    tokio::time::sleep(WATCH_TIME).await;
+    tally.add_events(&mut platform.events);
+    platform.token.cancel();
+    entry.process.stop().await;
+
+    verify_that!(tally.starts, eq(3))?;
+    verify_that!(tally.duplicated, is_empty())
+}
