Drop blocked calls of the stand-in worker when it restarts

Cause: a call that a cut kept from the stand-in worker outlived a restart of the worker and was carried out by the next incarnation, although its connection ends with the former one. Change: a call belongs to the incarnation at which it arrived; only calls that are held on purpose outlast it.

--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -55,15 +55,16 @@
     ) -> std::io::Result<Self> {
         let (listener, address) = server::bind("127.0.0.1:0").await?;
         let (inbox, messages) = mpsc::channel(256);
+        let (born, seen_born) = watch::channel(FIRST_BORN);
         let (highest_token, seen_token) = watch::channel(0);
         let (held_leases, seen_leases) = watch::channel(0);
         let (reach, seen_reach) = watch::channel(WorkerReach { tokens: 0..=u64::MAX, is_cut: false });
         let (refuses_connections, refuses) = watch::channel(false);
-        let state = WorkerState::new(name, highest_token, held_leases, events);
+        let state = WorkerState::new(name, born, highest_token, held_leases, events);
         actix_rt::spawn(state.run(messages));
         let state_inbox = inbox.clone();
         actix_rt::spawn(server::serve_unless_refused(listener, refuses, token, move |request| {
-            answer(state_inbox.clone(), seen_reach.clone(), request)
+            answer(state_inbox.clone(), *seen_born.borrow(), seen_reach.clone(), request)
         }));
         let worker = Self {
             address,
@@ -92,7 +93,7 @@
     /// Ends the worker and starts it again after `dark`, under its id and at its address. It has lost all it knew,
     /// and its clock is behind. Calls of the time between are not carried out unless they are held. Connections
     /// are reset if `resets` is set; otherwise they stay open, and calls of the former incarnation and of
-    /// the time between are not answered.
+    /// the time between are never answered.
     pub async fn restart(&self, dark: Duration, resets: bool) {
         if resets {
             self.refuses_connections.send_replace(true);
@@ -150,6 +151,7 @@
 
 async fn answer(
     inbox: mpsc::Sender<WorkerMessage>,
+    born: u64,
     mut reach: watch::Receiver<WorkerReach>,
     mut request: Request,
 ) -> Response<Bytes> {
@@ -160,14 +162,14 @@
     };
     let deadline = Instant::now() + Duration::from_millis(body.wait_ms);
     let (last_seen, fencing_token) = (body.last_seen, body.fencing_token);
-    let mut waits_at = None;
+    let mut waits = false;
     loop {
         let is_reached = |reach: &WorkerReach| !reach.is_cut && reach.tokens.contains(&fencing_token);
         if reach.wait_for(is_reached).await.is_err() {
             return Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
         let (reply, answer) = oneshot::channel();
-        let call = WorkerCall { path: path.clone(), body, waits_at, reply };
+        let call = WorkerCall { path: path.clone(), body, born, waits, reply };
         let _ = inbox.send(WorkerMessage::Call(call)).await;
         let Ok((status, report)) = answer.await else {
             return Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
@@ -177,7 +179,7 @@
             return server::json_response(status, &report);
         }
         tokio::time::sleep(POLL_INTERVAL).await;
-        waits_at = report["born"].as_u64();
+        waits = true;
         body = CallBody { fencing_token, last_seen, ..CallBody::default() };
     }
 }
--- a/standins/src/platform/worker_state.rs
+++ b/standins/src/platform/worker_state.rs
@@ -61,7 +61,7 @@
 pub(super) struct WorkerState {
     name: String,
     /// Identifies this incarnation of the worker: its start in Unix milliseconds.
-    born: u64,
+    born: watch::Sender<u64>,
     /// When this incarnation started.
     started_at: Instant,
     /// Milliseconds on the worker's clock at that time.
@@ -98,8 +98,10 @@
 pub(super) struct WorkerCall {
     pub path: String,
     pub body: CallBody,
-    /// Incarnation that has carried the call out and lets it wait for an end; `None` for a new call.
-    pub waits_at: Option<u64>,
+    /// Incarnation at which the call arrived.
+    pub born: u64,
+    /// Whether the call has been carried out and waits for an end.
+    pub waits: bool,
     pub reply: oneshot::Sender<CallAnswer>,
 }
 
@@ -120,13 +122,14 @@
     /// Returns the state of the first incarnation, which starts now.
     pub(super) fn new(
         name: &str,
+        born: watch::Sender<u64>,
         highest_token: watch::Sender<u64>,
         held_leases: watch::Sender<usize>,
         events: mpsc::UnboundedSender<WorkerEvent>,
     ) -> Self {
         Self {
             name: name.to_owned(),
-            born: FIRST_BORN,
+            born,
             started_at: Instant::now(),
             first_clock: FIRST_CLOCK_MS,
             is_down: false,
@@ -162,14 +165,13 @@
 
     fn handle_message(&mut self, message: WorkerMessage) {
         match message {
-            WorkerMessage::Call(call) if self.holds_calls && call.waits_at.is_none() => {
+            WorkerMessage::Call(call) if self.holds_calls && !call.waits => {
                 let has_lease = call.body.until_ms.is_some();
                 self.held_leases.send_modify(|count| *count += usize::from(has_lease));
                 self.held.push(call);
             }
-            WorkerMessage::Call(call)
-                if self.is_down || call.waits_at.is_some_and(|born| born != self.born) =>
-            {
+            // The connection of a call for the former incarnation does not outlast it.
+            WorkerMessage::Call(call) if self.is_down || call.born != *self.born.borrow() => {
                 self.unanswered.push(call.reply);
             }
             WorkerMessage::Call(call) => {
@@ -181,10 +183,11 @@
             WorkerMessage::Start(reply) => {
                 let unix_time = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
                 let unix_time_ms = u64::try_from(unix_time.as_millis()).unwrap_or(u64::MAX);
-                self.born = unix_time_ms.max(self.born + 1);
+                let born = unix_time_ms.max(*self.born.borrow() + 1);
+                self.born.send_replace(born);
                 (self.started_at, self.first_clock) = (Instant::now(), 0);
                 (self.is_down, self.holds_calls) = (false, false);
-                let _ = reply.send(self.born);
+                let _ = reply.send(born);
             }
         }
     }
@@ -241,7 +244,7 @@
                 let running: Vec<Value> =
                     self.running.iter().map(|(task, state)| json!([task, state.run, "", 50, 0])).collect();
                 let body = json!({
-                    "clock_ms": self.clock(), "born": self.born, "running": running,
+                    "clock_ms": self.clock(), "born": *self.born.borrow(), "running": running,
                     "finished": self.finished.iter().map(|(number, task, run, cause)| {
                         json!([number, task, run, cause, ""])
                     }).collect::<Vec<Value>>(),
