Restart workers under their ids in the soak

Cause: the soak restarted no workers, so it could not find what the users found: workers that restart under their ids and are cut off soon after, while long tasks run. Change: some workers restart after 0.6 s, with connections that are reset or stay open, and with calls that are carried out up to 5 s late or are lost; long jobs are submitted then, the owner is killed in half of the cases, and the workers are cut off for 7 to 12 s. The draws have a seed of their own. Some of these jobs allow copies.

--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -1,5 +1,5 @@
 //! Soak test of real entry processes under random faults: kills, pauses, graceful stops, reload signals,
-//! outages of the store and network partitions.
+//! outages of the store, network partitions, and workers that restart under their ids and are cut off.
 //!
 //! `GODWITHAVEN_SOAK_SEEDS=1-50` selects the seeds, `GODWITHAVEN_SOAK_SECONDS=20` the duration for each seed.
 
@@ -9,7 +9,12 @@
 use std::time::{Duration, Instant};
 
 use fixture_platform::{Platform, RunTally, free_ports, job, start_platform};
-use fixture_soak::{Partitions, SeededRandom, SoakProcess};
+use fixture_soak::{
+    Partitions, RestartStep, SeededRandom, SoakProcess, WorkerRestarts, owner_of, restart_worker,
+};
+use futures_util::FutureExt;
+use futures_util::future::join_all;
+use godwithaven_standins::platform::PlatformWorker;
 use godwithaven_standins::relay::RelayStandin;
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -18,6 +23,8 @@
 const PROCESS_COUNT: u16 = 3;
 /// Number of ports for each entry process.
 const PORTS_PER_PROCESS: u16 = 4;
+/// Number of workers in one run.
+const WORKER_COUNT: usize = 3;
 /// Longest wait for all jobs to complete after the last fault; a lease alone lasts 6.5 s.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time before the first fault of each kind.
@@ -31,6 +38,14 @@
 const PARTITION_SEED: u64 = 0x7061_7274;
 /// The same for the run times of long jobs.
 const LONG_JOB_SEED: u64 = 0x6c6f_6e67;
+/// The same for the restarts of workers.
+const RESTART_SEED: u64 = 0x7265_7374;
+/// Number of tasks of a job that is submitted after a restart, so that some of them run on the restarted workers.
+const RESTART_TASK_COUNT: u32 = 3;
+/// Time for which a process is down after a kill that belongs to a restart.
+const OWNER_DOWN_TIME: Duration = Duration::from_secs(3);
+/// First character of the ids of jobs whose tasks may run twice at once.
+const COPIES_PREFIX: char = 'c';
 
 struct SoakRun {
     platform: Platform,
@@ -38,6 +53,7 @@
     random: SeededRandom,
     long_job_random: SeededRandom,
     partitions: Partitions,
+    restarts: WorkerRestarts,
     started_at: Instant,
     store_up_at: Option<Instant>,
     tally: RunTally,
@@ -47,7 +63,7 @@
 
 impl SoakRun {
     async fn start_run(seed: u64) -> Self {
-        let platform = start_platform(&format!("soak_{seed}_{}", std::process::id()), 3).await;
+        let platform = start_platform(&format!("soak_{seed}_{}", std::process::id()), WORKER_COUNT).await;
         let base = free_ports(PROCESS_COUNT * PORTS_PER_PROCESS);
         let mut processes = Vec::new();
         for number in 0..PROCESS_COUNT {
@@ -60,6 +76,7 @@
             random: SeededRandom(seed),
             long_job_random: SeededRandom(seed ^ LONG_JOB_SEED),
             partitions: Partitions::new(seed ^ PARTITION_SEED, started_at + FIRST_FAULT_AFTER),
+            restarts: WorkerRestarts::new(seed ^ RESTART_SEED, WORKER_COUNT, started_at + FIRST_FAULT_AFTER),
             started_at,
             store_up_at: None,
             tally: RunTally::default(),
@@ -110,6 +127,50 @@
         }
     }
 
+    /// Takes the steps of the restarts that are due.
+    async fn advance_restarts(&mut self) {
+        while let Some(step) = self.restarts.next_due() {
+            self.faults.push(format!("{step:?} at {:?}", self.started_at.elapsed()));
+            match step {
+                RestartStep::Restart { workers, resets, late_calls } => {
+                    for worker in self.chosen_workers(&workers) {
+                        actix_rt::spawn(restart_worker(worker.clone(), resets, late_calls));
+                    }
+                }
+                RestartStep::Submit(time) => {
+                    self.submit_after_restart(self.faults.len(), time).await;
+                }
+                RestartStep::KillOwner => self.kill_owner(),
+                RestartStep::Cut(workers) => {
+                    self.chosen_workers(&workers).for_each(|worker| worker.set_cut(true));
+                }
+                RestartStep::Reconnect(workers) => {
+                    self.chosen_workers(&workers).for_each(|worker| worker.set_cut(false));
+                }
+            }
+        }
+    }
+
+    fn chosen_workers(&self, chosen: &[bool]) -> impl Iterator<Item = &PlatformWorker> {
+        self.platform
+            .workers
+            .iter()
+            .zip(chosen)
+            .filter(|(_, is_chosen)| **is_chosen)
+            .map(|(worker, _)| worker)
+    }
+
+    /// Kills the owner unless it is down or paused already.
+    fn kill_owner(&mut self) {
+        let Some((owner, _)) = owner_of(&self.platform, &self.processes) else { return };
+        let process = &mut self.processes[owner];
+        if process.resume_at.is_none() {
+            process.kill();
+            process.resume_at = Some(Instant::now() + OWNER_DOWN_TIME);
+            self.faults.push(format!("kill of e{owner} at {:?}", self.started_at.elapsed()));
+        }
+    }
+
     /// Ends the faults that are over and collects the events of the workers.
     fn advance(&mut self) {
         if self.store_up_at.is_some_and(|back| Instant::now() >= back) {
@@ -142,22 +203,34 @@
         self.post_job(id, usize::try_from(index).unwrap_or_default(), job).await;
     }
 
+    /// Submits the jobs that go with a restart to all processes, as some may be down.
+    async fn submit_after_restart(&mut self, number: usize, time: u64) {
+        let step = |count: u32, copies: bool| {
+            json!({"spec": format!("ms={time}"), "steps": [{
+                "count": count, "cpu": 1_000, "mem_mb": 100, "estimated_ms": time, "allow_duplicates": copies,
+            }]})
+        };
+        let first_ports = self.processes.iter().map(|process| process.first_port);
+        let posts = first_ports.flat_map(|port| {
+            let long = post_job(port, format!("e{number:010x}{port:05}"), step(RESTART_TASK_COUNT, false));
+            let copied = post_job(port, format!("{COPIES_PREFIX}{number:010x}{port:05}"), step(1, true));
+            [long.boxed_local(), copied.boxed_local()]
+        });
+        let accepted = join_all(posts).await;
+        self.accepted.extend(accepted.into_iter().flatten());
+    }
+
     /// Submits a job to a process and records its id if it was accepted.
     async fn post_job(&mut self, id: String, index: usize, job: Value) {
-        let url = format!("http://127.0.0.1:{}/jobs/{id}", self.processes[index].first_port);
-        let request = awc::Client::default().post(url).timeout(Duration::from_secs(1));
-        let request = request.insert_header(("Host", "host.example")).insert_header(("Api-Key", "secret"));
-        if let Ok(response) = request.send_json(&job).await
-            && response.status().is_success()
-        {
-            self.accepted.push(id);
-        }
+        let port = self.processes[index].first_port;
+        self.accepted.extend(post_job(port, id, job).await);
     }
 
     /// Ends all faults but partitions, which run on until they are over, waits for the accepted jobs to complete
     /// and for what decides whether a start was allowed, and returns the jobs that do not complete.
     async fn unfinished(&mut self) -> Vec<String> {
         self.platform.store.set_down(false);
+        self.restarts.finish();
         for process in &mut self.processes {
             process.resume_at = process.resume_at.map(|_| Instant::now());
         }
@@ -168,12 +241,14 @@
             for id in open {
                 // A query may time out, and a partition has to end on time meanwhile.
                 self.advance();
+                self.advance_restarts().await;
                 if !self.is_complete(&id).await {
                     remaining.push(id);
                 }
             }
             open = remaining;
             self.advance();
+            self.advance_restarts().await;
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
         open
@@ -196,6 +271,15 @@
     }
 }
 
+/// Submits a job to the process at this port; returns its id if it was accepted.
+async fn post_job(port: u16, id: String, job: Value) -> Option<String> {
+    let url = format!("http://127.0.0.1:{port}/jobs/{id}");
+    let request = awc::Client::default().post(url).timeout(Duration::from_secs(1));
+    let request = request.insert_header(("Host", "host.example")).insert_header(("Api-Key", "secret"));
+    let response = request.send_json(&job).await.ok()?;
+    response.status().is_success().then_some(id)
+}
+
 /// Returns an entry process that is not started yet, with a relay to the store.
 async fn new_process(platform: &Platform, number: u16, base_port: u16) -> SoakProcess {
     let relay = RelayStandin::start(platform.store.address, platform.token.clone()).await;
@@ -258,20 +342,24 @@
                 next_fault = Instant::now() + interval * fault_factor(seed);
             }
             run.begin_partition();
+            run.advance_restarts().await;
             run.advance();
             tokio::time::sleep(Duration::from_millis(60)).await;
         }
         let unfinished = run.unfinished().await;
         run.advance();
         run.write_events();
+        run.tally.duplicated.retain(|start| !start.run.1.starts_with(COPIES_PREFIX));
 
         let context = format!("seed {seed}, {} jobs, {:?}", run.accepted.len(), run.faults);
         verify_that!(run.tally.duplicated, is_empty()).with_failure_message(|| context.clone())?;
         verify_that!(run.tally.overloaded, is_empty()).with_failure_message(|| context.clone())?;
         verify_that!(unfinished, is_empty()).with_failure_message(|| context.clone())?;
-        // A run that accepts hardly any jobs, or in which no partition begins, would show nothing.
+        // A run that accepts hardly any jobs, or in which no partition begins or no worker restarts, would show nothing.
         verify_that!(run.accepted.len(), gt(10)).with_failure_message(|| context.clone())?;
-        verify_that!(run.faults, contains(starts_with("partition"))).with_failure_message(|| context)?;
+        verify_that!(run.faults, contains(starts_with("partition")))
+            .with_failure_message(|| context.clone())?;
+        verify_that!(run.faults, contains(starts_with("Cut"))).with_failure_message(|| context)?;
     }
     Ok(())
 }
--- a/tests/fixture_soak/mod.rs
+++ b/tests/fixture_soak/mod.rs
@@ -1,9 +1,11 @@
 //! Entry processes and faults of a soak run.
 
 mod partitions;
+mod restarts;
 mod seeded_random;
 mod soak_process;
 
-pub use partitions::Partitions;
+pub use partitions::{Partitions, owner_of};
+pub use restarts::{RestartStep, WorkerRestarts, restart_worker};
 pub use seeded_random::SeededRandom;
 pub use soak_process::SoakProcess;
--- a/tests/fixture_soak/partitions.rs
+++ b/tests/fixture_soak/partitions.rs
@@ -25,7 +25,7 @@
     prefers_owner: bool,
     /// Which of the other processes is cut off otherwise.
     other: u64,
-    /// For each worker, whether it is on the owner's side.
+    /// For each worker, whether it is on the owner's side; at least one is on each side.
     with_owner: Vec<bool>,
 }
 
@@ -64,8 +64,7 @@
         if Instant::now() < self.next_at {
             return None;
         }
-        let token = platform.workers.iter().map(PlatformWorker::highest_token).max().unwrap_or_default();
-        let owner = processes.iter().position(|process| process.has_owned(platform, token))?;
+        let (owner, token) = owner_of(platform, processes)?;
         self.next_at = Instant::now() + self.next_time(MIN_INTERVAL, INTERVAL_RANGE_MS);
         let draw = self.draw_partition(platform.workers.len());
         let of_owner = draw.prefers_owner && self.workers_back_at.is_none();
@@ -87,7 +86,7 @@
             duration: self.next_time(MIN_PARTITION, PARTITION_RANGE_MS),
             prefers_owner: self.random.next_below(3) > 0,
             other: self.random.next_below(2),
-            with_owner: self.worker_share(worker_count),
+            with_owner: self.random.next_share(worker_count),
         }
     }
 
@@ -99,17 +98,18 @@
         }
     }
 
-    /// Returns for each worker whether it is on the owner's side; at least one is on each side.
-    fn worker_share(&mut self, count: usize) -> Vec<bool> {
-        let sides = 1 + self.random.next_below((1 << count) - 2);
-        (0..count).map(|number| sides >> number & 1 == 1).collect()
-    }
-
     fn next_time(&mut self, shortest: Duration, range_ms: u64) -> Duration {
         shortest + Duration::from_millis(self.random.next_below(range_ms))
     }
 }
 
+/// Returns the index of the owner and its fencing token, the highest one that a worker has seen.
+pub fn owner_of(platform: &Platform, processes: &[SoakProcess]) -> Option<(usize, u64)> {
+    let token = platform.workers.iter().map(PlatformWorker::highest_token).max().unwrap_or_default();
+    let owner = processes.iter().position(|process| process.has_owned(platform, token))?;
+    Some((owner, token))
+}
+
 /// Returns whether a process other than this one is not cut from the store.
 fn another_reaches_store(processes: &[SoakProcess], index: usize) -> bool {
     let mut others = processes.iter().enumerate().filter(|(other, _)| *other != index);
--- /dev/null
+++ b/tests/fixture_soak/restarts.rs
@@ -0,0 +1,124 @@
+//! Workers of a soak run that restart under their ids and are cut off soon after.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use godwithaven_standins::platform::PlatformWorker;
+
+use crate::fixture_soak::SeededRandom;
+
+/// Time between the two lives of a worker.
+const DARK_TIME: Duration = Duration::from_millis(600);
+/// Time before the end of a worker in which calls are held, if they are.
+const HOLD_TIME: Duration = Duration::from_millis(300);
+/// Range of the time after the start of a worker at which held calls are carried out, in milliseconds.
+const CALL_DELAY_RANGE_MS: u64 = 5_000;
+/// Time from the beginning of a restart to the long jobs that run on the present incarnations, and to the kill.
+const JOB_DELAY: Duration = Duration::from_millis(1_200);
+const KILL_DELAY: Duration = Duration::from_secs(2);
+/// Shortest time from the beginning of a restart to the cut.
+const MIN_CUT_DELAY: Duration = Duration::from_millis(2_200);
+/// Range of the times above the shortest, in milliseconds.
+const CUT_DELAY_RANGE_MS: u64 = 1_000;
+/// Shortest cut; it outlasts a lease of 6.5 s.
+const MIN_CUT: Duration = Duration::from_secs(7);
+/// Range of the lengths above the shortest, in milliseconds.
+const CUT_RANGE_MS: u64 = 5_000;
+/// Shortest time from the end of a cut to the next restart.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Range of the times above the shortest, in milliseconds.
+const INTERVAL_RANGE_MS: u64 = 5_000;
+/// Shortest run time of the jobs that are submitted after a restart, in milliseconds.
+const MIN_RUN_TIME_MS: u64 = 6_000;
+/// Range of the run times above the shortest, in milliseconds.
+const RUN_TIME_RANGE_MS: u64 = 10_000;
+
+/// A step of a restart that is due.
+#[derive(Clone, Debug)]
+pub enum RestartStep {
+    /// Workers end and start again; `late_calls` is the time after which they carry out calls that arrived earlier.
+    Restart { workers: Vec<bool>, resets: bool, late_calls: Option<Duration> },
+    /// A job whose tasks run for this many milliseconds is submitted.
+    Submit(u64),
+    /// The owner is killed.
+    KillOwner,
+    /// Workers are cut off from all processes.
+    Cut(Vec<bool>),
+    /// They are reached again.
+    Reconnect(Vec<bool>),
+}
+
+/// Restarts at times that depend only on the seed.
+pub struct WorkerRestarts {
+    random: SeededRandom,
+    worker_count: usize,
+    /// Steps that are not over, by their times.
+    steps: VecDeque<(Instant, RestartStep)>,
+    /// Whether no restart begins any more.
+    is_finished: bool,
+}
+
+impl WorkerRestarts {
+    /// Returns a series of restarts whose first begins at this time.
+    pub fn new(seed: u64, worker_count: usize, first_at: Instant) -> Self {
+        let mut restarts =
+            Self { random: SeededRandom(seed), worker_count, steps: VecDeque::new(), is_finished: false };
+        restarts.add_restart(first_at);
+        restarts
+    }
+
+    /// Returns the next step if it is due.
+    pub fn next_due(&mut self) -> Option<RestartStep> {
+        self.steps.front().filter(|(due_at, _)| *due_at <= Instant::now())?;
+        let (_, step) = self.steps.pop_front()?;
+        if matches!(step, RestartStep::Reconnect(_)) && !self.is_finished {
+            let interval = self.next_time(MIN_INTERVAL, INTERVAL_RANGE_MS);
+            self.add_restart(Instant::now() + interval);
+        }
+        Some(step)
+    }
+
+    /// Leaves out all further steps but the end of a cut that has begun.
+    pub fn finish(&mut self) {
+        let is_cut = matches!(self.steps.front(), Some((_, RestartStep::Reconnect(_))));
+        self.steps.truncate(usize::from(is_cut));
+        self.is_finished = true;
+    }
+
+    /// Draws a restart; all numbers are drawn for each one.
+    fn add_restart(&mut self, begins_at: Instant) {
+        let workers = self.random.next_share(self.worker_count);
+        let resets = self.random.next_below(2) == 0;
+        let call_delay = Duration::from_millis(self.random.next_below(CALL_DELAY_RANGE_MS));
+        let late_calls = (self.random.next_below(2) == 0).then_some(call_delay);
+        let run_time = MIN_RUN_TIME_MS + self.random.next_below(RUN_TIME_RANGE_MS);
+        let kills_owner = self.random.next_below(2) == 0;
+        let cut_at = begins_at + self.next_time(MIN_CUT_DELAY, CUT_DELAY_RANGE_MS);
+        let back_at = cut_at + self.next_time(MIN_CUT, CUT_RANGE_MS);
+        let restart = RestartStep::Restart { workers: workers.clone(), resets, late_calls };
+        self.steps.push_back((begins_at, restart));
+        self.steps.push_back((begins_at + JOB_DELAY, RestartStep::Submit(run_time)));
+        if kills_owner {
+            self.steps.push_back((begins_at + KILL_DELAY, RestartStep::KillOwner));
+        }
+        self.steps.push_back((cut_at, RestartStep::Cut(workers.clone())));
+        self.steps.push_back((back_at, RestartStep::Reconnect(workers)));
+    }
+
+    fn next_time(&mut self, shortest: Duration, range_ms: u64) -> Duration {
+        shortest + Duration::from_millis(self.random.next_below(range_ms))
+    }
+}
+
+/// Restarts a worker, which carries out calls that arrived before or meanwhile after this time, if one is given.
+pub async fn restart_worker(worker: PlatformWorker, resets: bool, late_calls: Option<Duration>) {
+    if late_calls.is_some() {
+        worker.hold_calls().await;
+        tokio::time::sleep(HOLD_TIME).await;
+    }
+    worker.restart(DARK_TIME, resets).await;
+    if let Some(delay) = late_calls {
+        tokio::time::sleep(delay).await;
+        worker.release_calls(true).await;
+    }
+}
