Let waiting polls of the stand-in worker acknowledge no later ends

Cause: a poll that waits at the stand-in worker repeated its acknowledgement. If it carried a number of the former incarnation, an end of the present one was forgotten at once. Workers forget the ends that a call names at its arrival only. Change: only the first check of a poll acknowledges ends.

--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -161,7 +161,7 @@
         return Response::with_body(StatusCode::BAD_REQUEST, Bytes::new());
     };
     let deadline = Instant::now() + Duration::from_millis(body.wait_ms);
-    let (last_seen, fencing_token) = (body.last_seen, body.fencing_token);
+    let fencing_token = body.fencing_token;
     let mut waits = false;
     loop {
         let is_reached = |reach: &WorkerReach| !reach.is_cut && reach.tokens.contains(&fencing_token);
@@ -180,6 +180,7 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
         waits = true;
-        body = CallBody { fencing_token, last_seen, ..CallBody::default() };
+        // The ends that the call acknowledges are forgotten at its arrival, and no later ones.
+        body = CallBody { fencing_token, ..CallBody::default() };
     }
 }
