Let owners of shards grant leases only while nobody else can own them

Cause: an owner renewed the leases of workers until it learned of its successor. One that was cut off from the log, from its peers and from all workers that the successor reaches did so for good; the successor waited for one lease from its claim and started the tasks elsewhere. The claim had no expiry that its holder checks.

Change: syncs grant leases and carry starts only for 6 s from the newest time at which certainly no other process owned the shards: the start of a read that reached the end of the log, or the sending of heartbeats that all listed entry processes answered as knowing no newer claim. Heartbeats name claims only while their sender has not read the log for 3 s. The confirmation reaches the sync loops behind the loss of a shard, and the peer task of a new owner learns of the claim before its scheduler counts the leases of the former owner, for 6 s longer than before. An outage of the log alone ends no running task. With the log down and a listed entry process that is not heard, running tasks end after 6 s and the lease; nobody can tell that from a partition with a successor.

--- a/src/kernel/lease_timing.rs
+++ b/src/kernel/lease_timing.rs
@@ -1,5 +1,10 @@
+use crate::kernel::STALE_AFTER;
 use crate::prelude::*;
 
+/// How long the owner of a worker shard may grant leases after the newest time at which certainly no other
+/// process owned the shard: a log whose replies take 5 s confirms it within that time.
+pub const OWNERSHIP_LEASE: Duration = STALE_AFTER;
+
 /// Durations that bound how long a worker can run tasks without its owner knowing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTiming {
@@ -25,4 +30,11 @@
     pub fn latest_expiry(&self, from: Instant) -> Instant {
         from + self.lease + self.lease / 100 + self.report_lag
     }
+
+    /// Returns when a lease that an owner grants has expired if another process became the owner at
+    /// `succeeded_at`. The former owner may not know that for [`OWNERSHIP_LEASE`].
+    #[must_use]
+    pub fn latest_expiry_of_former(&self, succeeded_at: Instant) -> Instant {
+        self.latest_expiry(succeeded_at) + OWNERSHIP_LEASE
+    }
 }
--- a/src/kernel/peer_view.rs
+++ b/src/kernel/peer_view.rs
@@ -1,4 +1,4 @@
-use crate::kernel::{PeerHeartbeat, ShardClaim, shard_assignment};
+use crate::kernel::{OwnershipEvidence, PeerHeartbeat, ShardClaim, shard_assignment};
 use crate::prelude::*;
 
 /// Time without evidence of life after which an entry process is suspected dead. Evidence is a heartbeat, a
@@ -59,6 +59,7 @@
     /// Newest log read that is known, of this process or of a peer.
     newest_read: Option<Instant>,
     newest_own_read: Instant,
+    ownership: OwnershipEvidence,
     /// Since when some process has been able to read the log; `None` while none can.
     readable_since: Option<Instant>,
     /// Version of the bundle in force in this process.
@@ -103,6 +104,7 @@
             last_alive_record: None,
             newest_read: None,
             newest_own_read: now,
+            ownership: OwnershipEvidence::default(),
             readable_since: None,
             version: 0,
             region: None,
@@ -131,6 +133,9 @@
             state.last_answer = Some((sent, confirms));
             let read = heartbeat.log_age.and_then(|age| sent.checked_sub(age)).filter(|_| confirms);
             self.newest_read = self.newest_read.max(read);
+            if heartbeat.confirms_claims {
+                self.ownership.note_answer(heartbeat.vm.clone(), sent);
+            }
         }
         for (process, age) in heartbeat.heard.iter().filter(|(process, _)| *process != self.process) {
             let alive = now.checked_sub(*age);
@@ -149,7 +154,9 @@
     /// Records an applied claim.
     pub fn note_claim(&mut self, shard: ShardId, claim: ShardClaim, now: Instant) {
         self.attempted_claims.remove(&shard);
-        if claim.process != self.process {
+        if claim.process == self.process {
+            self.ownership.note_claim(now);
+        } else {
             // An owner that was never heard may be missing from the VM list; its claim
             // shows that it is alive.
             let state = self.peers.entry(claim.process.clone()).or_default();
@@ -160,6 +167,7 @@
 
     /// Sets the other entry VMs that the VM list shows as live, with their regions.
     pub fn note_listed(&mut self, vms: FastMap<VmId, RegionId>) {
+        self.ownership.retain_peers(&vms);
         self.listed_vms = Some(vms);
     }
 
@@ -175,11 +183,43 @@
     pub fn note_read(&mut self, started: Instant, caught_up: bool) {
         self.newest_read = self.newest_read.max(Some(started));
         self.newest_own_read = self.newest_own_read.max(started);
+        if caught_up {
+            self.ownership.note_read(started);
+        }
         if caught_up && self.catching_up_since.is_some_and(|resumed| started >= resumed) {
             self.catching_up_since = None;
         }
     }
 
+    /// Returns the newest time at which certainly no other process owned a worker shard of this process.
+    #[must_use]
+    pub fn ownership_confirmed_at(&self, now: Instant) -> Option<Instant> {
+        self.ownership.confirmed_at(self.listed_vms.as_ref(), now)
+    }
+
+    /// Returns the claims that peers should confirm: those of this process on worker shards, but none while
+    /// it reads the log. Heartbeats would otherwise grow with the shards.
+    #[must_use]
+    pub fn claims_to_confirm(&self, now: Instant) -> Vec<(ShardId, FencingToken)> {
+        if !self.ownership.needs_answers(now) {
+            return Vec::new();
+        }
+        let owned = self
+            .claims
+            .iter()
+            .filter(|(shard, claim)| claim.process == self.process && !shard.starts_with("service:"));
+        owned.map(|(shard, claim)| (shard.clone(), claim.token)).collect()
+    }
+
+    /// Whether this process has applied no claim newer than these; false if there are none.
+    #[must_use]
+    pub fn confirms_claims(&self, claims: &[(ShardId, FencingToken)]) -> bool {
+        let is_newest = |(shard, token): &(ShardId, FencingToken)| {
+            self.claims.get(shard).is_none_or(|claim| claim.token <= *token)
+        };
+        !claims.is_empty() && claims.iter().all(is_newest)
+    }
+
     /// Whether the log was read to its end and applied since the start or the last pause.
     #[must_use]
     pub const fn ready(&self) -> bool {
--- a/src/proto/peer.rs
+++ b/src/proto/peer.rs
@@ -31,6 +31,21 @@
     /// Whether the sender does not receive the heartbeats of a process that may be alive.
     #[prost(bool, tag = "10")]
     pub missing: bool,
+    /// Claims on worker shards that the answer should confirm. They are listed only while the sender does not read the
+    /// log.
+    #[prost(message, repeated, tag = "11")]
+    pub claims: ::prost::alloc::vec::Vec<ShardToken>,
+    /// In an answer: whether its sender has applied no claim newer than those in the heartbeat.
+    #[prost(bool, tag = "12")]
+    pub confirms_claims: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ShardToken {
+    #[prost(string, tag = "1")]
+    pub shard: ::prost::alloc::string::String,
+    /// Fencing token under which the sender owns the shard.
+    #[prost(uint64, tag = "2")]
+    pub token: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeardPeer {
--- a/src/tasks/heartbeat.rs
+++ b/src/tasks/heartbeat.rs
@@ -6,7 +6,7 @@
 use crate::kernel::{BundleRecord, PeerHeartbeat, ShardSummary};
 use crate::prelude::*;
 use crate::proto::peer::peer_client::PeerClient;
-use crate::proto::peer::{Amount, Beat, HeardPeer, HeartbeatRequest, ShardAmount};
+use crate::proto::peer::{Amount, Beat, HeardPeer, HeartbeatRequest, ShardAmount, ShardToken};
 use crate::tasks::peer::PeerMessage;
 
 /// Maximum wait for a connection to a peer, and for the answer to a heartbeat.
@@ -35,6 +35,8 @@
         process: process.to_string(),
         age_ms: milliseconds(*age),
     };
+    let claim =
+        |(shard, token): &(ShardId, FencingToken)| ShardToken { shard: shard.to_string(), token: *token };
     let free = |(shard, amount): &(ShardId, ResourceVector)| ShardAmount {
         shard: shard.to_string(),
         amount: Some(encode_amount(*amount)),
@@ -50,6 +52,8 @@
         missing: heartbeat.misses_peer,
         heard: heartbeat.heard.iter().map(heard).collect(),
         free: heartbeat.free.iter().map(free).collect(),
+        claims: heartbeat.claims.iter().map(claim).collect(),
+        confirms_claims: heartbeat.confirms_claims,
     }
 }
 
@@ -70,6 +74,8 @@
         misses_peer: beat.missing,
         heard: beat.heard.into_iter().map(heard).collect(),
         free: beat.free.into_iter().map(free).collect(),
+        claims: beat.claims.into_iter().map(|claim| (claim.shard.into(), claim.token)).collect(),
+        confirms_claims: beat.confirms_claims,
     })
 }
 
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -166,7 +166,9 @@
             PeerMessage::HeartbeatReceived(heartbeat, reply) => {
                 let bundle = heartbeat::encode_bundle(self.bundle_record.as_ref(), heartbeat.version);
                 self.note_heartbeat(&heartbeat, None, now);
-                let beat = Some(heartbeat::encode(&self.heartbeat(now)));
+                let confirms_claims = self.view.confirms_claims(&heartbeat.claims);
+                let answer = PeerHeartbeat { confirms_claims, ..self.heartbeat(now) };
+                let beat = Some(heartbeat::encode(&answer));
                 let _ = reply.send(HeartbeatReply { beat, bundle });
             }
             PeerMessage::HeartbeatAnswered(heartbeat, sent_at, bundle) => {
@@ -211,6 +213,8 @@
             misses_peer: self.view.misses_peer(now),
             heard: self.view.recently_heard(now),
             free: heartbeat::free_capacity(&self.summaries),
+            claims: Vec::new(),
+            confirms_claims: false,
         }
     }
 
@@ -239,7 +243,9 @@
     }
 
     fn send_heartbeats(&self) {
-        let beat = heartbeat::encode(&self.heartbeat(Instant::now()));
+        let now = Instant::now();
+        let claims = self.view.claims_to_confirm(now);
+        let beat = heartbeat::encode(&PeerHeartbeat { claims, ..self.heartbeat(now) });
         for (_, client) in self.clients.values() {
             let request = HeartbeatRequest { beat: Some(beat.clone()) };
             actix_rt::spawn(heartbeat::send_heartbeat(client.clone(), request, self.outputs.peer.clone()));
@@ -258,8 +264,8 @@
         }
     }
 
-    /// Claims and hands over shards, and tells the other tasks how many processes may own shards, until when
-    /// the bundle counts as fresh and how much capacity is free.
+    /// Claims and hands over shards, and tells the other tasks how many processes may own shards, since when
+    /// its ownership is confirmed, until when the bundle counts as fresh and how much capacity is free.
     async fn update_ownership(&mut self) {
         let now = Instant::now();
         let shards = self.bundle.as_ref().map(|bundle| bundle.shards()).unwrap_or_default();
@@ -273,6 +279,9 @@
         self.free_by_process.retain(|process, _| eligible.contains(process));
         // These are sent again at the next check, so a full channel does no harm.
         let _ = self.outputs.journal.try_send(JournalMessage::EligibleOwners(eligible.len()));
+        if let Some(confirmed_at) = self.view.ownership_confirmed_at(now) {
+            let _ = self.outputs.scheduler.try_send(SchedulerMessage::OwnershipConfirmed(confirmed_at));
+        }
         let until = self.view.bundle_fresh_until(now).unwrap_or(now);
         let _ = self.outputs.scheduler.try_send(SchedulerMessage::BundleFreshUntil(until));
         let _ = self.outputs.admission.try_send(AdmissionMessage::BundleFreshUntil(until));
--- a/src/tasks/publisher.rs
+++ b/src/tasks/publisher.rs
@@ -66,11 +66,13 @@
                 self.outbox.broadcast(&LedgerChange::AllotmentChanged(shard.clone(), team.clone(), usable));
             }
             LedgerChange::ShardClaimed(shard, claim) => {
+                // The peer task must confirm no older claim once the scheduler counts the leases of earlier
+                // owners as running out.
+                self.outbox.broadcast(change);
                 if claim.process == self.process && !shard.starts_with("service:") {
                     let claimed = Box::new(self.claimed_shard(ledger, shard, claim.token));
                     self.outbox.scheduler(SchedulerMessage::Claimed(claimed));
                 }
-                self.outbox.broadcast(change);
             }
             _ => self.outbox.broadcast(change),
         }
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -52,6 +52,9 @@
     SyncFailed(ShardId, FencingToken, VmId),
     /// The bundle in force counts as fresh until this time; no task is started afterwards.
     BundleFreshUntil(Instant),
+    /// At this time certainly no other process owned a worker shard of this process, from the peer task. A loss
+    /// that the evidence shows has reached the scheduler before.
+    OwnershipConfirmed(Instant),
     /// Asks why the tasks of a job run or wait where they do; answered with `None` if no owned shard has the
     /// job.
     Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
@@ -166,6 +169,9 @@
                 self.bundle_fresh_until = Some(until);
                 self.handle_event_in_all(&ScheduleEvent::BundleFreshUntil(until)).await;
             }
+            SchedulerMessage::OwnershipConfirmed(at) => {
+                let _ = self.worker.send(WorkerMessage::OwnershipConfirmed(at)).await;
+            }
             SchedulerMessage::Explain(job, reply) => {
                 let explanation = self.shards.values().find_map(|owned| owned.scheduler.explain(&job));
                 let _ = reply.send(explanation);
@@ -194,7 +200,7 @@
     fn record_delisted(&mut self, workers: &[WorkerVm]) {
         let now = Instant::now();
         let listed: FastSet<&VmId> = workers.iter().map(|vm| &vm.vm).collect();
-        let leases_end = self.timing.latest_expiry(now);
+        let leases_end = self.timing.latest_expiry_of_former(now);
         let removed = self.workers.iter().filter(|vm| !listed.contains(&vm.vm));
         self.delisted.extend(removed.map(|vm| (leases_end, vm.clone())));
         self.delisted.retain(|(leases_end, vm)| *leases_end > now && !listed.contains(&vm.vm));
@@ -228,7 +234,7 @@
     }
 
     async fn claim_shard(&mut self, claimed: ClaimedShard) {
-        let earlier_leases_end = self.timing.latest_expiry(Instant::now());
+        let earlier_leases_end = self.timing.latest_expiry_of_former(Instant::now());
         let mut scheduler = ShardScheduler::new(self.registry.clone(), earlier_leases_end)
             .with_timing(self.timing)
             .with_first_attempt(claimed.token << ATTEMPT_BITS);
--- a/src/tasks/sync_loop.rs
+++ b/src/tasks/sync_loop.rs
@@ -1,9 +1,9 @@
 //! Syncs with one worker: sends commands to it and passes its reports to the scheduler.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::{SyncTiming, TaskReport, TrackedTasks, WorkerCommand};
+use crate::kernel::{OWNERSHIP_LEASE, SyncTiming, TaskReport, TrackedTasks, WorkerCommand};
 use crate::prelude::*;
 use crate::tasks::adapter::{SyncAnswer, SyncRequest, SyncResult, WorkerAdapter, WorkerClient};
 use crate::tasks::metrics::EntryMetrics;
@@ -59,6 +59,8 @@
     /// once.
     first_lease_due: bool,
     timing: SyncTiming,
+    /// Newest time at which certainly no other process owned the shard.
+    ownership: watch::Receiver<Option<Instant>>,
     scheduler: mpsc::Sender<SchedulerMessage>,
     pending: Vec<PendingCommand>,
     /// Tasks whose starts were dropped before any sync carried them; not yet reported to the scheduler.
@@ -82,6 +84,7 @@
         target: SyncTarget,
         adapter: WorkerAdapter,
         timing: SyncTiming,
+        ownership: watch::Receiver<Option<Instant>>,
         scheduler: mpsc::Sender<SchedulerMessage>,
         metrics: EntryMetrics,
     ) -> Self {
@@ -94,6 +97,7 @@
             newest_stamp: None,
             first_lease_due: false,
             timing,
+            ownership,
             scheduler,
             pending: Vec::new(),
             withdrawn_starts: Vec::new(),
@@ -165,9 +169,16 @@
         self.pending.push(PendingCommand { command, ever_sent: false, in_last_sync: false });
     }
 
-    /// Returns the stamp unless a lease counted from its arrival has already expired.
+    /// Returns the stamp unless a lease counted from its arrival has already expired or must not be granted.
     fn valid_stamp(&self) -> Option<&ReceivedStamp> {
-        self.newest_stamp.as_ref().filter(|received| received.at.elapsed() < self.timing.lease)
+        let newest = self.newest_stamp.as_ref().filter(|_| self.may_grant_leases());
+        newest.filter(|received| received.at.elapsed() < self.timing.lease)
+    }
+
+    /// Whether this process owned the shard so recently that its successor still waits for the leases that it
+    /// grants now.
+    fn may_grant_leases(&self) -> bool {
+        self.ownership.borrow().is_some_and(|at| at.elapsed() < OWNERSHIP_LEASE)
     }
 
     /// Syncs once and returns whether to go on: false if the worker has a newer owner or the scheduler has
@@ -216,11 +227,11 @@
         self.send_to_scheduler(message, inbox).await && self.report_withdrawn(inbox).await
     }
 
-    /// Returns the next sync request and marks the commands that it carries. Without a valid stamp it carries
-    /// no starts.
+    /// Returns the next sync request and marks the commands that it carries. Without a valid stamp it grants no
+    /// lease and carries no starts.
     fn next_request(&mut self) -> SyncRequest {
         let stamp = self.valid_stamp().map(|received| received.stamp.clone());
-        let may_start = stamp.is_some() || !self.supports_stamps;
+        let may_start = stamp.is_some() || !self.supports_stamps && self.may_grant_leases();
         for pending in &mut self.pending {
             pending.in_last_sync = may_start || !pending.is_start();
             pending.ever_sent |= pending.in_last_sync;
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -1,6 +1,6 @@
 //! Runs one sync loop for each worker of the owned shards.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 pub use crate::kernel::SyncTiming;
@@ -40,6 +40,11 @@
     /// sync with the new stamp extends the lease of such a task or starts it, however late the answer was
     /// handled.
     Renew(VmId, ReceivedStamp),
+    /// At this time certainly no other process owned a shard of the sync loops; for
+    /// [`OWNERSHIP_LEASE`](crate::kernel::OWNERSHIP_LEASE) from then on, syncs may grant leases.
+    ///
+    /// The syncs of a shard that this process has lost since are stopped by earlier messages in the same channel.
+    OwnershipConfirmed(Instant),
 }
 
 /// A worker's stamp and the local time at which the answer with it arrived.
@@ -82,6 +87,9 @@
     timing: SyncTiming,
     scheduler: mpsc::Sender<SchedulerMessage>,
     workers: FastMap<VmId, SyncHandle>,
+    /// Newest time at which certainly no other process owned a shard of the sync loops; `None` before the
+    /// first.
+    ownership: watch::Sender<Option<Instant>>,
     metrics: EntryMetrics,
 }
 
@@ -94,7 +102,8 @@
         scheduler: mpsc::Sender<SchedulerMessage>,
         metrics: EntryMetrics,
     ) -> Self {
-        Self { adapter, timing, scheduler, workers: FastMap::default(), metrics }
+        let ownership = watch::Sender::new(None);
+        Self { adapter, timing, scheduler, workers: FastMap::default(), ownership, metrics }
     }
 
     /// Runs until `shutdown` is cancelled.
@@ -114,7 +123,8 @@
                 let child = shutdown.child_token();
                 let target = SyncTarget { vm: vm.clone(), address, shard: shard.clone(), fencing_token };
                 let (scheduler, metrics) = (self.scheduler.clone(), self.metrics.clone());
-                let sync = SyncLoop::new(target, self.adapter, self.timing, scheduler, metrics);
+                let ownership = self.ownership.subscribe();
+                let sync = SyncLoop::new(target, self.adapter, self.timing, ownership, scheduler, metrics);
                 actix_rt::spawn(sync.run(inbox, child.clone()));
                 let owned = SyncHandle { shard, messages, cancel: child };
                 if let Some(old) = self.workers.insert(vm, owned) {
@@ -133,6 +143,9 @@
                 }
             }
             WorkerMessage::Command(vm, command) => self.send(&vm, SyncMessage::Command(command)).await,
+            WorkerMessage::OwnershipConfirmed(at) => {
+                self.ownership.send_replace(Some(at));
+            }
             WorkerMessage::Renew(vm, stamp) => self.send(&vm, SyncMessage::Renew(stamp)).await,
         }
     }
--- a/tests/coordination_lease.rs
+++ b/tests/coordination_lease.rs
@@ -43,6 +43,7 @@
     actix_rt::spawn(task.run(inbox, token.child_token()));
     let address = workers.address.to_string();
     let start_sync = WorkerMessage::StartSync { vm: "w".into(), address, shard: "r1/0".into(), token: 7 };
+    task_sender.send(WorkerMessage::OwnershipConfirmed(Instant::now())).await.unwrap();
     task_sender.send(start_sync).await.unwrap();
     WorkerTaskHarness { workers, task_sender, scheduler_inbox, token }
 }
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -353,3 +353,38 @@
         expect_that!(cluster.claims_issued, le(32 * 8), "round {round}");
     }
 }
+
+/// Guards against an outage of the log that ends the leases of workers although all processes hear each other,
+/// and against peers that confirm an owner which others have succeeded.
+#[gtest]
+fn ownership_is_confirmed_until_a_peer_is_silent_or_has_a_newer_claim() {
+    let age = |cluster: &Cluster| {
+        let confirmed = cluster.members[0].view.ownership_confirmed_at(cluster.now);
+        cluster.now - confirmed.unwrap()
+    };
+    // Arrange
+    let mut cluster = settled_cluster(3, 16);
+
+    // Act: nobody reads the log; then one peer is not heard either.
+    cluster.members.iter_mut().for_each(|member| member.reaches_log = false);
+    cluster.run(60 * SECOND);
+    let in_outage = age(&cluster);
+    cluster.cut_links.insert((0, 1));
+    cluster.run(20 * SECOND);
+    let with_silent_peer = age(&cluster);
+
+    // Act: only the first process does not read the log, so its peers claim its shards after some time.
+    cluster.cut_links.clear();
+    cluster.members.iter_mut().skip(1).for_each(|member| member.reaches_log = true);
+    let claims = cluster.transcript.len();
+    let until_claimed = run_until(&mut cluster, |cluster| cluster.transcript.len() > claims);
+    let when_claimed = age(&cluster);
+    cluster.run(20 * SECOND);
+
+    // Assert
+    expect_that!(in_outage, le(SECOND));
+    expect_that!(with_silent_peer, ge(19 * SECOND));
+    expect_that!(until_claimed, lt(60 * SECOND));
+    expect_that!(when_claimed, le(SECOND));
+    expect_that!(age(&cluster), ge(19 * SECOND));
+}
