Keep the highest fencing token of a worker over its restarts

Cause: workers refused tokens older than the highest they had seen, and forgot that one with a restart. A former owner that did not know of its successor yet was then accepted again by a worker that the successor had synced with: tokens were bound to an incarnation of the worker and not to the worker.

Result: a_restarted_worker_refuses_a_former_owner failed before (`FullReport(...)` with the task running in place of `Fenced(9)`) and passes.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -144,7 +144,8 @@
         let _ = self.inbox.send(WorkerMessage::SetFaults(vm.into(), faults)).await;
     }
 
-    /// Restarts one worker, which ends its tasks and loses its whole state, faults included.
+    /// Restarts one worker, which ends its tasks and loses its whole state, faults included, but not the highest
+    /// fencing token.
     pub async fn restart(&self, vm: &str) {
         let _ = self.inbox.send(WorkerMessage::Restart(vm.into())).await;
     }
@@ -208,7 +209,11 @@
                         for task in worker.running.keys() {
                             records.push(TaskRecord::new(&vm, task, TaskEvent::Ended("restarted".into())));
                         }
-                        *worker = SimulatedWorker::new(worker.incarnation + 1);
+                        let highest_token = worker.highest_token;
+                        *worker = SimulatedWorker {
+                            highest_token,
+                            ..SimulatedWorker::new(worker.incarnation + 1)
+                        };
                     }
                 }
                 WorkerMessage::Records(reply) => {
