Let no late start run on a worker that was told to stop the task

Cause: a start may wait in a connection that has fallen silent while the stop that follows it reaches the worker on another one. The owner finds the task absent 2 s later and places it elsewhere; the start was carried out when it arrived, as its stamp counts for a whole lease. A worker knew only the tasks that it had started.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -107,7 +107,7 @@
     running: FxHashMap<String, RunningTask>,
     /// Cause and result of each end that is not yet acknowledged.
     ended: FxHashMap<String, (&'static str, String)>,
-    /// All tasks that this incarnation has started.
+    /// All tasks that this incarnation was told to start or stop.
     started: FxHashSet<String>,
     faults: WorkerFaults,
     /// Syncs that arrived while the worker was paused, oldest first.
@@ -364,7 +364,11 @@
                     self.end(vm, &task, "failed", "the worker is broken".into(), records);
                 }
             }
-            CommandBody::Stop { task } => self.end(vm, &task, "stopped", String::new(), records),
+            CommandBody::Stop { task } => {
+                // A start that waited in a silent connection may arrive after the stop.
+                self.started.insert(task.clone());
+                self.end(vm, &task, "stopped", String::new(), records);
+            }
             CommandBody::Checkpoint { task } => {
                 if let Some(running) = self.running.get_mut(&task) {
                     running.checkpointed = true;
--- a/tests/worker_protocol.rs
+++ b/tests/worker_protocol.rs
@@ -67,3 +67,22 @@
     expect_that!(workers.running().await.len(), eq(0));
     token.cancel();
 }
+
+/// Guards against a start that waited in a silent connection and is carried out after the stop that followed it
+/// on another connection. By then its owner has found the task absent and placed it elsewhere.
+#[gtest]
+#[actix_rt::test]
+async fn a_start_that_arrives_after_its_stop_is_not_carried_out() {
+    // Arrange
+    let token = CancellationToken::new();
+    let (workers, client) = start_worker(&token).await;
+    let answer = first_sync(&client, 7).await;
+
+    // Act
+    sync(&client, 7, &answer, vec![WorkerCommand::Stop { task: "blue/job#0@0".into() }]).await;
+    sync(&client, 7, &answer, vec![start("blue/job#0@0"), start("blue/job#1@0")]).await;
+
+    // Assert
+    expect_that!(workers.running().await, elements_are![eq(&("w".into(), "blue/job#1@0".into()))]);
+    token.cancel();
+}
