Wait for leases of unlisted workers that a former owner synced with

Cause: an owner goes on syncing with a worker that leaves the VM list, as the list may lag or lose an entry that cannot be read. The other processes bounded the lease of such a worker from the time at which it left their list; a process that started later didn't know it at all. So a new owner that had heard all listed workers started tasks again that still ran on an unlisted one: its bound rested on the list and not on what the worker could hold.

Change: heartbeats name the worker shards with unlisted workers that may still run tasks. A process that claims such a shard queues inherited tasks only when all leases of earlier owners have ended, and names the shard until then. A process that has heard no heartbeat of the former owner knows nothing of it.

--- a/src/kernel/peer_heartbeat.rs
+++ b/src/kernel/peer_heartbeat.rs
@@ -31,4 +31,6 @@
     pub claims: Vec<(ShardId, FencingToken)>,
     /// In an answer: whether the answering process has applied no claim newer than those in the heartbeat.
     pub confirms_claims: bool,
+    /// Worker shards of the process with workers that are not on the VM list and may still run tasks.
+    pub unlisted: Vec<ShardId>,
 }
--- a/src/kernel/schedule_event.rs
+++ b/src/kernel/schedule_event.rs
@@ -11,6 +11,8 @@
     /// Workers that left the VM list before this process claimed the shard, but whose leases from an earlier
     /// owner may not have expired; they may still run its tasks.
     WorkersDelisted(Vec<VmId>),
+    /// An earlier owner synced with workers that were not on the VM list and may still run tasks.
+    UnknownWorkersReported,
     /// Worker capacities of the other shards according to the VM list.
     OtherShardsListed(ShardCapacities),
     /// The allotment of a team in the shard changed.
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -27,6 +27,8 @@
     /// Workers that left the VM list before this owner synced with them; they may still run tasks of an
     /// earlier owner.
     delisted: FastSet<VmId>,
+    /// Whether an earlier owner synced with workers that were not on the VM list. This owner does not know them.
+    has_unknown_workers: bool,
     /// Time up to which the policy bundle is known to be fresh; no task starts after it. Unbounded if `None`.
     bundle_fresh_until: Option<Instant>,
     /// When all leases granted by earlier owners have expired. Until then, inherited jobs wait for workers
@@ -58,6 +60,7 @@
             mover: JobMover::default(),
             unsynced: FastSet::default(),
             delisted: FastSet::default(),
+            has_unknown_workers: false,
             bundle_fresh_until: None,
             old_leases_end,
             backlog: false,
@@ -101,6 +104,7 @@
             ScheduleEvent::BundleAdopted(bundle) => self.adopt_bundle(bundle),
             ScheduleEvent::WorkersListed(vms) => self.list_workers(vms),
             ScheduleEvent::WorkersDelisted(vms) => self.delisted.extend(vms),
+            ScheduleEvent::UnknownWorkersReported => self.has_unknown_workers = true,
             ScheduleEvent::AllotmentChanged(team, amount) => {
                 self.state.shares.set_allotment(&team, amount);
                 self.state.queue.unblock_team(&team);
@@ -152,7 +156,10 @@
     /// Returns a summary of the shard for operators.
     #[must_use]
     pub fn summary(&self, shard: ShardId) -> ShardSummary {
-        ShardSummary::of(shard, &self.state)
+        let mut summary = ShardSummary::of(shard, &self.state);
+        let inherited = self.delisted.len() + usize::from(self.has_unknown_workers);
+        summary.workers_unlisted += u32::try_from(inherited).unwrap_or(u32::MAX);
+        summary
     }
 
     fn adopt_bundle(&mut self, bundle: Arc<PolicyBundle>) {
@@ -381,7 +388,12 @@
     }
 
     fn place_tasks(&mut self, now: Instant) {
-        let all_synced = self.unsynced.is_empty() && self.delisted.is_empty() && !self.state.fleet.is_empty();
+        if now >= self.old_leases_end {
+            self.delisted.clear();
+            self.has_unknown_workers = false;
+        }
+        let may_run_unseen = self.has_unknown_workers || !self.delisted.is_empty();
+        let all_synced = self.unsynced.is_empty() && !may_run_unseen && !self.state.fleet.is_empty();
         if !self.state.inherited_jobs.is_empty() && (all_synced || now >= self.old_leases_end) {
             self.queue_inherited();
         }
--- a/src/kernel/shard_summary.rs
+++ b/src/kernel/shard_summary.rs
@@ -12,6 +12,8 @@
     pub workers: u32,
     /// Number of listed workers that have accepted a sync of this owner.
     pub workers_heard: u32,
+    /// Number of workers that are not on the VM list and may still run tasks.
+    pub workers_unlisted: u32,
     /// Total capacity of the listed workers.
     pub capacity: ResourceVector,
     /// Resources of the listed workers that are allocated to tasks.
@@ -37,6 +39,7 @@
             shard,
             workers: count(workers().count()),
             workers_heard: count(workers().filter(|worker| worker.synced).count()),
+            workers_unlisted: count(state.fleet.iter().filter(|(_, worker)| !worker.listed).count()),
             capacity,
             used,
             waiting: count(waiting),
--- a/src/proto/peer.rs
+++ b/src/proto/peer.rs
@@ -38,6 +38,9 @@
     /// In an answer: whether its sender has applied no claim newer than those in the heartbeat.
     #[prost(bool, tag = "12")]
     pub confirms_claims: bool,
+    /// Worker shards of the sender with workers that are not on the VM list and may still run tasks.
+    #[prost(string, repeated, tag = "13")]
+    pub unlisted: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ShardToken {
--- a/src/tasks/heartbeat.rs
+++ b/src/tasks/heartbeat.rs
@@ -54,6 +54,7 @@
         free: heartbeat.free.iter().map(free).collect(),
         claims: heartbeat.claims.iter().map(claim).collect(),
         confirms_claims: heartbeat.confirms_claims,
+        unlisted: heartbeat.unlisted.iter().map(ToString::to_string).collect(),
     }
 }
 
@@ -76,6 +77,7 @@
         free: beat.free.into_iter().map(free).collect(),
         claims: beat.claims.into_iter().map(|claim| (claim.shard.into(), claim.token)).collect(),
         confirms_claims: beat.confirms_claims,
+        unlisted: beat.unlisted.into_iter().map(Into::into).collect(),
     })
 }
 
@@ -99,6 +101,13 @@
     summaries.iter().map(free).collect()
 }
 
+/// Returns the shards with workers that are not on the VM list and may still run tasks.
+#[must_use]
+pub fn unlisted_shards(summaries: &[ShardSummary]) -> Vec<ShardId> {
+    let unlisted = summaries.iter().filter(|summary| summary.workers_unlisted > 0);
+    unlisted.map(|summary| summary.shard.clone()).collect()
+}
+
 fn milliseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -87,6 +87,9 @@
     summaries: Vec<ShardSummary>,
     /// Free capacity of the shards of each peer, from its last heartbeat.
     free_by_process: FastMap<ProcessId, Vec<(ShardId, ResourceVector)>>,
+    /// Shards whose owner has last reported workers that are not on the VM list and may still run tasks. They are kept
+    /// when the owner falls silent.
+    unlisted_shards: FastSet<ShardId>,
     /// Sender of the reply to the hand-over in progress.
     handover_reply: Option<oneshot::Sender<()>>,
     /// Address and client of each peer's VM.
@@ -121,6 +124,7 @@
             bundle_record: None,
             summaries: Vec::new(),
             free_by_process: FastMap::default(),
+            unlisted_shards: FastSet::default(),
             handover_reply: None,
             clients: FastMap::default(),
             vm_by_process: FastMap::default(),
@@ -198,6 +202,8 @@
     fn note_heartbeat(&mut self, heartbeat: &PeerHeartbeat, sent_at: Option<Instant>, now: Instant) {
         self.vm_by_process.insert(heartbeat.process.clone(), heartbeat.vm.clone());
         self.free_by_process.insert(heartbeat.process.clone(), heartbeat.free.clone());
+        self.unlisted_shards.retain(|shard| self.owner_by_shard.get(shard) != Some(&heartbeat.process));
+        self.unlisted_shards.extend(heartbeat.unlisted.iter().cloned());
         self.view.note_heartbeat(heartbeat, sent_at, now);
     }
 
@@ -215,6 +221,7 @@
             free: heartbeat::free_capacity(&self.summaries),
             claims: Vec::new(),
             confirms_claims: false,
+            unlisted: heartbeat::unlisted_shards(&self.summaries),
         }
     }
 
@@ -279,6 +286,8 @@
         self.free_by_process.retain(|process, _| eligible.contains(process));
         // These are sent again at the next check, so a full channel does no harm.
         let _ = self.outputs.journal.try_send(JournalMessage::EligibleOwners(eligible.len()));
+        let unlisted = SchedulerMessage::UnlistedWorkersReported(self.unlisted_shards.clone());
+        let _ = self.outputs.scheduler.try_send(unlisted);
         if let Some(confirmed_at) = self.view.ownership_confirmed_at(now) {
             let _ = self.outputs.scheduler.try_send(SchedulerMessage::OwnershipConfirmed(confirmed_at));
         }
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -55,6 +55,9 @@
     /// At this time certainly no other process owned a worker shard of this process, from the peer task. A loss
     /// that the evidence shows has reached the scheduler before.
     OwnershipConfirmed(Instant),
+    /// Worker shards of other processes with workers that are not on the VM list and may still run tasks, from the peer
+    /// task.
+    UnlistedWorkersReported(FastSet<ShardId>),
     /// Asks why the tasks of a job run or wait where they do; answered with `None` if no owned shard has the
     /// job.
     Explain(JobId, oneshot::Sender<Option<JobExplanation>>),
@@ -81,6 +84,8 @@
     workers: Vec<WorkerVm>,
     /// Workers that were removed from the VM list, each with the latest expiry of any lease that it may hold.
     delisted: Vec<(Instant, WorkerVm)>,
+    /// Worker shards of other processes with workers that are not on the VM list and may still run tasks.
+    unlisted_shards: FastSet<ShardId>,
     bundle: Option<Arc<PolicyBundle>>,
     bundle_fresh_until: Option<Instant>,
     journal: mpsc::Sender<JournalMessage>,
@@ -107,6 +112,7 @@
             shards,
             workers: Vec::new(),
             delisted: Vec::new(),
+            unlisted_shards: FastSet::default(),
             bundle: None,
             bundle_fresh_until: None,
             journal,
@@ -169,6 +175,7 @@
                 self.bundle_fresh_until = Some(until);
                 self.handle_event_in_all(&ScheduleEvent::BundleFreshUntil(until)).await;
             }
+            SchedulerMessage::UnlistedWorkersReported(shards) => self.unlisted_shards = shards,
             SchedulerMessage::OwnershipConfirmed(at) => {
                 let _ = self.worker.send(WorkerMessage::OwnershipConfirmed(at)).await;
             }
@@ -253,6 +260,9 @@
             self.bundle = Some(bundle.clone());
             self.handle_event(&claimed.shard, ScheduleEvent::BundleAdopted(bundle)).await;
         }
+        if self.unlisted_shards.contains(&claimed.shard) {
+            self.handle_event(&claimed.shard, ScheduleEvent::UnknownWorkersReported).await;
+        }
         log::info!(shard = &*claimed.shard, token = claimed.token; "shard claimed");
         if let Some(bundle) = self.bundle.clone() {
             let workers =
--- a/tests/coordination_partition.rs
+++ b/tests/coordination_partition.rs
@@ -123,3 +123,44 @@
     expect_that!(starts_and_lapses(&world).await, eq((2, 0)));
     token.cancel();
 }
+
+/// Guards against a new owner that starts tasks elsewhere which still run on a worker that has left the VM list
+/// long ago: the former owner went on syncing with it.
+#[gtest]
+#[actix_rt::test]
+async fn tasks_on_an_unlisted_worker_are_not_started_twice() {
+    // Arrange: a lease that is longer than the time in which a killed owner is replaced.
+    let token = CancellationToken::new();
+    let world = fixture::start_world(&token).await;
+    let owner = start_with_long_lease(&world, "entry-1").await;
+    fixture::publish(&world, 1, 0, fixture::bundle_text(1, 0)).await;
+    fixture::wait_ready(&owner).await;
+    run_long_job(&world, &owner, 60_000).await;
+
+    // Act: the workers leave the list and run on, another process starts, and the owner is killed.
+    for (worker, _) in world.workers.running().await {
+        world.unlist(&worker);
+    }
+    faults::sleep_seconds(2).await;
+    let successor = start_with_long_lease(&world, "entry-2").await;
+    fixture::wait_ready(&successor).await;
+    faults::sleep_seconds(2).await;
+    world.unlist("entry-1");
+    owner.kill();
+    faults::sleep_seconds(20).await;
+
+    // Assert: both tasks have started again, after their first runs had ended.
+    let violations = invariant::check(&world.workers.records().await, &world.facts);
+    expect_that!(violations.doubled, eq(0));
+    expect_that!(starts_and_lapses(&world).await, eq((4, 2)));
+    token.cancel();
+}
+
+/// Starts an entry process that grants leases of 6 s.
+async fn start_with_long_lease(world: &StandinWorld, vm: &str) -> EntryProcess {
+    let mut settings = fixture::settings(world, vm, "a");
+    settings.lease = Duration::from_secs(6);
+    let entry = EntryProcess::start(settings).await.unwrap();
+    world.list_entry(vm, "a", &entry.peer_listen.to_string());
+    entry
+}
