--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -87,6 +87,9 @@
     summaries: Vec<ShardSummary>,
     /// Free capacity of the shards of each peer, from its last heartbeat.
     free_by_process: FastMap<ProcessId, Vec<(ShardId, ResourceVector)>>,
+    /// Shards whose owner has last reported workers that are not on the VM list and may still run tasks. They are kept
+    /// when the owner falls silent.
+    unlisted_shards: FastSet<ShardId>,
     /// Sender of the reply to the hand-over in progress.
     handover_reply: Option<oneshot::Sender<()>>,
     /// Address and client of each peer's VM.
@@ -121,6 +124,7 @@
             bundle_record: None,
             summaries: Vec::new(),
             free_by_process: FastMap::default(),
+            unlisted_shards: FastSet::default(),
             handover_reply: None,
             clients: FastMap::default(),
             vm_by_process: FastMap::default(),
@@ -166,7 +170,9 @@
             PeerMessage::HeartbeatReceived(heartbeat, reply) => {
                 let bundle = heartbeat::encode_bundle(self.bundle_record.as_ref(), heartbeat.version);
                 self.note_heartbeat(&heartbeat, None, now);
-                let beat = Some(heartbeat::encode(&self.heartbeat(now)));
+                let confirms_claims = self.view.confirms_claims(&heartbeat.claims);
+                let answer = PeerHeartbeat { confirms_claims, ..self.heartbeat(now) };
+                let beat = Some(heartbeat::encode(&answer));
                 let _ = reply.send(HeartbeatReply { beat, bundle });
             }
             PeerMessage::HeartbeatAnswered(heartbeat, sent_at, bundle) => {
@@ -196,6 +202,8 @@
     fn note_heartbeat(&mut self, heartbeat: &PeerHeartbeat, sent_at: Option<Instant>, now: Instant) {
         self.vm_by_process.insert(heartbeat.process.clone(), heartbeat.vm.clone());
         self.free_by_process.insert(heartbeat.process.clone(), heartbeat.free.clone());
+        self.unlisted_shards.retain(|shard| self.owner_by_shard.get(shard) != Some(&heartbeat.process));
+        self.unlisted_shards.extend(heartbeat.unlisted.iter().cloned());
         self.view.note_heartbeat(heartbeat, sent_at, now);
     }
 
@@ -211,6 +219,9 @@
             misses_peer: self.view.misses_peer(now),
             heard: self.view.recently_heard(now),
             free: heartbeat::free_capacity(&self.summaries),
+            claims: Vec::new(),
+            confirms_claims: false,
+            unlisted: heartbeat::unlisted_shards(&self.summaries),
         }
     }
 
@@ -239,7 +250,9 @@
     }
 
     fn send_heartbeats(&self) {
-        let beat = heartbeat::encode(&self.heartbeat(Instant::now()));
+        let now = Instant::now();
+        let claims = self.view.claims_to_confirm(now);
+        let beat = heartbeat::encode(&PeerHeartbeat { claims, ..self.heartbeat(now) });
         for (_, client) in self.clients.values() {
             let request = HeartbeatRequest { beat: Some(beat.clone()) };
             actix_rt::spawn(heartbeat::send_heartbeat(client.clone(), request, self.outputs.peer.clone()));
@@ -258,8 +271,8 @@
         }
     }
 
-    /// Claims and hands over shards, and tells the other tasks how many processes may own shards, until when
-    /// the bundle counts as fresh and how much capacity is free.
+    /// Claims and hands over shards, and tells the other tasks how many processes may own shards, since when
+    /// its ownership is confirmed, until when the bundle counts as fresh and how much capacity is free.
     async fn update_ownership(&mut self) {
         let now = Instant::now();
         let shards = self.bundle.as_ref().map(|bundle| bundle.shards()).unwrap_or_default();
@@ -273,6 +286,11 @@
         self.free_by_process.retain(|process, _| eligible.contains(process));
         // These are sent again at the next check, so a full channel does no harm.
         let _ = self.outputs.journal.try_send(JournalMessage::EligibleOwners(eligible.len()));
+        let unlisted = SchedulerMessage::UnlistedWorkersReported(self.unlisted_shards.clone());
+        let _ = self.outputs.scheduler.try_send(unlisted);
+        if let Some(confirmed_at) = self.view.ownership_confirmed_at(now) {
+            let _ = self.outputs.scheduler.try_send(SchedulerMessage::OwnershipConfirmed(confirmed_at));
+        }
         let until = self.view.bundle_fresh_until(now).unwrap_or(now);
         let _ = self.outputs.scheduler.try_send(SchedulerMessage::BundleFreshUntil(until));
         let _ = self.outputs.admission.try_send(AdmissionMessage::BundleFreshUntil(until));
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -107,7 +107,7 @@
     running: FxHashMap<String, RunningTask>,
     /// Cause and result of each end that is not yet acknowledged.
     ended: FxHashMap<String, (&'static str, String)>,
-    /// All tasks that this incarnation has started.
+    /// All tasks that this incarnation was told to start or stop.
     started: FxHashSet<String>,
     faults: WorkerFaults,
     /// Syncs that arrived while the worker was paused, oldest first.
@@ -144,7 +144,8 @@
         let _ = self.inbox.send(WorkerMessage::SetFaults(vm.into(), faults)).await;
     }
 
-    /// Restarts one worker, which ends its tasks and loses its whole state, faults included.
+    /// Restarts one worker, which ends its tasks and loses its whole state, faults included, but not the highest
+    /// fencing token.
     pub async fn restart(&self, vm: &str) {
         let _ = self.inbox.send(WorkerMessage::Restart(vm.into())).await;
     }
@@ -208,7 +209,11 @@
                         for task in worker.running.keys() {
                             records.push(TaskRecord::new(&vm, task, TaskEvent::Ended("restarted".into())));
                         }
-                        *worker = SimulatedWorker::new(worker.incarnation + 1);
+                        let highest_token = worker.highest_token;
+                        *worker = SimulatedWorker {
+                            highest_token,
+                            ..SimulatedWorker::new(worker.incarnation + 1)
+                        };
                     }
                 }
                 WorkerMessage::Records(reply) => {
@@ -359,7 +364,11 @@
                     self.end(vm, &task, "failed", "the worker is broken".into(), records);
                 }
             }
-            CommandBody::Stop { task } => self.end(vm, &task, "stopped", String::new(), records),
+            CommandBody::Stop { task } => {
+                // A start that waited in a silent connection may arrive after the stop.
+                self.started.insert(task.clone());
+                self.end(vm, &task, "stopped", String::new(), records);
+            }
             CommandBody::Checkpoint { task } => {
                 if let Some(running) = self.running.get_mut(&task) {
                     running.checkpointed = true;
