Tell in the crowd tests how the ordinary exchange failed

Change: `Target::call` returns the status or the reason of the failure with the time it took. The checks, bounds and time limits are as before.

--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -92,7 +92,7 @@
 
 async fn await_status(target: &Target, request: &[u8], expected: u16) {
     let started = Instant::now();
-    while target.call(request).await != expected {
+    while target.call(request).await != Ok(expected) {
         assert!(started.elapsed() < START_TIMEOUT, "the process does not answer {expected}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -108,7 +108,7 @@
     expect_that!(child.lives(), eq(true), "{kind:?}");
     expect_that!(peak_mb, le(MEMORY_MB), "{kind:?}: largest resident size in MB");
     expect_that!(descriptors, le(MAX_FDS), "{kind:?}: open descriptors");
-    expect_that!(status, eq(accepted), "{kind:?}: status of an ordinary submission");
+    expect_that!(status, ok(eq(&accepted)), "{kind:?}: status of an ordinary submission");
     drop(crowd);
 }
 
@@ -178,8 +178,8 @@
     let chunked_status = target.call(&chunked).await;
     platform.token.cancel();
 
-    expect_that!(whole_status, eq(200));
-    expect_that!(chunked_status, eq(200));
+    expect_that!(whole_status, ok(eq(&200)));
+    expect_that!(chunked_status, ok(eq(&200)));
 }
 
 /// Guards against limits that refuse a legal request of full size on the project's own interface.
@@ -194,7 +194,7 @@
     let status = target.call(&target.submission(&full_size(OWN_JOB))).await;
     token.cancel();
 
-    expect_that!(status, eq(202));
+    expect_that!(status, ok(eq(&202)));
 }
 
 /// Guards against limits of the configuration that are not in force on each connection, or stay as they were
@@ -229,11 +229,11 @@
     let legal_status = target.call(&target.submission(CELL_JOB.as_bytes())).await;
     platform.token.cancel();
 
-    expect_that!(default_status, eq(400), "an incomplete job of legal size");
-    expect_that!(announced_status, eq(413));
-    expect_that!(chunked_status, eq(413));
-    expect_that!(long_head_status, eq(431));
-    expect_that!(stalled_head_status, eq(408));
-    expect_that!(stalled_body_status, eq(408));
-    expect_that!(legal_status, eq(200));
+    expect_that!(default_status, ok(eq(&400)), "an incomplete job of legal size");
+    expect_that!(announced_status, ok(eq(&413)));
+    expect_that!(chunked_status, ok(eq(&413)));
+    expect_that!(long_head_status, ok(eq(&431)));
+    expect_that!(stalled_head_status, ok(eq(&408)));
+    expect_that!(stalled_body_status, ok(eq(&408)));
+    expect_that!(legal_status, ok(eq(&200)));
 }
--- a/tests/fixture_crowd/mod.rs
+++ b/tests/fixture_crowd/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::Child;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -110,23 +110,31 @@
         }
     }
 
-    /// Sends a complete request over a new connection and returns the status of its answer; 0 if there is
-    /// none.
-    pub async fn call(&self, request: &[u8]) -> u16 {
-        let exchange = async {
-            let mut stream = TcpStream::connect(self.address).await.ok()?;
-            let (mut reader, mut writer) = stream.split();
-            let mut answer = Vec::new();
-            // An early refusal ends the writing.
-            let _ = writer.write_all(request).await;
-            while !answer.windows(4).any(|window| window == b"\r\n\r\n") {
-                if reader.read_buf(&mut answer).await.ok()? == 0 {
-                    break;
-                }
+    /// Sends a complete request over a new connection and returns the status of its answer, or how the exchange
+    /// failed.
+    pub async fn call(&self, request: &[u8]) -> Result<u16, String> {
+        let started = Instant::now();
+        let outcome = tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await;
+        let outcome = outcome.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+        outcome.map_err(|fault| format!("{fault}, after {:?}", started.elapsed()))
+    }
+
+    async fn exchange(&self, request: &[u8]) -> Result<u16, String> {
+        let stream = TcpStream::connect(self.address).await;
+        let mut stream = stream.map_err(|error| format!("cannot connect: {error}"))?;
+        let (mut reader, mut writer) = stream.split();
+        let mut answer = Vec::new();
+        // An early refusal ends the writing.
+        let _ = writer.write_all(request).await;
+        while !answer.windows(4).any(|window| window == b"\r\n\r\n") {
+            let read = reader.read_buf(&mut answer).await;
+            let read = read.map_err(|error| format!("{error} after {} bytes", answer.len()))?;
+            if read == 0 {
+                break;
             }
-            std::str::from_utf8(answer.get(9..12)?).ok()?.parse().ok()
-        };
-        tokio::time::timeout(CALL_TIMEOUT, exchange).await.ok().flatten().unwrap_or_default()
+        }
+        let status = answer.get(9..12).and_then(|status| std::str::from_utf8(status).ok()?.parse().ok());
+        status.ok_or_else(|| format!("closed without a status: {:?}", String::from_utf8_lossy(&answer)))
     }
 }
 
