Admit ordinary callers behind a crowd of small chunks within a few turns

Cause: the listener admitted one connection at a time, each after another one had ended, and every message on that way waited until up to 101 connections of the crowd had had a turn of eight reads. A read of 16 KiB in chunks of one byte takes thousands of decoding steps. With a test build under load, the log of a run shows about 20 evictions a second and at times one in more than a second, so the ordinary connection waits for more than 30 s behind 500 others. That log names no connection that was closed for lack of a place. The wait for a turn does not count as a delay of the client.

--- a/src/plugins/http/connection.rs
+++ b/src/plugins/http/connection.rs
@@ -10,7 +10,7 @@
 use futures_util::FutureExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::Instant as Deadline;
 use tokio_util::codec::Encoder;
 use tokio_util::sync::CancellationToken;
@@ -29,8 +29,6 @@
 const LINGER_BYTES: usize = 1 << 20;
 /// Seconds after which a client may repeat a request that found no room.
 const OVERLOAD_RETRY_AFTER: &str = "1";
-/// Reads after which other tasks get their turn, even if there is more to read.
-const READS_PER_TURN: u32 = 8;
 /// Bytes up to which the grants of a connection are rounded, so that few messages are needed.
 const GRANT_STEP: usize = 16_384;
 
@@ -52,8 +50,10 @@
     limits: watch::Receiver<ClientLimits>,
     refuse: RefusalEncoder,
     stopping: CancellationToken,
-    /// Reads since other tasks had their turn.
-    reads: u32,
+    /// Gives the connections of a listener their turns to decode more of a request.
+    turns: Arc<Semaphore>,
+    /// The turn of this connection, which ends after other tasks had theirs.
+    turn: Option<OwnedSemaphorePermit>,
 }
 
 impl HttpConnection {
@@ -66,9 +66,10 @@
         limits: watch::Receiver<ClientLimits>,
         refuse: RefusalEncoder,
         stopping: CancellationToken,
+        turns: Arc<Semaphore>,
     ) -> Self {
         let reader = RequestReader::new(config, INCLUDED_BYTES);
-        Self { stream, reader, lease, limits, refuse, stopping, reads: 0 }
+        Self { stream, reader, lease, limits, refuse, stopping, turns, turn: None }
     }
 
     /// Serves requests until the connection ends.
@@ -80,6 +81,7 @@
         loop {
             match self.read_request().await {
                 Ok(request) => {
+                    self.turn = None;
                     self.lease.set_phase(ConnectionPhase::Handling);
                     let is_head = *request.method() == Method::HEAD;
                     let response = tokio::select! {
@@ -98,6 +100,7 @@
                     return;
                 }
                 Err(ReadEnd::Refused(fault)) => {
+                    self.turn = None;
                     self.answer_fault(fault).await;
                     return;
                 }
@@ -126,6 +129,7 @@
                 ReadStep::Fault(fault) => return Err(ReadEnd::Refused(fault)),
                 ReadStep::NeedBytes(total) => self.reserve(total).await?,
                 ReadStep::SendContinue => {
+                    self.end_turn().await;
                     let text = b"HTTP/1.1 100 Continue\r\n\r\n";
                     self.stream.write_all(text).await.map_err(|_| ReadEnd::Closed)?;
                 }
@@ -169,23 +173,36 @@
 
     /// Reads some bytes; `fault` is the reason for a refusal if none arrive in time.
     async fn read_input(&mut self, deadline: Deadline, fault: RequestFault) -> Result<(), ReadEnd> {
-        self.reads += 1;
-        if self.reads >= READS_PER_TURN {
-            self.reads = 0;
-            tokio::task::yield_now().await;
+        self.end_turn().await;
+        loop {
+            let evicted = self.lease.evicted.clone();
+            tokio::select! {
+                biased;
+                () = evicted.cancelled() => return Err(ReadEnd::Evicted),
+                readable = self.stream.readable() => readable.map_err(|_| ReadEnd::Closed)?,
+                () = tokio::time::sleep_until(deadline) => return Err(ReadEnd::Refused(fault)),
+            }
+            // The client has sent something, so the wait for a turn is not counted as its delay.
+            self.turn = tokio::select! {
+                biased;
+                () = evicted.cancelled() => return Err(ReadEnd::Evicted),
+                turn = self.turns.clone().acquire_owned() => turn.ok(),
+            };
+            let (input, room) = self.reader.input();
+            match self.stream.read_buf(&mut input.limit(room)).now_or_never() {
+                Some(Ok(0) | Err(_)) => return Err(ReadEnd::Closed),
+                Some(Ok(_)) => return Ok(()),
+                // The last read had taken all bytes without noticing that there were no more.
+                None => self.turn = None,
+            }
         }
-        let evicted = self.lease.evicted.clone();
-        let (input, room) = self.reader.input();
-        let mut input = input.limit(room);
-        let read = tokio::select! {
-            biased;
-            () = evicted.cancelled() => return Err(ReadEnd::Evicted),
-            read = self.stream.read_buf(&mut input) => read,
-            () = tokio::time::sleep_until(deadline) => return Err(ReadEnd::Refused(fault)),
-        };
-        match read {
-            Ok(0) | Err(_) => Err(ReadEnd::Closed),
-            Ok(_) => Ok(()),
+    }
+
+    /// Lets other tasks run before another connection gets the turn of this one.
+    async fn end_turn(&mut self) {
+        if self.turn.is_some() {
+            tokio::task::yield_now().await;
+            self.turn = None;
         }
     }
 
@@ -193,6 +210,7 @@
     async fn reserve(&mut self, total: usize) -> Result<(), ReadEnd> {
         let extra = total.saturating_sub(INCLUDED_BYTES).next_multiple_of(GRANT_STEP);
         let evicted = self.lease.evicted.clone();
+        self.end_turn().await;
         let granted = tokio::select! {
             biased;
             () = evicted.cancelled() => return Err(ReadEnd::Evicted),
