Record jobs before others fill the partition of their submission

Cause: the partitions of submissions are bounded by size as well.

Change: submissions count in the positions of PartitionBound, also those that are read in recovery. All of them count, though each lies in one of several partitions; that errs towards recording earlier.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Counts a submission that takes this many bytes in its partition, and is handled next.
+    pub const fn count_submission(&mut self, bytes: u64) {
+        self.state.partition_bound.count_record(bytes);
+    }
+
     /// Replays a record of an earlier owner; this produces no effects.
     pub fn replay(&mut self, record: CellRecord, now: Instant) {
         let outcome = RecordReplayer { state: &mut self.state, now }.apply(record);
--- a/src/kernel/cell/retention/mod.rs
+++ b/src/kernel/cell/retention/mod.rs
@@ -4,5 +4,5 @@
 
 pub use partition_bound::PartitionBound;
 
-/// Position in the log of a cell: bytes of all records before it, without the snapshots of jobs.
+/// Position in the log of a cell: bytes of all records and submissions before it, without the snapshots of jobs.
 pub type LogPosition = u64;
--- a/src/kernel/cell/retention/partition_bound.rs
+++ b/src/kernel/cell/retention/partition_bound.rs
@@ -12,6 +12,8 @@
 /// Decides by the bytes in the log of a cell which records are written again before the store drops them.
 ///
 /// Positions do not count snapshots: they do not let further ones fall due, so snapshots cannot cause snapshots.
+/// Submissions lie in partitions of their own, which are bounded in the same way. All of them count, so a job is
+/// recorded before its submission is dropped, wherever the others lie.
 #[derive(Clone, Debug, Default)]
 pub struct PartitionBound {
     /// Bytes that the store keeps; `None` if it does not drop records by size.
@@ -37,7 +39,7 @@
         self.position
     }
 
-    /// Counts a record of this size.
+    /// Counts a record or a submission of this size.
     pub const fn count_record(&mut self, bytes: u64) {
         self.position += bytes;
     }
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -16,6 +16,7 @@
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage, TermEnd};
+use crate::tasks::cell::store_limits::StoreLimits;
 use crate::tasks::cell::tail::TailMessage;
 use crate::tasks::cell::term_log::TermLog;
 
@@ -166,6 +167,7 @@
         // A page is bounded in size; the jobs on the next ones are not known yet.
         let reached_end = page.next >= page.end;
         for record in page.records {
+            self.scheduler.count_submission(StoreLimits::stored_bytes(&record.value));
             match JobRecord::decode(&record.value) {
                 Ok(JobRecord::Submit(spec)) => {
                     self.scheduler.handle(CellEvent::Submitted(Arc::new(spec)), now);
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -103,6 +103,7 @@
             // replaying the rest takes long, and jobs that are accepted meanwhile are missing here.
             submissions_read_at.push(read.sent_at);
             for value in read.values {
+                scheduler.count_submission(StoreLimits::stored_bytes(&value));
                 match JobRecord::decode(&value) {
                     Ok(JobRecord::Submit(spec)) => scheduler.handle(CellEvent::Submitted(spec.into()), now),
                     Ok(JobRecord::Cancel(job)) => cancelled.push(job),
--- a/tests/cell_records_size.rs
+++ b/tests/cell_records_size.rs
@@ -8,6 +8,7 @@
 use fixture_cell::{CellDriver, cell_with, config, job, step, submit, worker};
 use godwithaven::kernel::ResourceVector;
 use godwithaven::kernel::cell::{CellRecord, CellScheduler, CellState, EndCause, StepSpec, TaskKey};
+use godwithaven::prelude::{FastSet, JobId};
 use godwithaven::tasks::cell::record_codec::encode;
 use googletest::prelude::*;
 
@@ -153,6 +154,26 @@
     verify_that!(snapshots, eq(0))
 }
 
+/// Guards against a job that a new owner does not know: its submission lies in a partition that others have filled, and
+/// the log of the cell holds no snapshot of it.
+#[gtest]
+fn jobs_are_recorded_before_others_fill_the_partition_of_their_submission() -> Result<()> {
+    let (mut driver, mut store) = cell_with_jobs(60_000);
+
+    for _ in 0..55 {
+        driver.scheduler.count_submission(1_000);
+        driver.advance(100);
+        store.store(&mut driver);
+    }
+
+    let recorded = store.records.iter().filter_map(|(_, record)| match record {
+        CellRecord::Snapshot(snapshot) => Some(&snapshot.spec.id),
+        _ => None,
+    });
+    let recorded: FastSet<&JobId> = recorded.collect();
+    verify_that!(recorded.len(), eq(JOBS))
+}
+
 /// Guards against snapshots that cause further ones: those of all jobs together exceed the partition.
 #[gtest]
 fn snapshots_that_do_not_fit_are_not_written_without_end() -> Result<()> {
