Keep restarts in sight before the list of workers is known, and split large files

Cause: a recorded bound could end before a new owner had read the list of workers, which shows restarts.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,9 +1,9 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
     CommandOutcome, GangWatch, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LogPosition,
-    LookPlanner, PartitionBound, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun,
-    SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule,
-    UsageWatch, WorkerFence,
+    LookPlanner, PartitionBound, PollReconciler, PollReport, ProgressUpdate, RankUpdate, RecordReplayer,
+    RestartRule, SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord,
+    UsageSchedule, UsageWatch, WorkerFence,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -141,7 +141,8 @@
             }
             CellEvent::WorkerPolled(worker, report) => self.apply_report(&worker, report, now),
             CellEvent::ProgressReported(worker, incarnation, running) => {
-                self.apply_progress(&worker, incarnation, &running, now);
+                let mut update = ProgressUpdate { state: &mut self.state, now };
+                self.changed |= update.apply(&worker, incarnation, &running);
             }
             CellEvent::WorkerFenced(worker, fence) => self.note_fence(&worker, fence),
             CellEvent::WorkerUnresponsive(worker, lease_expires_at) => {
@@ -393,33 +394,6 @@
         PollReconciler { state: &mut self.state, slot, now }.apply(report);
     }
 
-    /// Notes the progress of the runs on a worker and judges them. Everything else about them follows from its
-    /// polls, as the answers may overtake each other.
-    fn apply_progress(
-        &mut self,
-        worker: &str,
-        incarnation: WorkerIncarnation,
-        running: &[RunningRun],
-        now: Instant,
-    ) {
-        let Some(slot) = self.state.slot(worker) else { return };
-        if self.state.worker(slot).is_none_or(|worker| worker.incarnation != Some(incarnation)) {
-            return;
-        }
-        for reported in running {
-            let placement = self.state.placements.get_mut(&reported.task);
-            if let Some(placement) =
-                placement.filter(|placement| placement.slot == slot && placement.run == reported.run)
-            {
-                placement.note_progress(reported.percent, now);
-            }
-        }
-        let effects = self.state.effects.len();
-        SlowRunWatch { state: &mut self.state, now }.run_on(slot);
-        // A slow run whose task may run twice lets the task wait to be placed again.
-        self.changed |= self.state.effects.len() > effects;
-    }
-
     fn tick(&mut self, unix_time: Duration, now: Instant) {
         self.state.unix_time = unix_time;
         LeaseWatch { state: &mut self.state, now }.expire();
@@ -427,7 +401,7 @@
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
         self.account_usage(now);
-        self.state.rerank(now);
+        RankUpdate { state: &mut self.state, now }.run();
         let scheduled: Vec<JobId> = self
             .state
             .jobs
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,12 +2,12 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
+    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
     EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PartitionBound, PermitLoad,
     PermitStats, PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd, RunTimeEstimator,
     ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking,
-    StepSpec, StepState, StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
-    UsageCorrection, UsageWatch,
+    StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection,
+    UsageWatch,
 };
 use crate::prelude::*;
 
@@ -30,6 +30,8 @@
     /// Workers by slot. Slots are never reused, so that one names the same worker for the whole term.
     pub workers: Vec<CellWorker>,
     slots: FastMap<WorkerId, u32>,
+    /// Whether the list of workers was applied in this term.
+    pub workers_listed: bool,
     /// Slots of the listed workers of each service.
     pub pools: FastMap<ServiceId, Vec<u32>>,
     /// Slots of the listed workers of each rack.
@@ -166,43 +168,6 @@
         }
     }
 
-    /// Updates the rank of each ready step whose class, lateness or team standing has changed since it was
-    /// ranked, or whose correction for past use has become smaller.
-    pub fn rerank(&mut self, now: Instant) {
-        self.estimate_ratios.update(&self.slow_runs.estimate_profiles);
-        self.compare_shares();
-        let stale: Vec<(StepRank, StepKey, StepRank)> = self
-            .ready
-            .iter()
-            .filter_map(|(rank, key)| {
-                let new = rank.replaced_by(StepRanking { state: self }.rank(key, now))?;
-                Some((*rank, key.clone(), new))
-            })
-            .collect();
-        for (old, key, new) in stale {
-            self.ready.remove(&(old, key.clone()));
-            if let Some(state) = self.step_mut(&key) {
-                state.rank = Some(new);
-            }
-            self.ready.insert((new, key));
-        }
-    }
-
-    /// Compares the shares of the teams, and emits a log effect for each team whose standing has changed.
-    fn compare_shares(&mut self) {
-        let waits = |step: &StepState| {
-            step.rank.is_some_and(|rank| rank.class <= StepClass::Useful)
-                && matches!(step.wait_reason, Some(StepWait::Room | StepWait::Permit))
-        };
-        let steps = self.ready.iter().filter_map(|(_, key)| self.step(key));
-        let waiting: FastSet<TeamId> =
-            steps.filter(|(_, _, step)| waits(step)).map(|(spec, ..)| spec.team.clone()).collect();
-        for (team, above) in self.share_standing.update(&self.shares, &waiting) {
-            let used = self.shares.used(&team);
-            self.effects.push(CellEffect::Log(CellNotice::ShareStandingChanged { team, above, used }));
-        }
-    }
-
     /// Places a waiting task on a worker, and emits the record and the command of its start.
     pub fn start(&mut self, key: &TaskKey, slot: u32, ticket: Option<PermitTicket>, now: Instant) {
         let Some((spec, _, state)) = self.step(&key.step) else { return };
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -20,8 +20,12 @@
 
 impl LeaseWatch<'_> {
     /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
-    /// those that are no longer listed.
+    /// those that are no longer listed. Before the list of workers is known, nothing tells which of them have
+    /// restarted.
     pub fn expire(&mut self) {
+        if !self.state.workers_listed {
+            return;
+        }
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
             if worker.responsive || worker.lease_expires_at > self.now {
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -17,6 +17,7 @@
         for worker in &mut self.state.workers {
             worker.listed &= listed_workers.contains(&worker.listing.worker);
         }
+        self.state.workers_listed = true;
         self.state.pools.clear();
         self.state.racks.clear();
         self.state.capacity = ResourceVector::default();
@@ -79,11 +80,10 @@
 
     /// Returns whether a start on the worker is not answered yet.
     fn has_open_starts(&self, slot: u32) -> bool {
-        let runs = self.state.placements.values().chain(self.state.copies.values());
-        let mut runs = runs.filter(|placement| placement.slot == slot);
-        runs.any(|placement| {
-            matches!(placement.phase, PlacementPhase::Starting | PlacementPhase::Unanswered(_))
-        })
+        let Some(worker) = self.state.worker(slot) else { return false };
+        let tasks = worker.tasks.iter().filter_map(|task| self.state.placements.get(task));
+        let copies = worker.copies.iter().filter_map(|copy| self.state.copies.get(copy));
+        tasks.chain(copies).any(|run| !run.is_confirmed())
     }
 
     /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -84,8 +84,8 @@
 };
 pub use listing_update::ListingUpdate;
 pub use order::{
-    ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
-    StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
+    ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, RankUpdate,
+    ShareStanding, StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
 };
 pub use permits::{
     IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
@@ -101,9 +101,9 @@
 pub use run_time_estimator::RunTimeEstimator;
 pub use skipped_records::SkippedRecords;
 pub use slow_runs::{
-    CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast,
-    RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState, SlowRunWatch,
-    StepExpectations, StopCost,
+    CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, ProgressUpdate, RunExpectation,
+    RunForecast, RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState,
+    SlowRunWatch, StepExpectations, StopCost,
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
