--- a/src/kernel/ownership_evidence.rs
+++ b/src/kernel/ownership_evidence.rs
@@ -1,14 +1,14 @@
 use crate::prelude::*;
 
-/// Age of the newest read of the log from which heartbeats ask the peers to confirm the claims of this process. Reads
-/// of an idle log that can be read take 1 s and are applied at an age of up to 2 s.
+/// Age of the newest read of the log from which heartbeats ask the peers to confirm the claims of this
+/// process. Reads of an idle log that can be read take 1 s and are applied at an age of up to 2 s.
 const ASK_PEERS_AFTER: Duration = Duration::from_secs(3);
 
 /// What shows that no other process had become the owner of the worker shards of this process.
 ///
 /// Another process becomes the owner when it applies its claim. A read of the log shows all claims that were
-/// appended before it started. While the log cannot be read, the answers of all peers show that none of them had applied
-/// a newer claim when the heartbeat was sent.
+/// appended before it started. While the log cannot be read, the answers of all peers show that none of them
+/// had applied a newer claim when the heartbeat was sent.
 #[derive(Debug, Default)]
 pub struct OwnershipEvidence {
     /// Start of the newest read of this process that reached the end of the log and was applied.
--- a/src/kernel/peer_heartbeat.rs
+++ b/src/kernel/peer_heartbeat.rs
@@ -26,8 +26,8 @@
     pub heard: Vec<(ProcessId, Duration)>,
     /// Free capacity of each worker shard that the process owns.
     pub free: Vec<(ShardId, ResourceVector)>,
-    /// Claims that the answer should confirm: worker shards of the sender with the tokens of its claims. Empty
-    /// while the sender reads the log.
+    /// Claims that the answer should confirm: worker shards of the sender with the tokens of its claims.
+    /// Empty while the sender reads the log.
     pub claims: Vec<(ShardId, FencingToken)>,
     /// In an answer: whether the answering process has applied no claim newer than those in the heartbeat.
     pub confirms_claims: bool,
--- a/src/kernel/shard_scheduler.rs
+++ b/src/kernel/shard_scheduler.rs
@@ -27,7 +27,8 @@
     /// Workers that left the VM list before this owner synced with them; they may still run tasks of an
     /// earlier owner.
     delisted: FastSet<VmId>,
-    /// Whether an earlier owner synced with workers that were not on the VM list. This owner does not know them.
+    /// Whether an earlier owner synced with workers that were not on the VM list. This owner does not know
+    /// them.
     has_unknown_workers: bool,
     /// Time up to which the policy bundle is known to be fresh; no task starts after it. Unbounded if `None`.
     bundle_fresh_until: Option<Instant>,
--- a/src/tasks/peer.rs
+++ b/src/tasks/peer.rs
@@ -87,8 +87,8 @@
     summaries: Vec<ShardSummary>,
     /// Free capacity of the shards of each peer, from its last heartbeat.
     free_by_process: FastMap<ProcessId, Vec<(ShardId, ResourceVector)>>,
-    /// Shards whose owner has last reported workers that are not on the VM list and may still run tasks. They are kept
-    /// when the owner falls silent.
+    /// Shards whose owner has last reported workers that are not on the VM list and may still run tasks. They
+    /// are kept when the owner falls silent.
     unlisted_shards: FastSet<ShardId>,
     /// Sender of the reply to the hand-over in progress.
     handover_reply: Option<oneshot::Sender<()>>,
--- a/src/tasks/scheduler.rs
+++ b/src/tasks/scheduler.rs
@@ -52,11 +52,11 @@
     SyncFailed(ShardId, FencingToken, VmId),
     /// The bundle in force counts as fresh until this time; no task is started afterwards.
     BundleFreshUntil(Instant),
-    /// At this time certainly no other process owned a worker shard of this process, from the peer task. A loss
-    /// that the evidence shows has reached the scheduler before.
+    /// At this time certainly no other process owned a worker shard of this process, from the peer task. A
+    /// loss that the evidence shows has reached the scheduler before.
     OwnershipConfirmed(Instant),
-    /// Worker shards of other processes with workers that are not on the VM list and may still run tasks, from the peer
-    /// task.
+    /// Worker shards of other processes with workers that are not on the VM list and may still run tasks,
+    /// from the peer task.
     UnlistedWorkersReported(FastSet<ShardId>),
     /// Asks why the tasks of a job run or wait where they do; answered with `None` if no owned shard has the
     /// job.
--- a/src/tasks/sync_loop.rs
+++ b/src/tasks/sync_loop.rs
@@ -227,8 +227,8 @@
         self.send_to_scheduler(message, inbox).await && self.report_withdrawn(inbox).await
     }
 
-    /// Returns the next sync request and marks the commands that it carries. Without a valid stamp it grants no
-    /// lease and carries no starts.
+    /// Returns the next sync request and marks the commands that it carries. Without a valid stamp it grants
+    /// no lease and carries no starts.
     fn next_request(&mut self) -> SyncRequest {
         let stamp = self.valid_stamp().map(|received| received.stamp.clone());
         let may_start = stamp.is_some() || !self.supports_stamps && self.may_grant_leases();
--- a/src/tasks/worker.rs
+++ b/src/tasks/worker.rs
@@ -43,7 +43,8 @@
     /// At this time certainly no other process owned a shard of the sync loops; for
     /// [`OWNERSHIP_LEASE`](crate::kernel::OWNERSHIP_LEASE) from then on, syncs may grant leases.
     ///
-    /// The syncs of a shard that this process has lost since are stopped by earlier messages in the same channel.
+    /// The syncs of a shard that this process has lost since are stopped by earlier messages in the same
+    /// channel.
     OwnershipConfirmed(Instant),
 }
 
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -144,8 +144,8 @@
         let _ = self.inbox.send(WorkerMessage::SetFaults(vm.into(), faults)).await;
     }
 
-    /// Restarts one worker, which ends its tasks and loses its whole state, faults included, but not the highest
-    /// fencing token.
+    /// Restarts one worker, which ends its tasks and loses its whole state, faults included, but not the
+    /// highest fencing token.
     pub async fn restart(&self, vm: &str) {
         let _ = self.inbox.send(WorkerMessage::Restart(vm.into())).await;
     }
--- a/tests/coordination_membership.rs
+++ b/tests/coordination_membership.rs
@@ -354,8 +354,8 @@
     }
 }
 
-/// Guards against an outage of the log that ends the leases of workers although all processes hear each other,
-/// and against peers that confirm an owner which others have succeeded.
+/// Guards against an outage of the log that ends the leases of workers although all processes hear each
+/// other, and against peers that confirm an owner which others have succeeded.
 #[gtest]
 fn ownership_is_confirmed_until_a_peer_is_silent_or_has_a_newer_claim() {
     let age = |cluster: &Cluster| {
--- a/tests/coordination_partition.rs
+++ b/tests/coordination_partition.rs
@@ -18,7 +18,8 @@
 use googletest::prelude::*;
 use tokio_util::sync::CancellationToken;
 
-/// An entry process with a VM list and a listener of the log of its own; other processes reach it over a relay.
+/// An entry process with a VM list and a listener of the log of its own; other processes reach it over a
+/// relay.
 struct IsolatedEntry {
     process: EntryProcess,
     list: DirectoryStandin,
@@ -124,8 +125,8 @@
     token.cancel();
 }
 
-/// Guards against a new owner that starts tasks elsewhere which still run on a worker that has left the VM list
-/// long ago: the former owner went on syncing with it.
+/// Guards against a new owner that starts tasks elsewhere which still run on a worker that has left the VM
+/// list: the former owner went on syncing with it.
 #[gtest]
 #[actix_rt::test]
 async fn tasks_on_an_unlisted_worker_are_not_started_twice() {
--- a/tests/worker_protocol.rs
+++ b/tests/worker_protocol.rs
@@ -68,8 +68,8 @@
     token.cancel();
 }
 
-/// Guards against a start that waited in a silent connection and is carried out after the stop that followed it
-/// on another connection. By then its owner has found the task absent and placed it elsewhere.
+/// Guards against a start that waited in a silent connection and is carried out after the stop that followed
+/// it on another connection. By then its owner has found the task absent and placed it elsewhere.
 #[gtest]
 #[actix_rt::test]
 async fn a_start_that_arrives_after_its_stop_is_not_carried_out() {
