Let new owners reach restarted workers before the cut in the soak

Cause: the workers were cut off at most 1.2 s after the owner was killed, and a new owner takes about a second to reach them, so it seldom had an answer of a restarted worker before the cut. Change: the cut begins up to 2.2 s after the kill.

--- a/tests/fixture_soak/restarts.rs
+++ b/tests/fixture_soak/restarts.rs
@@ -18,8 +18,9 @@
 const KILL_DELAY: Duration = Duration::from_secs(2);
 /// Shortest time from the beginning of a restart to the cut.
 const MIN_CUT_DELAY: Duration = Duration::from_millis(2_200);
-/// Range of the times above the shortest, in milliseconds.
-const CUT_DELAY_RANGE_MS: u64 = 1_000;
+/// Range of the times above the shortest, in milliseconds. A new owner takes about a second after the kill to reach
+/// the workers, which it does in some of the cases.
+const CUT_DELAY_RANGE_MS: u64 = 2_000;
 /// Shortest cut; it outlasts a lease of 6.5 s.
 const MIN_CUT: Duration = Duration::from_secs(7);
 /// Range of the lengths above the shortest, in milliseconds.
