Record a closed job before it is forgotten if a submission may outlive its end

Cause: a closed job is forgotten after 150 s. Result: a_closed_job_is_recorded_after_its_submission_was_repeated (Queued in place of Cancelled) and a_new_owner_records_closed_jobs_before_it_forgets_them (0 records in place of 1) failed before and pass; a closed job that was submitted once is not recorded again, before and after.

--- a/src/kernel/cell/cell_job.rs
+++ b/src/kernel/cell/cell_job.rs
@@ -3,6 +3,10 @@
 use crate::kernel::cell::{GraphSpec, JobStatus, LogPosition, MAX_TASKS_PER_JOB, StepState};
 use crate::prelude::*;
 
+/// How long a closed job is kept, so that its state can still be queried, and how long a cancellation is
+/// kept that was read before its submission.
+pub const CLOSED_JOB_RETENTION: Duration = Duration::from_secs(150);
+
 /// State of one occurrence of a job.
 #[derive(Clone, Debug)]
 pub struct OccurrenceState {
@@ -36,6 +40,9 @@
     pub recorded_position: LogPosition,
     /// When the job reached a final state; `None` while it is open.
     pub closed_at: Option<Instant>,
+    /// Whether the store may keep a submission of the job for longer than the records that this owner knows of it. A
+    /// closed job is then recorded before it is forgotten; otherwise a later owner would start it again.
+    pub submission_outlives: bool,
 }
 
 impl CellJob {
@@ -54,6 +61,7 @@
             recorded_at,
             recorded_position,
             closed_at: None,
+            submission_outlives: false,
         }
     }
 
@@ -71,6 +79,13 @@
         (MAX_TASKS_PER_JOB / self.spec.tasks().max(1)).max(1)
     }
 
+    /// Whether the retention time of the closed job is over.
+    #[must_use]
+    pub fn has_expired(&self, now: Instant) -> bool {
+        let closed_at = self.closed_at.filter(|_| self.placed == 0);
+        closed_at.is_some_and(|at| now.saturating_duration_since(at) >= CLOSED_JOB_RETENTION)
+    }
+
     /// Whether all occurrences have become due and none is kept any more. A complete occurrence is kept
     /// while a run of the job is placed.
     #[must_use]
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,16 +1,13 @@
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LogPosition, LookPlanner,
-    PartitionBound, PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun,
-    SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule,
-    UsageWatch,
+    CLOSED_JOB_RETENTION, CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary,
+    CommandAnswer, CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LogPosition,
+    LookPlanner, PartitionBound, PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule,
+    RunningRun, SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord,
+    UsageSchedule, UsageWatch,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
 
-/// How long a closed job is kept, so that its state can still be queried, and how long a cancellation is
-/// kept that was read before its submission.
-const CLOSED_JOB_RETENTION: Duration = Duration::from_secs(150);
 /// Part of the interval between two start passes that each ready step adds, so that passes usually take a few
 /// percent of a core at most. The bound for slow passes is [`MIN_PASS_INTERVAL_FACTOR`].
 const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(150);
@@ -220,6 +217,9 @@
         for placement in self.state.placements.values_mut().chain(self.state.copies.values_mut()) {
             placement.stop_sent = None;
         }
+        for job in self.state.jobs.values_mut() {
+            job.submission_outlives = true;
+        }
         self.state.effects.clear();
         std::mem::take(&mut self.skipped_records)
     }
@@ -304,7 +304,8 @@
     }
 
     fn submit(&mut self, spec: Arc<GraphSpec>, now: Instant) {
-        if self.state.jobs.contains_key(&spec.id) {
+        if let Some(job) = self.state.jobs.get_mut(&spec.id) {
+            job.submission_outlives = true;
             return;
         }
         let submit_rate = self.state.config.teams.get(&spec.team).map_or(u32::MAX, |team| team.weight.max(1));
@@ -419,10 +420,8 @@
         }
         self.snapshot_old_jobs(now);
         self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_JOB_RETENTION);
-        self.state.jobs.retain(|_, job| {
-            job.closed_at
-                .is_none_or(|at| job.placed > 0 || now.saturating_duration_since(at) < CLOSED_JOB_RETENTION)
-        });
+        let has_snapshots = self.snapshot_interval.is_some();
+        self.state.jobs.retain(|_, job| !job.has_expired(now) || has_snapshots && job.submission_outlives);
     }
 
     /// Charges what teams use, and records the account if that is due.
@@ -445,8 +444,8 @@
         }
     }
 
-    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval, or far back in
-    /// the log; those farthest back first, so that none is left out for long.
+    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval or far back in
+    /// the log, and of closed jobs that are to be forgotten; those farthest back first, so that none is left out for long.
     fn snapshot_old_jobs(&mut self, now: Instant) {
         let Some(interval) = self.snapshot_interval else { return };
         let unix_time = self.state.unix_time;
@@ -454,6 +453,7 @@
         let due = self.state.jobs.values().filter(|job| {
             unix_time.saturating_sub(job.recorded_at) >= interval
                 || bound.is_due(job.recorded_position, count)
+                || job.submission_outlives && job.has_expired(now)
         });
         let due = due.map(|job| (job.recorded_position, job.recorded_at, job.spec.id.clone()));
         let mut due: Vec<(LogPosition, Duration, JobId)> = due.collect();
@@ -464,6 +464,7 @@
             let snapshot = Box::new(JobSnapshot::of(&self.state, job));
             self.state.effects.push(CellEffect::Record(CellRecord::Snapshot(snapshot)));
             if let Some(job) = self.state.jobs.get_mut(&id) {
+                job.submission_outlives = false;
                 job.recorded_at = unix_time;
                 job.recorded_position = self.state.partition_bound.position();
             }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -59,7 +59,7 @@
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
 pub use cell_effect::{CellEffect, StartCommand, StartInputs, StopCommand};
 pub use cell_event::{CellEvent, CommandOutcome, WorkerListing};
-pub use cell_job::{CellJob, OccurrenceState};
+pub use cell_job::{CLOSED_JOB_RETENTION, CellJob, OccurrenceState};
 pub use cell_notice::CellNotice;
 pub use cell_record::CellRecord;
 pub use cell_scheduler::CellScheduler;
--- a/tests/cell_records.rs
+++ b/tests/cell_records.rs
@@ -17,6 +17,9 @@
 /// Retention time of the store.
 const RETENTION: Duration = Duration::from_secs(20);
 
+/// Retention time of a store of which a third is longer than a cell keeps closed jobs.
+const LONG_RETENTION: Duration = Duration::from_secs(600);
+
 /// Returns a cell whose store keeps records for [`RETENTION`].
 fn cell_with_retention(mut driver: CellDriver) -> CellDriver {
     driver.scheduler = std::mem::take(&mut driver.scheduler).with_log_retention(RETENTION);
@@ -111,6 +114,63 @@
     verify_that!(new.scheduler.status("j"), some(eq(JobStatus::Cancelled)))
 }
 
+/// Returns a cell that has cancelled a job and whose store keeps records for longer than the cell keeps closed jobs.
+fn cell_with_a_closed_job() -> CellDriver {
+    let mut driver = cell(0);
+    driver.scheduler = std::mem::take(&mut driver.scheduler).with_log_retention(LONG_RETENTION);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+    driver.handle(CellEvent::Cancelled("j".into()));
+    driver
+}
+
+/// Lets so much time pass that closed jobs are forgotten.
+fn forget_closed_jobs(driver: &mut CellDriver) {
+    driver.records.clear();
+    for _ in 0..170 {
+        driver.advance(1_000);
+    }
+    assert_eq!(driver.scheduler.status("j"), None, "the job is forgotten");
+}
+
+/// Guards against a job that runs again: its submission was repeated, and the store kept that for longer than the
+/// record of the job's end.
+#[gtest]
+fn a_closed_job_is_recorded_after_its_submission_was_repeated() -> Result<()> {
+    let mut driver = cell_with_a_closed_job();
+    driver.advance(100_000);
+    submit(&mut driver, job("j", "urgent", vec![step(1)]));
+
+    forget_closed_jobs(&mut driver);
+    let mut new = cell(0);
+    submit(&mut new, job("j", "urgent", vec![step(1)]));
+    for record in driver.records {
+        new.scheduler.replay(record, new.now);
+    }
+
+    verify_that!(new.scheduler.status("j"), some(eq(JobStatus::Cancelled)))
+}
+
+/// Guards against the same after a change of the owner, which does not know what the store drops first.
+#[gtest]
+fn a_new_owner_records_closed_jobs_before_it_forgets_them() -> Result<()> {
+    let mut driver = cell_with_a_closed_job();
+    driver.scheduler.end_replay();
+
+    forget_closed_jobs(&mut driver);
+
+    verify_that!(driver.records.len(), eq(1))
+}
+
+/// Guards against one more record of each job.
+#[gtest]
+fn a_closed_job_that_was_submitted_once_is_not_recorded_again() -> Result<()> {
+    let mut driver = cell_with_a_closed_job();
+
+    forget_closed_jobs(&mut driver);
+
+    verify_that!(driver.records, is_empty())
+}
+
 /// Guards against a job that is forgotten, with thousands of running tasks, because its snapshot is larger than
 /// a record of the store.
 #[gtest]
