Count the wait after a release from the fence of the released term

Cause: a successor waited less if the former owner had released the cell and had had it for 2 s, counted from its claim. Until that owner has fenced the one before it, appends confirm the ownership of that one, which may grant leases; an owner that claimed, never fenced and released let its successor start tasks up to 2 s too early.

Change: a release names its term by the token and says for how long the store had rejected the appends of earlier owners. A release without that, as earlier versions write, shortens no wait; one that names another term, which the store received late, is passed over.

The test of the time that a release tells is replaced: it took 4 s since the claim for enough, which was the fault. Its cases stay, with the time since the fence.

--- a/src/kernel/cell/claim_record.rs
+++ b/src/kernel/cell/claim_record.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::kernel::cell::TermRelease;
 use crate::prelude::*;
 
 /// What a record says about the ownership of the cell.
@@ -23,4 +24,7 @@
     pub process: ProcessId,
     /// Address at which other processes reach it, `ip:port`.
     pub address: Arc<str>,
+    /// What a release says about the term; `None` in other records and in those of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<TermRelease>,
 }
--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -25,11 +25,9 @@
     owner: Option<CellOwner>,
     /// When this process learned that the owner has released the cell or that its process was restarted.
     owner_gone_at: Option<Instant>,
-    /// When the claim of the owner was read; `None` if another process reported it.
-    owner_since: Option<Instant>,
-    /// When the release of the owner was read.
-    released_at: Option<Instant>,
-    /// For how long the former owner had the cell, if it has released it.
+    /// For how long the owner had fenced earlier ones before its release, if it has released the cell and says so.
+    release: Option<Duration>,
+    /// The same of the owner before the present one.
     released_term: Option<Duration>,
     /// Whether this process fails to reach the owner.
     unreachable: bool,
@@ -50,8 +48,7 @@
             claim_delay,
             owner: None,
             owner_gone_at: None,
-            owner_since: None,
-            released_at: None,
+            release: None,
             released_term: None,
             unreachable: false,
             next_offset: 0,
@@ -66,16 +63,13 @@
         self.owner.as_ref()
     }
 
-    /// Returns for how long the owner before the present one had the cell, at least, if it has released it.
+    /// Returns for how long the owner before the present one had fenced earlier owners before it released the cell;
+    /// `None` if it did neither, or if that is not known.
     #[must_use]
     pub const fn released_term(&self) -> Option<Duration> {
         self.released_term
     }
 
-    fn term_until_release(&self) -> Option<Duration> {
-        Some(self.released_at?.saturating_duration_since(self.owner_since?))
-    }
-
     /// Returns the offset of the next read of the log. A claim is valid only if it is appended at this
     /// offset.
     #[must_use]
@@ -106,10 +100,8 @@
                 }
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
-                self.released_term = self.term_until_release();
-                self.owner_since = Some(now);
+                self.released_term = self.release.take();
                 self.owner_gone_at = None;
-                self.released_at = None;
                 self.unreachable = false;
                 self.silent_since = Some(now);
                 true
@@ -119,8 +111,11 @@
                 false
             }
             ClaimKind::Release if self.is_owner(&record.process) => {
-                self.owner_gone_at.get_or_insert(now);
-                self.released_at.get_or_insert(now);
+                // A release that the store receives late may be that of an earlier term of the owner's process.
+                if record.release.is_none_or(|release| self.owner_token() == Some(release.token)) {
+                    self.owner_gone_at.get_or_insert(now);
+                    self.release = record.release.and_then(|release| release.fenced_for);
+                }
                 false
             }
             ClaimKind::Renew | ClaimKind::Release => false,
@@ -133,7 +128,7 @@
         if newer {
             self.owner = Some(owner);
             (self.owner_gone_at, self.unreachable) = (None, false);
-            (self.owner_since, self.released_at, self.released_term) = (None, None, None);
+            (self.release, self.released_term) = (None, None);
         }
         newer
     }
@@ -193,6 +188,10 @@
         self.owner_gone_at = self.owner_gone_at.map(|_| now);
     }
 
+    fn owner_token(&self) -> Option<FencingToken> {
+        self.owner.as_ref().map(|owner| owner.token)
+    }
+
     fn is_owner(&self, process: &ProcessId) -> bool {
         self.owner.as_ref().is_some_and(|owner| owner.process == *process)
     }
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -52,6 +52,7 @@
 mod submit_rate;
 mod task_key;
 mod task_placement;
+mod term_release;
 mod usage;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -106,6 +107,7 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use term_release::TermRelease;
 pub use usage::{
     DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
 };
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -10,7 +10,7 @@
 use crate::clock;
 use crate::kernel::cell::{
     CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch,
-    Millicores, ProxyNumber,
+    Millicores, ProxyNumber, TermRelease,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -129,6 +129,8 @@
 
 /// A term of ownership of this process.
 struct OwnerTerm {
+    /// Fencing token of the term.
+    token: FencingToken,
     /// Sends messages to the owner task.
     sender: mpsc::Sender<OwnerMessage>,
     /// Ends the term.
@@ -239,7 +241,9 @@
     async fn release_ownership(&self, state: &mut ClaimState) {
         let Some(term) = state.term.take() else { return };
         term.stop.cancel();
-        let outcome = (self.store.append)(self.claim_append(ClaimKind::Release, None)).await;
+        let release =
+            TermRelease { token: term.token, fenced_for: term.ownership.fenced_for(Instant::now()) };
+        let outcome = (self.store.append)(self.claim_append(ClaimKind::Release, Some(release), None)).await;
         log::info!(process = &*self.process, outcome:%; "release of ownership was attempted");
     }
 
@@ -361,7 +365,7 @@
         self.handover_watch.note_term(Instant::now());
         let stopped = stop.clone();
         actix_rt::spawn(async move { task.run(inbox, stopped).await });
-        state.term = Some(OwnerTerm { sender: sender.clone(), stop, ownership });
+        state.term = Some(OwnerTerm { token: owner.token, sender: sender.clone(), stop, ownership });
         OwnerRoute::Local(owner.clone(), sender)
     }
 
@@ -406,7 +410,7 @@
         }
         if self.claim_watch.should_claim(Instant::now()) {
             log::info!(process = &*self.process, at = self.claim_watch.next_offset(); "cell is claimed");
-            let request = self.claim_append(ClaimKind::Claim, Some(self.claim_watch.next_offset()));
+            let request = self.claim_append(ClaimKind::Claim, None, Some(self.claim_watch.next_offset()));
             state.pending_claim = Some((self.store.append)(request));
         }
     }
@@ -445,7 +449,7 @@
         }
         // The append expects the end of the claim log that is known now, so that the store rejects a delayed
         // heartbeat once other records have followed.
-        let heartbeat = self.claim_append(ClaimKind::Renew, Some(next_offset));
+        let heartbeat = self.claim_append(ClaimKind::Renew, None, Some(next_offset));
         let append = (self.store.append)(AppendRequest { timeout: HEARTBEAT_TIMEOUT, ..heartbeat });
         let sent_at = clock::reading();
         actix_rt::spawn(async move {
@@ -457,9 +461,14 @@
         });
     }
 
-    fn claim_append(&self, kind: ClaimKind, at: Option<LogOffset>) -> AppendRequest {
+    fn claim_append(
+        &self,
+        kind: ClaimKind,
+        release: Option<TermRelease>,
+        at: Option<LogOffset>,
+    ) -> AppendRequest {
         let (process, address) = (self.process.clone(), self.address.clone());
-        let record = ClaimRecord { kind, process, address };
+        let record = ClaimRecord { kind, process, address, release };
         let records = match serde_json::to_vec(&record) {
             Ok(value) => vec![Bytes::from(value)],
             Err(error) => {
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -89,7 +89,7 @@
     pub longest_lease: Duration,
     /// The lease under which this owner grants leases to workers.
     pub ownership: OwnershipLease,
-    /// For how long the former owner had the cell, if it has released it.
+    /// For how long the former owner had fenced those before it, if it has released the cell and says so.
     pub released_term: Option<Duration>,
     /// How long the store retains records.
     pub log_retention: Duration,
--- a/src/tasks/cell/ownership_lease.rs
+++ b/src/tasks/cell/ownership_lease.rs
@@ -19,13 +19,15 @@
     /// When the newest call was sent whose answer shows that no successor had fenced this owner when the store
     /// handled it; `None` before the first.
     confirmed: watch::Sender<Option<ClockReading>>,
+    /// Since when the store rejects the appends of earlier owners; `None` before this owner has fenced them.
+    fenced_at: watch::Sender<Option<Instant>>,
 }
 
 impl OwnershipLease {
     /// Returns a lease that is not valid until it is confirmed.
     #[must_use]
     pub fn new() -> Self {
-        Self { confirmed: watch::Sender::new(None) }
+        Self { confirmed: watch::Sender::new(None), fenced_at: watch::Sender::new(None) }
     }
 
     /// Extends the lease, as the answer to a call that was sent at this time shows that the process still owned
@@ -40,6 +42,17 @@
         });
     }
 
+    /// Records that earlier owners were fenced by `now`, so that the store confirms the ownership of none of them.
+    pub fn note_fenced(&self, now: Instant) {
+        self.fenced_at.send_replace(Some(now));
+    }
+
+    /// Returns for how long earlier owners have been fenced; `None` if they are not.
+    #[must_use]
+    pub fn fenced_for(&self, now: Instant) -> Option<Duration> {
+        self.fenced_at.borrow().map(|fenced_at| now.saturating_duration_since(fenced_at))
+    }
+
     /// Returns whether the newest confirmation was sent at most this long ago.
     #[must_use]
     pub fn is_confirmed_within(&self, age: Duration) -> bool {
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -37,7 +37,7 @@
 
 impl CellRecovery<'_> {
     /// Returns how long workers may hold leases of earlier owners, counted from the recovery. The former owner
-    /// has granted none since its release, and those before it had been deposed when its term began.
+    /// has granted none since its release, and those before it had lost their ownership lease by then.
     fn inherited_lease(&self) -> Duration {
         if self.owner.released_term.is_some_and(|term| term >= DEPOSED_LEASE_MARGIN) {
             longest_real_time(self.owner.lease())
@@ -53,6 +53,7 @@
             match (self.owner.store.append)(TermLog::<CellEffect>::fencing_append(self.owner.token)).await {
                 AppendOutcome::Stored(offset) => {
                     self.owner.ownership.confirm(sent_at);
+                    self.owner.ownership.note_fenced(Instant::now());
                     return Ok(offset);
                 }
                 AppendOutcome::Refused(reason) | AppendOutcome::Unknown(reason) => {
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -25,7 +25,7 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 fn record(kind: ClaimKind, process: &str) -> ClaimRecord {
-    ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into() }
+    ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into(), release: None }
 }
 
 /// Returns a watch that has read a claim of `p1` at `now`.
@@ -213,22 +213,51 @@
     verify_that!(lease.expires_by(), ge(start + Duration::from_secs(7)))
 }
 
+/// Returns a release of the cell by `p1` that tells this about its term.
+fn release_telling(term: serde_json::Value) -> Result<ClaimRecord> {
+    let record =
+        serde_json::json!({"kind": "release", "process": "p1", "address": "127.0.0.1:1", "release": term});
+    serde_json::from_value(record).or_fail()
+}
+
+/// Guards against tasks that run twice: the wait of a successor after a release counted the term from its claim, but
+/// until that term has fenced the owner before it, appends confirm the ownership of that owner, which may thus grant
+/// leases. Nor does a release tell anything of a later term of its process.
+#[gtest]
+fn a_term_that_did_not_fence_shortens_no_wait() -> Result<()> {
+    let now = Instant::now();
+    let told = |term: serde_json::Value| -> Result<Option<Duration>> {
+        let mut watch = watch_of_owned_cell(now);
+        watch.note(1, Some(release_telling(term)?), now + Duration::from_secs(4));
+        watch.note(2, Some(record(ClaimKind::Claim, "p2")), now + Duration::from_secs(5));
+        Ok(watch.released_term())
+    };
+
+    let earlier_version = told(serde_json::Value::Null)?;
+    let not_fenced = told(serde_json::json!({"token": 1}))?;
+    let another_term = told(serde_json::json!({"token": 7, "fenced_for": {"secs": 3, "nanos": 0}}))?;
+    let fenced = told(serde_json::json!({"token": 1, "fenced_for": {"secs": 3, "nanos": 0}}))?;
+
+    verify_that!((earlier_version, not_fenced, another_term), eq((None, None, None)))?;
+    verify_that!(fenced, some(eq(Duration::from_secs(3))))
+}
+
 /// Guards against a successor that waits for leases of a deposed owner although there is none: the former owner
-/// has released the cell. One that was lost, that another process reported, or whose term is not known to have
-/// been long enough may still grant leases, or its predecessor may.
+/// has released the cell. One that was lost, or that another process reported, may still grant leases.
 #[gtest]
 fn a_release_tells_for_how_long_the_former_owner_had_the_cell() -> Result<()> {
     let now = Instant::now();
     let after = |millis| now + Duration::from_millis(millis);
+    let term = |token: u64| serde_json::json!({"token": token, "fenced_for": {"secs": 4, "nanos": 0}});
     let mut watch = watch_of_owned_cell(now);
-    watch.note(1, Some(record(ClaimKind::Release, "p1")), after(4_000));
+    watch.note(1, Some(release_telling(term(1))?), after(4_000));
     watch.note(2, Some(record(ClaimKind::Claim, "p2")), after(5_000));
     let released = watch.released_term();
     watch.note(3, Some(record(ClaimKind::Claim, "p3")), after(6_000));
     let lost = watch.released_term();
-    let owner = CellOwner { process: "p4".into(), address: "a".into(), token: 9 };
+    let owner = CellOwner { process: "p1".into(), address: "a".into(), token: 9 };
     watch.note_reported_owner(owner);
-    watch.note(10, Some(record(ClaimKind::Release, "p4")), after(9_000));
+    watch.note(10, Some(release_telling(term(1))?), after(9_000));
     watch.note(11, Some(record(ClaimKind::Claim, "p5")), after(9_500));
     let reported = watch.released_term();
 
