Count the wait for leases after a release from the release

Cause: a new owner counted the leases of earlier owners, and the time left in their records, from its own start, and a recorded bound was up to half a second old.

Change: a process counts from when it read the release of the former owner, which grants nothing afterwards and whose records are older; it may read the release late, not early. A term that fenced less than an ownership lease before its release lets the successor wait for the rest of that. Workers that have restarted keep their longer wait from the recovery, and no run is given up before the list of workers is read, which shows them. A bound is recorded up to every 100 ms towards its end.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,8 +1,9 @@
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
-    CommandOutcome, GraphSpec, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate, LookPlanner,
-    PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun, SkippedRecords,
-    SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch,
+    CommandOutcome, GraphSpec, InheritedLeases, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate,
+    LookPlanner, PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun,
+    SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule,
+    UsageWatch,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -55,12 +56,12 @@
 }
 
 impl CellScheduler {
-    /// Returns the scheduler of a new owner. Every lease that earlier owners granted has expired by
-    /// `inherited_lease_expires_at`.
+    /// Returns the scheduler of a new owner; `inherited` says when the leases that earlier owners granted have
+    /// expired.
     #[must_use]
-    pub fn new(inherited_lease_expires_at: Instant) -> Self {
+    pub fn new(inherited: impl Into<InheritedLeases>) -> Self {
         let mut state = CellState::default();
-        state.inherited_lease_expires_at = Some(inherited_lease_expires_at);
+        state.inherited_leases = Some(inherited.into());
         Self {
             state,
             changed: false,
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -3,10 +3,11 @@
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellNotice, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
-    EstimateRatios, GraphSpec, JobStatus, LossCause, OccurrenceState, PermitLoad, PermitStats,
-    PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd, RunTimeEstimator, ShareStanding,
-    SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking, StepSpec, StepState,
-    StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
+    EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LossCause, OccurrenceState, PermitLoad,
+    PermitStats, PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd, RunTimeEstimator,
+    ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank, StepRanking,
+    StepSpec, StepState, StepWait, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
+    UsageCorrection, UsageWatch,
 };
 use crate::prelude::*;
 
@@ -68,8 +69,10 @@
     pub capacity: ResourceVector,
     /// Unix time at the last tick.
     pub unix_time: Duration,
-    /// When every lease that earlier owners granted has expired; `None` only in the default state.
-    pub inherited_lease_expires_at: Option<Instant>,
+    /// When the leases that earlier owners granted have expired; `None` only in the default state.
+    pub inherited_leases: Option<InheritedLeases>,
+    /// Whether this owner has read the list of workers, which shows the ones that have restarted.
+    pub workers_listed: bool,
     /// How much longer workers that have restarted may hold a lease.
     pub restart_rule: RestartRule,
     /// Permit requests to the advisor without an answer, and the processes that send them.
@@ -83,6 +86,12 @@
 }
 
 impl CellState {
+    /// Returns when every lease of earlier owners has expired, unless a worker has restarted.
+    #[must_use]
+    pub fn inherited_leases_expire_by(&self, now: Instant) -> Instant {
+        self.inherited_leases.map_or(now, |leases| leases.expire_by)
+    }
+
     /// Returns the slot of a worker; `None` if the worker is not known.
     #[must_use]
     pub fn slot(&self, worker: &str) -> Option<u32> {
--- a/src/kernel/cell/claim_watch.rs
+++ b/src/kernel/cell/claim_watch.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{ClaimKind, ClaimRecord};
+use crate::kernel::cell::{ClaimKind, ClaimRecord, FormerRelease};
 use crate::prelude::*;
 
 /// The owner of the cell, as known from the claim log or from another process.
@@ -25,10 +25,10 @@
     owner: Option<CellOwner>,
     /// When this process learned that the owner has released the cell or that its process was restarted.
     owner_gone_at: Option<Instant>,
-    /// For how long the owner had fenced earlier ones before its release, if it has released the cell and says so.
-    release: Option<Duration>,
+    /// The release of the owner, if it has released the cell after it had fenced earlier owners.
+    release: Option<FormerRelease>,
     /// The same of the owner before the present one.
-    released_term: Option<Duration>,
+    former_release: Option<FormerRelease>,
     /// Whether this process fails to reach the owner.
     unreachable: bool,
     next_offset: LogOffset,
@@ -49,7 +49,7 @@
             owner: None,
             owner_gone_at: None,
             release: None,
-            released_term: None,
+            former_release: None,
             unreachable: false,
             next_offset: 0,
             silent_since: None,
@@ -63,11 +63,11 @@
         self.owner.as_ref()
     }
 
-    /// Returns for how long the owner before the present one had fenced earlier owners before it released the cell;
-    /// `None` if it did neither, or if that is not known.
+    /// Returns the release of the owner before the present one; `None` if it did not release the cell, or is not
+    /// known to have fenced earlier owners.
     #[must_use]
-    pub const fn released_term(&self) -> Option<Duration> {
-        self.released_term
+    pub const fn former_release(&self) -> Option<FormerRelease> {
+        self.former_release
     }
 
     /// Returns the offset of the next read of the log. A claim is valid only if it is appended at this
@@ -100,7 +100,7 @@
                 }
                 let (process, address) = (record.process, record.address);
                 self.owner = Some(CellOwner { process, address, token: offset + 1 });
-                self.released_term = self.release.take();
+                self.former_release = self.release.take();
                 self.owner_gone_at = None;
                 self.unreachable = false;
                 self.silent_since = Some(now);
@@ -114,7 +114,8 @@
                 // A release that the store receives late may be that of an earlier term of the owner's process.
                 if record.release.is_none_or(|release| self.owner_token() == Some(release.token)) {
                     self.owner_gone_at.get_or_insert(now);
-                    self.release = record.release.and_then(|release| release.fenced_for);
+                    let fenced_for = record.release.and_then(|release| release.fenced_for);
+                    self.release = fenced_for.map(|fenced_for| FormerRelease { read_at: now, fenced_for });
                 }
                 false
             }
@@ -128,7 +129,7 @@
         if newer {
             self.owner = Some(owner);
             (self.owner_gone_at, self.unreachable) = (None, false);
-            (self.release, self.released_term) = (None, None);
+            (self.release, self.former_release) = (None, None);
         }
         newer
     }
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -6,9 +6,15 @@
 /// Time for which a worker has to be silent before its lease is bounded in the records: its lease can then only
 /// be renewed once a further record is stored, which takes long while the store is slow.
 const MIN_RECORDED_SILENCE: Duration = Duration::from_millis(300);
-/// Interval of the records of a bound that is already recorded. A new owner counts the time left from its own
-/// start, so it waits for up to this much longer.
-const BOUND_RECORD_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest interval of the records of a bound that is already recorded. A new owner counts the time left from its own
+/// start or from the release of the former owner, so it waits for up to this much longer.
+const MAX_BOUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest interval of these records.
+const MIN_BOUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Records of a bound in the time that is left of the lease. A service that waits for the end of a lease through a
+/// restart of the owner would else start up to half a second later than it can.
+const RECORDS_PER_TIME_LEFT: u32 = 4;
+
 /// Waits for the leases of workers that do not answer.
 pub struct LeaseWatch<'a> {
     /// State of the cell.
@@ -19,8 +25,12 @@
 
 impl LeaseWatch<'_> {
     /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
-    /// those that are no longer listed.
+    /// those that are no longer listed. A worker that has restarted may hold a lease for longer, so nothing is lost
+    /// before the list of workers is read.
     pub fn expire(&mut self) {
+        if !self.state.workers_listed {
+            return;
+        }
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
             if worker.responsive || worker.lease_bound() > self.now {
@@ -51,7 +61,11 @@
         let now = self.now;
         let is_due = |worker: &CellWorker| {
             let (since, interval) = match worker.lease_bound_recorded_at {
-                Some(recorded_at) => (recorded_at, BOUND_RECORD_INTERVAL),
+                Some(recorded_at) => {
+                    let left = worker.lease_bound().saturating_duration_since(now);
+                    let interval = left / RECORDS_PER_TIME_LEFT;
+                    (recorded_at, interval.clamp(MIN_BOUND_INTERVAL, MAX_BOUND_INTERVAL))
+                }
                 None => (worker.silent_since, MIN_RECORDED_SILENCE),
             };
             let has_runs = !worker.tasks.is_empty() || !worker.copies.is_empty();
--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -1,11 +1,13 @@
 //! Leases under which workers run tasks: what an owner grants, and when every lease that a worker may hold has
 //! certainly expired.
 
+mod inherited_leases;
 mod lease_basis;
 mod lease_watch;
 mod restart_rule;
 mod worker_lease;
 
+pub use inherited_leases::{CLOCK_READING_ERROR, InheritedLeases};
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
 pub use restart_rule::{FORMER_CALL_WINDOW, RestartRule};
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -17,6 +17,7 @@
         for worker in &mut self.state.workers {
             worker.listed &= listed_workers.contains(&worker.listing.worker);
         }
+        self.state.workers_listed = true;
         self.state.pools.clear();
         self.state.racks.clear();
         self.state.capacity = ResourceVector::default();
@@ -27,7 +28,7 @@
 
     fn apply_listing(&mut self, listing: WorkerListing) {
         let slot = self.state.slot(&listing.worker).unwrap_or_else(|| {
-            let lease_expires_at = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+            let lease_expires_at = self.state.inherited_leases_expire_by(self.now);
             self.state.add_worker(CellWorker::new(listing.clone(), lease_expires_at, self.now))
         });
         let zone_open = !self.state.closed_zones.contains(&listing.zone);
@@ -58,7 +59,9 @@
     /// answered this owner yet. This owner knows the runs that the listed incarnation cannot have: those that the
     /// former one has confirmed.
     fn bound_former_lease(&mut self, slot: u32) {
-        let inherited = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+        let leases = self.state.inherited_leases;
+        let inherited = leases.map_or(self.now, |leases| leases.late_calls_expire_by);
+        let counted_from = leases.and_then(|leases| leases.counted_from).unwrap_or(self.now);
         let (rule, unix_time, now) = (self.state.restart_rule, self.state.unix_time, self.now);
         let has_open_starts = self.has_open_starts(slot);
         let Some(worker) = self.state.worker_mut(slot) else { return };
@@ -67,11 +70,13 @@
             return;
         };
         let extension = rule.extension(started, unix_time);
+        // The other leases are counted from the release of the former owner, when the worker was younger.
+        let since_release = now.saturating_duration_since(counted_from);
+        let former_extension = rule.extension(started, unix_time.saturating_sub(since_release));
         worker.former_lease_expires_at = match worker.polled_at {
-            _ if extension.is_zero() => None,
-            None => Some(inherited + extension),
-            Some(_) if has_open_starts => Some(now + rule.longest_lease()),
-            Some(_) => None,
+            None if !former_extension.is_zero() => Some(inherited + extension),
+            Some(_) if has_open_starts && !extension.is_zero() => Some(now + rule.longest_lease()),
+            _ => None,
         };
     }
 
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -28,6 +28,7 @@
 mod command_answer;
 mod end_handler;
 mod forecast;
+mod former_release;
 mod graph_spec;
 mod handover_watch;
 mod job_snapshot;
@@ -72,11 +73,15 @@
 pub use command_answer::CommandAnswer;
 pub use end_handler::EndHandler;
 pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
+pub use former_release::FormerRelease;
 pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
-pub use leases::{FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerLease, longest_real_time};
+pub use leases::{
+    CLOCK_READING_ERROR, FORMER_CALL_WINDOW, InheritedLeases, LeaseBasis, LeaseWatch, RestartRule,
+    WorkerLease, longest_real_time,
+};
 pub use listing_update::ListingUpdate;
 pub use order::{
     ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -86,11 +86,13 @@
     }
 
     /// Bounds the lease that earlier owners granted to a worker, or takes a bound back. The time left is counted
-    /// from the replay, which is later than the record.
+    /// from the replay, or from the release of the former owner; both are later than the record.
     fn bound_lease(&mut self, slot: u32, left: Option<Duration>) {
-        let inherited = self.state.inherited_lease_expires_at.unwrap_or(self.now);
+        let inherited = self.state.inherited_leases_expire_by(self.now);
+        let leases = self.state.inherited_leases;
+        let counted_from = leases.and_then(|leases| leases.counted_from).unwrap_or(self.now);
         if let Some(worker) = self.state.worker_mut(slot) {
-            worker.lease_expires_at = left.map_or(inherited, |left| self.now + left);
+            worker.lease_expires_at = left.map_or(inherited, |left| counted_from + left);
             worker.lease_bound_recorded_at = left.map(|_| self.now);
         }
     }
@@ -137,6 +139,6 @@
         rack: None,
         draining: false,
     };
-    let lease_expires_at = state.inherited_lease_expires_at.unwrap_or(now);
+    let lease_expires_at = state.inherited_leases_expire_by(now);
     state.add_worker(CellWorker::new(listing, lease_expires_at, now))
 }
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -357,7 +357,7 @@
             closed_zones: state.closed_zones.clone(),
             longest_lease: self.longest_lease,
             ownership: ownership.clone(),
-            released_term: self.claim_watch.released_term(),
+            former_release: self.claim_watch.former_release(),
             log_retention: self.log_retention,
             usage_half_life: self.usage_half_life,
             metrics: self.metrics.clone(),
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,8 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, GraphSpec, JobForecast, JobStatus,
-    RestartRule, WorkerLease, WorkerListing, longest_real_time,
+    CLOCK_READING_ERROR, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease, GraphSpec,
+    JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -27,9 +27,8 @@
 
 /// Lease that workers are granted; long enough for another process to take over before it expires.
 const WORKER_LEASE: Duration = Duration::from_millis(6_500);
-/// How long earlier owners may grant leases after a new owner has fenced them: their ownership lease, and the
-/// error of their reading of a worker's clock, which is at most a few seconds old and may run 2% slow.
-pub(super) const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(Duration::from_millis(100));
+/// How long earlier owners may grant leases after a new owner has fenced them.
+const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(CLOCK_READING_ERROR);
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reports of the load to the log and the metrics.
@@ -89,8 +88,8 @@
     pub longest_lease: Duration,
     /// The lease under which this owner grants leases to workers.
     pub ownership: OwnershipLease,
-    /// For how long the former owner had fenced those before it, if it has released the cell and says so.
-    pub released_term: Option<Duration>,
+    /// The release of the former owner, if it has released the cell after it had fenced those before it.
+    pub former_release: Option<FormerRelease>,
     /// How long the store retains records.
     pub log_retention: Duration,
     /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
@@ -196,7 +195,7 @@
     }
 
     /// Returns how long a worker may hold a lease of an earlier owner after this owner has fenced it.
-    pub(super) fn longest_deposed_lease(&self) -> Duration {
+    fn longest_deposed_lease(&self) -> Duration {
         longest_real_time(self.lease()) + DEPOSED_LEASE_MARGIN
     }
 
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -5,12 +5,13 @@
 use futures_util::future::try_join_all;
 
 use crate::clock;
-use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, longest_real_time};
+use crate::kernel::cell::{CellEffect, CellEvent, CellScheduler, InheritedLeases, longest_real_time};
 use crate::prelude::*;
 use crate::tasks::cell::admission_report::AdmissionReport;
 use crate::tasks::cell::intake::{JOB_PARTITIONS, JOB_TOPIC, JobRecord};
-use crate::tasks::cell::owner::{DEPOSED_LEASE_MARGIN, OwnerTask, TermEnd};
+use crate::tasks::cell::owner::{OwnerTask, TermEnd};
 use crate::tasks::cell::owner_state::OwnerState;
+use crate::tasks::cell::ownership_lease::OWNERSHIP_LEASE;
 use crate::tasks::cell::ports::{AppendOutcome, ReadFault};
 use crate::tasks::cell::record_codec::RecordDecoder;
 use crate::tasks::cell::recovery_summary::RecoverySummary;
@@ -36,16 +37,6 @@
 }
 
 impl CellRecovery<'_> {
-    /// Returns how long workers may hold leases of earlier owners, counted from the recovery. The former owner
-    /// has granted none since its release, and those before it had lost their ownership lease by then.
-    fn inherited_lease(&self) -> Duration {
-        if self.owner.released_term.is_some_and(|term| term >= DEPOSED_LEASE_MARGIN) {
-            longest_real_time(self.owner.lease())
-        } else {
-            self.owner.longest_deposed_lease()
-        }
-    }
-
     /// Makes the store reject appends of all earlier owners; returns the end of the log of the cell at that time.
     async fn fence(&self) -> Result<LogOffset, TermEnd> {
         loop {
@@ -86,7 +77,9 @@
             ..RecoverySummary::default()
         };
         let now = Instant::now();
-        let mut scheduler = CellScheduler::new(now + self.inherited_lease())
+        let longest = longest_real_time(self.owner.lease());
+        let inherited = InheritedLeases::new(longest, OWNERSHIP_LEASE, self.owner.former_release, now);
+        let mut scheduler = CellScheduler::new(inherited)
             .with_log_retention(self.owner.log_retention)
             .with_restart_rule(self.owner.restart_rule())
             .with_usage_half_life(self.owner.usage_half_life);
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -2,12 +2,12 @@
 
 mod fixture_cell;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::cell::{
-    CellEvent, CellRecord, CellScheduler, CommandOutcome, GraphSpec, RestartRule, StartCommand, StepSpec,
-    WorkerListing,
+    CellEvent, CellRecord, CellScheduler, CommandOutcome, FormerRelease, GraphSpec, InheritedLeases,
+    RestartRule, StartCommand, StepSpec, WorkerListing,
 };
 use googletest::prelude::*;
 
@@ -17,6 +17,8 @@
 const LEASE: Duration = Duration::from_secs(7);
 /// Lease that owners grant.
 const GRANTED_LEASE: Duration = Duration::from_millis(6_500);
+/// For how long a deposed owner goes on granting leases.
+const OWNERSHIP_LEASE: Duration = Duration::from_secs(2);
 /// Longest lease that workers accept.
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Duration of a term in a series of restarts.
@@ -46,11 +48,12 @@
     driver.advance(0);
 }
 
-/// Returns the owner that follows, with all records so far. Only `w1` answers it.
-fn next_owner(records: &[CellRecord]) -> CellDriver {
+/// Returns the owner that follows, with all records so far and without the list of workers.
+fn recovered_owner(records: &[CellRecord], inherited: impl Into<InheritedLeases>) -> CellDriver {
     let mut driver = cell(0);
     driver.answers_first_poll = false;
-    driver.scheduler = CellScheduler::new(driver.now + INHERITED_LEASE);
+    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
+    driver.scheduler = CellScheduler::new(inherited).with_restart_rule(rule);
     driver.advance(0);
     driver.handle(CellEvent::Configured(fixture_cell::config(None).into()));
     submit(&mut driver, service());
@@ -59,12 +62,36 @@
     }
     driver.scheduler.end_replay();
     driver.records = records.to_vec();
-    driver.handle(CellEvent::WorkersListed(vec![worker("w0"), worker("w1")]));
+    driver
+}
+
+/// Lists both workers, of which only `w1` answers.
+fn list_workers(driver: &mut CellDriver, silent: WorkerListing) {
+    driver.handle(CellEvent::WorkersListed(vec![silent, worker("w1")]));
     let polled = report(driver.now, Vec::new(), Vec::new());
     driver.handle(CellEvent::WorkerPolled("w1".into(), polled));
+}
+
+/// Returns the owner that follows, with all records so far. Only `w1` answers it.
+fn next_owner(records: &[CellRecord]) -> CellDriver {
+    let mut driver = recovered_owner(records, Instant::now() + INHERITED_LEASE);
+    list_workers(&mut driver, worker("w0"));
     driver
 }
 
+/// Returns the owner that follows 3 s after it has read the release of the former one, without the list of workers.
+fn owner_after_release(records: &[CellRecord]) -> CellDriver {
+    let now = Instant::now();
+    let read_at = now.checked_sub(Duration::from_secs(3)).expect("the machine has run for longer");
+    let release = FormerRelease { read_at, fenced_for: INHERITED_LEASE };
+    recovered_owner(records, InheritedLeases::new(LEASE, OWNERSHIP_LEASE, Some(release), now))
+}
+
+/// Returns the worker `w0` as the list of workers shows it after it has started this long ago.
+fn worker_started(age: Duration) -> WorkerListing {
+    WorkerListing { incarnation: Some(START_UNIX_TIME.saturating_sub(age)), ..worker("w0") }
+}
+
 fn restarted_on(driver: &CellDriver) -> Option<String> {
     driver.started("j.0.0.0").map(|StartCommand { worker, .. }| worker.to_string())
 }
@@ -81,6 +108,29 @@
     verify_that!(restarted_on(&second), some(eq("w1")))
 }
 
+/// Guards against a service that starts late after a restart of the owner just before the end of a lease: the time
+/// left in the records was up to half a second old.
+#[gtest]
+fn a_bound_is_recorded_more_often_towards_its_end() -> Result<()> {
+    let mut driver = owner_with_a_silent_worker();
+    let expires_at = driver.now + LEASE;
+    pass(&mut driver, 6_000);
+    let mut oldest = Duration::ZERO;
+    while driver.now + Duration::from_millis(200) < expires_at {
+        driver.advance(65);
+        driver.scheduler.record_lease_bounds(driver.now);
+        driver.advance(0);
+        let bounds = driver.records.iter().rev().find_map(|record| match record {
+            CellRecord::LeaseBounds(bounds) => bounds.first()?.1,
+            _ => None,
+        });
+        let left = expires_at.saturating_duration_since(driver.now);
+        oldest = oldest.max(bounds.or_fail()?.saturating_sub(left));
+    }
+
+    verify_that!(oldest, lt(Duration::from_millis(350)))
+}
+
 /// Guards against the opposite mistake: the bound of a lease is not reached earlier for a new owner, and one
 /// that finds no bound waits for the longest lease that an earlier owner may have granted.
 #[gtest]
@@ -103,24 +153,62 @@
 fn next_owner_of_a_worker_started(age: Duration) -> CellDriver {
     let mut first = cell(1);
     submit(&mut first, service());
-    let mut driver = cell(0);
-    driver.answers_first_poll = false;
-    let rule = RestartRule::new(GRANTED_LEASE, LONGEST_LEASE);
-    driver.scheduler = CellScheduler::new(driver.now + INHERITED_LEASE).with_restart_rule(rule);
-    driver.advance(0);
-    driver.handle(CellEvent::Configured(fixture_cell::config(None).into()));
-    submit(&mut driver, service());
-    for record in &first.records {
-        driver.scheduler.replay(record.clone(), driver.now);
-    }
-    driver.scheduler.end_replay();
-    let restarted = WorkerListing { incarnation: Some(START_UNIX_TIME.saturating_sub(age)), ..worker("w0") };
-    driver.handle(CellEvent::WorkersListed(vec![restarted, worker("w1")]));
-    let polled = report(driver.now, Vec::new(), Vec::new());
-    driver.handle(CellEvent::WorkerPolled("w1".into(), polled));
+    let mut driver = recovered_owner(&first.records, Instant::now() + INHERITED_LEASE);
+    list_workers(&mut driver, worker_started(age));
     driver
 }
 
+/// Guards against work that waits longer than needed: a new owner counted the wait for leases, and the time left in
+/// the records, from its own start, although the former one had granted none since its release.
+#[gtest]
+fn the_time_since_a_release_counts_towards_the_end_of_a_lease() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    let unbounded = first.records.clone();
+    pass(&mut first, 2_000);
+    let [mut second, mut with_bound] = [unbounded, first.records].map(|records| {
+        let mut driver = owner_after_release(&records);
+        list_workers(&mut driver, worker("w0"));
+        driver
+    });
+
+    // The lease of 7 s ends 4 s after the recovery, and one that had 5 s left 2 s after it.
+    pass(&mut with_bound, 1_000);
+    let early_with_bound = restarted_on(&with_bound);
+    pass(&mut with_bound, 2_000);
+    pass(&mut second, 3_000);
+    let early = restarted_on(&second);
+    pass(&mut second, 2_000);
+
+    verify_that!((early, early_with_bound), eq(&(None, None)))?;
+    verify_that!(restarted_on(&with_bound), some(eq("w1")))?;
+    verify_that!(restarted_on(&second), some(eq("w1")))
+}
+
+/// Guards against tasks that run twice: workers carry out calls for a former incarnation late, which the release of
+/// the former owner does not bound, and only the list of workers shows which ones have restarted.
+#[gtest]
+fn the_time_since_a_release_does_not_count_for_a_restarted_worker() -> Result<()> {
+    let mut first = cell(1);
+    submit(&mut first, service());
+    let mut listed = owner_after_release(&first.records);
+    list_workers(&mut listed, worker_started(Duration::from_secs(1)));
+    let mut listed_late = owner_after_release(&first.records);
+    // At the release, the worker was still young enough to carry out such calls.
+    let mut older = owner_after_release(&first.records);
+    list_workers(&mut older, worker_started(Duration::from_secs(24)));
+
+    pass(&mut listed, 10_000);
+    let early = restarted_on(&listed);
+    pass(&mut listed, 4_000);
+    pass(&mut listed_late, 5_000);
+    list_workers(&mut listed_late, worker_started(Duration::from_secs(1)));
+    pass(&mut listed_late, 4_000);
+    pass(&mut older, 5_000);
+
+    verify_that!((early, restarted_on(&listed_late), restarted_on(&older)), eq(&(None, None, None)))?;
+    verify_that!(restarted_on(&listed), some(eq("w1")))
+}
+
 /// Guards against tasks that run twice: a call of the former owner for an earlier incarnation of a worker may have
 /// granted the present one the longest lease, and the worker does not answer the new owner.
 #[gtest]
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -7,8 +7,8 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch, StoreHealth, SubmitRate,
-    WorkerLease, longest_real_time,
+    CLOCK_READING_ERROR, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, FormerRelease,
+    HandoverWatch, InheritedLeases, StoreHealth, SubmitRate, WorkerLease, longest_real_time,
 };
 use godwithaven::tasks::cell::inbox;
 use godwithaven::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
@@ -214,7 +214,7 @@
 }
 
 /// Returns a release of the cell by `p1` that tells this about its term.
-fn release_telling(term: serde_json::Value) -> Result<ClaimRecord> {
+fn release_telling(term: &serde_json::Value) -> Result<ClaimRecord> {
     let record =
         serde_json::json!({"kind": "release", "process": "p1", "address": "127.0.0.1:1", "release": term});
     serde_json::from_value(record).or_fail()
@@ -226,11 +226,11 @@
 #[gtest]
 fn a_term_that_did_not_fence_shortens_no_wait() -> Result<()> {
     let now = Instant::now();
-    let told = |term: serde_json::Value| -> Result<Option<Duration>> {
+    let told = |term: serde_json::Value| -> Result<Option<FormerRelease>> {
         let mut watch = watch_of_owned_cell(now);
-        watch.note(1, Some(release_telling(term)?), now + Duration::from_secs(4));
+        watch.note(1, Some(release_telling(&term)?), now + Duration::from_secs(4));
         watch.note(2, Some(record(ClaimKind::Claim, "p2")), now + Duration::from_secs(5));
-        Ok(watch.released_term())
+        Ok(watch.former_release())
     };
 
     let earlier_version = told(serde_json::Value::Null)?;
@@ -239,7 +239,26 @@
     let fenced = told(serde_json::json!({"token": 1, "fenced_for": {"secs": 3, "nanos": 0}}))?;
 
     verify_that!((earlier_version, not_fenced, another_term), eq((None, None, None)))?;
-    verify_that!(fenced, some(eq(Duration::from_secs(3))))
+    let release = FormerRelease { read_at: now + Duration::from_secs(4), fenced_for: Duration::from_secs(3) };
+    verify_that!(fenced, some(eq(release)))
+}
+
+/// Guards against tasks that run twice: a term that has fenced a short time before its release lets the owner before
+/// it grant leases for the rest of that owner's ownership lease. Without a release, nothing shortens the wait.
+#[gtest]
+fn leases_are_awaited_for_the_rest_of_a_deposed_ownership_lease() -> Result<()> {
+    let read_at = Instant::now();
+    let (longest, recovered_at) = (Duration::from_secs(7), read_at + Duration::from_secs(1));
+    let waits = |fenced_for: Option<Duration>| {
+        let release = fenced_for.map(|fenced_for| FormerRelease { read_at, fenced_for });
+        let leases = InheritedLeases::new(longest, OWNERSHIP_LEASE, release, recovered_at);
+        leases.expire_by.duration_since(read_at).saturating_sub(longest + CLOCK_READING_ERROR)
+    };
+    let short = Duration::from_millis(500);
+
+    verify_that!(waits(Some(short)), eq(OWNERSHIP_LEASE.saturating_sub(short)))?;
+    verify_that!(waits(Some(OWNERSHIP_LEASE * 2)), eq(Duration::ZERO))?;
+    verify_that!(waits(None), eq(OWNERSHIP_LEASE + Duration::from_secs(1)))
 }
 
 /// Guards against a successor that waits for leases of a deposed owner although there is none: the former owner
@@ -250,18 +269,18 @@
     let after = |millis| now + Duration::from_millis(millis);
     let term = |token: u64| serde_json::json!({"token": token, "fenced_for": {"secs": 4, "nanos": 0}});
     let mut watch = watch_of_owned_cell(now);
-    watch.note(1, Some(release_telling(term(1))?), after(4_000));
+    watch.note(1, Some(release_telling(&term(1))?), after(4_000));
     watch.note(2, Some(record(ClaimKind::Claim, "p2")), after(5_000));
-    let released = watch.released_term();
+    let released = watch.former_release();
     watch.note(3, Some(record(ClaimKind::Claim, "p3")), after(6_000));
-    let lost = watch.released_term();
+    let lost = watch.former_release();
     let owner = CellOwner { process: "p1".into(), address: "a".into(), token: 9 };
     watch.note_reported_owner(owner);
-    watch.note(10, Some(release_telling(term(1))?), after(9_000));
+    watch.note(10, Some(release_telling(&term(1))?), after(9_000));
     watch.note(11, Some(record(ClaimKind::Claim, "p5")), after(9_500));
-    let reported = watch.released_term();
+    let reported = watch.former_release();
 
-    verify_that!(released, some(eq(Duration::from_secs(4))))?;
+    verify_that!(released.map(|release| release.fenced_for), some(eq(Duration::from_secs(4))))?;
     verify_that!(lost, none())?;
     verify_that!(reported, none())
 }
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -136,7 +136,7 @@
         closed_zones: FastSet::default(),
         longest_lease: Duration::from_secs(10),
         ownership: OwnershipLease::new(),
-        released_term: None,
+        former_release: None,
         log_retention: Duration::from_secs(300),
         usage_half_life: Duration::ZERO,
         metrics: CellMetrics::new().or_fail()?,
