Merge the bounds of restarted workers into the wait from a release

The bound for a worker that is listed as restarted keeps the longer wait of an incarnation without a recorded fence, and looks at the extension at the time of the former owner's release.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,16 +1,13 @@
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary, CommandAnswer,
-    CommandOutcome, GraphSpec, InheritedLeases, JobSnapshot, JobStatus, LeaseWatch, ListingUpdate,
-    LookPlanner, PlacementPhase, PollReconciler, PollReport, RecordReplayer, RestartRule, RunningRun,
-    SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule,
-    UsageWatch,
+    CLOSED_JOB_RETENTION, CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary,
+    CommandAnswer, CommandOutcome, GangWatch, GraphSpec, InheritedLeases, JobSnapshot, JobStatus, LeaseWatch,
+    ListingUpdate, LogPosition, LookPlanner, PartitionBound, PollReconciler, PollReport, ProgressUpdate,
+    RankUpdate, RecordReplayer, RestartRule, SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey,
+    TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerFence,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
 
-/// How long a closed job is kept, so that its state can still be queried, and how long a cancellation is
-/// kept that was read before its submission.
-const CLOSED_JOB_RETENTION: Duration = Duration::from_secs(150);
 /// Part of the interval between two start passes that each ready step adds, so that passes usually take a few
 /// percent of a core at most. The bound for slow passes is [`MIN_PASS_INTERVAL_FACTOR`].
 const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(150);
@@ -20,9 +17,6 @@
 /// Minimum time from one pass to the next, as a multiple of the duration of the last one, so that at least
 /// half of the time is left for poll reports and commands.
 const MIN_PASS_INTERVAL_FACTOR: u32 = 2;
-/// Time within which every member of a gang must be confirmed as running. It is shorter than the time for
-/// which members that have started wait for the others.
-const GANG_CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Snapshots of a job that are written within the retention time of the store, so that the store always keeps
 /// one of them.
 const SNAPSHOTS_PER_RETENTION: u32 = 3;
@@ -53,6 +47,8 @@
     skipped_records: SkippedRecords,
     /// When past use is recorded; `None` while it is not accounted for.
     usage_schedule: Option<UsageSchedule>,
+    /// Position in the log at which past use was recorded last.
+    usage_position: LogPosition,
 }
 
 impl CellScheduler {
@@ -71,6 +67,7 @@
             last_snapshots: None,
             skipped_records: SkippedRecords::default(),
             usage_schedule: None,
+            usage_position: 0,
         }
     }
 
@@ -83,6 +80,13 @@
         self
     }
 
+    /// Sets how many bytes of the log the store keeps. A job is recorded again before they are full.
+    #[must_use]
+    pub fn with_partition_bytes(mut self, bytes: u64) -> Self {
+        self.state.partition_bound = PartitionBound::new(bytes);
+        self
+    }
+
     /// Lets workers that have restarted a short time ago hold the leases of earlier owners for longer.
     #[must_use]
     pub const fn with_restart_rule(mut self, rule: RestartRule) -> Self {
@@ -104,7 +108,9 @@
         // An accepted start and a report of progress change nothing that a start pass depends on.
         self.changed |= !matches!(
             event,
-            CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted) | CellEvent::ProgressReported(..)
+            CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted)
+                | CellEvent::ProgressReported(..)
+                | CellEvent::WorkerFenced(..)
         );
         match event {
             CellEvent::Configured(config) => self.configure(config),
@@ -132,8 +138,10 @@
             }
             CellEvent::WorkerPolled(worker, report) => self.apply_report(&worker, report, now),
             CellEvent::ProgressReported(worker, incarnation, running) => {
-                self.apply_progress(&worker, incarnation, &running, now);
+                let mut update = ProgressUpdate { state: &mut self.state, now };
+                self.changed |= update.apply(&worker, incarnation, &running);
             }
+            CellEvent::WorkerFenced(worker, fence) => self.note_fence(&worker, fence),
             CellEvent::WorkerUnresponsive(worker, lease_expires_at) => {
                 if let Some(slot) = self.state.slot(&worker)
                     && let Some(worker) = self.state.worker_mut(slot)
@@ -176,6 +184,20 @@
         self.last_pass_duration = took;
     }
 
+    /// Counts a record that takes this many bytes in the log: one that is replayed next, or one that this owner
+    /// appends.
+    pub const fn count_record(&mut self, record: &CellRecord, bytes: u64) {
+        match record {
+            CellRecord::Snapshot(_) => self.state.partition_bound.count_snapshot(bytes),
+            _ => self.state.partition_bound.count_record(bytes),
+        }
+    }
+
+    /// Counts a submission that takes this many bytes in its partition, and is handled next.
+    pub const fn count_submission(&mut self, bytes: u64) {
+        self.state.partition_bound.count_record(bytes);
+    }
+
     /// Replays a record of an earlier owner; this produces no effects.
     pub fn replay(&mut self, record: CellRecord, now: Instant) {
         let outcome = RecordReplayer { state: &mut self.state, now }.apply(record);
@@ -196,6 +218,9 @@
         for placement in self.state.placements.values_mut().chain(self.state.copies.values_mut()) {
             placement.stop_sent = None;
         }
+        for job in self.state.jobs.values_mut() {
+            job.submission_outlives = true;
+        }
         self.state.effects.clear();
         std::mem::take(&mut self.skipped_records)
     }
@@ -206,9 +231,18 @@
         self.state.jobs.get(job).map(|job| job.status)
     }
 
-    /// Emits a record of how long the workers that do not answer may hold a lease.
+    /// Emits records of how long the workers that do not answer may hold a lease, and of those that refuse calls for
+    /// their former incarnations.
     pub fn record_lease_bounds(&mut self, now: Instant) {
-        LeaseWatch { state: &mut self.state, now }.record_bounds();
+        let mut watch = LeaseWatch { state: &mut self.state, now };
+        watch.record_bounds();
+        watch.record_fences();
+    }
+
+    /// Returns from when a worker refuses calls for its former incarnation; `None` if the records do not tell.
+    #[must_use]
+    pub fn fence_of(&self, worker: &str) -> Option<WorkerFence> {
+        self.state.worker(self.state.slot(worker)?)?.fence
     }
 
     /// Returns when every lease that earlier owners granted to a worker has expired; `None` once this owner has
@@ -280,13 +314,16 @@
     }
 
     fn submit(&mut self, spec: Arc<GraphSpec>, now: Instant) {
-        if self.state.jobs.contains_key(&spec.id) {
+        if let Some(job) = self.state.jobs.get_mut(&spec.id) {
+            job.submission_outlives = true;
             return;
         }
         let submit_rate = self.state.config.teams.get(&spec.team).map_or(u32::MAX, |team| team.weight.max(1));
         let excess = self.state.rates.record_submission(&spec.team, submit_rate, spec.submitted);
         let id = spec.id.clone();
-        self.state.jobs.insert(id.clone(), CellJob::new(spec, now, excess));
+        self.state
+            .jobs
+            .insert(id.clone(), CellJob::new(spec, now, excess, self.state.partition_bound.position()));
         if self.state.early_cancels.remove(&id).is_some() {
             self.state.close(&id, JobStatus::Cancelled, now);
             return;
@@ -341,46 +378,31 @@
         }
     }
 
-    fn apply_report(&mut self, worker: &str, report: PollReport, now: Instant) {
+    /// Notes from when a worker refuses calls for its former incarnation. Only the first of such times for an
+    /// incarnation counts.
+    fn note_fence(&mut self, worker: &str, fence: WorkerFence) {
         let Some(slot) = self.state.slot(worker) else { return };
-        PollReconciler { state: &mut self.state, slot, now }.apply(report);
+        let is_worth_recording = self.state.restart_rule.is_worth_recording(fence);
+        let Some(worker) = self.state.worker_mut(slot) else { return };
+        if worker.fence.is_none_or(|known| known.incarnation != fence.incarnation) {
+            worker.fence = Some(fence);
+            worker.fence_unrecorded = is_worth_recording;
+        }
     }
 
-    /// Notes the progress of the runs on a worker and judges them. Everything else about them follows from its
-    /// polls, as the answers may overtake each other.
-    fn apply_progress(
-        &mut self,
-        worker: &str,
-        incarnation: WorkerIncarnation,
-        running: &[RunningRun],
-        now: Instant,
-    ) {
+    fn apply_report(&mut self, worker: &str, report: PollReport, now: Instant) {
         let Some(slot) = self.state.slot(worker) else { return };
-        if self.state.worker(slot).is_none_or(|worker| worker.incarnation != Some(incarnation)) {
-            return;
-        }
-        for reported in running {
-            let placement = self.state.placements.get_mut(&reported.task);
-            if let Some(placement) =
-                placement.filter(|placement| placement.slot == slot && placement.run == reported.run)
-            {
-                placement.note_progress(reported.percent, now);
-            }
-        }
-        let effects = self.state.effects.len();
-        SlowRunWatch { state: &mut self.state, now }.run_on(slot);
-        // A slow run whose task may run twice lets the task wait to be placed again.
-        self.changed |= self.state.effects.len() > effects;
+        PollReconciler { state: &mut self.state, slot, now }.apply(report);
     }
 
     fn tick(&mut self, unix_time: Duration, now: Instant) {
         self.state.unix_time = unix_time;
         LeaseWatch { state: &mut self.state, now }.expire();
-        self.stop_unconfirmed_gangs(now);
+        GangWatch { state: &mut self.state, now }.run();
         SlowRunWatch { state: &mut self.state, now }.run();
         LookPlanner { state: &mut self.state, now }.run();
         self.account_usage(now);
-        self.state.rerank(now);
+        RankUpdate { state: &mut self.state, now }.run();
         let scheduled: Vec<JobId> = self
             .state
             .jobs
@@ -393,10 +415,8 @@
         }
         self.snapshot_old_jobs(now);
         self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_JOB_RETENTION);
-        self.state.jobs.retain(|_, job| {
-            job.closed_at
-                .is_none_or(|at| job.placed > 0 || now.saturating_duration_since(at) < CLOSED_JOB_RETENTION)
-        });
+        let has_snapshots = self.snapshot_interval.is_some();
+        self.state.jobs.retain(|_, job| !job.has_expired(now) || has_snapshots && job.submission_outlives);
     }
 
     /// Charges what teams use, and records the account if that is due.
@@ -404,31 +424,44 @@
         let Some(schedule) = &mut self.usage_schedule else { return };
         UsageWatch { state: &mut self.state, now }.run();
         let retention = self.state.log_retention.unwrap_or(Duration::MAX);
+        let bound = &self.state.partition_bound;
+        if bound.is_due(self.usage_position, self.state.jobs.len()) {
+            self.usage_position = bound.position();
+            schedule.expire();
+        }
         if !schedule.is_due(retention, now) {
             return;
         }
         let record = UsageRecord::of(&self.state.shares, self.state.unix_time);
         if let Some(record) = schedule.record(record, retention, now) {
+            self.usage_position = self.state.partition_bound.position();
             self.state.effects.push(CellEffect::Record(CellRecord::Usage(record)));
         }
     }
 
-    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval, the oldest
-    /// first, so that none is left out for long.
+    /// Emits snapshots of jobs whose submission or last snapshot is older than the snapshot interval or far back in
+    /// the log, and of closed jobs that are to be forgotten; those farthest back first, so that none is left out for long.
     fn snapshot_old_jobs(&mut self, now: Instant) {
         let Some(interval) = self.snapshot_interval else { return };
         let unix_time = self.state.unix_time;
-        let due =
-            self.state.jobs.values().filter(|job| unix_time.saturating_sub(job.recorded_at) >= interval);
-        let mut due: Vec<(Duration, JobId)> = due.map(|job| (job.recorded_at, job.spec.id.clone())).collect();
+        let (bound, count) = (&self.state.partition_bound, self.state.jobs.len());
+        let due = self.state.jobs.values().filter(|job| {
+            unix_time.saturating_sub(job.recorded_at) >= interval
+                || bound.is_due(job.recorded_position, count)
+                || job.submission_outlives && job.has_expired(now)
+        });
+        let due = due.map(|job| (job.recorded_position, job.recorded_at, job.spec.id.clone()));
+        let mut due: Vec<(LogPosition, Duration, JobId)> = due.collect();
         due.sort_unstable();
         due.truncate(self.max_snapshots(interval, now));
-        for (_, id) in due {
+        for (_, _, id) in due {
             let Some(job) = self.state.jobs.get(&id) else { continue };
             let snapshot = Box::new(JobSnapshot::of(&self.state, job));
             self.state.effects.push(CellEffect::Record(CellRecord::Snapshot(snapshot)));
             if let Some(job) = self.state.jobs.get_mut(&id) {
+                job.submission_outlives = false;
                 job.recorded_at = unix_time;
+                job.recorded_position = self.state.partition_bound.position();
             }
         }
     }
@@ -439,20 +472,8 @@
         let elapsed = now.saturating_duration_since(last).min(MAX_SNAPSHOT_TICK);
         let jobs = self.state.jobs.len() as u128;
         let due = jobs * SNAPSHOT_RATE_FACTOR * elapsed.as_millis() / interval.as_millis().max(1);
-        MIN_SNAPSHOTS_PER_TICK + usize::try_from(due).unwrap_or(usize::MAX / 2)
-    }
-
-    /// Stops gangs with a member that was not confirmed as running in time, before the other members end on
-    /// their own.
-    fn stop_unconfirmed_gangs(&mut self, now: Instant) {
-        let late = self.state.placements.iter().filter(|(_, placement)| {
-            !matches!(placement.phase, PlacementPhase::Running(_))
-                && placement.stop_reason.is_none()
-                && now.saturating_duration_since(placement.placed_at) > GANG_CONFIRM_TIMEOUT
-        });
-        let late: Vec<TaskKey> = late.map(|(key, _)| key.clone()).collect();
-        for key in late {
-            self.state.break_gang(&key, now);
-        }
+        let due_by_time = usize::try_from(due).unwrap_or(usize::MAX / 4);
+        let due_by_size = self.state.partition_bound.take_budget(self.state.jobs.len());
+        MIN_SNAPSHOTS_PER_TICK + due_by_time + due_by_size
     }
 }
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey,
+    CellEffect, CellNotice, CellRecord, CellState, CellWorker, CopyKeeper, LossCause, TaskKey, TaskPlacement,
+    WorkerFence,
 };
 use crate::prelude::*;
 
@@ -25,21 +26,27 @@
 
 impl LeaseWatch<'_> {
     /// Marks the runs on unresponsive workers as lost once their lease has expired, and ends the watch of
-    /// those that are no longer listed. A worker that has restarted may hold a lease for longer, so nothing is lost
-    /// before the list of workers is read.
+    /// those that are no longer listed. Before the list of workers is known, nothing tells which of them have
+    /// restarted.
     pub fn expire(&mut self) {
         if !self.state.workers_listed {
             return;
         }
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
-            if worker.responsive || worker.lease_bound() > self.now {
+            if worker.responsive || worker.lease_expires_at > self.now {
                 continue;
             }
-            let tasks: Vec<TaskKey> = worker.tasks.iter().cloned().collect();
-            let unwatch = worker.watched && !worker.listed;
+            // A run that an incarnation confirmed before it restarted cannot be on the listed one.
+            let only_confirmed = worker.lease_bound() > self.now;
+            let is_over = |placement: &TaskPlacement| !only_confirmed || placement.is_confirmed();
+            let tasks =
+                worker.tasks.iter().filter(|task| self.state.placements.get(task).is_none_or(is_over));
+            let tasks: Vec<TaskKey> = tasks.cloned().collect();
+            let copies = if only_confirmed { 0 } else { worker.copies.len() };
+            let unwatch = worker.watched && !worker.listed && !only_confirmed;
             let name = worker.listing.worker.clone();
-            let runs = tasks.len() + worker.copies.len();
+            let runs = tasks.len() + copies;
             if runs > 0 {
                 let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: runs };
                 self.state.effects.push(CellEffect::Log(notice));
@@ -47,7 +54,9 @@
             for task in tasks {
                 self.state.mark_lost(&task, LossCause::LeaseExpired, self.now);
             }
-            CopyKeeper { state: self.state, now: self.now }.mark_lost_on(slot, LossCause::LeaseExpired);
+            if copies > 0 {
+                CopyKeeper { state: self.state, now: self.now }.mark_lost_on(slot, LossCause::LeaseExpired);
+            }
             if unwatch && let Some(worker) = self.state.worker_mut(slot) {
                 worker.watched = false;
                 self.state.effects.push(CellEffect::Unwatch(name));
@@ -55,6 +64,19 @@
         }
     }
 
+    /// Emits a record of the workers that refuse calls for their former incarnations since the last one.
+    pub fn record_fences(&mut self) {
+        let unrecorded = self.state.workers.iter_mut().filter(|worker| worker.fence_unrecorded);
+        let fences = unrecorded.filter_map(|worker| {
+            worker.fence_unrecorded = false;
+            Some((worker.listing.worker.clone(), worker.fence?))
+        });
+        let fences: Vec<(WorkerId, WorkerFence)> = fences.collect();
+        if !fences.is_empty() {
+            self.state.effects.push(CellEffect::Record(CellRecord::Fences(fences)));
+        }
+    }
+
     /// Emits a record of how long the workers that do not answer may hold a lease. A new owner goes by it, and
     /// need not wait for as long as if they had been granted a lease just before its term.
     pub fn record_bounds(&mut self) {
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -69,24 +69,29 @@
         else {
             return;
         };
-        let extension = rule.extension(started, unix_time);
+        let extension = rule.extension(started, worker.fence, unix_time);
         // The other leases are counted from the release of the former owner, when the worker was younger.
         let since_release = now.saturating_duration_since(counted_from);
-        let former_extension = rule.extension(started, unix_time.saturating_sub(since_release));
+        let former_time = unix_time.saturating_sub(since_release);
+        let former_extension = rule.extension(started, worker.fence, former_time);
+        let is_fenced = worker.fence.is_some_and(|fence| fence.incarnation == started);
         worker.former_lease_expires_at = match worker.polled_at {
-            None if !former_extension.is_zero() => Some(inherited + extension),
-            Some(_) if has_open_starts && !extension.is_zero() => Some(now + rule.longest_lease()),
-            _ => None,
+            None if former_extension.is_zero() => None,
+            None if is_fenced => Some(inherited + extension),
+            None => Some(inherited.max(now + rule.unfenced_lease(started, unix_time))),
+            Some(_) if has_open_starts && !extension.is_zero() => {
+                Some(now + rule.unfenced_lease(started, unix_time))
+            }
+            Some(_) => None,
         };
     }
 
     /// Returns whether a start on the worker is not answered yet.
     fn has_open_starts(&self, slot: u32) -> bool {
-        let runs = self.state.placements.values().chain(self.state.copies.values());
-        let mut runs = runs.filter(|placement| placement.slot == slot);
-        runs.any(|placement| {
-            matches!(placement.phase, PlacementPhase::Starting | PlacementPhase::Unanswered(_))
-        })
+        let Some(worker) = self.state.worker(slot) else { return false };
+        let tasks = worker.tasks.iter().filter_map(|task| self.state.placements.get(task));
+        let copies = worker.copies.iter().filter_map(|copy| self.state.copies.get(copy));
+        tasks.chain(copies).any(|run| !run.is_confirmed())
     }
 
     /// Counts starts on a worker without an answer as unanswered: the link that waits for the answers is
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -29,6 +29,7 @@
 mod end_handler;
 mod forecast;
 mod former_release;
+mod gang_watch;
 mod graph_spec;
 mod handover_watch;
 mod job_snapshot;
@@ -41,6 +42,7 @@
 mod poll_report;
 mod record_replayer;
 mod replay_outcome;
+mod retention;
 mod run_end;
 mod run_time_estimator;
 mod skipped_records;
@@ -60,7 +62,7 @@
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
 pub use cell_effect::{CellEffect, StartCommand, StartInputs, StopCommand};
 pub use cell_event::{CellEvent, CommandOutcome, WorkerListing};
-pub use cell_job::{CellJob, OccurrenceState};
+pub use cell_job::{CLOSED_JOB_RETENTION, CellJob, OccurrenceState};
 pub use cell_notice::CellNotice;
 pub use cell_record::CellRecord;
 pub use cell_scheduler::CellScheduler;
@@ -74,18 +76,19 @@
 pub use end_handler::EndHandler;
 pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
 pub use former_release::FormerRelease;
+pub use gang_watch::GangWatch;
 pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use leases::{
-    CLOCK_READING_ERROR, FORMER_CALL_WINDOW, InheritedLeases, LeaseBasis, LeaseWatch, RestartRule,
-    WorkerLease, longest_real_time,
+    CLOCK_READING_ERROR, CallFence, FORMER_CALL_WINDOW, InheritedLeases, LeaseBasis, LeaseWatch, RestartRule,
+    WorkerFence, WorkerLease, longest_real_time,
 };
 pub use listing_update::ListingUpdate;
 pub use order::{
-    ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, ShareStanding,
-    StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
+    ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, RankUpdate,
+    ShareStanding, StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
 };
 pub use permits::{
     IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
@@ -96,13 +99,14 @@
 pub use poll_report::{EndCause, EndedRun, PollReport, RunningRun};
 pub use record_replayer::RecordReplayer;
 pub use replay_outcome::ReplayOutcome;
+pub use retention::{LogPosition, PartitionBound};
 pub use run_end::{EndSource, LossCause, RunEnd};
 pub use run_time_estimator::RunTimeEstimator;
 pub use skipped_records::SkippedRecords;
 pub use slow_runs::{
-    CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, RunExpectation, RunForecast,
-    RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState, SlowRunWatch,
-    StepExpectations, StopCost,
+    CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, ProgressUpdate, RunExpectation,
+    RunForecast, RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState,
+    SlowRunWatch, StepExpectations, StopCost,
 };
 pub use start_pass::StartPass;
 pub use step_key::StepKey;
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,8 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CLOCK_READING_ERROR, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease, GraphSpec,
-    JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, longest_real_time,
+    CLOCK_READING_ERROR, CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease,
+    GraphSpec, JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -22,6 +22,7 @@
 use crate::tasks::cell::ports::{CellAdapter, StoreClient, TopicPage};
 use crate::tasks::cell::record_codec;
 use crate::tasks::cell::recovery::CellRecovery;
+use crate::tasks::cell::store_limits::StoreLimits;
 use crate::tasks::cell::tail::{TailMessage, TopicTail};
 use crate::tasks::cell::term_log::AppendProgress;
 
@@ -310,7 +311,12 @@
             state.unpublished.insert(job.clone());
         }
         match record_codec::encode(record, self.store.limits.largest_record()) {
-            Ok(values) => values.into_iter().for_each(|value| state.log.record(value)),
+            Ok(values) => {
+                state.scheduler.count_record(record, values.iter().map(StoreLimits::stored_bytes).sum());
+                for value in values {
+                    state.log.record(value);
+                }
+            }
             Err(reason) => log::error!(reason = &*reason; "record cannot be stored"),
         }
     }
@@ -323,9 +329,16 @@
         let stop = token.child_token();
         let inherited = state.scheduler.inherited_lease_of(&listing.worker);
         let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.longest_deposed_lease());
+        let fence = match inherited {
+            Some(_) => CallFence::new(self.token),
+            // An earlier link of this term may have raised the token.
+            None => CallFence::reopened(self.token.max(self.ownership.newest_token())),
+        };
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
+            fence,
+            recorded_fence: state.scheduler.fence_of(&listing.worker),
             client: (self.adapter.worker)(listing),
             lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
             restart_rule: self.restart_rule(),
--- a/src/tasks/cell/ownership_lease.rs
+++ b/src/tasks/cell/ownership_lease.rs
@@ -21,13 +21,16 @@
     confirmed: watch::Sender<Option<ClockReading>>,
     /// Since when the store rejects the appends of earlier owners; `None` before this owner has fenced them.
     fenced_at: watch::Sender<Option<Instant>>,
+    /// See [`Self::newest_token`].
+    newest_token: watch::Sender<FencingToken>,
 }
 
 impl OwnershipLease {
     /// Returns a lease that is not valid until it is confirmed.
     #[must_use]
     pub fn new() -> Self {
-        Self { confirmed: watch::Sender::new(None), fenced_at: watch::Sender::new(None) }
+        let (confirmed, fenced_at) = (watch::Sender::new(None), watch::Sender::new(None));
+        Self { confirmed, fenced_at, newest_token: watch::Sender::new(0) }
     }
 
     /// Extends the lease, as the answer to a call that was sent at this time shows that the process still owned
@@ -53,6 +56,23 @@
         self.fenced_at.borrow().map(|fenced_at| now.saturating_duration_since(fenced_at))
     }
 
+    /// Records that no other process has claimed the cell before this offset of the claim log, where its next record
+    /// comes.
+    pub fn note_claim_log(&self, next_offset: LogOffset) {
+        self.newest_token.send_if_modified(|token| {
+            let is_newer = next_offset > *token;
+            *token = next_offset.max(*token);
+            is_newer
+        });
+    }
+
+    /// Returns the highest fencing token below that of each successor, whose token is above the offset of its claim;
+    /// zero before the claim log was read.
+    #[must_use]
+    pub fn newest_token(&self) -> FencingToken {
+        *self.newest_token.borrow()
+    }
+
     /// Returns whether the newest confirmation was sent at most this long ago.
     #[must_use]
     pub fn is_confirmed_within(&self, age: Duration) -> bool {
