--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -2,6 +2,7 @@
 //! certainly expired.
 
 mod call_fence;
+mod inherited_leases;
 mod lease_basis;
 mod lease_watch;
 mod restart_rule;
@@ -9,6 +10,7 @@
 mod worker_lease;
 
 pub use call_fence::CallFence;
+pub use inherited_leases::{CLOCK_READING_ERROR, InheritedLeases};
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
 pub use restart_rule::{FORMER_CALL_WINDOW, RestartRule};
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -28,6 +28,7 @@
 mod command_answer;
 mod end_handler;
 mod forecast;
+mod former_release;
 mod gang_watch;
 mod graph_spec;
 mod handover_watch;
@@ -54,6 +55,7 @@
 mod submit_rate;
 mod task_key;
 mod task_placement;
+mod term_release;
 mod usage;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -73,14 +75,15 @@
 pub use command_answer::CommandAnswer;
 pub use end_handler::EndHandler;
 pub use forecast::{JobForecast, JobForecaster, StepForecast, WorkerFit};
+pub use former_release::FormerRelease;
 pub use gang_watch::GangWatch;
 pub use graph_spec::{GraphSpec, MAX_ESTIMATE, MAX_STEPS_PER_JOB, MAX_TASKS_PER_JOB, RepeatSchedule};
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use leases::{
-    CallFence, FORMER_CALL_WINDOW, LeaseBasis, LeaseWatch, RestartRule, WorkerFence, WorkerLease,
-    longest_real_time,
+    CLOCK_READING_ERROR, CallFence, FORMER_CALL_WINDOW, InheritedLeases, LeaseBasis, LeaseWatch, RestartRule,
+    WorkerFence, WorkerLease, longest_real_time,
 };
 pub use listing_update::ListingUpdate;
 pub use order::{
@@ -113,6 +116,7 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use term_release::TermRelease;
 pub use usage::{
     DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
 };
--- a/tests/cell_ownership.rs
+++ b/tests/cell_ownership.rs
@@ -7,8 +7,8 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch, StoreHealth, SubmitRate,
-    WorkerLease, longest_real_time,
+    CLOCK_READING_ERROR, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, FormerRelease,
+    HandoverWatch, InheritedLeases, StoreHealth, SubmitRate, WorkerLease, longest_real_time,
 };
 use godwithaven::tasks::cell::inbox;
 use godwithaven::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
@@ -25,7 +25,7 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 fn record(kind: ClaimKind, process: &str) -> ClaimRecord {
-    ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into() }
+    ClaimRecord { kind, process: process.into(), address: "127.0.0.1:1".into(), release: None }
 }
 
 /// Returns a watch that has read a claim of `p1` at `now`.
@@ -213,26 +213,74 @@
     verify_that!(lease.expires_by(), ge(start + Duration::from_secs(7)))
 }
 
+/// Returns a release of the cell by `p1` that tells this about its term.
+fn release_telling(term: &serde_json::Value) -> Result<ClaimRecord> {
+    let record =
+        serde_json::json!({"kind": "release", "process": "p1", "address": "127.0.0.1:1", "release": term});
+    serde_json::from_value(record).or_fail()
+}
+
+/// Guards against tasks that run twice: the wait of a successor after a release counted the term from its claim, but
+/// until that term has fenced the owner before it, appends confirm the ownership of that owner, which may thus grant
+/// leases. Nor does a release tell anything of a later term of its process.
+#[gtest]
+fn a_term_that_did_not_fence_shortens_no_wait() -> Result<()> {
+    let now = Instant::now();
+    let told = |term: serde_json::Value| -> Result<Option<FormerRelease>> {
+        let mut watch = watch_of_owned_cell(now);
+        watch.note(1, Some(release_telling(&term)?), now + Duration::from_secs(4));
+        watch.note(2, Some(record(ClaimKind::Claim, "p2")), now + Duration::from_secs(5));
+        Ok(watch.former_release())
+    };
+
+    let earlier_version = told(serde_json::Value::Null)?;
+    let not_fenced = told(serde_json::json!({"token": 1}))?;
+    let another_term = told(serde_json::json!({"token": 7, "fenced_for": {"secs": 3, "nanos": 0}}))?;
+    let fenced = told(serde_json::json!({"token": 1, "fenced_for": {"secs": 3, "nanos": 0}}))?;
+
+    verify_that!((earlier_version, not_fenced, another_term), eq((None, None, None)))?;
+    let release = FormerRelease { read_at: now + Duration::from_secs(4), fenced_for: Duration::from_secs(3) };
+    verify_that!(fenced, some(eq(release)))
+}
+
+/// Guards against tasks that run twice: a term that has fenced a short time before its release lets the owner before
+/// it grant leases for the rest of that owner's ownership lease. Without a release, nothing shortens the wait.
+#[gtest]
+fn leases_are_awaited_for_the_rest_of_a_deposed_ownership_lease() -> Result<()> {
+    let read_at = Instant::now();
+    let (longest, recovered_at) = (Duration::from_secs(7), read_at + Duration::from_secs(1));
+    let waits = |fenced_for: Option<Duration>| {
+        let release = fenced_for.map(|fenced_for| FormerRelease { read_at, fenced_for });
+        let leases = InheritedLeases::new(longest, OWNERSHIP_LEASE, release, recovered_at);
+        leases.expire_by.duration_since(read_at).saturating_sub(longest + CLOCK_READING_ERROR)
+    };
+    let short = Duration::from_millis(500);
+
+    verify_that!(waits(Some(short)), eq(OWNERSHIP_LEASE.saturating_sub(short)))?;
+    verify_that!(waits(Some(OWNERSHIP_LEASE * 2)), eq(Duration::ZERO))?;
+    verify_that!(waits(None), eq(OWNERSHIP_LEASE + Duration::from_secs(1)))
+}
+
 /// Guards against a successor that waits for leases of a deposed owner although there is none: the former owner
-/// has released the cell. One that was lost, that another process reported, or whose term is not known to have
-/// been long enough may still grant leases, or its predecessor may.
+/// has released the cell. One that was lost, or that another process reported, may still grant leases.
 #[gtest]
 fn a_release_tells_for_how_long_the_former_owner_had_the_cell() -> Result<()> {
     let now = Instant::now();
     let after = |millis| now + Duration::from_millis(millis);
+    let term = |token: u64| serde_json::json!({"token": token, "fenced_for": {"secs": 4, "nanos": 0}});
     let mut watch = watch_of_owned_cell(now);
-    watch.note(1, Some(record(ClaimKind::Release, "p1")), after(4_000));
+    watch.note(1, Some(release_telling(&term(1))?), after(4_000));
     watch.note(2, Some(record(ClaimKind::Claim, "p2")), after(5_000));
-    let released = watch.released_term();
+    let released = watch.former_release();
     watch.note(3, Some(record(ClaimKind::Claim, "p3")), after(6_000));
-    let lost = watch.released_term();
-    let owner = CellOwner { process: "p4".into(), address: "a".into(), token: 9 };
+    let lost = watch.former_release();
+    let owner = CellOwner { process: "p1".into(), address: "a".into(), token: 9 };
     watch.note_reported_owner(owner);
-    watch.note(10, Some(record(ClaimKind::Release, "p4")), after(9_000));
+    watch.note(10, Some(release_telling(&term(1))?), after(9_000));
     watch.note(11, Some(record(ClaimKind::Claim, "p5")), after(9_500));
-    let reported = watch.released_term();
+    let reported = watch.former_release();
 
-    verify_that!(released, some(eq(Duration::from_secs(4))))?;
+    verify_that!(released.map(|release| release.fenced_for), some(eq(Duration::from_secs(4))))?;
     verify_that!(lost, none())?;
     verify_that!(reported, none())
 }
@@ -360,25 +408,38 @@
 }
 
 /// Guards against leases that a process grants after it was paused, or its VM suspended, for so long that it may
-/// have a successor.
+/// have a successor. The wall clock of a suspended VM may be set right only some time after it goes on.
 #[gtest]
-fn an_ownership_lease_expires_by_either_clock() -> Result<()> {
+fn an_ownership_lease_expires_by_any_clock() -> Result<()> {
     let (ownership, sent_at) = (OwnershipLease::new(), clock::reading());
-    let later = |monotonic, wall| ClockReading {
+    let later = |monotonic, since_boot, wall| ClockReading {
         monotonic: sent_at.monotonic + monotonic,
+        since_boot: sent_at.since_boot + since_boot,
         wall: sent_at.wall + wall,
     };
     let (short, long) = (OWNERSHIP_LEASE.saturating_sub(Duration::from_millis(1)), OWNERSHIP_LEASE);
 
     let unconfirmed = ownership.is_valid_at(sent_at);
     ownership.confirm(sent_at);
-    let valid = [later(short, short), later(long, short), later(short, long)]
+    let suspended = later(short, long, short);
+    let valid = [later(short, short, short), later(long, short, short), later(short, short, long), suspended]
         .map(|reading| ownership.is_valid_at(reading));
     // An older confirmation that arrives late changes nothing.
-    ownership.confirm(later(short, short));
+    ownership.confirm(later(short, short, short));
     ownership.confirm(sent_at);
 
     verify_that!(unconfirmed, eq(false))?;
-    verify_that!(valid, eq([true, false, false]))?;
-    verify_that!(ownership.is_valid_at(later(long, long)), eq(true))
+    verify_that!(valid, eq([true, false, false, false]))?;
+    verify_that!(ownership.is_valid_at(later(long, long, long)), eq(true))
+}
+
+/// Guards against a clock that stands still where it is not available: it would never show that a lease is over.
+#[gtest]
+#[actix_rt::test]
+async fn the_clock_that_counts_suspensions_goes_on() -> Result<()> {
+    let before = clock::reading();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let passed = clock::reading().since_boot.saturating_sub(before.since_boot);
+
+    verify_that!(passed, ge(Duration::from_millis(20)))
 }
--- a/tests/fixture_link/mod.rs
+++ b/tests/fixture_link/mod.rs
@@ -9,8 +9,8 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CallFence, CellEvent, ClockReading, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule,
-    StartCommand, TaskKey, WorkerFence, WorkerLease,
+    CallFence, CellEvent, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule, StartCommand, TaskKey,
+    WorkerFence, WorkerLease,
 };
 use godwithaven::prelude::{FencingToken, TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
@@ -131,8 +131,7 @@
 /// Returns the lease of an owner that remains the owner for the whole test.
 pub fn ownership_for_the_test() -> OwnershipLease {
     let (ownership, now) = (OwnershipLease::new(), clock::reading());
-    ownership
-        .confirm(ClockReading { monotonic: now.monotonic + WAIT_TIMEOUT, wall: now.wall + WAIT_TIMEOUT });
+    ownership.confirm(now.after(WAIT_TIMEOUT));
     ownership
 }
 
