--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -287,25 +287,13 @@
         let now = Instant::now();
         match outcome {
             PollOutcome::Answered(report, clock) => {
-                let previous = poll_state.incarnation.replace(report.incarnation);
-                let is_fenced = self.fence.note_answer();
-                let is_first_answer = previous.is_none() && !self.fence.is_open();
-                if previous != Some(report.incarnation) {
+                let incarnation = report.incarnation;
+                let previous = poll_state.incarnation.replace(incarnation);
+                if previous != Some(incarnation) {
                     poll_state.acknowledged = 0;
-                    if previous.is_some() {
-                        self.lease.restart(clock, now);
-                        if !is_fenced {
-                            self.fence.note_restart();
-                        }
-                    } else {
-                        self.note_first_answer(report.incarnation, now);
-                    }
-                    self.log_incarnation(previous, report.incarnation, clock, now);
-                } else if is_fenced || self.fence.is_open() {
-                    self.lease.note_former_calls(clock, now);
                 }
-                if is_fenced || is_first_answer {
-                    let fence = WorkerFence::new(report.incarnation, clock::unix_time());
+                if self.note_incarnation(previous, incarnation, clock, now) {
+                    let fence = WorkerFence::new(incarnation, clock::unix_time());
                     let event = CellEvent::WorkerFenced(self.worker.clone(), fence);
                     self.send_to_owner(OwnerMessage::Event(event)).await;
                 }
@@ -346,6 +334,34 @@
         }
     }
 
+    /// Bounds the leases that calls of earlier owners, or for a former incarnation, may have granted until this answer
+    /// to a poll. Returns whether the worker has refused such calls since this answer.
+    fn note_incarnation(
+        &mut self,
+        previous: Option<WorkerIncarnation>,
+        incarnation: WorkerIncarnation,
+        clock: WorkerTime,
+        now: Instant,
+    ) -> bool {
+        let is_fenced = self.fence.note_answer();
+        if previous == Some(incarnation) {
+            if is_fenced || self.fence.is_open() {
+                self.lease.note_former_calls(clock, now);
+            }
+            return is_fenced;
+        }
+        if previous.is_some() {
+            self.lease.restart(clock, now);
+            if !is_fenced {
+                self.fence.note_restart();
+            }
+        } else {
+            self.note_first_answer(incarnation, now);
+        }
+        self.log_incarnation(previous, incarnation, clock, now);
+        !self.fence.is_open() && (is_fenced || previous.is_none())
+    }
+
     /// Raises the token if a restart calls for it. Calls with the higher token grant no lease and start nothing before
     /// one of them is answered, as they would not be fenced if the worker restarted once more.
     fn raise_token(&mut self, poll_state: &mut PollState) {
