Decide what is sent to a worker in a type without sockets and clocks

Cause: the link to a worker decided which token, lease and acknowledgement a call carries between its reads and writes, so that no test without tasks and real time could drive these decisions over several owners and restarts. Change: WorkerSession, in a folder of the kernel with the state of the polls, takes each decision; the link sends, receives and logs. No decision changes.

--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -45,6 +45,7 @@
 mod retention;
 mod run_end;
 mod run_time_estimator;
+mod session;
 mod skipped_records;
 mod slow_runs;
 mod start_pass;
@@ -102,6 +103,7 @@
 pub use retention::{LogPosition, PartitionBound};
 pub use run_end::{EndSource, LossCause, RunEnd};
 pub use run_time_estimator::RunTimeEstimator;
+pub use session::{AnswerChange, KnownWorker, NotSentReason, PollRequest, TermAuthority, WorkerSession};
 pub use skipped_records::SkippedRecords;
 pub use slow_runs::{
     CallerSlack, CopyKeeper, DiscardBudget, ExpectationSource, LookPlanner, ProgressUpdate, RunExpectation,
--- /dev/null
+++ b/src/kernel/cell/session/answer_change.rs
@@ -0,0 +1,11 @@
+use crate::kernel::cell::WorkerFence;
+use crate::prelude::*;
+
+/// What the answer to a poll tells of the incarnation that gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerChange {
+    /// The incarnation that gave the answer before; `None` for the first answer.
+    pub previous: Option<WorkerIncarnation>,
+    /// Set if the worker has refused calls for its former incarnations since this answer.
+    pub fence: Option<WorkerFence>,
+}
--- a/src/tasks/cell/not_sent_reason.rs
+++ b/src/kernel/cell/session/not_sent_reason.rs
@@ -1,8 +1,6 @@
-//! Reasons why a start command is not sent, for logs.
-
-/// Why a start command is not sent.
+/// Why a start command is not sent, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub(super) enum NotSentReason {
+pub enum NotSentReason {
     /// The answer to the append of its record came too late to show that this process is still the owner.
     #[display("append_not_fresh")]
     AppendNotFresh,
--- a/src/tasks/cell/poll_state.rs
+++ b/src/kernel/cell/session/poll_state.rs
@@ -1,11 +1,8 @@
-//! What the link to a worker knows from its polls, and when the next one is due.
-
-use crate::kernel::cell::StartCommand;
+use crate::kernel::cell::{NotSentReason, StartCommand};
 use crate::prelude::*;
-use crate::tasks::cell::not_sent_reason::NotSentReason;
 
-/// State of polling one worker.
-#[derive(Default)]
+/// What is known of a worker from its polls, and when the next one is due.
+#[derive(Clone, Debug, Default)]
 pub(super) struct PollState {
     pub(super) incarnation: Option<WorkerIncarnation>,
     pub(super) acknowledged: TaskEndNumber,
@@ -66,8 +63,8 @@
     }
 
     /// Returns the delay before the next poll; `None` if it is due.
-    pub(super) fn poll_delay(&self) -> Option<Duration> {
-        let left = self.not_before?.saturating_duration_since(Instant::now());
+    pub(super) fn poll_delay(&self, now: Instant) -> Option<Duration> {
+        let left = self.not_before?.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -8,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::kernel::cell::{
-    CommandOutcome, EndCause, EndedRun, PollReport, RunningRun, StartCommand, StopCommand, TaskKey,
-    WorkerListing,
+    CommandOutcome, EndCause, EndedRun, PollReport, PollRequest, RunningRun, StartCommand, StopCommand,
+    TaskKey, WorkerListing,
 };
 use crate::platform::calls::{self, CallFault, CallResponse};
 use crate::plugins::http;
 use crate::prelude::*;
-use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
+use crate::tasks::cell::ports::{CommandAnswer, PollOutcome, WorkerClient};
 
 /// Largest number of connections to one worker: one for the long poll, the others for commands.
 const MAX_CONNECTIONS: usize = 8;
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -1,8 +1,7 @@
 //! Log lines of the owner's decisions.
 
-use crate::kernel::cell::{CellNotice, CellRecord, RunEnd, StartCommand, StopCommand};
+use crate::kernel::cell::{CellNotice, CellRecord, NotSentReason, RunEnd, StartCommand, StopCommand};
 use crate::prelude::*;
-use crate::tasks::cell::not_sent_reason::NotSentReason;
 
 /// Logs the decision to start a task; the command is sent once the record of the start is stored, and not at
 /// all if that takes too long.
--- a/src/tasks/cell/link_answer.rs
+++ b/src/tasks/cell/link_answer.rs
@@ -1,19 +1,8 @@
 //! The answer of a worker to a command, with what the link knew when it sent the command.
 
-use crate::kernel::cell::{CellEvent, CommandOutcome, StartCommand, StopCommand};
-use crate::prelude::*;
+use crate::kernel::cell::{CellEvent, CommandOutcome, KnownWorker, StartCommand, StopCommand};
 use crate::tasks::cell::ports::CommandAnswer;
 
-/// What the link knew of the worker when it sent a command.
-#[derive(Clone, Copy)]
-pub(super) struct KnownWorker {
-    pub(super) incarnation: Option<WorkerIncarnation>,
-    /// The worker's clock in its last answer to a poll.
-    pub(super) clock: Option<WorkerTime>,
-    /// Fencing token of the command.
-    pub(super) token: FencingToken,
-}
-
 /// A command to a worker.
 pub(super) enum LinkCommand {
     Start(StartCommand),
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -6,7 +6,8 @@
 use crate::clock;
 use crate::kernel::cell::{
     CLOCK_READING_ERROR, CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease,
-    GraphSpec, JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, longest_real_time,
+    GraphSpec, JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, WorkerSession,
+    longest_real_time,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -334,14 +335,13 @@
             // An earlier link of this term may have raised the token.
             None => CallFence::reopened(self.token.max(self.ownership.newest_token())),
         };
+        let lease = WorkerLease::new(self.lease(), self.longest_lease, expires_by);
+        let recorded_fence = state.scheduler.fence_of(&listing.worker);
         let link = WorkerLink {
             worker: listing.worker.clone(),
             token: self.token,
-            fence,
-            recorded_fence: state.scheduler.fence_of(&listing.worker),
+            session: WorkerSession::new(fence, lease, self.restart_rule(), recorded_fence),
             client: (self.adapter.worker)(listing),
-            lease: WorkerLease::new(self.lease(), self.longest_lease, expires_by),
-            restart_rule: self.restart_rule(),
             ownership: self.ownership.clone(),
             owner_sender: self.own_sender.clone(),
             metrics: self.metrics.clone(),
--- a/src/tasks/cell/owner_state.rs
+++ b/src/tasks/cell/owner_state.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::cell::{
     CellEffect, CellEvent, CellScheduler, CommandOutcome, GraphSpec, JobForecast, JobForecaster, JobStatus,
-    StartCommand, WorkerListing,
+    NotSentReason, StartCommand, WorkerListing,
 };
 use crate::prelude::*;
 use crate::tasks::cell::admission_report::AdmissionReport;
@@ -14,7 +14,6 @@
 use crate::tasks::cell::intake::{JOB_TOPIC, JobRecord};
 use crate::tasks::cell::link::LinkMessage;
 use crate::tasks::cell::metrics::CellMetrics;
-use crate::tasks::cell::not_sent_reason::NotSentReason;
 use crate::tasks::cell::owner::{JobAnswer, OwnerMessage, TermEnd};
 use crate::tasks::cell::store_limits::StoreLimits;
 use crate::tasks::cell::tail::TailMessage;
--- a/src/tasks/cell/ownership_lease.rs
+++ b/src/tasks/cell/ownership_lease.rs
@@ -3,7 +3,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
-use crate::kernel::cell::ClockReading;
+use crate::kernel::cell::{ClockReading, TermAuthority};
 use crate::prelude::*;
 
 /// How long an owner may grant leases to workers after the last sign that it still owns the cell. Its successor
@@ -73,6 +73,12 @@
         *self.newest_token.borrow()
     }
 
+    /// Returns what the owner may do now.
+    #[must_use]
+    pub fn authority(&self) -> TermAuthority {
+        TermAuthority { is_confirmed: self.is_valid(), newest_token: self.newest_token() }
+    }
+
     /// Returns whether the newest confirmation was sent at most this long ago.
     #[must_use]
     pub fn is_confirmed_within(&self, age: Duration) -> bool {
--- a/src/tasks/cell/ports.rs
+++ b/src/tasks/cell/ports.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::cell::{
-    CellConfig, CommandOutcome, PollReport, StartCommand, StepKey, StopCommand, WorkerListing,
+    CellConfig, CommandOutcome, PollReport, PollRequest, StartCommand, StepKey, StopCommand, WorkerListing,
 };
 use crate::prelude::*;
 use crate::settings::SettingFault;
@@ -134,19 +134,6 @@
     pub clock: Option<WorkerTime>,
 }
 
-/// A request to a worker to report its runs; it also renews the lease of the worker.
-#[derive(Clone, Debug)]
-pub struct PollRequest {
-    /// Fencing token of the owner.
-    pub token: FencingToken,
-    /// Number of the last ended run that is recorded, so that the worker need not report it again.
-    pub acknowledged: TaskEndNumber,
-    /// New expiry of the lease on the worker's clock; `None` leaves it unchanged.
-    pub lease: Option<WorkerTime>,
-    /// How long the worker may hold the poll open while no run ends.
-    pub wait: Duration,
-}
-
 /// Outcome of a poll.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PollOutcome {
--- a/tests/cell_poll.rs
+++ b/tests/cell_poll.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use fixture_cell::{CellDriver, INCARNATION, cell, job, report, running, step, submit, worker};
 use godwithaven::kernel::cell::{
-    CellEffect, CellEvent, CellRecord, CommandOutcome, EndCause, EndedRun, PollReport, RunningRun, TaskKey,
-    WorkerListing,
+    CellEffect, CellEvent, CellRecord, CommandOutcome, EndCause, EndedRun, PollReport, PollRequest,
+    RunningRun, TaskKey, WorkerListing,
 };
-use godwithaven::tasks::cell::ports::{CellAdapter, PollOutcome, PollRequest};
+use godwithaven::tasks::cell::ports::{CellAdapter, PollOutcome};
 use godwithaven_standins::server;
 use googletest::prelude::*;
 use tokio_util::sync::CancellationToken;
--- a/tests/fixture_link/mod.rs
+++ b/tests/fixture_link/mod.rs
@@ -9,15 +9,15 @@
 use futures_util::FutureExt;
 use godwithaven::clock;
 use godwithaven::kernel::cell::{
-    CallFence, CellEvent, CommandOutcome, EndCause, EndedRun, PollReport, RestartRule, StartCommand, TaskKey,
-    WorkerFence, WorkerLease,
+    CallFence, CellEvent, CommandOutcome, EndCause, EndedRun, PollReport, PollRequest, RestartRule,
+    StartCommand, TaskKey, WorkerFence, WorkerLease, WorkerSession,
 };
 use godwithaven::prelude::{FencingToken, TaskEndNumber, WorkerIncarnation};
 use godwithaven::tasks::cell::link::{LinkMessage, WorkerLink};
 use godwithaven::tasks::cell::metrics::CellMetrics;
 use godwithaven::tasks::cell::owner::OwnerMessage;
 use godwithaven::tasks::cell::ownership_lease::OwnershipLease;
-use godwithaven::tasks::cell::ports::{CommandAnswer, PollOutcome, PollRequest, WorkerClient};
+use godwithaven::tasks::cell::ports::{CommandAnswer, PollOutcome, WorkerClient};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -177,14 +177,13 @@
         let (commands, inbox) = mpsc::channel(64);
         let (owner_sender, events) = mpsc::channel(64);
         let token = CancellationToken::new();
+        let lease = WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited);
+        let rule = RestartRule::new(LEASE, LONGEST_LEASE);
         let link = WorkerLink {
             worker: "w0".into(),
             token: 1,
-            fence: CallFence::new(1),
-            recorded_fence: fence,
+            session: WorkerSession::new(CallFence::new(1), lease, rule, fence),
             client: worker.client(),
-            lease: WorkerLease::new(LEASE, LONGEST_LEASE, Instant::now() + inherited),
-            restart_rule: RestartRule::new(LEASE, LONGEST_LEASE),
             ownership,
             owner_sender,
             metrics: CellMetrics::new().expect("the metrics are valid"),
