Show a bound that rests on two wall clocks, and log what tells the hypotheses apart

Cause: a new owner works out from born and its own wall clock how old the incarnation of a worker is. With a clock that is 60 s ahead, an incarnation that restarted just before counts as long-lived, and its lease is bounded by what owners grant (6.5 s) and not by what the worker may hold (10 s). 'worker answers' and 'worker has restarted' say whether a record names a fence of the incarnation; a start that is sent while calls for a former incarnation may be carried out has a line of its own.

--- a/src/kernel/cell/session/worker_session.rs
+++ b/src/kernel/cell/session/worker_session.rs
@@ -62,6 +62,18 @@
         &self.lease
     }
 
+    /// Returns whether calls for a former incarnation of the worker may still be carried out.
+    #[must_use]
+    pub const fn is_unfenced(&self) -> bool {
+        self.fence.is_open()
+    }
+
+    /// Returns whether earlier owners have recorded that this incarnation refuses calls for its former ones.
+    #[must_use]
+    pub fn has_recorded_fence(&self, incarnation: WorkerIncarnation) -> bool {
+        self.recorded_fence.is_some_and(|fence| fence.incarnation == incarnation)
+    }
+
     /// Returns whether the last poll was answered by the incarnation that answers commands.
     #[must_use]
     pub const fn is_answered(&self) -> bool {
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -117,6 +117,10 @@
                         return;
                     }
                 };
+                if self.session.is_unfenced() {
+                    log::info!(task:% = command.task, run = command.run, worker = &*self.worker, token = known.token;
+                        "start is sent while calls for a former incarnation may be carried out");
+                }
                 let answer = (self.client.start)(command.clone(), known.token, lease);
                 commands.push(Box::pin(async move {
                     LinkAnswer { command: LinkCommand::Start(command), answer: answer.await, known }
@@ -243,7 +247,8 @@
         let message = if previous.is_some() { "worker has restarted" } else { "worker answers" };
         log::info!(worker = &*self.worker, token = self.token, incarnation = milliseconds(incarnation),
             previous = previous.map_or(0, milliseconds), clock_ms = milliseconds(clock),
-            lease_left_ms = milliseconds(left), basis:% = lease.basis(); "{message}");
+            lease_left_ms = milliseconds(left), basis:% = lease.basis(),
+            recorded_fence = self.session.has_recorded_fence(incarnation); "{message}");
     }
 
     /// Logs that a poll was not answered, with what the bound of the lease rests on.
--- a/tests/cell_link_restarts.rs
+++ b/tests/cell_link_restarts.rs
@@ -95,6 +95,16 @@
     verify_that!(bound, ge(LONGEST_LEASE * 100 / 98))
 }
 
+/// Guards against tasks that run twice: a new owner whose wall clock was ahead took a worker that had restarted seconds
+/// before for one that had run for long, and bounded its lease by what owners grant.
+#[gtest]
+#[actix_rt::test]
+async fn a_new_owner_asks_no_wall_clock_for_the_age_of_a_worker() -> Result<()> {
+    let bound = first_bound_of_a_worker_started(Duration::from_secs(60), None).await?;
+
+    verify_that!(bound, ge(LONGEST_LEASE * 100 / 98))
+}
+
 /// Guards against work that waits for nothing: by the records, the worker refused calls for its former incarnation long
 /// enough ago that no lease of such a call is left. A fence of a short time ago does not tell that.
 #[gtest]
