Bound the lease of a restarted worker by its own clock only

What callers saw: a task that must run once ran twice, after its worker had restarted under its id, its owner was killed and the worker was cut off, on a machine whose wall clock was 15 s ahead of that of the new owner's peers. Cause: a new owner told by born and its own wall clock how long calls for the former incarnation may have granted leases. The platform bounds no difference between these clocks. Change: the record of a fence holds the worker's clock in the answer since which it refuses calls for former incarnations. The bound of a new owner is that clock and the longest lease, on the worker's clock in its first answer, or in its entry in the list of workers if it does not answer. Without a record for the incarnation it is the longest lease. Owners record every worker once a term, and again before the store drops the record, so that the usual bound holds where nothing restarted. Why it works: each lease of a call for a former incarnation was granted before the fence and lasts at most the longest lease, both on one clock, that of the incarnation that holds it.

--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -14,6 +14,8 @@
     pub zone: ZoneId,
     /// Incarnation that wrote the entry; `None` if the entry does not name one.
     pub incarnation: Option<WorkerIncarnation>,
+    /// Clock of the worker when it wrote the entry; `None` if the entry does not tell it.
+    pub clock: Option<WorkerTime>,
     /// Total capacity of the worker.
     pub capacity: ResourceVector,
     /// Labels of the worker, its rack among them.
@@ -24,6 +26,15 @@
     pub draining: bool,
 }
 
+impl WorkerListing {
+    /// Returns whether this entry and an earlier one of the worker say the same but for the clock, which each entry
+    /// tells anew.
+    #[must_use]
+    pub fn repeats(&self, earlier: &Self) -> bool {
+        *self == Self { clock: self.clock, ..earlier.clone() }
+    }
+}
+
 /// Outcome of a start or stop command to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum CommandOutcome {
--- a/src/kernel/cell/cell_record.rs
+++ b/src/kernel/cell/cell_record.rs
@@ -31,8 +31,8 @@
     /// Past use of all teams. Releases that do not know it pass it over.
     #[serde(rename = "u")]
     Usage(UsageRecord),
-    /// Workers that refuse calls for their former incarnations. Only those that started a short time before are
-    /// recorded. Releases that do not know it pass it over.
+    /// Workers that refuse calls for their former incarnations. Releases that do not know it, or that record the age of
+    /// the incarnation in place of its clock, pass it over.
     #[serde(rename = "f")]
     Fences(Vec<(WorkerId, WorkerFence)>),
 }
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -382,11 +382,9 @@
     /// incarnation counts.
     fn note_fence(&mut self, worker: &str, fence: WorkerFence) {
         let Some(slot) = self.state.slot(worker) else { return };
-        let is_worth_recording = self.state.restart_rule.is_worth_recording(fence);
         let Some(worker) = self.state.worker_mut(slot) else { return };
         if worker.fence.is_none_or(|known| known.incarnation != fence.incarnation) {
-            worker.fence = Some(fence);
-            worker.fence_unrecorded = is_worth_recording;
+            (worker.fence, worker.fence_recorded_at) = (Some(fence), None);
         }
     }
 
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -40,8 +40,8 @@
     pub lease_bound_recorded_at: Option<Instant>,
     /// From when the worker refuses calls for its former incarnation, as far as is known.
     pub fence: Option<WorkerFence>,
-    /// Whether `fence` has yet to be recorded.
-    pub fence_unrecorded: bool,
+    /// When this owner recorded `fence` last; `None` before that.
+    pub fence_recorded_at: Option<Instant>,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
     /// Highest number of an end in the reports of this incarnation.
@@ -84,7 +84,7 @@
             silent_since: now,
             lease_bound_recorded_at: None,
             fence: None,
-            fence_unrecorded: false,
+            fence_recorded_at: None,
             incarnation: None,
             last_handled_end: 0,
             used: ResourceVector::default(),
--- a/src/kernel/cell/leases/inherited_leases.rs
+++ b/src/kernel/cell/leases/inherited_leases.rs
@@ -11,9 +11,8 @@
     pub counted_from: Option<Instant>,
     /// When every lease has expired that is not longer than owners grant.
     pub expire_by: Instant,
-    /// The same for calls of the former owner that workers carry out until the recovery. Those for a former
-    /// incarnation of a worker are not bounded by the time at which they were sent.
-    pub late_calls_expire_by: Instant,
+    /// When the last call of an earlier owner was sent; workers may carry it out later.
+    pub calls_end_by: Instant,
 }
 
 impl InheritedLeases {
@@ -38,7 +37,7 @@
         Self {
             counted_from: Some(counted_from),
             expire_by: counted_from + last,
-            late_calls_expire_by: recovered_at + last,
+            calls_end_by: counted_from + granted_for + CLOCK_READING_ERROR,
         }
     }
 }
@@ -46,6 +45,6 @@
 impl From<Instant> for InheritedLeases {
     /// Returns the bounds if nothing but the latest end of all leases is known.
     fn from(expire_by: Instant) -> Self {
-        Self { counted_from: None, expire_by, late_calls_expire_by: expire_by }
+        Self { counted_from: None, expire_by, calls_end_by: expire_by }
     }
 }
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -16,6 +16,9 @@
 /// restart of the owner would else start up to half a second later than it can.
 const RECORDS_PER_TIME_LEFT: u32 = 4;
 
+/// Records of a fence that are written within the retention time of the store, so that the store always keeps one.
+const FENCE_RECORDS_PER_RETENTION: u32 = 3;
+
 /// Waits for the leases of workers that do not answer.
 pub struct LeaseWatch<'a> {
     /// State of the cell.
@@ -64,12 +67,21 @@
         }
     }
 
-    /// Emits a record of the workers that refuse calls for their former incarnations since the last one.
+    /// Emits a record of the workers that refuse calls for their former incarnations, of each one again before the
+    /// store drops the last record of it.
     pub fn record_fences(&mut self) {
-        let unrecorded = self.state.workers.iter_mut().filter(|worker| worker.fence_unrecorded);
-        let fences = unrecorded.filter_map(|worker| {
-            worker.fence_unrecorded = false;
-            Some((worker.listing.worker.clone(), worker.fence?))
+        let now = self.now;
+        let interval = self.state.log_retention.map(|retention| retention / FENCE_RECORDS_PER_RETENTION);
+        let is_due = |worker: &&mut CellWorker| {
+            worker.fence_recorded_at.is_none_or(|recorded_at| {
+                interval.is_some_and(|interval| now.saturating_duration_since(recorded_at) >= interval)
+            })
+        };
+        let due = self.state.workers.iter_mut().filter(is_due);
+        let fences = due.filter_map(|worker| {
+            let fence = worker.fence?;
+            worker.fence_recorded_at = Some(now);
+            Some((worker.listing.worker.clone(), fence))
         });
         let fences: Vec<(WorkerId, WorkerFence)> = fences.collect();
         if !fences.is_empty() {
--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -13,6 +13,6 @@
 pub use inherited_leases::{CLOCK_READING_ERROR, InheritedLeases};
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
-pub use restart_rule::{FORMER_CALL_WINDOW, RestartRule};
+pub use restart_rule::{FORMER_CALL_TIME, LATE_CALL_WINDOW, RestartRule};
 pub use worker_fence::WorkerFence;
 pub use worker_lease::{WorkerLease, longest_real_time};
--- a/src/kernel/cell/leases/restart_rule.rs
+++ b/src/kernel/cell/leases/restart_rule.rs
@@ -1,57 +1,67 @@
 use crate::kernel::cell::{WorkerFence, longest_real_time};
 use crate::prelude::*;
 
-/// Time after the start of a worker in which it may carry out calls that were meant for its former incarnation:
-/// workers carry calls out up to 12 s late, and an owner stops sending them within 3 s of the restart.
-pub const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
-/// Allowed difference between the wall clocks of a worker and of an owner.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
+/// Longest time from the sending of a call to the moment at which a worker carries it out.
+pub const LATE_CALL_WINDOW: Duration = Duration::from_secs(12);
+/// Time after the restart of a worker, or the fencing of an owner, in which that owner may still send calls for the
+/// former incarnation.
+pub const FORMER_CALL_TIME: Duration = Duration::from_secs(3);
 
-/// Tells how much longer than usual a worker may hold a lease that an earlier owner granted.
+/// Tells how long a worker may hold a lease that a call for a former incarnation has granted.
 ///
 /// A worker that restarts keeps its id, so it carries out calls that were meant for its former incarnation. They
 /// renew the lease until a time on the former clock. A worker whose clock is behind shortens that to the longest
 /// lease that it accepts, which is longer than the leases that owners grant.
+///
+/// The rule goes by the clock of the worker only: the wall clocks of workers and owners may differ by any time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestartRule {
-    /// Longest real time that a lease of the longest duration lasts.
-    longest_lease: Duration,
-    longest_extension: Duration,
+    /// Leases that owners grant.
+    usual: Duration,
+    /// Longest lease that workers accept.
+    longest: Duration,
 }
 
 impl RestartRule {
     /// Returns the rule for owners that grant leases of `usual` to workers that accept leases up to `longest`.
     #[must_use]
-    pub fn new(usual: Duration, longest: Duration) -> Self {
-        let longest_lease = longest_real_time(longest);
-        Self { longest_lease, longest_extension: longest_lease.saturating_sub(longest_real_time(usual)) }
+    pub const fn new(usual: Duration, longest: Duration) -> Self {
+        Self { usual, longest }
     }
 
-    /// Returns for how long after `unix_time` an incarnation that no call has fenced may hold a lease, by calls for the
-    /// former one that it carries out late.
+    /// Returns how long an incarnation may hold such a lease whose clock showed `clock`, in real time from then on.
+    /// `fence` is what the records say of the worker; without one for this incarnation, such a call may have been
+    /// carried out just before.
     #[must_use]
-    pub fn unfenced_lease(&self, started: WorkerIncarnation, unix_time: Duration) -> Duration {
-        FORMER_CALL_WINDOW.saturating_sub(unix_time.saturating_sub(started)) + self.longest_lease
+    pub fn former_lease(
+        &self,
+        incarnation: WorkerIncarnation,
+        clock: WorkerTime,
+        fence: Option<WorkerFence>,
+    ) -> Duration {
+        let fence = fence.filter(|fence| fence.incarnation == incarnation);
+        let left = fence.map_or(self.longest, |fence| {
+            (fence.clock + self.longest).saturating_sub(clock).min(self.longest)
+        });
+        if left.is_zero() { Duration::ZERO } else { longest_real_time(left) }
     }
 
-    /// Returns how much longer a lease may last at `unix_time`, by a call of an earlier owner that was meant for the
-    /// incarnation before the one that started at `started`. `fence` is what the records say of the worker.
+    /// Returns how much longer than a lease that an owner grants such a lease may last, of an incarnation whose clock
+    /// shows `clock` in its first answer.
     #[must_use]
     pub fn extension(
         &self,
-        started: WorkerIncarnation,
+        incarnation: WorkerIncarnation,
+        clock: WorkerTime,
         fence: Option<WorkerFence>,
-        unix_time: Duration,
     ) -> Duration {
-        let fence = fence.filter(|fence| fence.incarnation == started);
-        let window = fence.map_or(FORMER_CALL_WINDOW, |fence| fence.age.min(FORMER_CALL_WINDOW));
-        let age = unix_time.saturating_sub(started);
-        self.longest_extension.saturating_sub(age.saturating_sub(window + CLOCK_TOLERANCE))
+        self.former_lease(incarnation, clock, fence).saturating_sub(longest_real_time(self.usual))
     }
 
-    /// Returns whether a record of this fence would let a new owner wait for less.
+    /// Returns how long an incarnation that no call has fenced may hold such a lease after the last call for a former
+    /// one was sent.
     #[must_use]
-    pub fn is_worth_recording(&self, fence: WorkerFence) -> bool {
-        fence.age < FORMER_CALL_WINDOW
+    pub fn unfenced_lease(&self) -> Duration {
+        LATE_CALL_WINDOW + longest_real_time(self.longest)
     }
 }
--- a/src/kernel/cell/leases/worker_lease.rs
+++ b/src/kernel/cell/leases/worker_lease.rs
@@ -1,8 +1,10 @@
-use crate::kernel::cell::{FORMER_CALL_WINDOW, LeaseBasis};
+use crate::kernel::cell::{FORMER_CALL_TIME, LATE_CALL_WINDOW, LeaseBasis};
 use crate::prelude::*;
 
 /// Assumed lower bound on the rate of a worker's clock, in percent of the true rate.
 const MIN_CLOCK_RATE_PERCENT: u32 = 98;
+/// Time after the first answer to an owner in which calls of earlier owners may be carried out.
+const EARLIER_CALL_WINDOW: Duration = LATE_CALL_WINDOW.saturating_add(FORMER_CALL_TIME);
 /// Time that a worker needs to stop its tasks when its lease expires.
 const TASK_STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -50,7 +52,7 @@
     /// owners. None of them can have granted it a lease after that. A call for a former incarnation may have
     /// granted it one that is longer than usual by `extension`.
     pub fn note_fenced(&mut self, extension: Duration, now: Instant) {
-        self.earlier_calls_until = Some(now + FORMER_CALL_WINDOW);
+        self.earlier_calls_until = Some(now + EARLIER_CALL_WINDOW);
         let expires_by = now + longest_real_time(self.duration) + extension;
         if extension.is_zero() {
             self.shorten(expires_by, LeaseBasis::FirstAnswer);
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -1,4 +1,6 @@
-use crate::kernel::cell::{CellEffect, CellState, CellWorker, PlacementPhase, WorkerListing};
+use crate::kernel::cell::{
+    CellEffect, CellState, CellWorker, FORMER_CALL_TIME, PlacementPhase, WorkerListing,
+};
 use crate::prelude::*;
 
 /// Applies the platform's list of workers to the cell.
@@ -59,29 +61,24 @@
     /// answered this owner yet. This owner knows the runs that the listed incarnation cannot have: those that the
     /// former one has confirmed.
     fn bound_former_lease(&mut self, slot: u32) {
-        let leases = self.state.inherited_leases;
-        let inherited = leases.map_or(self.now, |leases| leases.late_calls_expire_by);
-        let counted_from = leases.and_then(|leases| leases.counted_from).unwrap_or(self.now);
-        let (rule, unix_time, now) = (self.state.restart_rule, self.state.unix_time, self.now);
+        let calls_end_by = self.state.inherited_leases.map_or(self.now, |leases| leases.calls_end_by);
+        let (rule, now) = (self.state.restart_rule, self.now);
         let has_open_starts = self.has_open_starts(slot);
         let Some(worker) = self.state.worker_mut(slot) else { return };
         let Some(started) = worker.listing.incarnation.filter(|listed| worker.incarnation != Some(*listed))
         else {
             return;
         };
-        let extension = rule.extension(started, worker.fence, unix_time);
-        // The other leases are counted from the release of the former owner, when the worker was younger.
-        let since_release = now.saturating_duration_since(counted_from);
-        let former_time = unix_time.saturating_sub(since_release);
-        let former_extension = rule.extension(started, worker.fence, former_time);
         let is_fenced = worker.fence.is_some_and(|fence| fence.incarnation == started);
         worker.former_lease_expires_at = match worker.polled_at {
-            None if former_extension.is_zero() => None,
-            None if is_fenced => Some(inherited + extension),
-            None => Some(inherited.max(now + rule.unfenced_lease(started, unix_time))),
-            Some(_) if has_open_starts && !extension.is_zero() => {
-                Some(now + rule.unfenced_lease(started, unix_time))
+            // The worker refused such calls before the recovery, and its clock is at least that of its entry.
+            None if is_fenced => {
+                let clock = worker.listing.clock.unwrap_or_default();
+                let lease = rule.former_lease(started, clock, worker.fence);
+                (!lease.is_zero()).then_some(now + lease)
             }
+            None => Some(calls_end_by + rule.unfenced_lease()),
+            Some(_) if has_open_starts => Some(now + FORMER_CALL_TIME + rule.unfenced_lease()),
             Some(_) => None,
         };
     }
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -143,6 +143,7 @@
         service: "".into(),
         zone: "".into(),
         incarnation: None,
+        clock: None,
         capacity: ResourceVector::default(),
         labels: Vec::new(),
         rack: None,
--- a/src/kernel/cell/session/worker_session.rs
+++ b/src/kernel/cell/session/worker_session.rs
@@ -176,7 +176,6 @@
         report: &PollReport,
         clock: WorkerTime,
         newest_token: FencingToken,
-        unix_time: Duration,
         now: Instant,
     ) -> AnswerChange {
         let incarnation = report.incarnation;
@@ -184,7 +183,7 @@
         if previous != Some(incarnation) {
             self.poll_state.acknowledged = 0;
         }
-        let is_fenced = self.note_incarnation(previous, incarnation, clock, unix_time, now);
+        let is_fenced = self.note_incarnation(previous, incarnation, clock, now);
         self.lease.note_clock(clock, now);
         self.poll_state.answered = true;
         self.poll_state.idle = report.running.is_empty();
@@ -193,7 +192,7 @@
             self.poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
         }
         self.raise_token(newest_token);
-        AnswerChange { previous, fence: is_fenced.then(|| WorkerFence::new(incarnation, unix_time)) }
+        AnswerChange { previous, fence: is_fenced.then_some(WorkerFence { incarnation, clock }) }
     }
 
     /// Notes that another worker answers at the address, so that this one is gone.
@@ -216,7 +215,6 @@
         previous: Option<WorkerIncarnation>,
         incarnation: WorkerIncarnation,
         clock: WorkerTime,
-        unix_time: Duration,
         now: Instant,
     ) -> bool {
         let is_fenced = self.fence.note_answer();
@@ -232,7 +230,7 @@
                 self.fence.note_restart();
             }
         } else {
-            let extension = self.restart_rule.extension(incarnation, self.recorded_fence, unix_time);
+            let extension = self.restart_rule.extension(incarnation, clock, self.recorded_fence);
             self.lease.note_fenced(extension, now);
         }
         !self.fence.is_open() && (is_fenced || previous.is_none())
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -54,6 +54,9 @@
     /// Start of the incarnation that wrote the entry, in Unix milliseconds.
     #[serde(default)]
     born: Option<u64>,
+    /// The worker's clock when it wrote the entry.
+    #[serde(default)]
+    clock_ms: Option<u64>,
     state: ServerState,
     capacity: ResourceBody,
     /// The kind of the worker, then its rack.
@@ -148,6 +151,7 @@
         service: body.service,
         zone: body.zone,
         incarnation: body.born.map(Duration::from_millis),
+        clock: body.clock_ms.map(Duration::from_millis),
         capacity,
         rack: body.labels.get(1).cloned(),
         labels: body.labels,
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -90,10 +90,7 @@
             }
         }
         CellRecord::Fences(fences) => {
-            for (worker, fence) in fences {
-                log::info!(worker = &**worker, incarnation = milliseconds(fence.incarnation),
-                    age_ms = milliseconds(fence.age); "fence of a worker is recorded");
-            }
+            log::info!(workers = fences.len(); "fences of workers are recorded");
         }
         CellRecord::Closed(job, status) => log::info!(job = &**job, status:%; "job is closed"),
         CellRecord::Snapshot(snapshot) => {
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -6,7 +6,6 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock;
 use crate::kernel::cell::{CellEvent, CommandOutcome, PollReport, StartCommand, StopCommand, WorkerSession};
 use crate::prelude::*;
 use crate::tasks::cell::await_optional::await_optional;
@@ -223,11 +222,13 @@
 
     async fn finish_report(&mut self, report: PollReport, clock: WorkerTime, now: Instant) {
         let newest_token = self.ownership.newest_token();
-        let change = self.session.note_answer(&report, clock, newest_token, clock::unix_time(), now);
+        let change = self.session.note_answer(&report, clock, newest_token, now);
         if change.previous != Some(report.incarnation) {
             self.log_incarnation(change.previous, report.incarnation, clock, now);
         }
         if let Some(fence) = change.fence {
+            log::info!(worker = &*self.worker, token = self.token, incarnation = milliseconds(fence.incarnation),
+                clock_ms = milliseconds(fence.clock); "calls for former incarnations are refused");
             let event = CellEvent::WorkerFenced(self.worker.clone(), fence);
             self.send_to_owner(OwnerMessage::Event(event)).await;
         }
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -231,7 +231,7 @@
             match (self.adapter.parse_worker_registration)(key, &record.value) {
                 Ok(listing) => {
                     let old = state.registrations.insert(key.clone(), listing.clone());
-                    changed |= old.is_none_or(|old| old != listing);
+                    changed |= old.is_none_or(|old| !listing.repeats(&old));
                 }
                 Err(reason) => {
                     log::warn!(worker = &**key, reason = &*reason; "worker registration is invalid");
