Start nothing on a worker that may carry out calls for its former incarnation

What callers saw: a task ran twice after its worker had restarted within half a second of the claim of the cell. Cause: the token of the calls to a restarted worker rises with the heartbeats in the claim log, so it cannot rise within half a second of a claim or of an earlier restart. Starts were sent all the same. A late poll for the former incarnation, with the same token, then acknowledged the end of such a run by its number before an owner had read it; the task was taken for lost and started again. Change: the link reports an incarnation that may still carry out calls for former ones (WorkerUnfenced), and the scheduler places nothing there until the worker has answered a call with the higher token (WorkerFenced). So no start is recorded and dropped; one that was decided before is not sent (worker_unfenced). Why it works: every run on the present incarnation begins after it refuses the calls for the former one, but for starts that were already on their way, which are listed. Tests: a_start_for_an_earlier_incarnation_is_not_sent lets the token rise and waits for the report that closes the fence; it expects the same two outcomes. Two new ones, for the link and for the scheduler.

--- a/src/kernel/cell/cell_event.rs
+++ b/src/kernel/cell/cell_event.rs
@@ -100,6 +100,8 @@
     WorkerPolled(WorkerId, PollReport),
     /// An incarnation of a worker told the progress of its runs when it was asked beside the usual polls.
     ProgressReported(WorkerId, WorkerIncarnation, Vec<RunningRun>),
+    /// A worker may carry out calls that were meant for a former incarnation of it, so that nothing starts there.
+    WorkerUnfenced(WorkerId),
     /// A worker refuses calls that were meant for a former incarnation of it.
     WorkerFenced(WorkerId, WorkerFence),
     /// A worker does not answer, or another incarnation of it does. Every lease that the expected
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -110,7 +110,7 @@
             event,
             CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted)
                 | CellEvent::ProgressReported(..)
-                | CellEvent::WorkerFenced(..)
+                | CellEvent::WorkerUnfenced(..)
         );
         match event {
             CellEvent::Configured(config) => self.configure(config),
@@ -141,6 +141,13 @@
                 let mut update = ProgressUpdate { state: &mut self.state, now };
                 self.changed |= update.apply(&worker, incarnation, &running);
             }
+            CellEvent::WorkerUnfenced(worker) => {
+                if let Some(slot) = self.state.slot(&worker)
+                    && let Some(worker) = self.state.worker_mut(slot)
+                {
+                    worker.unfenced = true;
+                }
+            }
             CellEvent::WorkerFenced(worker, fence) => self.note_fence(&worker, fence),
             CellEvent::WorkerUnresponsive(worker, lease_expires_at) => {
                 if let Some(slot) = self.state.slot(&worker)
@@ -383,6 +390,7 @@
     fn note_fence(&mut self, worker: &str, fence: WorkerFence) {
         let Some(slot) = self.state.slot(worker) else { return };
         let Some(worker) = self.state.worker_mut(slot) else { return };
+        worker.unfenced = false;
         if worker.fence.is_none_or(|known| known.incarnation != fence.incarnation) {
             (worker.fence, worker.fence_recorded_at) = (Some(fence), None);
         }
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -38,6 +38,8 @@
     /// When its lease was last bounded in the records. It must then not be renewed before they say that the
     /// worker answers. `None` if they do not bound it.
     pub lease_bound_recorded_at: Option<Instant>,
+    /// Whether the worker may still carry out calls for a former incarnation.
+    pub unfenced: bool,
     /// From when the worker refuses calls for its former incarnation, as far as is known.
     pub fence: Option<WorkerFence>,
     /// When this owner recorded `fence` last; `None` before that.
@@ -83,6 +85,7 @@
             former_lease_expires_at: None,
             silent_since: now,
             lease_bound_recorded_at: None,
+            unfenced: false,
             fence: None,
             fence_recorded_at: None,
             incarnation: None,
@@ -118,6 +121,7 @@
     pub fn is_schedulable(&self, now: Instant) -> bool {
         self.listed
             && self.responsive
+            && !self.unfenced
             && !self.is_listed_as_restarted()
             && self.zone_open
             && !self.listing.draining
--- a/src/kernel/cell/session/not_sent_reason.rs
+++ b/src/kernel/cell/session/not_sent_reason.rs
@@ -25,6 +25,9 @@
     /// Another incarnation of the worker answers than the one that the decision is based on.
     #[display("other_incarnation")]
     OtherIncarnation,
+    /// The worker may still carry out calls for a former incarnation.
+    #[display("worker_unfenced")]
+    WorkerUnfenced,
     /// The clock of the worker, by which a lease is granted, is unknown.
     #[display("worker_clock_unknown")]
     WorkerClockUnknown,
--- a/src/kernel/cell/session/worker_session.rs
+++ b/src/kernel/cell/session/worker_session.rs
@@ -62,12 +62,6 @@
         &self.lease
     }
 
-    /// Returns whether calls for a former incarnation of the worker may still be carried out.
-    #[must_use]
-    pub const fn is_unfenced(&self) -> bool {
-        self.fence.is_open()
-    }
-
     /// Returns whether earlier owners have recorded that this incarnation refuses calls for its former ones.
     #[must_use]
     pub fn has_recorded_fence(&self, incarnation: WorkerIncarnation) -> bool {
@@ -135,6 +129,10 @@
         if let Some(reason) = self.poll_state.start_obstacle(command, now) {
             return Err(reason);
         }
+        // A late call for a former incarnation would acknowledge the end of the run before it is reported.
+        if self.fence.is_open() {
+            return Err(NotSentReason::WorkerUnfenced);
+        }
         let until = self.lease.grant(now).ok_or(NotSentReason::WorkerClockUnknown)?;
         self.poll_state.idle = false;
         Ok(until)
@@ -192,7 +190,8 @@
             self.poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
         }
         self.raise_token(newest_token);
-        AnswerChange { previous, fence: is_fenced.then_some(WorkerFence { incarnation, clock }) }
+        let is_unfenced = previous != Some(incarnation) && self.fence.is_open();
+        AnswerChange { previous, is_unfenced, fence: is_fenced.then_some(WorkerFence { incarnation, clock }) }
     }
 
     /// Notes that another worker answers at the address, so that this one is gone.
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -116,10 +116,6 @@
                         return;
                     }
                 };
-                if self.session.is_unfenced() {
-                    log::info!(task:% = command.task, run = command.run, worker = &*self.worker, token = known.token;
-                        "start is sent while calls for a former incarnation may be carried out");
-                }
                 let answer = (self.client.start)(command.clone(), known.token, lease);
                 commands.push(Box::pin(async move {
                     LinkAnswer { command: LinkCommand::Start(command), answer: answer.await, known }
@@ -226,6 +222,10 @@
         if change.previous != Some(report.incarnation) {
             self.log_incarnation(change.previous, report.incarnation, clock, now);
         }
+        if change.is_unfenced {
+            let event = CellEvent::WorkerUnfenced(self.worker.clone());
+            self.send_to_owner(OwnerMessage::Event(event)).await;
+        }
         if let Some(fence) = change.fence {
             log::info!(worker = &*self.worker, token = self.token, incarnation = milliseconds(fence.incarnation),
                 clock_ms = milliseconds(fence.clock); "calls for former incarnations are refused");
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -402,3 +402,18 @@
 
     verify_that!((newer.repeats(&worker("w0")), moved.repeats(&worker("w0"))), eq((true, false)))
 }
+
+/// Guards against starts that are recorded and dropped: the link sends none to a worker that may still carry out calls
+/// for a former incarnation.
+#[gtest]
+fn no_start_goes_to_an_unfenced_worker() -> Result<()> {
+    let mut driver = cell(1);
+    driver.handle(CellEvent::WorkerUnfenced("w0".into()));
+    submit(&mut driver, service());
+    let early = restarted_on(&driver);
+
+    let fence = WorkerFence { incarnation: START_UNIX_TIME, clock: LONGEST_LEASE };
+    driver.handle(CellEvent::WorkerFenced("w0".into(), fence));
+
+    verify_that!((early, restarted_on(&driver)), eq(&(None, Some("w0".to_owned()))))
+}
--- a/tests/cell_link.rs
+++ b/tests/cell_link.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use fixture_cell::{INCARNATION, start_command as start};
-use fixture_link::{EARLIER_END, FakeWorker, LONGEST_LEASE, RunningLink, WAIT_TIMEOUT};
+use fixture_link::{
+    EARLIER_END, FakeWorker, LONGEST_LEASE, NEWEST_TOKEN, RunningLink, WAIT_TIMEOUT, ownership_for_the_test,
+};
 use fixture_log::{keep_lines, lines_with};
 use godwithaven::clock;
 use godwithaven::kernel::cell::{CellEvent, CommandOutcome, StartCommand};
@@ -22,10 +24,15 @@
 async fn a_start_for_an_earlier_incarnation_is_not_sent() -> Result<()> {
     let worker = FakeWorker::default();
     worker.answer_as(INCARNATION, Duration::from_secs(10));
-    let mut link = RunningLink::start(&worker);
+    let ownership = ownership_for_the_test();
+    ownership.note_claim_log(NEWEST_TOKEN);
+    let mut link = RunningLink::start_with_ownership(&worker, ownership);
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
     link.await_report(INCARNATION).await.or_fail()?;
     let next = INCARNATION + Duration::from_secs(1);
     worker.answer_as(next, Duration::ZERO);
+    // The second report shows that the worker refuses calls for its former incarnation.
+    link.await_report(next).await.or_fail()?;
     link.await_report(next).await.or_fail()?;
 
     let earlier = link.send(start("j.0.0.0", INCARNATION)).await;
--- a/tests/cell_link_restarts.rs
+++ b/tests/cell_link_restarts.rs
@@ -10,7 +10,7 @@
     FakeWorker, LEASE, LONGEST_LEASE, NEWEST_TOKEN, RunningLink, USUAL_HOLD, ownership_for_the_test,
 };
 use godwithaven::clock;
-use godwithaven::kernel::cell::{CallFence, CommandOutcome, WorkerFence, WorkerLease};
+use godwithaven::kernel::cell::{CallFence, CellEvent, CommandOutcome, WorkerFence, WorkerLease};
 use godwithaven::tasks::cell::link::LinkMessage;
 use googletest::prelude::*;
 
@@ -40,6 +40,31 @@
     verify_that!(*worker.start_tokens.borrow(), eq(&vec![1, NEWEST_TOKEN]))
 }
 
+/// Guards against tasks that run twice: early in a term the token cannot rise, and a late call for the former incarnation
+/// acknowledged the end of a run that was started meanwhile, before an owner had learned of it.
+#[gtest]
+#[actix_rt::test]
+async fn no_start_is_sent_before_a_restarted_worker_is_fenced() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(700));
+    let ownership = ownership_for_the_test();
+    let mut link = RunningLink::start_with_ownership(&worker, ownership.clone());
+    link.commands.try_send(LinkMessage::RenewLease(Instant::now())).or_fail()?;
+    link.await_report(INCARNATION).await.or_fail()?;
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+    link.await_report(next).await.or_fail()?;
+
+    let early = link.send(start("j.0.0.0", next)).await;
+    ownership.note_claim_log(NEWEST_TOKEN);
+    let is_fenced = |event| matches!(event, CellEvent::WorkerFenced(..)).then_some(());
+    link.await_event(is_fenced).await.or_fail()?;
+    let late = link.send(start("j.0.0.1", next)).await;
+    link.token.cancel();
+
+    verify_that!((early, late), eq((Some(CommandOutcome::NotSent), Some(CommandOutcome::Accepted))))
+}
+
 /// Guards against an owner that ends its term for nothing: a start that was on its way when the worker restarted is
 /// refused for its token, which is not that of a successor.
 #[gtest]
