Count the longest lease when the connection to a worker is opened again

Cause: within a term, the connection to a worker that is listed at another address bounded the lease by what owners grant and the time for which a deposed owner grants (8.9 s). The connection before may have known of a call for a former incarnation, which grants the longest lease (10.5 s until its tasks have stopped). Change: WorkerLease::reopened, a decision of the kernel, takes the place of the sum in the owner. Why it works: all that the connection before can have granted ends within the longest lease from its last call.

--- a/src/kernel/cell/leases/worker_lease.rs
+++ b/src/kernel/cell/leases/worker_lease.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Returns the lease of a worker whose connection is opened again within a term at `now`. The connection before may
+    /// have granted it leases, and a call for a former incarnation the longest one.
+    #[must_use]
+    pub fn reopened(duration: Duration, longest: Duration, now: Instant) -> Self {
+        let longest_known = longest_real_time(duration.max(longest));
+        Self::new(duration, longest, now + longest_known)
+    }
+
     /// Records the worker's clock from an answer that arrived at `now`.
     pub fn note_clock(&mut self, clock: WorkerTime, now: Instant) {
         self.clock_reading = Some((clock, now));
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -5,9 +5,8 @@
 
 use crate::clock;
 use crate::kernel::cell::{
-    CLOCK_READING_ERROR, CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease,
-    GraphSpec, JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, WorkerSession,
-    longest_real_time,
+    CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease, GraphSpec,
+    JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, WorkerSession,
 };
 use crate::prelude::*;
 use crate::tasks::CHANNEL_CAPACITY;
@@ -19,7 +18,7 @@
 use crate::tasks::cell::link::WorkerLink;
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner_state::OwnerState;
-use crate::tasks::cell::ownership_lease::{OWNERSHIP_LEASE, OwnershipLease};
+use crate::tasks::cell::ownership_lease::OwnershipLease;
 use crate::tasks::cell::ports::{CellAdapter, StoreClient, TopicPage};
 use crate::tasks::cell::record_codec;
 use crate::tasks::cell::recovery::CellRecovery;
@@ -29,8 +28,6 @@
 
 /// Lease that workers are granted; long enough for another process to take over before it expires.
 const WORKER_LEASE: Duration = Duration::from_millis(6_500);
-/// How long earlier owners may grant leases after a new owner has fenced them.
-const DEPOSED_LEASE_MARGIN: Duration = OWNERSHIP_LEASE.saturating_add(CLOCK_READING_ERROR);
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reports of the load to the log and the metrics.
@@ -196,11 +193,6 @@
         RestartRule::new(self.lease(), self.longest_lease)
     }
 
-    /// Returns how long a worker may hold a lease of an earlier owner after this owner has fenced it.
-    fn longest_deposed_lease(&self) -> Duration {
-        longest_real_time(self.lease()) + DEPOSED_LEASE_MARGIN
-    }
-
     fn handle_registrations(&self, state: &mut OwnerState, message: TailMessage) {
         let page = match message {
             TailMessage::Snapshot(page) => {
@@ -328,14 +320,15 @@
         }
         let (sender, inbox) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = token.child_token();
-        let inherited = state.scheduler.inherited_lease_of(&listing.worker);
-        let expires_by = inherited.unwrap_or_else(|| Instant::now() + self.longest_deposed_lease());
-        let fence = match inherited {
-            Some(_) => CallFence::new(self.token),
+        let (usual, longest) = (self.lease(), self.longest_lease);
+        let (fence, lease) = match state.scheduler.inherited_lease_of(&listing.worker) {
+            Some(expires_by) => (CallFence::new(self.token), WorkerLease::new(usual, longest, expires_by)),
             // An earlier link of this term may have raised the token.
-            None => CallFence::reopened(self.token.max(self.ownership.newest_token())),
+            None => (
+                CallFence::reopened(self.token.max(self.ownership.newest_token())),
+                WorkerLease::reopened(usual, longest, Instant::now()),
+            ),
         };
-        let lease = WorkerLease::new(self.lease(), self.longest_lease, expires_by);
         let recorded_fence = state.scheduler.fence_of(&listing.worker);
         let link = WorkerLink {
             worker: listing.worker.clone(),
--- a/tests/cell_link_restarts.rs
+++ b/tests/cell_link_restarts.rs
@@ -218,6 +218,17 @@
     verify_that!(lease.expires_by().saturating_duration_since(at(22)), ge(LONGEST_LEASE))
 }
 
+/// Guards against tasks that run twice: the list shows a worker that has restarted at another address, and the connection
+/// that was opened there counted less than the one before knew.
+#[gtest]
+fn a_connection_that_is_opened_again_counts_the_longest_lease() -> Result<()> {
+    let now = Instant::now();
+
+    let lease = WorkerLease::reopened(LEASE, LONGEST_LEASE, now);
+
+    verify_that!(lease.expires_by().saturating_duration_since(now), ge(LONGEST_LEASE * 100 / 98))
+}
+
 /// Returns a lease of an owner to whom the worker first answered at `start`, which granted it a lease until 3006.5 s on
 /// the worker's clock at 20 s.
 fn lease_of_a_long_term(start: Instant) -> WorkerLease {
