Tell a restarted worker from a lagging list without comparing wall clocks

Cause: the scheduler took a listed incarnation for a later one than the reported one only if its start was the later by the worker's wall clock. If that clock was set back between two lives, a start was sent to the present one with an expiry by the former clock. Change: each worker keeps the incarnation before the reported one, or the one that was listed before its first report. A listed incarnation that is neither counts as a restart. Why it works: the list lags behind the reports by one life at most in the usual case, which is known; two lives behind only delays starts until the list is read again.

--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -46,6 +46,8 @@
     pub fence_recorded_at: Option<Instant>,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
+    /// Incarnation before that one: the one in earlier reports, or in the list before the first report.
+    pub former_incarnation: Option<WorkerIncarnation>,
     /// Highest number of an end in the reports of this incarnation.
     pub last_handled_end: TaskEndNumber,
     /// Capacity that its placed tasks occupy.
@@ -89,6 +91,7 @@
             fence: None,
             fence_recorded_at: None,
             incarnation: None,
+            former_incarnation: None,
             last_handled_end: 0,
             used: ResourceVector::default(),
             capacity_being_freed: ResourceVector::default(),
@@ -129,10 +132,20 @@
     }
 
     /// Whether the list of workers names a later incarnation than the newest report. A start would carry an expiry by
-    /// the former clock.
+    /// the former clock. The list may lag behind the reports, and which incarnation is the later one cannot be told by
+    /// their times, as the wall clock of the worker may have been set back in between.
     #[must_use]
     pub fn is_listed_as_restarted(&self) -> bool {
-        matches!((self.listing.incarnation, self.incarnation), (Some(listed), Some(reported)) if listed > reported)
+        self.incarnation.is_some() && self.newly_listed().is_some()
+    }
+
+    /// Returns the incarnation in the list of workers if it is neither that of the newest report nor the one before.
+    #[must_use]
+    pub fn newly_listed(&self) -> Option<WorkerIncarnation> {
+        let listed = self.listing.incarnation?;
+        let is_known = self.incarnation == Some(listed)
+            || self.incarnation.is_some() && self.former_incarnation == Some(listed);
+        (!is_known).then_some(listed)
     }
 
     /// Notes whether the forecast from its reports about a run that is done was far too long.
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -50,6 +50,9 @@
         }
         let Some(worker) = self.state.worker_mut(slot) else { return };
         if !worker.watched || address_changed {
+            if worker.polled_at.is_none() {
+                worker.former_incarnation = listing.incarnation;
+            }
             worker.watched = true;
             worker.renewable = false;
             self.state.effects.push(CellEffect::Watch(listing));
@@ -65,10 +68,7 @@
         let (rule, now) = (self.state.restart_rule, self.now);
         let has_open_starts = self.has_open_starts(slot);
         let Some(worker) = self.state.worker_mut(slot) else { return };
-        let Some(started) = worker.listing.incarnation.filter(|listed| worker.incarnation != Some(*listed))
-        else {
-            return;
-        };
+        let Some(started) = worker.newly_listed() else { return };
         let is_fenced = worker.fence.is_some_and(|fence| fence.incarnation == started);
         worker.former_lease_expires_at = match worker.polled_at {
             // The worker refused such calls before the recovery, and its clock is at least that of its entry.
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -82,6 +82,7 @@
         if previous.is_none_or(|previous| previous == incarnation) {
             return;
         }
+        worker.former_incarnation = previous;
         worker.last_handled_end = 0;
         let slot = self.slot;
         let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -4,10 +4,12 @@
 
 use std::time::{Duration, Instant};
 
-use fixture_cell::{CellDriver, START_UNIX_TIME, cell, job, report, running, step, submit, worker};
+use fixture_cell::{
+    CellDriver, INCARNATION, START_UNIX_TIME, cell, job, report, running, step, submit, worker,
+};
 use godwithaven::kernel::cell::{
     CellEvent, CellRecord, CellScheduler, CommandOutcome, FormerRelease, GraphSpec, InheritedLeases,
-    RestartRule, StartCommand, StepSpec, WorkerFence, WorkerListing,
+    PollReport, RestartRule, StartCommand, StepSpec, WorkerFence, WorkerListing,
 };
 use googletest::prelude::*;
 
@@ -417,3 +419,22 @@
 
     verify_that!((early, restarted_on(&driver)), eq(&(None, Some("w0".to_owned()))))
 }
+
+/// Guards against tasks that run twice: the wall clock of a worker went back between two of its lives, so that the list
+/// showed the present one as the older. A list that lags behind the reports keeps no worker from starts.
+#[gtest]
+fn a_worker_whose_wall_clock_went_back_is_listed_as_restarted() -> Result<()> {
+    let listed_at = |incarnation| vec![WorkerListing { incarnation: Some(incarnation), ..worker("w0") }];
+    let earlier = INCARNATION.saturating_sub(Duration::from_secs(1));
+    let later = INCARNATION + Duration::from_secs(1);
+    let [mut back, mut lagging] = [cell(1), cell(1)];
+    back.handle(CellEvent::WorkersListed(listed_at(earlier)));
+    submit(&mut back, service());
+    let restarted = PollReport { incarnation: later, ..report(lagging.now, Vec::new(), Vec::new()) };
+    lagging.handle(CellEvent::WorkerPolled("w0".into(), restarted));
+    lagging.handle(CellEvent::WorkersListed(listed_at(INCARNATION)));
+    submit(&mut lagging, service());
+
+    verify_that!(restarted_on(&back), none())?;
+    verify_that!(restarted_on(&lagging), some(eq("w0")))
+}
