Report a worker as unfenced whenever its fence opens

Cause: the scheduler was told only at the first answer of an incarnation. If a clock that went back in an answer to a command had opened the fence of an incarnation that answers on, starts would be recorded and dropped until it is closed.

--- a/src/kernel/cell/session/answer_change.rs
+++ b/src/kernel/cell/session/answer_change.rs
@@ -6,7 +6,7 @@
 pub struct AnswerChange {
     /// The incarnation that gave the answer before; `None` for the first answer.
     pub previous: Option<WorkerIncarnation>,
-    /// Whether this is the first answer of an incarnation that may still carry out calls for former ones.
+    /// Whether this answer is the first to tell that the worker may carry out calls for former incarnations.
     pub is_unfenced: bool,
     /// Set if the worker has refused calls for its former incarnations since this answer.
     pub fence: Option<WorkerFence>,
--- a/src/kernel/cell/session/worker_session.rs
+++ b/src/kernel/cell/session/worker_session.rs
@@ -32,6 +32,8 @@
     /// From when the worker refused calls for a former incarnation, by the records of earlier owners.
     recorded_fence: Option<WorkerFence>,
     poll_state: PollState,
+    /// Whether the last answer told that calls for a former incarnation may still be carried out.
+    is_known_unfenced: bool,
 }
 
 impl WorkerSession {
@@ -43,7 +45,8 @@
         restart_rule: RestartRule,
         recorded_fence: Option<WorkerFence>,
     ) -> Self {
-        Self { fence, lease, restart_rule, recorded_fence, poll_state: PollState::default() }
+        let (poll_state, is_known_unfenced) = (PollState::default(), false);
+        Self { fence, lease, restart_rule, recorded_fence, poll_state, is_known_unfenced }
     }
 
     /// Returns what is known of the worker now.
@@ -190,8 +193,12 @@
             self.poll_state.not_before = Some(now + MAX_ACKNOWLEDGE_WAIT);
         }
         self.raise_token(newest_token);
-        let is_unfenced = previous != Some(incarnation) && self.fence.is_open();
-        AnswerChange { previous, is_unfenced, fence: is_fenced.then_some(WorkerFence { incarnation, clock }) }
+        let was_unfenced = std::mem::replace(&mut self.is_known_unfenced, self.fence.is_open());
+        AnswerChange {
+            previous,
+            is_unfenced: self.is_known_unfenced && !was_unfenced,
+            fence: is_fenced.then_some(WorkerFence { incarnation, clock }),
+        }
     }
 
     /// Notes that another worker answers at the address, so that this one is gone.
