Decide in one place what the outcome of a start means for a placement

Cause: CommandAnswer::apply_start, for current runs, and CopyKeeper::apply_start_outcome, for copies, each matched all outcomes of a start. Change: TaskPlacement::apply_start_outcome sets the phase and returns the cause of the loss if the run never starts. CommandAnswer uses it for both, and keeps what differs: how the run is marked as lost, and that a refused permit is revoked for a current run.

--- a/src/kernel/cell/command_answer.rs
+++ b/src/kernel/cell/command_answer.rs
@@ -1,4 +1,4 @@
-use crate::kernel::cell::{CellState, CommandOutcome, CopyKeeper, LossCause, PlacementPhase, TaskKey};
+use crate::kernel::cell::{CellState, CommandOutcome, CopyKeeper, LossCause, TaskKey};
 use crate::prelude::*;
 
 /// Applies the answer of a worker to a command, or the fact that there is none.
@@ -45,30 +45,21 @@
     }
 
     fn apply_start(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome) {
-        if self.state.copies.contains_key(&(task.clone(), run)) {
-            CopyKeeper { state: self.state, now: self.now }.apply_start_outcome(task, run, outcome);
+        if let Some(copy) = self.state.copies.get_mut(&(task.clone(), run)) {
+            if let Some(cause) = copy.apply_start_outcome(outcome, self.now) {
+                CopyKeeper { state: self.state, now: self.now }.mark_lost(task, run, cause);
+            }
             return;
         }
         let Some(placement) = self.state.placements.get_mut(task) else { return };
         let slot = placement.slot;
-        match outcome {
-            CommandOutcome::Accepted => placement.phase = PlacementPhase::Running(self.now),
-            CommandOutcome::Unknown => placement.phase = PlacementPhase::Unanswered(self.now),
-            // `Fenced` ends the term of this owner. On `Replaced`, the runs on the worker are already marked
-            // as lost.
-            CommandOutcome::Fenced | CommandOutcome::Replaced => {}
-            CommandOutcome::NoPermit
-            | CommandOutcome::NoRoom
-            | CommandOutcome::Refused
-            | CommandOutcome::NotSent => {
-                if outcome == CommandOutcome::NoPermit
-                    && let Some(state) = self.state.step_mut(&task.step)
-                {
-                    state.permit_cache.revoke(slot);
-                }
-                self.state.mark_lost(task, LossCause::StartFailed(outcome), self.now);
-            }
+        let Some(cause) = placement.apply_start_outcome(outcome, self.now) else { return };
+        if outcome == CommandOutcome::NoPermit
+            && let Some(state) = self.state.step_mut(&task.step)
+        {
+            state.permit_cache.revoke(slot);
         }
+        self.state.mark_lost(task, cause, self.now);
     }
 
     fn apply_stop(&mut self, task: &TaskKey, run: RunNumber, outcome: CommandOutcome) {
--- a/src/kernel/cell/slow_runs/copy_keeper.rs
+++ b/src/kernel/cell/slow_runs/copy_keeper.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellRecord, CellState, CommandOutcome, EndSource, LossCause, PlacementPhase, RunEnd,
-    StopCommand, TaskKey, TaskPlacement,
+    CellEffect, CellRecord, CellState, EndSource, LossCause, PlacementPhase, RunEnd, StopCommand, TaskKey,
+    TaskPlacement,
 };
 use crate::prelude::*;
 
@@ -88,20 +88,6 @@
         }
     }
 
-    /// Applies the outcome of the command to start a run that has become a copy since.
-    pub fn apply_start_outcome(&mut self, key: &TaskKey, run: RunNumber, outcome: CommandOutcome) {
-        let Some(placement) = self.state.copies.get_mut(&(key.clone(), run)) else { return };
-        match outcome {
-            CommandOutcome::Accepted => placement.phase = PlacementPhase::Running(self.now),
-            CommandOutcome::Unknown => placement.phase = PlacementPhase::Unanswered(self.now),
-            CommandOutcome::Fenced | CommandOutcome::Replaced => {}
-            CommandOutcome::NoPermit
-            | CommandOutcome::NoRoom
-            | CommandOutcome::Refused
-            | CommandOutcome::NotSent => self.mark_lost(key, run, LossCause::StartFailed(outcome)),
-        }
-    }
-
     /// Marks copies on a worker as lost that its report lacks although it would contain them, and repeats stops of
     /// runs whose start was not answered.
     pub fn handle_absent(
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -1,3 +1,4 @@
+use crate::kernel::cell::{CommandOutcome, LossCause};
 use crate::prelude::*;
 
 /// Time after which the stop of a run is sent again if it is not confirmed, as a command may get lost.
@@ -69,6 +70,23 @@
         }
     }
 
+    /// Applies the outcome of the start command; returns the cause of the loss if the run never starts.
+    #[must_use]
+    pub const fn apply_start_outcome(&mut self, outcome: CommandOutcome, now: Instant) -> Option<LossCause> {
+        match outcome {
+            CommandOutcome::Accepted => self.phase = PlacementPhase::Running(now),
+            CommandOutcome::Unknown => self.phase = PlacementPhase::Unanswered(now),
+            // `Fenced` ends the term of this owner. On `Replaced`, the runs on the worker are already marked
+            // as lost.
+            CommandOutcome::Fenced | CommandOutcome::Replaced => {}
+            CommandOutcome::NoPermit
+            | CommandOutcome::NoRoom
+            | CommandOutcome::Refused
+            | CommandOutcome::NotSent => return Some(LossCause::StartFailed(outcome)),
+        }
+        None
+    }
+
     /// Records the progress in a report of the worker.
     pub fn note_progress(&mut self, percent: u32, now: Instant) {
         if self.resumed {
