--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -438,3 +438,44 @@
     verify_that!(restarted_on(&back), none())?;
     verify_that!(restarted_on(&lagging), some(eq("w0")))
 }
+
+/// Guards against a service that waits without a bound: each owner of a series counted the longest wait for a worker
+/// that has restarted and answers none of them from the start of its own term. The bound that the owner before recorded
+/// held for the same incarnation.
+#[gtest]
+fn restarts_of_the_owner_do_not_put_off_the_bound_of_a_restarted_worker() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    pass(&mut first, 1_000);
+    let (mut records, mut restarted) = (first.records, None);
+    for term in 0..3 {
+        let mut next = recovered_owner(&records, Instant::now() + INHERITED_LEASE);
+        let clock = Some(Duration::from_secs(1 + 20 * term));
+        list_workers(&mut next, WorkerListing { clock, ..worker_started(Duration::from_secs(1)) });
+        pass(&mut next, 20_000);
+        restarted = restarted.or(restarted_on(&next));
+        records = next.records;
+    }
+
+    verify_that!(restarted, some(eq("w1")))
+}
+
+/// Guards against a log and a state that grow with each worker that there ever was: ids are new after each move and each
+/// replacement, and every owner took over the fences of all workers that have left and recorded them again.
+#[gtest]
+fn the_fence_of_a_worker_that_has_left_is_not_recorded_again() -> Result<()> {
+    let mut first = cell(1);
+    first.scheduler.record_lease_bounds(first.now);
+    first.advance(0);
+    let mut next = recovered_owner(&first.records, Instant::now() + INHERITED_LEASE);
+    list_workers(&mut next, worker("w2"));
+    next.records.clear();
+
+    pass(&mut next, 12_000);
+
+    let names_it = |record: &CellRecord| match record {
+        CellRecord::Fences(fences) => fences.iter().any(|(worker, _)| &**worker == "w0"),
+        _ => false,
+    };
+    verify_that!(first.records.iter().any(names_it), eq(true))?;
+    verify_that!(next.records.iter().any(names_it), eq(false))
+}
