--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -479,3 +479,37 @@
     verify_that!(first.records.iter().any(names_it), eq(true))?;
     verify_that!(next.records.iter().any(names_it), eq(false))
 }
+
+/// Guards against tasks that run twice: a deposed owner goes on sending calls for a while, and so long after that a worker
+/// may carry one out. After a release, the owners before the released one may still send them for what is left of it.
+#[gtest]
+fn the_last_call_of_a_deposed_owner_is_counted() -> Result<()> {
+    let now = Instant::now();
+    let release = |fenced_for| Some(FormerRelease { read_at: now, fenced_for });
+    let after_a_loss = InheritedLeases::new(LEASE, OWNERSHIP_LEASE, None, now);
+    let after_a_short_term = InheritedLeases::new(LEASE, OWNERSHIP_LEASE, release(OWNERSHIP_LEASE / 4), now);
+
+    verify_that!(after_a_loss.calls_end_by, ge(now + OWNERSHIP_LEASE))?;
+    verify_that!(after_a_short_term.calls_end_by, ge(now + OWNERSHIP_LEASE * 3 / 4))
+}
+
+/// Guards against tasks that run twice: what a fenced worker may hold counts from its entry in the list, which tells
+/// nothing of the time since the release of the former owner.
+#[gtest]
+fn the_time_since_a_release_does_not_count_for_a_worker_that_was_just_fenced() -> Result<()> {
+    let age = Duration::from_secs(1);
+    let mut first = cell(1);
+    submit(&mut first, service());
+    let fence = WorkerFence { incarnation: START_UNIX_TIME.saturating_sub(age), clock: age };
+    first.handle(CellEvent::WorkerFenced("w0".into(), fence));
+    first.scheduler.record_lease_bounds(first.now);
+    first.advance(0);
+    let mut next = owner_after_release(&first.records);
+    list_workers(&mut next, worker_started(age));
+
+    pass(&mut next, 9_000);
+    let early = restarted_on(&next);
+    pass(&mut next, 3_000);
+
+    verify_that!((early, restarted_on(&next)), eq(&(None, Some("w1".to_owned()))))
+}
--- a/tests/cell_unfenced_workers.rs
+++ b/tests/cell_unfenced_workers.rs
@@ -169,3 +169,26 @@
     verify_that!(bound, ge((LONGEST_LEASE - fenced_for) * 100 / 98))?;
     verify_that!(bound, lt(LONGEST_LEASE))
 }
+
+/// Guards against starts that are recorded and dropped: the scheduler learns that a restarted worker is not fenced before
+/// it gets the report, by which it would place tasks there.
+#[gtest]
+#[actix_rt::test]
+async fn the_link_tells_that_a_worker_is_unfenced_before_it_passes_the_report_on() -> Result<()> {
+    let worker = FakeWorker::default();
+    worker.answer_as(INCARNATION, Duration::from_secs(700));
+    let mut link = RunningLink::start(&worker);
+    link.await_report(INCARNATION).await.or_fail()?;
+    let next = INCARNATION + Duration::from_secs(1);
+    worker.restart_as(next);
+
+    let is_unfenced = |event| match event {
+        CellEvent::WorkerUnfenced(_) => Some(true),
+        CellEvent::WorkerPolled(_, report) if report.incarnation == next => Some(false),
+        _ => None,
+    };
+    let first = link.await_event(is_unfenced).await;
+    link.token.cancel();
+
+    verify_that!(first, some(eq(true)))
+}
