--- a/src/kernel/cell/cell_record.rs
+++ b/src/kernel/cell/cell_record.rs
@@ -21,6 +21,10 @@
     /// answers again; its lease is renewed only after that is stored.
     #[serde(rename = "b")]
     LeaseBounds(Vec<(WorkerId, Option<Duration>)>),
+    /// How long each of these workers, of which no incarnation has answered the owner, may hold a lease that a call for a
+    /// former incarnation has granted to the listed one. Releases that do not know it pass it over.
+    #[serde(rename = "g")]
+    FormerBounds(Vec<(WorkerId, WorkerIncarnation, Duration)>),
     /// A job reached a final state.
     #[serde(rename = "j")]
     Closed(JobId, JobStatus),
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -1,9 +1,9 @@
 use crate::kernel::cell::{
     CLOSED_JOB_RETENTION, CellConfig, CellEffect, CellEvent, CellJob, CellRecord, CellState, CellSummary,
-    CommandAnswer, CommandOutcome, GangWatch, GraphSpec, InheritedLeases, JobSnapshot, JobStatus, LeaseWatch,
-    ListingUpdate, LogPosition, LookPlanner, PartitionBound, PollReconciler, PollReport, ProgressUpdate,
-    RankUpdate, RecordReplayer, RestartRule, SkippedRecords, SlowRunWatch, StartPass, StepKey, TaskKey,
-    TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerFence,
+    CommandAnswer, CommandOutcome, FORMER_CALL_TIME, GangWatch, GraphSpec, InheritedLeases, JobSnapshot,
+    JobStatus, LeaseWatch, ListingUpdate, LogPosition, LookPlanner, PartitionBound, PollReconciler,
+    PollReport, ProgressUpdate, RankUpdate, RecordReplayer, RestartRule, SkippedRecords, SlowRunWatch,
+    StartPass, StepKey, TaskKey, TeamUsage, UsageRecord, UsageSchedule, UsageWatch, WorkerFence,
 };
 use crate::kernel::{UsageDecay, WorkerHealth};
 use crate::prelude::*;
@@ -142,10 +142,11 @@
                 self.changed |= update.apply(&worker, incarnation, &running);
             }
             CellEvent::WorkerUnfenced(worker) => {
+                let expires_by = now + FORMER_CALL_TIME + self.state.restart_rule.unfenced_lease();
                 if let Some(slot) = self.state.slot(&worker)
                     && let Some(worker) = self.state.worker_mut(slot)
                 {
-                    worker.unfenced = true;
+                    worker.note_unfenced(expires_by, now);
                 }
             }
             CellEvent::WorkerFenced(worker, fence) => self.note_fence(&worker, fence),
--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -1,5 +1,5 @@
 use crate::kernel::WorkerHealth;
-use crate::kernel::cell::{RunnerProfile, StepSpec, TaskKey, WorkerFence, WorkerListing};
+use crate::kernel::cell::{FormerLease, RunnerProfile, StepSpec, TaskKey, WorkerFence, WorkerListing};
 use crate::prelude::*;
 
 /// Time for which nothing is started on a worker after tasks of several jobs failed there.
@@ -30,9 +30,11 @@
     /// When every lease has expired that was granted to the incarnations that have answered an owner; used only while
     /// the worker is unresponsive.
     pub lease_expires_at: Instant,
-    /// When every lease has expired that calls for a former incarnation may have granted to the listed one; `None` if
-    /// the listed incarnation has answered this owner or is not known to be new.
-    pub former_lease_expires_at: Option<Instant>,
+    /// Leases that calls for a former incarnation may have granted; `None` if the present incarnation has refused such
+    /// calls since it answered this owner, or is not known to be new.
+    pub former_lease: Option<FormerLease>,
+    /// The same by the records of an owner that no incarnation has answered, and the incarnation that was listed then.
+    pub recorded_former_bound: Option<(WorkerIncarnation, Instant)>,
     /// Since when the worker has not answered; used only while it is unresponsive.
     pub silent_since: Instant,
     /// When its lease was last bounded in the records. It must then not be renewed before they say that the
@@ -84,7 +86,8 @@
             renewable: false,
             polled_at: None,
             lease_expires_at: inherited_lease_expires_at,
-            former_lease_expires_at: None,
+            former_lease: None,
+            recorded_former_bound: None,
             silent_since: now,
             lease_bound_recorded_at: None,
             unfenced: false,
@@ -108,7 +111,29 @@
     /// Returns when every lease that the worker may hold has expired; used only while it is unresponsive.
     #[must_use]
     pub fn lease_bound(&self) -> Instant {
-        self.former_lease_expires_at.map_or(self.lease_expires_at, |former| former.max(self.lease_expires_at))
+        self.former_lease.map_or(self.lease_expires_at, |former| former.expires_by.max(self.lease_expires_at))
+    }
+
+    /// Records that calls for a former incarnation may grant leases to the present one until `expires_by`.
+    pub const fn note_unfenced(&mut self, expires_by: Instant, now: Instant) {
+        self.unfenced = true;
+        self.former_lease = Some(FormerLease { expires_by, gone_before: Some(now) });
+    }
+
+    /// Records the incarnation in a report; returns whether it is another one than before. Only a report of the listed
+    /// incarnation, or a later one, ends the leases that calls for a former one may have granted, and only if the worker
+    /// refuses such calls.
+    pub fn note_incarnation(&mut self, incarnation: WorkerIncarnation) -> bool {
+        let previous = self.incarnation.replace(incarnation);
+        let is_new = previous.is_some_and(|previous| previous != incarnation);
+        if is_new {
+            self.former_incarnation = previous;
+        }
+        if self.newly_listed().is_none() {
+            let former = self.former_lease.filter(|_| self.unfenced);
+            self.former_lease = former.map(|former| FormerLease { gone_before: None, ..former });
+        }
+        is_new
     }
 
     /// Records that the worker does not answer.
@@ -125,21 +150,21 @@
         self.listed
             && self.responsive
             && !self.unfenced
-            && !self.is_listed_as_restarted()
+            && !self.is_listed_as_another()
             && self.zone_open
             && !self.listing.draining
             && self.suspended_until.is_none_or(|until| now >= until)
     }
 
-    /// Whether the list of workers names a later incarnation than the newest report. A start would carry an expiry by
-    /// the former clock. The list may lag behind the reports, and which incarnation is the later one cannot be told by
-    /// their times, as the wall clock of the worker may have been set back in between.
+    /// Whether the list of workers names another incarnation than the newest report. If that is the later one, a start
+    /// would carry an expiry by the former clock; if it is the earlier one, the present one may be of another kind.
     #[must_use]
-    pub fn is_listed_as_restarted(&self) -> bool {
-        self.incarnation.is_some() && self.newly_listed().is_some()
+    pub fn is_listed_as_another(&self) -> bool {
+        matches!((self.listing.incarnation, self.incarnation), (Some(listed), Some(reported)) if listed != reported)
     }
 
-    /// Returns the incarnation in the list of workers if it is neither that of the newest report nor the one before.
+    /// Returns the incarnation in the list of workers if it is neither that of the newest report nor the one before. Which
+    /// one is later cannot be told by their times, as the wall clock of the worker may have been set back in between.
     #[must_use]
     pub fn newly_listed(&self) -> Option<WorkerIncarnation> {
         let listed = self.listing.incarnation?;
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -40,9 +40,12 @@
             if worker.responsive || worker.lease_expires_at > self.now {
                 continue;
             }
-            // A run that an incarnation confirmed before it restarted cannot be on the listed one.
-            let only_confirmed = worker.lease_bound() > self.now;
-            let is_over = |placement: &TaskPlacement| !only_confirmed || placement.is_confirmed();
+            // A run that an incarnation confirmed before it restarted cannot be on the present one.
+            let former = worker.former_lease.filter(|former| former.expires_by > self.now);
+            let only_confirmed = former.is_some();
+            let is_over = |placement: &TaskPlacement| {
+                former.is_none_or(|former| !former.may_cover(placement.confirmed_at()))
+            };
             let tasks =
                 worker.tasks.iter().filter(|task| self.state.placements.get(task).is_none_or(is_over));
             let tasks: Vec<TaskKey> = tasks.cloned().collect();
@@ -77,7 +80,9 @@
                 interval.is_some_and(|interval| now.saturating_duration_since(recorded_at) >= interval)
             })
         };
-        let due = self.state.workers.iter_mut().filter(is_due);
+        // A worker that has left is not recorded again, so that the log forgets it.
+        let due =
+            self.state.workers.iter_mut().filter(|worker| worker.listed || worker.watched).filter(is_due);
         let fences = due.filter_map(|worker| {
             let fence = worker.fence?;
             worker.fence_recorded_at = Some(now);
@@ -106,13 +111,23 @@
             !worker.responsive && has_runs && now.saturating_duration_since(since) >= interval
         };
         let due = self.state.workers.iter_mut().filter(|worker| is_due(worker));
-        let bounds = due.map(|worker| {
+        let (mut bounds, mut former_bounds) = (Vec::new(), Vec::new());
+        for worker in due {
             worker.lease_bound_recorded_at = Some(now);
-            (worker.listing.worker.clone(), Some(worker.lease_bound().saturating_duration_since(now)))
-        });
-        let bounds: Vec<(WorkerId, Option<Duration>)> = bounds.collect();
+            let name = worker.listing.worker.clone();
+            if let (Some(former), Some(listed), None) =
+                (worker.former_lease, worker.listing.incarnation, worker.polled_at)
+            {
+                let left = former.expires_by.saturating_duration_since(now);
+                former_bounds.push((name.clone(), listed, left));
+            }
+            bounds.push((name, Some(worker.lease_bound().saturating_duration_since(now))));
+        }
         if !bounds.is_empty() {
             self.state.effects.push(CellEffect::Record(CellRecord::LeaseBounds(bounds)));
         }
+        if !former_bounds.is_empty() {
+            self.state.effects.push(CellEffect::Record(CellRecord::FormerBounds(former_bounds)));
+        }
     }
 }
--- a/src/kernel/cell/leases/mod.rs
+++ b/src/kernel/cell/leases/mod.rs
@@ -2,6 +2,7 @@
 //! certainly expired.
 
 mod call_fence;
+mod former_lease;
 mod inherited_leases;
 mod lease_basis;
 mod lease_watch;
@@ -10,6 +11,7 @@
 mod worker_lease;
 
 pub use call_fence::CallFence;
+pub use former_lease::FormerLease;
 pub use inherited_leases::{CLOCK_READING_ERROR, InheritedLeases};
 pub use lease_basis::LeaseBasis;
 pub use lease_watch::LeaseWatch;
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -1,5 +1,5 @@
 use crate::kernel::cell::{
-    CellEffect, CellState, CellWorker, FORMER_CALL_TIME, PlacementPhase, WorkerListing,
+    CellEffect, CellState, CellWorker, FORMER_CALL_TIME, FormerLease, PlacementPhase, WorkerListing,
 };
 use crate::prelude::*;
 
@@ -70,17 +70,24 @@
         let Some(worker) = self.state.worker_mut(slot) else { return };
         let Some(started) = worker.newly_listed() else { return };
         let is_fenced = worker.fence.is_some_and(|fence| fence.incarnation == started);
-        worker.former_lease_expires_at = match worker.polled_at {
+        let expires_by = match worker.polled_at {
             // The worker refused such calls before the recovery, and its clock is at least that of its entry.
             None if is_fenced => {
                 let clock = worker.listing.clock.unwrap_or_default();
                 let lease = rule.former_lease(started, clock, worker.fence);
                 (!lease.is_zero()).then_some(now + lease)
             }
-            None => Some(calls_end_by + rule.unfenced_lease()),
+            // An owner that no incarnation has answered sends no call that grants a lease, so that the bound of the
+            // owner before still holds.
+            None => {
+                let recorded = worker.recorded_former_bound.filter(|(listed, _)| *listed == started);
+                let longest = calls_end_by + rule.unfenced_lease();
+                Some(recorded.map_or(longest, |(_, expires_by)| expires_by.min(longest)))
+            }
             Some(_) if has_open_starts => Some(now + FORMER_CALL_TIME + rule.unfenced_lease()),
             Some(_) => None,
         };
+        worker.former_lease = expires_by.map(|expires_by| FormerLease { expires_by, gone_before: Some(now) });
     }
 
     /// Returns whether a start on the worker is not answered yet.
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -83,8 +83,8 @@
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
 pub use leases::{
-    CLOCK_READING_ERROR, CallFence, FORMER_CALL_TIME, InheritedLeases, LATE_CALL_WINDOW, LeaseBasis,
-    LeaseWatch, RestartRule, WorkerFence, WorkerLease, longest_real_time,
+    CLOCK_READING_ERROR, CallFence, FORMER_CALL_TIME, FormerLease, InheritedLeases, LATE_CALL_WINDOW,
+    LeaseBasis, LeaseWatch, RestartRule, WorkerFence, WorkerLease, longest_real_time,
 };
 pub use listing_update::ListingUpdate;
 pub use order::{
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -77,12 +77,9 @@
     /// its report proves; but a start without an answer may have reached it, and it knows of no earlier stop.
     fn apply_incarnation(&mut self, incarnation: WorkerIncarnation) {
         let Some(worker) = self.state.worker_mut(self.slot) else { return };
-        worker.former_lease_expires_at = None;
-        let previous = worker.incarnation.replace(incarnation);
-        if previous.is_none_or(|previous| previous == incarnation) {
+        if !worker.note_incarnation(incarnation) {
             return;
         }
-        worker.former_incarnation = previous;
         worker.last_handled_end = 0;
         let slot = self.slot;
         let runs = self.state.placements.values_mut().chain(self.state.copies.values_mut());
--- a/src/kernel/cell/record_replayer.rs
+++ b/src/kernel/cell/record_replayer.rs
@@ -34,6 +34,7 @@
                 None => ReplayOutcome::UnknownJob,
             },
             CellRecord::LeaseBounds(_)
+            | CellRecord::FormerBounds(_)
             | CellRecord::Snapshot(_)
             | CellRecord::Usage(_)
             | CellRecord::Fences(_) => ReplayOutcome::Applied,
@@ -74,6 +75,15 @@
                     self.bound_lease(slot, left);
                 }
             }
+            CellRecord::FormerBounds(bounds) => {
+                let counted_from = self.counted_from();
+                for (worker, incarnation, left) in bounds {
+                    let slot = slot_of(self.state, worker, self.now);
+                    if let Some(worker) = self.state.worker_mut(slot) {
+                        worker.recorded_former_bound = Some((incarnation, counted_from + left));
+                    }
+                }
+            }
             CellRecord::Fences(fences) => {
                 for (worker, fence) in fences {
                     let slot = slot_of(self.state, worker, self.now);
@@ -98,14 +108,18 @@
     /// from the replay, or from the release of the former owner; both are later than the record.
     fn bound_lease(&mut self, slot: u32, left: Option<Duration>) {
         let inherited = self.state.inherited_leases_expire_by(self.now);
-        let leases = self.state.inherited_leases;
-        let counted_from = leases.and_then(|leases| leases.counted_from).unwrap_or(self.now);
+        let counted_from = self.counted_from();
         if let Some(worker) = self.state.worker_mut(slot) {
             worker.lease_expires_at = left.map_or(inherited, |left| counted_from + left);
             worker.lease_bound_recorded_at = left.map(|_| self.now);
         }
     }
 
+    /// Returns the time from which the time left in records counts.
+    fn counted_from(&self) -> Instant {
+        self.state.inherited_leases.and_then(|leases| leases.counted_from).unwrap_or(self.now)
+    }
+
     /// Opens the occurrence of a step, and all before it: an earlier owner opened them in order before it
     /// recorded a run of the step. Their due times are not looked at, as the clock of this process may be
     /// behind.
--- a/src/kernel/cell/session/answer_change.rs
+++ b/src/kernel/cell/session/answer_change.rs
@@ -6,7 +6,7 @@
 pub struct AnswerChange {
     /// The incarnation that gave the answer before; `None` for the first answer.
     pub previous: Option<WorkerIncarnation>,
-    /// Whether this answer is the first to tell that the worker may carry out calls for former incarnations.
+    /// Whether this answer is the first of its incarnation to tell that calls for former ones may be carried out.
     pub is_unfenced: bool,
     /// Set if the worker has refused calls for its former incarnations since this answer.
     pub fence: Option<WorkerFence>,
--- a/src/kernel/cell/session/worker_session.rs
+++ b/src/kernel/cell/session/worker_session.rs
@@ -32,7 +32,7 @@
     /// From when the worker refused calls for a former incarnation, by the records of earlier owners.
     recorded_fence: Option<WorkerFence>,
     poll_state: PollState,
-    /// Whether the last answer told that calls for a former incarnation may still be carried out.
+    /// Whether the owner was told that calls for a former incarnation may be carried out, and not yet of their end.
     is_known_unfenced: bool,
 }
 
@@ -167,6 +167,7 @@
         if is_first {
             self.fence.note_restart();
             self.poll_state.expect_restart();
+            self.is_known_unfenced = true;
         }
         is_first
     }
@@ -196,7 +197,7 @@
         let was_unfenced = std::mem::replace(&mut self.is_known_unfenced, self.fence.is_open());
         AnswerChange {
             previous,
-            is_unfenced: self.is_known_unfenced && !was_unfenced,
+            is_unfenced: self.is_known_unfenced && !(was_unfenced && previous == Some(incarnation)),
             fence: is_fenced.then_some(WorkerFence { incarnation, clock }),
         }
     }
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -115,7 +115,16 @@
     /// Whether the worker has confirmed the run to this owner.
     #[must_use]
     pub const fn is_confirmed(&self) -> bool {
-        matches!(self.phase, PlacementPhase::Running(_))
+        self.confirmed_at().is_some()
+    }
+
+    /// Returns when the worker confirmed the run to this owner.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<Instant> {
+        match self.phase {
+            PlacementPhase::Running(confirmed_at) => Some(confirmed_at),
+            _ => None,
+        }
     }
 
     /// Whether a poll that was sent at `poll_sent_at` and whose report lacks the run proves that it does
--- a/src/tasks/cell/decision_log.rs
+++ b/src/tasks/cell/decision_log.rs
@@ -89,6 +89,12 @@
                     "bound of a lease is recorded");
             }
         }
+        CellRecord::FormerBounds(bounds) => {
+            for (worker, incarnation, left) in bounds {
+                log::info!(worker = &**worker, incarnation = milliseconds(*incarnation),
+                    left_ms = milliseconds(*left); "bound of a lease by a former incarnation is recorded");
+            }
+        }
         CellRecord::Fences(fences) => {
             log::info!(workers = fences.len(); "fences of workers are recorded");
         }
--- a/src/tasks/cell/link.rs
+++ b/src/tasks/cell/link.rs
@@ -180,6 +180,8 @@
             log::info!(worker = &*self.worker, token = self.token,
                 clock_ms = clock.map_or(0, milliseconds),
                 last_clock_ms = known.clock.map_or(0, milliseconds); "command is answered by another incarnation");
+            // Comes before the outcome, which holds for the new incarnation.
+            self.send_to_owner(OwnerMessage::Event(CellEvent::WorkerUnfenced(self.worker.clone()))).await;
         }
         // The outcome holds for the new incarnation too: its next report shows the run or its end.
         self.send_to_owner(OwnerMessage::Event(command.into_event(answer.outcome))).await;
--- a/tests/cell_scheduler.rs
+++ b/tests/cell_scheduler.rs
@@ -225,7 +225,9 @@
         incarnation: INCARNATION + Duration::from_secs(1),
         ..report(driver.now, vec![], vec![])
     };
+    let listing = WorkerListing { incarnation: Some(restarted.incarnation), ..worker("w0") };
     driver.handle(CellEvent::WorkerPolled("w0".into(), restarted));
+    driver.handle(CellEvent::WorkersListed(vec![listing]));
 
     verify_that!(driver.started("j.0.0.0").map(|command| command.run), some(eq(2)))
 }
