--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -11,10 +11,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::platform::StoreStandin;
 use crate::platform::worker_state::{
-    CallBody, FIRST_BORN, POLL_INTERVAL, WorkerCall, WorkerEvent, WorkerMessage, WorkerState,
+    CallBody, FIRST_BORN, POLL_INTERVAL, WorkerCall, WorkerMessage, WorkerState,
 };
+use crate::platform::{StoreStandin, WorkerEvent};
 use crate::server;
 
 /// Which callers reach a worker.
