Let the model of a worker restart, be cut off and carry calls out late on a logical clock

Cause: a property test needs what real calls do: they are carried out up to 12 s late, in any order, by whatever incarnation is there then. Change: ModelHost holds the calls to one WorkerModel, its restarts, cuts and delays. It is told the time and uses neither sockets nor randomness. Tests: none of its own; tests/cell_lives.rs plays it.

--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -1,6 +1,10 @@
 //! Stand-ins for the users' platform: its log store, its workers and its placement advisor.
 
 mod advisor;
+mod call_delay;
+mod cut_side;
+mod model_call;
+mod model_host;
 mod runs_report;
 mod store;
 mod worker;
@@ -14,6 +18,10 @@
 mod worker_state;
 
 pub use advisor::AdvisorStandin;
+pub use call_delay::{CallDelay, CallKind};
+pub use cut_side::CutSide;
+pub use model_call::{CallState, ModelCall};
+pub use model_host::ModelHost;
 pub use runs_report::RunsReport;
 pub use store::StoreStandin;
 pub use worker::PlatformWorker;
