--- a/src/kernel/cell/cell_worker.rs
+++ b/src/kernel/cell/cell_worker.rs
@@ -38,12 +38,16 @@
     /// When its lease was last bounded in the records. It must then not be renewed before they say that the
     /// worker answers. `None` if they do not bound it.
     pub lease_bound_recorded_at: Option<Instant>,
+    /// Whether the worker may still carry out calls for a former incarnation.
+    pub unfenced: bool,
     /// From when the worker refuses calls for its former incarnation, as far as is known.
     pub fence: Option<WorkerFence>,
     /// When this owner recorded `fence` last; `None` before that.
     pub fence_recorded_at: Option<Instant>,
     /// Incarnation in its newest report; `None` before the first.
     pub incarnation: Option<WorkerIncarnation>,
+    /// Incarnation before that one: the one in earlier reports, or in the list before the first report.
+    pub former_incarnation: Option<WorkerIncarnation>,
     /// Highest number of an end in the reports of this incarnation.
     pub last_handled_end: TaskEndNumber,
     /// Capacity that its placed tasks occupy.
@@ -83,9 +87,11 @@
             former_lease_expires_at: None,
             silent_since: now,
             lease_bound_recorded_at: None,
+            unfenced: false,
             fence: None,
             fence_recorded_at: None,
             incarnation: None,
+            former_incarnation: None,
             last_handled_end: 0,
             used: ResourceVector::default(),
             capacity_being_freed: ResourceVector::default(),
@@ -118,6 +124,7 @@
     pub fn is_schedulable(&self, now: Instant) -> bool {
         self.listed
             && self.responsive
+            && !self.unfenced
             && !self.is_listed_as_restarted()
             && self.zone_open
             && !self.listing.draining
@@ -125,10 +132,20 @@
     }
 
     /// Whether the list of workers names a later incarnation than the newest report. A start would carry an expiry by
-    /// the former clock.
+    /// the former clock. The list may lag behind the reports, and which incarnation is the later one cannot be told by
+    /// their times, as the wall clock of the worker may have been set back in between.
     #[must_use]
     pub fn is_listed_as_restarted(&self) -> bool {
-        matches!((self.listing.incarnation, self.incarnation), (Some(listed), Some(reported)) if listed > reported)
+        self.incarnation.is_some() && self.newly_listed().is_some()
+    }
+
+    /// Returns the incarnation in the list of workers if it is neither that of the newest report nor the one before.
+    #[must_use]
+    pub fn newly_listed(&self) -> Option<WorkerIncarnation> {
+        let listed = self.listing.incarnation?;
+        let is_known = self.incarnation == Some(listed)
+            || self.incarnation.is_some() && self.former_incarnation == Some(listed);
+        (!is_known).then_some(listed)
     }
 
     /// Notes whether the forecast from its reports about a run that is done was far too long.
--- a/tests/cell_lives.rs
+++ b/tests/cell_lives.rs
@@ -18,7 +18,7 @@
 /// Variable that sets for how many seconds each test runs.
 const LONG_TESTS: &str = "GODWITHAVEN_LONG_TESTS";
 /// Seeds of the short run. Each finds a fault that the code has or had, or one of the moments that are left out.
-const SEEDS: [u64; 4] = [1, 5, 37, 67];
+const SEEDS: [u64; 3] = [3, 5, 16];
 /// Cases of one seed.
 const CASES: u32 = 250;
 /// Largest number of faults, or groups of faults, of a case.
@@ -44,10 +44,12 @@
 fn restart() -> impl Strategy<Value = LifeAction> + Clone {
     let clock_ms = prop_oneof![3 => Just(-4_000_000), 2 => -12_000..12_000_i64, 1 => Just(1_000_000)];
     let dark_ms = prop_oneof![2 => 0..60_u64, 2 => 60..700_u64, 1 => 700..5_000_u64];
-    (dark_ms, clock_ms, 0..2_000_u64, prop::bool::ANY).prop_map(
-        |(dark_ms, clock_ms, listed_after_ms, resets)| LifeAction::Restart {
+    let wall_ms = prop_oneof![3 => Just(0), 1 => -60_000..60_000_i64];
+    (dark_ms, clock_ms, wall_ms, 0..2_000_u64, prop::bool::ANY).prop_map(
+        |(dark_ms, clock_ms, wall_ms, listed_after_ms, resets)| LifeAction::Restart {
             dark_ms,
             clock_ms,
+            wall_ms,
             listed_after_ms,
             resets,
         },
@@ -71,7 +73,7 @@
 }
 
 fn move_worker() -> impl Strategy<Value = LifeAction> + Clone {
-    (0..1_000_u64).prop_map(|listed_after_ms| LifeAction::Move { listed_after_ms })
+    prop_oneof![0..60_u64, 60..1_000_u64].prop_map(|listed_after_ms| LifeAction::Move { listed_after_ms })
 }
 
 /// Times in milliseconds, and the share of each step, of faults that meet at one restart.
--- a/tests/fixture_lives/cell_world.rs
+++ b/tests/fixture_lives/cell_world.rs
@@ -23,6 +23,8 @@
     case: &'a LifeCase,
     origin: Instant,
     now: u64,
+    /// By how many milliseconds the wall clock of the troubled worker is ahead.
+    wall_ms: i64,
     store: CellStore,
     workers: [ModelHost; 2],
     entries: [WorkerEntry; 2],
@@ -45,6 +47,7 @@
             case,
             origin: Instant::now(),
             now: 0,
+            wall_ms: case.wall_ms[0],
             store: CellStore::default(),
             workers: [
                 ModelHost::new("w0", START_UNIX_MS.saturating_add_signed(case.wall_ms[0]), case.clock_rate),
@@ -107,7 +110,8 @@
                 self.submit(&spec.into());
             }
             LifeAction::Replace(change) => self.replace_owner(*change),
-            LifeAction::Restart { dark_ms, clock_ms, listed_after_ms, resets } => {
+            LifeAction::Restart { dark_ms, clock_ms, wall_ms, listed_after_ms, resets } => {
+                self.wall_ms += wall_ms;
                 self.workers[TROUBLED].restart(*dark_ms, *clock_ms, *resets, self.now);
                 self.entries[TROUBLED].due = Some(self.now + dark_ms + listed_after_ms);
                 self.note_events();
@@ -162,7 +166,7 @@
     fn step(&mut self) {
         self.now += STEP;
         for index in 0..self.workers.len() {
-            let wall_ms = if index == TROUBLED { self.case.wall_ms[0] } else { 0 };
+            let wall_ms = if index == TROUBLED { self.wall_ms } else { 0 };
             let unix_ms = (START_UNIX_MS + self.now).saturating_add_signed(wall_ms);
             if self.workers[index].step(unix_ms, self.now) {
                 let life = self.workers[index].life();
@@ -252,8 +256,9 @@
         while let Some((record, source)) = self.store.records.get(self.noted_records).cloned() {
             self.noted_records += 1;
             self.note(|| format!("owner {owner} stores {record:?} {source:?}"));
-            let known = self.owners[owner].known_incarnation(&self.entries[TROUBLED].listing.worker);
-            let known_life = self.workers[TROUBLED].life_of(known);
+            let known = self.owners[owner].known_incarnations(&self.entries[TROUBLED].listing.worker);
+            let [answered, listed] = known.map(|born| self.workers[TROUBLED].life_of(born));
+            let known_life = answered.max(listed);
             self.ledger.note_record(&record, source, &self.workers, known_life, self.case.moments);
         }
     }
--- a/tests/fixture_lives/life_case.rs
+++ b/tests/fixture_lives/life_case.rs
@@ -28,10 +28,11 @@
     /// Delays calls to the troubled worker.
     Delay(CallDelay),
     /// The troubled worker ends, and starts again after `dark_ms` with a clock that differs from the former one by
-    /// `clock_ms`. With `resets`, its callers are told at once.
+    /// `clock_ms`, and with its wall clock set by `wall_ms`. With `resets`, its callers are told at once.
     Restart {
         dark_ms: u64,
         clock_ms: i64,
+        wall_ms: i64,
         listed_after_ms: u64,
         resets: bool,
     },
--- a/tests/fixture_lives/owner_term.rs
+++ b/tests/fixture_lives/owner_term.rs
@@ -1,10 +1,9 @@
 use std::time::{Duration, Instant};
 
 use godwithaven::kernel::cell::{
-    CLOCK_READING_ERROR, CallFence, CellEffect, CellEvent, CellRecord, CellScheduler, CommandOutcome,
-    EndCause, EndSource, EndedRun, InheritedLeases, KnownWorker, PollReport, PollRequest, RestartRule,
-    StartCommand, StopCommand, TaskKey, TermAuthority, WorkerLease, WorkerListing, WorkerSession,
-    longest_real_time,
+    CallFence, CellEffect, CellEvent, CellRecord, CellScheduler, CommandOutcome, EndCause, EndSource,
+    EndedRun, InheritedLeases, KnownWorker, PollReport, PollRequest, RestartRule, StartCommand, StopCommand,
+    TaskKey, TermAuthority, WorkerLease, WorkerListing, WorkerSession, longest_real_time,
 };
 use godwithaven::prelude::*;
 use godwithaven::tasks::cell::ownership_lease::OWNERSHIP_LEASE;
@@ -179,11 +178,12 @@
         .collect()
     }
 
-    /// Returns the newest incarnation of a worker that has answered this owner or is listed.
-    pub fn known_incarnation(&self, worker: &WorkerId) -> Option<u64> {
+    /// Returns the incarnations of a worker that has answered this owner last, and that is listed.
+    pub fn known_incarnations(&self, worker: &WorkerId) -> [Option<u64>; 2] {
         let state = self.scheduler.state();
-        let worker = state.worker(state.slot(worker)?)?;
-        worker.incarnation.max(worker.listing.incarnation).map(milliseconds)
+        let worker = state.slot(worker).and_then(|slot| state.worker(slot));
+        let known = worker.map(|worker| [worker.incarnation, worker.listing.incarnation]);
+        known.unwrap_or_default().map(|incarnation| incarnation.map(milliseconds))
     }
 
     /// Applies the answer to a call, or the fact that there is none.
@@ -208,6 +208,9 @@
                 link.poll = None;
                 if let (Some(report), Some(clock)) = (report, clock) {
                     let change = link.session.note_answer(&report, clock, self.newest_token, at);
+                    if change.is_unfenced {
+                        self.scheduler.handle(CellEvent::WorkerUnfenced(worker.clone()), at);
+                    }
                     if let Some(fence) = change.fence {
                         self.scheduler.handle(CellEvent::WorkerFenced(worker.clone(), fence), at);
                     }
@@ -306,13 +309,15 @@
 
     fn open_link(&mut self, listing: &WorkerListing, now: u64) {
         let at = self.at(now);
-        let inherited = self.scheduler.inherited_lease_of(&listing.worker);
-        let deposed = longest_real_time(WORKER_LEASE) + OWNERSHIP_LEASE + CLOCK_READING_ERROR;
-        let fence = match inherited {
-            Some(_) => CallFence::new(self.token),
-            None => CallFence::reopened(self.token.max(self.newest_token)),
+        let (fence, lease) = match self.scheduler.inherited_lease_of(&listing.worker) {
+            Some(expires_by) => {
+                (CallFence::new(self.token), WorkerLease::new(WORKER_LEASE, LONGEST_LEASE, expires_by))
+            }
+            None => (
+                CallFence::reopened(self.token.max(self.newest_token)),
+                WorkerLease::reopened(WORKER_LEASE, LONGEST_LEASE, at),
+            ),
         };
-        let lease = WorkerLease::new(WORKER_LEASE, LONGEST_LEASE, inherited.unwrap_or(at + deposed));
         let rule = RestartRule::new(WORKER_LEASE, LONGEST_LEASE);
         let recorded_fence = self.scheduler.fence_of(&listing.worker);
         let session = WorkerSession::new(fence, lease, rule, recorded_fence);
