Run the check of the lives of workers for ten minutes where long tests are selected

Change: GODWITHAVEN_LONG_TESTS=1 means ten minutes a test, as it selects the long variants elsewhere; a higher number means seconds.

--- a/tests/cell_lives.rs
+++ b/tests/cell_lives.rs
@@ -1,7 +1,8 @@
 //! Checks on a logical clock that no task runs twice and no result is forgotten, whatever life of a worker carries
 //! out a call: a permission that does not name the life of its holder has to be safe for each later one.
 //!
-//! `GODWITHAVEN_LONG_TESTS=SECONDS` runs cases of further seeds for that long, and prints their number.
+//! `GODWITHAVEN_LONG_TESTS=1` runs cases of further seeds for ten minutes a test, and a higher number for so many
+//! seconds; both print the number of cases.
 
 mod fixture_cell;
 mod fixture_lives;
@@ -15,10 +16,12 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
 
-/// Variable that sets for how many seconds each test runs.
+/// Variable that selects the long run, and for how many seconds each test runs.
 const LONG_TESTS: &str = "GODWITHAVEN_LONG_TESTS";
 /// Seeds of the short run. Each finds a fault that the code has or had, or one of the moments that are left out.
 const SEEDS: [u64; 3] = [3, 5, 16];
+/// Seconds of the long run.
+const LONG_RUN_SECONDS: u64 = 600;
 /// Cases of one seed.
 const CASES: u32 = 250;
 /// Largest number of faults, or groups of faults, of a case.
@@ -158,7 +161,8 @@
 /// its calls, and the run.
 fn check_lives(strategy: &impl Strategy<Value = LifeCase>, seeds: &[u64]) -> Result<()> {
     let long = std::env::var(LONG_TESTS).ok();
-    let time = Duration::from_secs(long.as_ref().and_then(|text| text.parse().ok()).unwrap_or(600));
+    let seconds = long.as_ref().and_then(|text| text.parse().ok()).filter(|seconds| *seconds > 1);
+    let time = Duration::from_secs(seconds.unwrap_or(LONG_RUN_SECONDS));
     let (started, mut played) = (Instant::now(), std::cell::Cell::new(0_u64));
     let further = 1..if long.is_some() { u64::MAX } else { 1 };
     for seed in further.chain(seeds.iter().copied().filter(|_| long.is_none())) {
