--- a/tests/cell_lives.rs
+++ b/tests/cell_lives.rs
@@ -184,18 +184,15 @@
             Ok(())
         });
         let number = first_failure.get().unwrap_or_default();
-        let result = result.map_err(|error| match error {
-            TestError::Fail(reason, case) => {
+        match result {
+            Err(TestError::Fail(reason, case)) => {
                 let timeline = CellWorld::play(&case, true).1;
-                let skipped = timeline.len().saturating_sub(MAX_PRINTED_LINES);
-                let lines = timeline[skipped..].join("\n");
-                format!(
-                    "seed {seed}, case {number}: {reason}\n{case:#?}\n{skipped} lines are left out\n{lines}"
-                )
+                let lines = timeline[timeline.len().saturating_sub(MAX_PRINTED_LINES)..].join("\n");
+                return fail!("seed {seed}, case {number}: {reason}\n{case:#?}\n{lines}");
             }
-            TestError::Abort(reason) => format!("seed {seed}: {reason}"),
-        });
-        verify_that!(result, ok(eq(&())))?;
+            Err(TestError::Abort(reason)) => return fail!("seed {seed}: {reason}"),
+            Ok(()) => {}
+        }
         if long.is_some() && started.elapsed() >= time {
             break;
         }
