Register metrics in one function

Cause: the metrics of entry processes, of cells and of connections registered a clone of each metric in 13 places. Change: register_metric registers a metric and returns it. Names, labels and help texts stay.

--- a/src/tasks/cell/metrics.rs
+++ b/src/tasks/cell/metrics.rs
@@ -12,6 +12,7 @@
 use crate::kernel::cell::TeamUsage;
 use crate::log_pipe;
 use crate::tasks::connection_metrics::ConnectionMetrics;
+use crate::tasks::metric_registration::register_metric;
 
 /// Upper bound of the smallest histogram bucket; each further bound is twice as large.
 const SMALLEST_BUCKET_SECONDS: f64 = 0.001;
@@ -82,35 +83,25 @@
     /// Returns an error if two metrics have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            register_metric(&registry, IntCounterVec::new(Opts::new(name, help), labels)?)
         };
-        let histogram = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+        let histogram = |name: &str, help: &str| {
             let buckets = exponential_buckets(SMALLEST_BUCKET_SECONDS, 2.0, BUCKET_COUNT)?;
-            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
+            register_metric(&registry, Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?)
         };
+        let gauge = |name: &str, help: &str| register_metric(&registry, IntGauge::new(name, help)?);
         let looks =
             IntCounter::new("godwithaven_progress_requests_total", "Requests for the progress of runs")?;
-        registry.register(Box::new(looks.clone()))?;
-        let by_team = |name: &str, help: &str| -> prometheus::Result<GaugeVec> {
-            let gauge = GaugeVec::new(Opts::new(name, help), &["team"])?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
+        let looks = register_metric(&registry, looks)?;
+        let by_team = |name: &str, help: &str| {
+            register_metric(&registry, GaugeVec::new(Opts::new(name, help), &["team"])?)
         };
         let waiting_steps = IntGaugeVec::new(
             Opts::new("godwithaven_cell_waiting_steps", "Steps that wait to be placed, by class"),
             &["class"],
         )?;
-        registry.register(Box::new(waiting_steps.clone()))?;
+        let waiting_steps = register_metric(&registry, waiting_steps)?;
         registry.register(Box::new(log_pipe::dropped_lines()))?;
         Ok(Self {
             calls: counter("godwithaven_calls_total", "Answered calls of callers", &["result"])?,
--- a/src/tasks/connection_metrics.rs
+++ b/src/tasks/connection_metrics.rs
@@ -2,6 +2,8 @@
 
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::tasks::metric_registration::register_metric;
+
 /// Metrics of the connections of clients; clones share their values.
 #[derive(Clone)]
 pub struct ConnectionMetrics {
@@ -22,16 +24,10 @@
     ///
     /// Returns an error if a name is in use.
     pub fn new(registry: &Registry) -> prometheus::Result<Self> {
-        let counter = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
+        let counter = |name: &str, help: &str, label: &str| {
+            register_metric(registry, IntCounterVec::new(Opts::new(name, help), &[label])?)
         };
+        let gauge = |name: &str, help: &str| register_metric(registry, IntGauge::new(name, help)?);
         Ok(Self {
             refused_requests: counter(
                 "godwithaven_client_requests_refused_total",
--- a/src/tasks/metrics.rs
+++ b/src/tasks/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::kernel::TeamWaits;
 use crate::tasks::connection_metrics::ConnectionMetrics;
+use crate::tasks::metric_registration::register_metric;
 
 /// Metrics that the tasks update; clones share their values.
 #[derive(Clone)]
@@ -49,29 +50,17 @@
     /// Returns an error if a metric cannot be registered, for example because its name is in use.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let plain = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let labelled = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
+        let plain = |name: &str, help: &str| register_metric(&registry, IntCounter::new(name, help)?);
+        let labelled = |name: &str, help: &str, label: &str| {
+            register_metric(&registry, IntCounterVec::new(Opts::new(name, help), &[label])?)
         };
+        let gauge = |name: &str, help: &str| register_metric(&registry, IntGauge::new(name, help)?);
         let options = Opts::new("godwithaven_waiting_tasks", "Waiting tasks in the shards of this process");
-        let waiting = IntGaugeVec::new(options, &["team", "reason"])?;
-        registry.register(Box::new(waiting.clone()))?;
+        let waiting = register_metric(&registry, IntGaugeVec::new(options, &["team", "reason"])?)?;
         // Bucket limits from 1 µs to 2 s.
         let buckets = exponential_buckets(0.000_001, 2.0, 22)?;
         let options = HistogramOpts::new("godwithaven_placement_seconds", "Time of a placement decision");
-        let placement_seconds = Histogram::with_opts(options.buckets(buckets))?;
-        registry.register(Box::new(placement_seconds.clone()))?;
+        let placement_seconds = register_metric(&registry, Histogram::with_opts(options.buckets(buckets))?)?;
         Ok(Self {
             placement_seconds,
             placements: plain("godwithaven_placements_total", "Placed tasks")?,
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -15,6 +15,7 @@
 pub mod heartbeat;
 pub mod journal;
 mod leased_stream;
+mod metric_registration;
 pub mod metrics;
 pub mod operator;
 pub mod operator_view;
