--- a/tests/cell_leases.rs
+++ b/tests/cell_leases.rs
@@ -421,7 +421,7 @@
 }
 
 /// Guards against tasks that run twice: the wall clock of a worker went back between two of its lives, so that the list
-/// showed the present one as the older. A list that lags behind the reports keeps no worker from starts.
+/// showed the present one as the older. The bound of its lease goes by that too, but not if the list lags behind.
 #[gtest]
 fn a_worker_whose_wall_clock_went_back_is_listed_as_restarted() -> Result<()> {
     let listed_at = |incarnation| vec![WorkerListing { incarnation: Some(incarnation), ..worker("w0") }];
@@ -433,8 +433,83 @@
     let restarted = PollReport { incarnation: later, ..report(lagging.now, Vec::new(), Vec::new()) };
     lagging.handle(CellEvent::WorkerPolled("w0".into(), restarted));
     lagging.handle(CellEvent::WorkersListed(listed_at(INCARNATION)));
-    submit(&mut lagging, service());
+    let is_new = |driver: &CellDriver| driver.scheduler.state().workers[0].newly_listed().is_some();
 
     verify_that!(restarted_on(&back), none())?;
-    verify_that!(restarted_on(&lagging), some(eq("w0")))
+    verify_that!((is_new(&back), is_new(&lagging)), eq((true, false)))
+}
+
+/// Guards against a service that waits without a bound: each owner of a series counted the longest wait for a worker
+/// that has restarted and answers none of them from the start of its own term. The bound that the owner before recorded
+/// held for the same incarnation.
+#[gtest]
+fn restarts_of_the_owner_do_not_put_off_the_bound_of_a_restarted_worker() -> Result<()> {
+    let mut first = owner_with_a_silent_worker();
+    pass(&mut first, 1_000);
+    let (mut records, mut restarted) = (first.records, None);
+    for term in 0..3 {
+        let mut next = recovered_owner(&records, Instant::now() + INHERITED_LEASE);
+        let clock = Some(Duration::from_secs(1 + 20 * term));
+        list_workers(&mut next, WorkerListing { clock, ..worker_started(Duration::from_secs(1)) });
+        pass(&mut next, 20_000);
+        restarted = restarted.or(restarted_on(&next));
+        records = next.records;
+    }
+
+    verify_that!(restarted, some(eq("w1")))
+}
+
+/// Guards against a log and a state that grow with each worker that there ever was: ids are new after each move and each
+/// replacement, and every owner took over the fences of all workers that have left and recorded them again.
+#[gtest]
+fn the_fence_of_a_worker_that_has_left_is_not_recorded_again() -> Result<()> {
+    let mut first = cell(1);
+    first.scheduler.record_lease_bounds(first.now);
+    first.advance(0);
+    let mut next = recovered_owner(&first.records, Instant::now() + INHERITED_LEASE);
+    list_workers(&mut next, worker("w2"));
+    next.records.clear();
+
+    pass(&mut next, 12_000);
+
+    let names_it = |record: &CellRecord| match record {
+        CellRecord::Fences(fences) => fences.iter().any(|(worker, _)| &**worker == "w0"),
+        _ => false,
+    };
+    verify_that!(first.records.iter().any(names_it), eq(true))?;
+    verify_that!(next.records.iter().any(names_it), eq(false))
+}
+
+/// Guards against tasks that run twice: a deposed owner goes on sending calls for a while, and so long after that a worker
+/// may carry one out. After a release, the owners before the released one may still send them for what is left of it.
+#[gtest]
+fn the_last_call_of_a_deposed_owner_is_counted() -> Result<()> {
+    let now = Instant::now();
+    let release = |fenced_for| Some(FormerRelease { read_at: now, fenced_for });
+    let after_a_loss = InheritedLeases::new(LEASE, OWNERSHIP_LEASE, None, now);
+    let after_a_short_term = InheritedLeases::new(LEASE, OWNERSHIP_LEASE, release(OWNERSHIP_LEASE / 4), now);
+
+    verify_that!(after_a_loss.calls_end_by, ge(now + OWNERSHIP_LEASE))?;
+    verify_that!(after_a_short_term.calls_end_by, ge(now + OWNERSHIP_LEASE * 3 / 4))
+}
+
+/// Guards against tasks that run twice: what a fenced worker may hold counts from its entry in the list, which tells
+/// nothing of the time since the release of the former owner.
+#[gtest]
+fn the_time_since_a_release_does_not_count_for_a_worker_that_was_just_fenced() -> Result<()> {
+    let age = Duration::from_secs(1);
+    let mut first = cell(1);
+    submit(&mut first, service());
+    let fence = WorkerFence { incarnation: START_UNIX_TIME.saturating_sub(age), clock: age };
+    first.handle(CellEvent::WorkerFenced("w0".into(), fence));
+    first.scheduler.record_lease_bounds(first.now);
+    first.advance(0);
+    let mut next = owner_after_release(&first.records);
+    list_workers(&mut next, worker_started(age));
+
+    pass(&mut next, 9_000);
+    let early = restarted_on(&next);
+    pass(&mut next, 3_000);
+
+    verify_that!((early, restarted_on(&next)), eq(&(None, Some("w1".to_owned()))))
 }
