Tell the owner of the check first when a command is answered by another incarnation

Cause: WorkerLink sends WorkerUnfenced before the outcome of such a command; the wiring of the check did not.

--- a/tests/fixture_lives/owner_term.rs
+++ b/tests/fixture_lives/owner_term.rs
@@ -246,6 +246,7 @@
                 let clock = clock.filter(|_| !is_fenced);
                 if clock.is_some_and(|clock| link.session.note_command_clock(clock, call.known, at)) {
                     link.poll = None;
+                    self.scheduler.handle(CellEvent::WorkerUnfenced(worker.clone()), at);
                 }
                 let event = match call.request.clone() {
                     CallRequest::Start(command, _) => {
