Let the soak find leases that were granted to a former incarnation

Held calls were carried out 0 to 5 s after the start of the new incarnation, mostly after the token of the owner had risen. In a trial with such calls, tasks that were given up at 12.1 s waited for cores until 16.5 s, longer than the lease lasted. Change: half of the restarts are takeovers, drawn from a generator of their own. One worker carries held calls out as soon as it is back, jobs of 9 to 12 s follow, the owner is killed, and the worker is cut off 0.1 s after it has seen the token of the next owner. Partitions that are due wait until the cut and then spare the owner, and one of seven jobs is submitted, until the worker is reached again. Restarts are looked at before partitions. Other restarts, the draws and the checks stay as they were; when a run is over, a cut that a takeover may still begin keeps its end.

--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -10,7 +10,8 @@
 
 use fixture_platform::{Platform, RunTally, free_ports, job, start_platform};
 use fixture_soak::{
-    Partitions, RestartStep, SeededRandom, SoakProcess, WorkerRestarts, owner_of, restart_worker,
+    Partitions, RestartStep, SeededRandom, SoakProcess, WorkerRestarts, cut_on_takeover, owner_of,
+    restart_worker,
 };
 use futures_util::FutureExt;
 use futures_util::future::join_all;
@@ -31,6 +32,8 @@
 const FIRST_FAULT_AFTER: Duration = Duration::from_secs(2);
 /// A job with a task that may outlast a lease is submitted after this many other jobs.
 const LONG_JOB_INTERVAL: usize = 10;
+/// One of this many jobs is submitted in a takeover; all of them would take more than the cores of the workers.
+const TAKEOVER_JOB_INTERVAL: usize = 7;
 /// Factor of the time between two faults other than partitions for most seeds: only an owner that lives on in a
 /// long partition can go on renewing leases.
 const SPARSE_FAULT_FACTOR: u32 = 12;
@@ -120,9 +123,14 @@
         }
     }
 
-    /// Begins a partition if one is due.
+    /// Begins a partition if one is due, but none that ends a takeover.
     fn begin_partition(&mut self) {
-        if let Some(partition) = self.partitions.begin_due(&self.platform, &mut self.processes) {
+        if self.restarts.awaits_owner() {
+            return;
+        }
+        let spares_owner = self.restarts.is_taking_over();
+        if let Some(partition) = self.partitions.begin_due(&self.platform, &mut self.processes, spares_owner)
+        {
             self.faults.push(format!("{partition} at {:?}", self.started_at.elapsed()));
         }
     }
@@ -144,6 +152,11 @@
                 RestartStep::Cut(workers) => {
                     self.chosen_workers(&workers).for_each(|worker| worker.set_cut(true));
                 }
+                RestartStep::CutOnTakeover(workers) => {
+                    for worker in self.chosen_workers(&workers) {
+                        actix_rt::spawn(cut_on_takeover(worker.clone(), worker.highest_token()));
+                    }
+                }
                 RestartStep::Reconnect(workers) => {
                     self.chosen_workers(&workers).for_each(|worker| worker.set_cut(false));
                 }
@@ -184,11 +197,19 @@
         self.tally.add_events(&mut self.platform.events);
     }
 
+    /// Returns whether this job is not submitted, so that a takeover has room.
+    fn is_left_out(&self, number: usize) -> bool {
+        self.restarts.is_taking_over() && !number.is_multiple_of(TAKEOVER_JOB_INTERVAL)
+    }
+
     /// Submits a job with short tasks to a random process.
     async fn submit(&mut self, number: usize) {
         let id = format!("{number:016x}");
         let index = usize::try_from(self.random.next_below(u64::from(PROCESS_COUNT))).unwrap_or_default();
         let time = 30 + self.random.next_below(500);
+        if self.is_left_out(number) {
+            return;
+        }
         self.post_job(id, index, job(&format!("ms={time}"))).await;
     }
 
@@ -197,6 +218,9 @@
         let id = format!("f{number:015x}");
         let index = self.long_job_random.next_below(u64::from(PROCESS_COUNT));
         let time = 2_000 + self.long_job_random.next_below(16_000);
+        if self.is_left_out(number) {
+            return;
+        }
         let job = json!({"spec": format!("ms={time}"), "steps": [
             {"count": 1, "cpu": 1_000, "mem_mb": 100, "estimated_ms": time},
         ]});
@@ -341,8 +365,8 @@
                 let interval = Duration::from_millis(200 + run.random.next_below(900));
                 next_fault = Instant::now() + interval * fault_factor(seed);
             }
-            run.begin_partition();
             run.advance_restarts().await;
+            run.begin_partition();
             run.advance();
             tokio::time::sleep(Duration::from_millis(60)).await;
         }
--- a/tests/fixture_soak/partitions.rs
+++ b/tests/fixture_soak/partitions.rs
@@ -58,16 +58,21 @@
         }
     }
 
-    /// Begins a partition if one is due and returns its description. Two of three concern the owner, unless the
-    /// workers are divided already. None begins that leaves no process with the store.
-    pub fn begin_due(&mut self, platform: &Platform, processes: &mut [SoakProcess]) -> Option<String> {
+    /// Begins a partition if one is due and returns its description. Two of three concern the owner, unless it is
+    /// spared or the workers are divided already. None begins that leaves no process with the store.
+    pub fn begin_due(
+        &mut self,
+        platform: &Platform,
+        processes: &mut [SoakProcess],
+        spares_owner: bool,
+    ) -> Option<String> {
         if Instant::now() < self.next_at {
             return None;
         }
         let (owner, token) = owner_of(platform, processes)?;
         self.next_at = Instant::now() + self.next_time(MIN_INTERVAL, INTERVAL_RANGE_MS);
         let draw = self.draw_partition(platform.workers.len());
-        let of_owner = draw.prefers_owner && self.workers_back_at.is_none();
+        let of_owner = draw.prefers_owner && !spares_owner && self.workers_back_at.is_none();
         let index = if of_owner { owner } else { other_index(owner, draw.other, processes.len()) };
         if !another_reaches_store(processes, index) {
             return None;
--- a/tests/fixture_soak/restarts.rs
+++ b/tests/fixture_soak/restarts.rs
@@ -33,6 +33,21 @@
 const MIN_RUN_TIME_MS: u64 = 6_000;
 /// Range of the run times above the shortest, in milliseconds.
 const RUN_TIME_RANGE_MS: u64 = 10_000;
+/// Changes the seed for the numbers of takeovers; the draws for other restarts stay as they were.
+const TAKEOVER_SEED: u64 = 0x7461_6b65;
+/// Shortest run time of jobs in a takeover, in milliseconds. The next owner waits 6.9 s for leases that end 10 s after
+/// the restart, and tasks have to run until then.
+const MIN_TAKEOVER_RUN_MS: u64 = 9_000;
+/// Range of the run times above the shortest, in milliseconds.
+const TAKEOVER_RUN_RANGE_MS: u64 = 3_000;
+/// Time from the beginning of a takeover to its jobs. The owner knows the new incarnations by then, at the latest after
+/// the 0.5 s in which it awaits an answer to a start.
+const TAKEOVER_JOB_DELAY: Duration = Duration::from_millis(1_700);
+/// Longest wait for the next owner, and the time that it has for an answer before the cut.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Time from the kill to the end of a cut in a takeover. It outlasts 10 s, the longest lease that workers accept.
+const TAKEOVER_CUT: Duration = Duration::from_millis(12_500);
 
 /// A step of a restart that is due.
 #[derive(Clone, Debug)]
@@ -45,6 +60,8 @@
     KillOwner,
     /// Workers are cut off from all processes.
     Cut(Vec<bool>),
+    /// The same for each of these workers as soon as the next owner has reached it.
+    CutOnTakeover(Vec<bool>),
     /// They are reached again.
     Reconnect(Vec<bool>),
 }
@@ -52,6 +69,9 @@
 /// Restarts at times that depend only on the seed.
 pub struct WorkerRestarts {
     random: SeededRandom,
+    takeover_random: SeededRandom,
+    /// Whether the present or next restart is a takeover.
+    is_takeover: bool,
     worker_count: usize,
     /// Steps that are not over, by their times.
     steps: VecDeque<(Instant, RestartStep)>,
@@ -62,8 +82,14 @@
 impl WorkerRestarts {
     /// Returns a series of restarts whose first begins at this time.
     pub fn new(seed: u64, worker_count: usize, first_at: Instant) -> Self {
-        let mut restarts =
-            Self { random: SeededRandom(seed), worker_count, steps: VecDeque::new(), is_finished: false };
+        let mut restarts = Self {
+            random: SeededRandom(seed),
+            takeover_random: SeededRandom(seed ^ TAKEOVER_SEED),
+            is_takeover: false,
+            worker_count,
+            steps: VecDeque::new(),
+            is_finished: false,
+        };
         restarts.add_restart(first_at);
         restarts
     }
@@ -79,10 +105,25 @@
         Some(step)
     }
 
-    /// Leaves out all further steps but the end of a cut that has begun.
+    /// Returns whether a takeover goes on. The tasks of workers that are cut off start elsewhere too early only if the next
+    /// owner stays, and if the other workers have room for them.
+    pub fn is_taking_over(&self) -> bool {
+        self.is_takeover && !matches!(self.steps.front(), Some((_, RestartStep::Restart { .. })))
+    }
+
+    /// Returns whether the next owner in a takeover may not have reached the workers yet.
+    pub fn awaits_owner(&self) -> bool {
+        self.is_taking_over() && self.steps.len() > 1
+    }
+
+    /// Leaves out all further steps but the end of a cut that has begun, or that a takeover may begin.
     pub fn finish(&mut self) {
-        let is_cut = matches!(self.steps.front(), Some((_, RestartStep::Reconnect(_))));
-        self.steps.truncate(usize::from(is_cut));
+        let kept_count = match self.steps.front() {
+            Some((_, RestartStep::Reconnect(_))) => 1,
+            Some((_, RestartStep::Cut(_))) if self.is_takeover => 2,
+            _ => 0,
+        };
+        self.steps.truncate(kept_count);
         self.is_finished = true;
     }
 
@@ -96,6 +137,10 @@
         let kills_owner = self.random.next_below(2) == 0;
         let cut_at = begins_at + self.next_time(MIN_CUT_DELAY, CUT_DELAY_RANGE_MS);
         let back_at = cut_at + self.next_time(MIN_CUT, CUT_RANGE_MS);
+        self.is_takeover = self.takeover_random.next_below(2) == 0;
+        if self.is_takeover {
+            return self.add_takeover(begins_at, resets);
+        }
         let restart = RestartStep::Restart { workers: workers.clone(), resets, late_calls };
         self.steps.push_back((begins_at, restart));
         self.steps.push_back((begins_at + JOB_DELAY, RestartStep::Submit(run_time)));
@@ -106,6 +151,25 @@
         self.steps.push_back((back_at, RestartStep::Reconnect(workers)));
     }
 
+    /// Adds a restart in which the first calls that new incarnations carry out grant leases by the clocks of the former
+    /// ones, for longer than owners do. The next owner reaches these workers only once, so that it has to know of the
+    /// restart to wait for long enough.
+    fn add_takeover(&mut self, begins_at: Instant, resets: bool) {
+        let chosen = self.takeover_random.next_below(self.worker_count as u64);
+        let workers: Vec<bool> = (0..self.worker_count as u64).map(|number| number == chosen).collect();
+        let run_time = MIN_TAKEOVER_RUN_MS + self.takeover_random.next_below(TAKEOVER_RUN_RANGE_MS);
+        let killed_at = begins_at + KILL_DELAY;
+        let late_calls = Some(Duration::ZERO);
+        self.steps.extend([
+            (begins_at, RestartStep::Restart { workers: workers.clone(), resets, late_calls }),
+            (begins_at + TAKEOVER_JOB_DELAY, RestartStep::Submit(run_time)),
+            (killed_at, RestartStep::KillOwner),
+            (killed_at, RestartStep::CutOnTakeover(workers.clone())),
+            (killed_at + TAKEOVER_TIMEOUT, RestartStep::Cut(workers.clone())),
+            (killed_at + TAKEOVER_CUT, RestartStep::Reconnect(workers)),
+        ]);
+    }
+
     fn next_time(&mut self, shortest: Duration, range_ms: u64) -> Duration {
         shortest + Duration::from_millis(self.random.next_below(range_ms))
     }
@@ -123,3 +187,11 @@
         worker.release_calls(true).await;
     }
 }
+
+/// Cuts a worker off as soon as an owner with a token above this one has reached it.
+pub async fn cut_on_takeover(worker: PlatformWorker, token: u64) {
+    if tokio::time::timeout(TAKEOVER_TIMEOUT, worker.await_token_above(token)).await.is_ok() {
+        tokio::time::sleep(ANSWER_TIME).await;
+        worker.set_cut(true);
+    }
+}
