Move the tests of the scheduler of a cell to files by subject

Cause: tests/cell_scheduler.rs had 546 lines about gangs, preemption, lost runs and new owners beside the starts of steps. Only places and imports change.

--- a/tests/cell_preemption.rs
+++ b/tests/cell_preemption.rs
@@ -97,3 +97,46 @@
 
     verify_that!((first.stops.len(), second.stops.len()), eq((2, 2)))
 }
+
+/// Urgent tasks are late if they have to wait until batch tasks end on their own.
+#[gtest]
+fn tasks_with_checkpoints_are_preempted_by_urgent_ones() -> Result<()> {
+    let mut driver = cell(1);
+    let batch = StepSpec { checkpoints: true, ..step(8) };
+    submit(&mut driver, job("b", "batch", vec![batch]));
+    driver.advance(2_000);
+
+    submit(&mut driver, job("u", "urgent", vec![step(2)]));
+
+    verify_that!(driver.stops.len(), eq(2))?;
+    verify_that!(driver.stops.iter().all(|command| command.reason == "yields_to_urgent"), eq(true))
+}
+
+/// Preempting a task without checkpoints discards all of its work.
+#[gtest]
+fn tasks_without_checkpoints_are_not_preempted() -> Result<()> {
+    let mut driver = cell(1);
+    submit(&mut driver, job("b", "batch", vec![step(8)]));
+    driver.advance(2_000);
+
+    submit(&mut driver, job("u", "urgent", vec![step(2)]));
+
+    verify_that!(driver.stops.len(), eq(0))
+}
+
+/// The urgent tasks of a team must not wait because its own batch tasks use up the limit of the team.
+#[gtest]
+fn tasks_of_a_team_at_its_limit_are_preempted_by_its_urgent_ones() -> Result<()> {
+    let mut driver = cell(4);
+    let mut batch = job("b", "batch", vec![StepSpec { checkpoints: true, ..step(24) }]);
+    batch.team = "blue".into();
+    let mut urgent = job("u", "urgent", vec![step(3)]);
+    urgent.team = "blue".into();
+    submit(&mut driver, batch);
+    driver.advance(2_000);
+
+    submit(&mut driver, urgent);
+
+    verify_that!(driver.stops.len(), eq(3))?;
+    verify_that!(driver.stops.iter().all(|command| command.reason == "yields_in_team"), eq(true))
+}
