--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -14,7 +14,7 @@
 /// Longest lease, in milliseconds.
 pub const MAX_HOLD_MS: u64 = 10_000;
 /// Time that a stop takes; `bounds.stop_ms` is 200.
-const STOP_MS: u64 = 50;
+const STOP_MS: u64 = 150;
 /// Interval of the entries in the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Startup of a task that lasts, in milliseconds.
@@ -146,6 +146,11 @@
         *self.shared.starts.lock().expect("the starts") = starts;
     }
 
+    /// Whether a start is still to be left unanswered.
+    pub fn is_sound(&self) -> bool {
+        *self.shared.starts.lock().expect("the starts") == Starts::Sound
+    }
+
     /// Ends the process; its runs are gone, and it answers nothing.
     pub fn crash(&self) {
         let mut life = self.shared.life.lock().expect("the runner");
