--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -24,6 +24,8 @@
 
 /// Host of all routes.
 const HOST: &str = "jobs.example";
+/// Runners of a kind of their own, the first ones.
+const OWN_KINDS: usize = 40;
 /// Time that clients wait for an answer.
 const DEADLINE: Duration = Duration::from_millis(3_000);
 /// `bounds.finish_s`.
@@ -99,7 +101,7 @@
     /// Starts further runners. Some are of a kind of their own, and the others of one kind.
     fn add_runners(&mut self, count: usize) {
         for index in self.runners.len()..self.runners.len() + count {
-            let kind = if index < 40 { format!("kind-{index}") } else { "plain".to_owned() };
+            let kind = if index < OWN_KINDS { format!("kind-{index}") } else { "plain".to_owned() };
             let labels = [kind, format!("rack-{}", index / 4)];
             let zone = ["a", "b", "c"][index % 3];
             let kind = Kind { service: "svc", zone, cpu: 64_000, mem_mb: 262_144, labels };
--- a/review/standins-2/cases/dense.rs
+++ b/review/standins-2/cases/dense.rs
@@ -5,7 +5,7 @@
 /// Steps without a dependency, and steps that depend on all of these.
 const WIDTH: (usize, usize) = (300, 180);
 /// Such jobs, handed in at once.
-const JOBS: u64 = 12;
+const JOBS: u64 = 16;
 /// Time from which the small jobs are handed in, and from which the large ones are.
 const TRAFFIC: Duration = Duration::from_secs(36);
 const LARGE_AFTER: Duration = Duration::from_secs(6);
--- a/review/standins-2/cases/window.rs
+++ b/review/standins-2/cases/window.rs
@@ -5,8 +5,6 @@
 /// Runners from the start, and those that are added: a quarter more.
 const RUNNERS: usize = 120;
 const ADDED: usize = 30;
-/// The first of the runners are of a kind of their own; a job is handed in for each of these kinds.
-const KINDS: usize = 40;
 const WATCHED: Duration = Duration::from_secs(30);
 
 pub fn run(trouble: bool) -> Verdict {
@@ -17,7 +15,8 @@
     std::thread::sleep(Duration::from_secs(6));
     let client = bed.client("t1");
     let mut accepted = Vec::new();
-    for number in 0..KINDS {
+    // A job for each kind of which there is one runner.
+    for number in 0..OWN_KINDS {
         let id = format!("{:016x}", 0x0e00_0000_0000_0000 + number as u64);
         let step = "\"count\":1,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":500";
         let body =
