--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/godwithaven-entry target/review-2/bed; do
     [ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build-2.sh" >&2; exit 2; }
 done
-exec target/review-2/bed route "$here"
+exec target/review-2/bed late "$here"
