--- a/review/standins-2/cases/late.rs
+++ b/review/standins-2/cases/late.rs
@@ -7,13 +7,15 @@
 /// Time before that at which the runner crashes, and for which it is down.
 const CRASH_BEFORE: Duration = Duration::from_millis(900);
 const DOWN: Duration = Duration::from_millis(500);
-/// A job of one task, and one that keeps the runners busy.
+/// Runners, one of which crashes.
+const RUNNERS: usize = 8;
+/// A job of one task, whose start is delayed, and one that keeps the runners busy.
 const JOB: &str = "{\"spec\":\"ms=20000\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":20000}]}";
 const OTHER_JOB: &str =
-    "{\"spec\":\"ms=60000\",\"steps\":[{\"count\":6,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":60000}]}";
+    "{\"spec\":\"ms=60000\",\"steps\":[{\"count\":24,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":60000}]}";
 
 pub fn run(trouble: bool) -> Verdict {
-    let bed = Bed::start(&[route("q", "/q/", "svc", 2)], &[tenant("t1", 10, 0)], 3)?;
+    let bed = Bed::start(&[route("q", "/q/", "svc", 2)], &[tenant("t1", 10, 0)], RUNNERS)?;
     let client = bed.client("t1");
     client.submit(&format!("/q/{:016x}", 0x0c00_0000_0000_0001u64), OTHER_JOB);
     std::thread::sleep(Duration::from_secs(1));
