Search beyond the window for the only worker that can take a step

Cause: the window of 128 workers of a service began at the same place in each pass and counted workers that cannot run the step, so that callers' jobs never started beside the idle worker that could run them. Change: workers are listed by label, the window counts workers that may run the step, workers with room are added from outside it, and windows of steps without permits move on.

--- a/src/kernel/cell/admission/cell_backlog.rs
+++ b/src/kernel/cell/admission/cell_backlog.rs
@@ -32,7 +32,7 @@
         let mut backlog = Self {
             rooms: state
                 .pools
-                .iter()
+                .services()
                 .map(|(service, slots)| (service.clone(), room(state, slots, now)))
                 .collect(),
             limits: state.config.teams.iter().map(|(team, rule)| (team.clone(), rule.limit)).collect(),
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -7,7 +7,7 @@
     PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd,
     RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank,
     StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
-    UsageCorrection, UsageWatch,
+    UsageCorrection, UsageWatch, WorkerPools,
 };
 use crate::prelude::*;
 
@@ -18,6 +18,9 @@
 /// Bounds the doublings of the backoff, so that it is at most 3.2 s.
 const MAX_PREEMPTION_DOUBLINGS: u32 = 3;
 
+/// The specification of a job, and the specification and the state of one of its steps.
+pub type StepView<'a> = (&'a GraphSpec, &'a StepSpec, &'a StepState);
+
 /// Jobs, placements and workers of a cell.
 ///
 /// The methods keep the counts of workers, teams, jobs and steps consistent with the placements.
@@ -32,10 +35,8 @@
     slots: FastMap<WorkerId, u32>,
     /// Whether the list of workers was applied in this term.
     pub workers_listed: bool,
-    /// Slots of the listed workers of each service.
-    pub pools: FastMap<ServiceId, Vec<u32>>,
-    /// Slots of the listed workers of each rack.
-    pub racks: FastMap<RackId, Vec<u32>>,
+    /// The listed workers by what a step may ask for.
+    pub pools: WorkerPools,
     /// Open jobs, and closed ones until their retention time is over.
     pub jobs: FastMap<JobId, CellJob>,
     /// Jobs whose cancellation was read before their submission, with the time of that read.
@@ -122,7 +123,7 @@
     /// Returns the specification of the job, and the specification and the state of the step; `None` if the
     /// job or the occurrence is not known.
     #[must_use]
-    pub fn step(&self, key: &StepKey) -> Option<(&GraphSpec, &StepSpec, &StepState)> {
+    pub fn step(&self, key: &StepKey) -> Option<StepView<'_>> {
         let job = self.jobs.get(&key.job)?;
         let state = job.occurrences.get(&key.occurrence)?.steps.get(key.step as usize)?;
         Some((&job.spec, job.spec.steps.get(key.step as usize)?, state))
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -80,7 +80,7 @@
         let count = |wait: StepWait| steps.iter().filter(|step| step.wait_reason == Some(wait)).count();
         let mut pools: Vec<(ServiceId, PoolSummary)> = state
             .pools
-            .iter()
+            .services()
             .map(|(service, slots)| (service.clone(), Self::pool(state, slots, now)))
             .collect();
         pools.sort_by(|(left, _), (right, _)| left.cmp(right));
--- a/src/kernel/cell/forecast/job_forecaster.rs
+++ b/src/kernel/cell/forecast/job_forecaster.rs
@@ -65,7 +65,7 @@
         }
         let mut workers: BTreeMap<WorkerFit, usize> = BTreeMap::new();
         let service = state.config.queues.get(&spec.queue).map(|rule| &rule.service);
-        for slot in service.and_then(|service| state.pools.get(service)).into_iter().flatten() {
+        for slot in service.map_or(&[][..], |service| state.pools.of_service(service)) {
             if let Some(worker) = state.worker(*slot) {
                 *workers.entry(WorkerFit::of(worker, step, self.now)).or_default() += 1;
             }
@@ -124,8 +124,8 @@
 
     fn oldest_report(&self, state: &CellState, queue: &QueueId) -> u64 {
         let service = state.config.queues.get(queue).map(|rule| &rule.service);
-        let slots = service.and_then(|service| state.pools.get(service)).into_iter().flatten();
-        let workers = slots.filter_map(|slot| state.worker(*slot)).filter(|worker| worker.responsive);
+        let slots = service.map_or(&[][..], |service| state.pools.of_service(service));
+        let workers = slots.iter().filter_map(|slot| state.worker(*slot)).filter(|worker| worker.responsive);
         let ages = workers.filter_map(|worker| worker.polled_at);
         ages.map(|at| milliseconds(self.now.saturating_duration_since(at))).max().unwrap_or_default()
     }
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -1,5 +1,6 @@
 use crate::kernel::cell::{
     CellEffect, CellState, CellWorker, FORMER_CALL_TIME, FormerLease, PlacementPhase, WorkerListing,
+    WorkerPools,
 };
 use crate::prelude::*;
 
@@ -20,8 +21,7 @@
             worker.listed &= listed_workers.contains(&worker.listing.worker);
         }
         self.state.workers_listed = true;
-        self.state.pools.clear();
-        self.state.racks.clear();
+        self.state.pools = WorkerPools::default();
         self.state.capacity = ResourceVector::default();
         for listing in listings {
             self.apply_listing(listing);
@@ -35,10 +35,7 @@
         });
         let zone_open = !self.state.closed_zones.contains(&listing.zone);
         self.state.capacity = self.state.capacity.plus(listing.capacity);
-        self.state.pools.entry(listing.service.clone()).or_default().push(slot);
-        if let Some(rack) = &listing.rack {
-            self.state.racks.entry(rack.clone()).or_default().push(slot);
-        }
+        self.state.pools.add(slot, &listing);
         let Some(worker) = self.state.worker_mut(slot) else { return };
         worker.listed = true;
         worker.zone_open = zone_open;
--- a/src/kernel/cell/permits/idle_accelerators.rs
+++ b/src/kernel/cell/permits/idle_accelerators.rs
@@ -35,7 +35,7 @@
     ) {
         let Some((spec, step, step_state)) = state.step(key) else { return };
         let Some(rule) = state.config.queues.get(&spec.queue) else { return };
-        let Some(pool) = state.pools.get(&rule.service) else { return };
+        let pool = state.pools.with_label(&rule.service, step.label.as_ref());
         if rule.permits.is_none()
             || step.need.accelerators == 0
             || !step.need.fits(state.shares.remaining_allotment(&spec.team))
@@ -51,7 +51,6 @@
             let free = free_by_slot.get(slot).copied().unwrap_or_else(|| worker.free());
             if !need.fits(free)
                 || !worker.is_schedulable(now)
-                || !worker.has_required_label(step)
                 || permit_cache.is_denied(*slot)
                 || permit_cache.ticket(*slot, now).is_some()
             {
--- a/src/kernel/cell/slow_runs/slow_run_watch.rs
+++ b/src/kernel/cell/slow_runs/slow_run_watch.rs
@@ -75,7 +75,7 @@
             f64::from(u32::try_from(capacity.cores_milli).unwrap_or(u32::MAX)) / 1_000.0
         };
         let work = if step.checkpoints { 0.0 } else { cores(step.need) * run.elapsed.as_secs_f64() };
-        let slots = self.state.pools.get(&rule.service).map_or(&[][..], |slots| slots);
+        let slots = self.state.pools.of_service(&rule.service);
         let workers = slots.iter().filter_map(|slot| self.state.worker(*slot));
         let pool = workers.map(|worker| cores(worker.listing.capacity)).sum();
         let service = rule.service.clone();
--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -4,73 +4,122 @@
 use rustc_hash::FxHasher;
 
 use super::{Candidate, PendingStep, StartPass};
-use crate::kernel::cell::{StepKey, StepSpec};
+use crate::kernel::cell::{StepSpec, StepView};
 use crate::prelude::*;
 
-/// Workers of a service that are compared for one step before the advisor has given verdicts. A larger window
-/// costs time and hardly gives better placements.
+/// Workers that may hold a task of a step and are compared for it before the advisor has given verdicts. A larger
+/// window costs time and hardly gives better placements.
 const SEARCH_WINDOW_WORKERS: usize = 128;
+/// Time after which the window of a step without permits moves on, so that it reserves room, and preempts, among all
+/// workers in turn. Room that is reserved on a worker has to stay so until tasks there have ended.
+const WINDOW_DWELL: Duration = Duration::from_secs(4);
 
 impl StartPass<'_> {
-    /// Returns the workers of the search window and of the preferred rack that may run tasks of the step,
-    /// best first, including those without free capacity.
-    pub(super) fn candidates(&self, pending: &PendingStep<'_>) -> Vec<Candidate> {
-        let Some((spec, step, state)) = self.state.step(pending.key) else { return Vec::new() };
-        let Some(pool) = self.state.pools.get(&pending.rule.service) else { return Vec::new() };
-        let with_permits = pending.rule.permits.is_some();
-        let mut candidates = Vec::new();
-        let rack_slots =
-            step.rack.as_ref().and_then(|rack| self.state.racks.get(rack)).map_or(&[][..], |slots| slots);
+    /// Returns the workers of the search window and of the preferred rack that may run tasks of the step, best first,
+    /// including those without free capacity. If the window lacks room for the wanted tasks, workers with room from
+    /// outside it are added.
+    pub(super) fn candidates(&mut self, pending: &PendingStep<'_>) -> Vec<Candidate> {
+        let Some(view) = self.state.step(pending.key) else { return Vec::new() };
+        let (_, step, state) = view;
+        let pool = self.state.pools.with_label(&pending.rule.service, step.label.as_ref());
+        let (first, rest) = pool.split_at(self.window_start(pending, pool.len()));
         let of_service = |slot: &&u32| {
             self.state.worker(**slot).is_some_and(|worker| worker.listing.service == pending.rule.service)
         };
-        let window = search_window(pending.key, pool, state.permit_cache.verdict_count());
-        for slot in window.chain(rack_slots.iter().filter(of_service)) {
-            let Some(worker) = self.state.worker(*slot) else { continue };
-            let capacity = worker.listing.capacity;
-            if !pending.task_capacity.fits(capacity)
-                || !worker.is_schedulable(self.now)
-                || !worker.has_required_label(step)
-            {
-                continue;
+        let rack_slots = step.rack.as_ref().map_or(&[][..], |rack| self.state.pools.of_rack(rack));
+        let window = window_size(step) + state.permit_cache.verdict_count() * 2;
+        let searched =
+            rest.iter().chain(first).filter_map(|slot| self.candidate(pending, view, *slot)).take(window);
+        let on_rack =
+            rack_slots.iter().filter(of_service).filter_map(|slot| self.candidate(pending, view, *slot));
+        let mut candidates: Vec<Candidate> = searched.chain(on_rack).collect();
+        let fitting = candidates.iter().fold(0u32, |sum, candidate| sum.saturating_add(candidate.fitting));
+        if fitting < pending.wanted_tasks && pool.len() > window {
+            let kind = (pending.rule.service.clone(), step.label.clone());
+            if !self.exhausted_room.covers(&kind, pending.task_capacity) {
+                let with_room: Vec<u32> =
+                    pool.iter().copied().filter(|slot| self.has_room(pending, *slot)).collect();
+                candidates.extend(with_room.iter().filter_map(|slot| self.candidate(pending, view, *slot)));
+                if with_room.is_empty() {
+                    self.exhausted_room.remember(kind, pending.task_capacity);
+                }
             }
-            if with_permits && state.permit_cache.is_denied(*slot) {
-                continue;
-            }
-            if worker.copies.iter().any(|(task, _)| task.step == *pending.key) {
-                continue;
-            }
-            let placed_on_worker = state.per_worker.get(slot).copied().unwrap_or_default();
-            let allowed_by_worker_limit =
-                step.most_per_worker.map_or(u32::MAX, |limit| limit.saturating_sub(placed_on_worker));
-            if allowed_by_worker_limit == 0 {
-                continue;
-            }
-            let reserved = self.reserved_by_worker.get(slot).copied().unwrap_or_default();
-            let free = worker.free().minus(reserved);
-            let fitting =
-                if pending.task_capacity.fits(free) { pending.task_capacity.count_in(free) } else { 0 };
-            let fitting = u32::try_from(fitting).unwrap_or(u32::MAX).min(allowed_by_worker_limit);
-            let off_rack = step.rack.as_ref().is_some_and(|rack| worker.listing.rack.as_ref() != Some(rack));
-            let score = Reverse(score(step, free, capacity));
-            let slow_for_queue =
-                pending.rule.priority == 0 && worker.profile.is_slow_for(&spec.queue, self.now);
-            let had_recent_slow_run = worker.had_recent_slow_run(self.now);
-            candidates.push(Candidate {
-                had_recent_slow_run,
-                off_rack,
-                slow_for_queue,
-                score,
-                slot: *slot,
-                fitting,
-                allowed_by_worker_limit,
-            });
         }
         candidates.sort_unstable();
         candidates.dedup_by_key(|candidate| candidate.slot);
         candidates
     }
 
+    /// Returns where the window of a step begins in a pool of `len` workers. For a step with permits it stays, and
+    /// grows with the verdicts, so that the granted workers remain in it.
+    fn window_start(&self, pending: &PendingStep<'_>, len: usize) -> usize {
+        let hash = BuildHasherDefault::<FxHasher>::default().hash_one(pending.key);
+        let known_since = self.state.jobs.get(&pending.key.job).map_or(self.now, |job| job.known_since);
+        let waited = self.now.saturating_duration_since(known_since);
+        let moves =
+            if pending.rule.permits.is_some() { 0 } else { waited.as_secs() / WINDOW_DWELL.as_secs() };
+        let offset = moves.saturating_mul(SEARCH_WINDOW_WORKERS as u64);
+        usize::try_from(hash.wrapping_add(offset) % len.max(1) as u64).unwrap_or_default()
+    }
+
+    /// Whether a task of the step fits into the room on a worker that is not reserved.
+    fn has_room(&self, pending: &PendingStep<'_>, slot: u32) -> bool {
+        self.state.worker(slot).is_some_and(|worker| {
+            pending.task_capacity.fits(worker.free())
+                && pending.task_capacity.fits(self.unreserved(slot, worker.free()))
+                && worker.is_schedulable(self.now)
+        })
+    }
+
+    fn unreserved(&self, slot: u32, free: ResourceVector) -> ResourceVector {
+        self.reserved_by_worker.get(&slot).map_or(free, |reserved| free.minus(*reserved))
+    }
+
+    /// Returns a worker as a candidate for the step; `None` if it may not run tasks of the step.
+    fn candidate(
+        &self,
+        pending: &PendingStep<'_>,
+        (spec, step, state): StepView<'_>,
+        slot: u32,
+    ) -> Option<Candidate> {
+        let worker = self.state.worker(slot)?;
+        let capacity = worker.listing.capacity;
+        if !pending.task_capacity.fits(capacity)
+            || !worker.is_schedulable(self.now)
+            || !worker.has_required_label(step)
+        {
+            return None;
+        }
+        if pending.rule.permits.is_some() && state.permit_cache.is_denied(slot) {
+            return None;
+        }
+        if worker.copies.iter().any(|(task, _)| task.step == *pending.key) {
+            return None;
+        }
+        let placed_on_worker = state.per_worker.get(&slot).copied().unwrap_or_default();
+        let allowed_by_worker_limit =
+            step.most_per_worker.map_or(u32::MAX, |limit| limit.saturating_sub(placed_on_worker));
+        if allowed_by_worker_limit == 0 {
+            return None;
+        }
+        let free = self.unreserved(slot, worker.free());
+        let fitting = if pending.task_capacity.fits(free) { pending.task_capacity.count_in(free) } else { 0 };
+        let fitting = u32::try_from(fitting).unwrap_or(u32::MAX).min(allowed_by_worker_limit);
+        let off_rack = step.rack.as_ref().is_some_and(|rack| worker.listing.rack.as_ref() != Some(rack));
+        let score = Reverse(score(step, free, capacity));
+        let slow_for_queue = pending.rule.priority == 0 && worker.profile.is_slow_for(&spec.queue, self.now);
+        let had_recent_slow_run = worker.had_recent_slow_run(self.now);
+        Some(Candidate {
+            had_recent_slow_run,
+            off_rack,
+            slow_for_queue,
+            score,
+            slot,
+            fitting,
+            allowed_by_worker_limit,
+        })
+    }
+
     /// Returns the candidates with free capacity that would accept a start now, each with its ticket.
     pub(super) fn permitted(
         &self,
@@ -89,14 +138,11 @@
     }
 }
 
-/// Returns the part of a pool that is searched for a step. It starts at the same place at each pass and
-/// grows by two workers with each verdict of the advisor.
-fn search_window<'p>(key: &StepKey, pool: &'p [u32], verdicts: usize) -> impl Iterator<Item = &'p u32> {
-    let size = SEARCH_WINDOW_WORKERS + verdicts * 2;
-    let hash = BuildHasherDefault::<FxHasher>::default().hash_one(key);
-    let from = usize::try_from(hash % pool.len().max(1) as u64).unwrap_or_default();
-    let from = if pool.len() <= size { 0 } else { from };
-    pool[from..].iter().chain(&pool[..from]).take(size)
+/// Returns the number of workers that are compared for a step: at least one for each task of a step whose tasks need
+/// room at the same time.
+fn window_size(step: &StepSpec) -> usize {
+    let spreads = step.gang || step.most_per_worker.is_some();
+    SEARCH_WINDOW_WORKERS.max(if spreads { step.tasks as usize } else { 0 })
 }
 
 /// Returns the score of a worker for a step; the highest score comes first.
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -1,5 +1,6 @@
 mod candidate;
 mod candidate_search;
+mod exhausted_room;
 mod pending_step;
 mod permit_requests;
 mod reservations;
@@ -8,6 +9,7 @@
 mod worker_demand;
 
 use candidate::Candidate;
+use exhausted_room::ExhaustedRoom;
 use pending_step::PendingStep;
 use worker_demand::WorkerDemand;
 
@@ -45,6 +47,8 @@
     claimed_by_service: FastMap<ServiceId, ResourceVector>,
     /// Number of steps that found no room or no permit, by the kind of worker that they need.
     blocked_steps: FastMap<WorkerDemand, usize>,
+    /// Needs for which a search of all workers found no room in this pass.
+    exhausted_room: ExhaustedRoom,
     /// Number of tasks that this pass may still preempt.
     preemptions_left: usize,
 }
@@ -62,6 +66,7 @@
             claimed_by_worker: FastMap::default(),
             claimed_by_service: FastMap::default(),
             blocked_steps: FastMap::default(),
+            exhausted_room: ExhaustedRoom::default(),
             preemptions_left: MAX_PREEMPTIONS_PER_PASS,
         }
     }
