Let each blocked step have its turn in the passes

Cause: a pass tried the first 40 blocked steps of a demand, always the same ones, and looked at 4,000 steps at most. Steps that no worker can hold, or that are larger than the free room, or whose team is at its limit, kept all steps behind them from starting.

--- a/src/kernel/cell/admission/cell_backlog.rs
+++ b/src/kernel/cell/admission/cell_backlog.rs
@@ -40,7 +40,7 @@
             ..Self::default()
         };
         backlog.subtract_long_running(state);
-        for (rank, key) in &state.ready {
+        for (rank, key) in state.ready.iter() {
             // Steps of expired jobs come after those of new jobs.
             if rank.class == StepClass::Expired {
                 continue;
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -106,12 +106,16 @@
     /// Applies one event; [`Self::decide`] returns the effects that follow from it.
     pub fn handle(&mut self, event: CellEvent, now: Instant) {
         // An accepted start and a report of progress change nothing that a start pass depends on.
-        self.changed |= !matches!(
+        let changes = !matches!(
             event,
             CellEvent::StartAnswered(_, _, _, CommandOutcome::Accepted)
                 | CellEvent::ProgressReported(..)
                 | CellEvent::WorkerUnfenced(..)
         );
+        if changes {
+            self.changed = true;
+            self.state.rotation.restart();
+        }
         match event {
             CellEvent::Configured(config) => self.configure(config),
             CellEvent::ZonesClosed(zones) => self.set_closed_zones(zones),
@@ -166,9 +170,9 @@
     /// first if one is due.
     pub fn decide(&mut self, may_start: bool, now: Instant) -> Vec<CellEffect> {
         if may_start && self.next_pass(now).is_some_and(|due| now >= due) {
-            self.changed = false;
             self.last_pass = Some(now);
             StartPass::new(&mut self.state, now).run();
+            self.changed = self.state.rotation.needs_pass();
         }
         std::mem::take(&mut self.state.effects)
     }
@@ -312,6 +316,7 @@
             self.state.shares.set_weight(team, rule.weight);
         }
         self.state.config = config;
+        self.state.ready.bring_all_back();
     }
 
     fn set_closed_zones(&mut self, zones: FastSet<ZoneId>) {
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -1,13 +1,11 @@
-use std::collections::BTreeSet;
-
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
     EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LossCause, OccurrenceState, PartitionBound,
-    PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, RestartRule, RoomForecast, RunEnd,
-    RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRank,
-    StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState,
-    UsageCorrection, UsageWatch, WorkerPools,
+    PassRotation, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, ReadySteps, RestartRule,
+    RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs,
+    StepClass, StepKey, StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement,
+    TaskState, UsageCorrection, UsageWatch, WorkerPools,
 };
 use crate::prelude::*;
 
@@ -46,9 +44,10 @@
     /// Runs beside the current run of their task, by task and number; see
     /// [`CopyKeeper`](crate::kernel::cell::CopyKeeper).
     pub copies: FastMap<(TaskKey, RunNumber), TaskPlacement>,
-    /// The ready steps: those with complete dependencies and tasks that wait to be placed, in the order of
-    /// starts.
-    pub ready: BTreeSet<(StepRank, StepKey)>,
+    /// The ready steps in the order of starts.
+    pub ready: ReadySteps,
+    /// Where the next start pass goes on with the steps that the last one did not try.
+    pub rotation: PassRotation,
     /// Resources that each team uses, and its limit, which is called allotment there.
     pub shares: ShareAccounting,
     /// How much longer than estimated the tasks of each queue may take.
@@ -292,6 +291,10 @@
             if let Some(count) = state.per_worker.get_mut(&placement.slot) {
                 *count = count.saturating_sub(1);
             }
+            if let Some(rank) = state.rank {
+                // The worker may take another task of the step.
+                self.ready.bring_back(&(rank, key.step.clone()));
+            }
         }
     }
 
--- a/src/kernel/cell/cell_summary.rs
+++ b/src/kernel/cell/cell_summary.rs
@@ -72,7 +72,7 @@
     #[must_use]
     pub fn of(state: &CellState, now: Instant) -> Self {
         let ranking = StepRanking { state };
-        let steps = state.ready.iter().filter_map(|(_, key)| state.step(key));
+        let steps = state.ready.all().filter_map(|(_, key)| state.step(key));
         let unestimated = steps.clone().filter(|(spec, ..)| !ranking.has_usable_estimate(spec));
         let unestimated_steps = unestimated.count();
         let steps: Vec<_> = steps.map(|(_, _, step)| step).collect();
@@ -100,7 +100,7 @@
                 permit: count(StepWait::Permit),
                 room: count(StepWait::Room),
             },
-            classes: ClassSummary::of(state.ready.iter().map(|(rank, _)| rank.class)),
+            classes: ClassSummary::of(state.ready.all().map(|(rank, _)| rank.class)),
             unestimated_steps,
             waiting_tasks: steps.iter().map(|step| step.waiting.len()).sum(),
             placed_tasks: state.placements.len(),
--- a/src/kernel/cell/forecast/job_forecaster.rs
+++ b/src/kernel/cell/forecast/job_forecaster.rs
@@ -42,7 +42,7 @@
         copy.handle(CellEvent::Submitted(spec.into()), self.now);
         let mut state = copy.into_state();
         forecast.excess = state.jobs.get(&id).is_some_and(|job| job.excess);
-        let ranked = state.ready.iter().filter(|(_, key)| key.job == id);
+        let ranked = state.ready.all().filter(|(_, key)| key.job == id);
         let ranked: Vec<(StepRank, StepKey)> = ranked.cloned().collect();
         forecast.steps = ranked.iter().map(|(rank, key)| self.describe(&state, *rank, key)).collect();
         forecast.oldest_report_ms = self.oldest_report(&state, &forecast.queue);
--- a/src/kernel/cell/listing_update.rs
+++ b/src/kernel/cell/listing_update.rs
@@ -26,6 +26,7 @@
         for listing in listings {
             self.apply_listing(listing);
         }
+        self.state.ready.bring_all_back();
     }
 
     fn apply_listing(&mut self, listing: WorkerListing) {
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -90,7 +90,7 @@
 pub use listing_update::ListingUpdate;
 pub use order::{
     ClassSummary, EstimateRatios, JobLateness, PassOrder, PreemptionHeadroom, PreemptionRule, RankUpdate,
-    ShareStanding, StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
+    RankedStep, ReadySteps, ShareStanding, StepClass, StepRank, StepRanking, TaskRank, VictimSearch,
 };
 pub use permits::{
     IdleAccelerators, PermitCache, PermitDemand, PermitDispatch, PermitLoad, PermitOption, PermitPlan,
@@ -112,7 +112,7 @@
     RunForecast, RunTimeProfile, RunnerProfile, SlowRun, SlowRunAction, SlowRunEvidence, SlowRunState,
     SlowRunWatch, StepExpectations, StopCost,
 };
-pub use start_pass::StartPass;
+pub use start_pass::{PassRotation, StartPass};
 pub use step_key::StepKey;
 pub use step_spec::StepSpec;
 pub use step_state::{StepState, StepWait, TaskState};
--- a/src/kernel/cell/order/rank_update.rs
+++ b/src/kernel/cell/order/rank_update.rs
@@ -20,18 +20,17 @@
         let stale: Vec<(StepRank, StepKey, StepRank)> = self
             .state
             .ready
-            .iter()
+            .all()
             .filter_map(|(rank, key)| {
                 let new = rank.replaced_by(StepRanking { state: self.state }.rank(key, self.now))?;
                 Some((*rank, key.clone(), new))
             })
             .collect();
         for (old, key, new) in stale {
-            self.state.ready.remove(&(old, key.clone()));
             if let Some(state) = self.state.step_mut(&key) {
                 state.rank = Some(new);
             }
-            self.state.ready.insert((new, key));
+            self.state.ready.replace_rank(&(old, key), new);
         }
     }
 
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -1,29 +1,29 @@
+mod blocked_steps;
 mod candidate;
 mod candidate_search;
 mod exhausted_room;
+mod pass_rotation;
 mod pending_step;
 mod permit_requests;
 mod reservations;
 mod task_starts;
 mod team_preemption;
+mod unplaceable_steps;
 mod worker_demand;
 
+use blocked_steps::BlockedSteps;
 use candidate::Candidate;
 use exhausted_room::ExhaustedRoom;
 use pending_step::PendingStep;
 use worker_demand::WorkerDemand;
 
+pub use pass_rotation::PassRotation;
+
 use crate::kernel::cell::{
-    CellState, PassOrder, PreemptionRule, StepClass, StepKey, StepRank, StepWait, TaskRank,
+    CellState, PassOrder, PreemptionRule, RankedStep, StepClass, StepKey, StepWait, TaskRank,
 };
 use crate::prelude::*;
 
-/// Bounds the steps that one pass tries to place, so that a long queue does not slow it down.
-const MAX_STEPS_PER_PASS: usize = 4_000;
-/// Blocked steps, which found no room or no permit, after which a pass skips further steps of the same
-/// class and priority that need the same kind of worker. The search over the workers costs most of a pass, and the
-/// skipped steps would hardly find room or a permit either.
-const MAX_BLOCKED_STEPS_PER_DEMAND: usize = 40;
 /// Number of preemptions after which a pass starts no further one. The tasks that have to stop on a worker
 /// for one task are preempted together, so a pass may exceed the number by a few.
 const MAX_PREEMPTIONS_PER_PASS: usize = 24;
@@ -45,10 +45,12 @@
     claimed_by_worker: FastMap<u32, ResourceVector>,
     /// Room that steps wait for on any workers, by service.
     claimed_by_service: FastMap<ServiceId, ResourceVector>,
-    /// Number of steps that found no room or no permit, by the kind of worker that they need.
-    blocked_steps: FastMap<WorkerDemand, usize>,
+    /// Steps that found no room or no permit, by the kind of worker that they need.
+    blocked_steps: FastMap<WorkerDemand, BlockedSteps>,
     /// Needs for which a search of all workers found no room in this pass.
     exhausted_room: ExhaustedRoom,
+    /// Needs that no listed worker could hold if it were empty.
+    exhausted_capacity: ExhaustedRoom,
     /// Number of tasks that this pass may still preempt.
     preemptions_left: usize,
 }
@@ -67,25 +69,41 @@
             claimed_by_service: FastMap::default(),
             blocked_steps: FastMap::default(),
             exhausted_room: ExhaustedRoom::default(),
+            exhausted_capacity: ExhaustedRoom::default(),
             preemptions_left: MAX_PREEMPTIONS_PER_PASS,
         }
     }
 
     /// Tries to place the ready steps in the order of their ranks.
     pub fn run(mut self) {
-        let steps = PassOrder { state: self.state, now: self.now }.steps(MAX_STEPS_PER_PASS);
-        for (rank, key) in steps {
-            self.place(&key, rank);
+        let steps = PassOrder { state: self.state, now: self.now }.steps();
+        for step in &steps {
+            self.place(step);
         }
+        let cut_off = self.blocked_steps.values().any(|blocked| blocked.cut_off);
+        let reached = self.blocked_steps.into_iter();
+        let reached = reached.filter_map(|(demand, blocked)| Some((demand, blocked.reached()?)));
+        self.state.rotation.finish_pass(reached.collect(), cut_off, self.state.ready.len());
     }
 
-    fn place(&mut self, key: &StepKey, rank: StepRank) {
+    fn place(&mut self, ranked_step: &RankedStep) {
+        let (rank, key) = (ranked_step.0, &ranked_step.1);
         let Some((spec, step, state)) = self.state.step(key) else { return };
-        let Some(rule) = self.state.config.queues.get(&spec.queue) else { return };
+        let Some(rule) = self.state.config.queues.get(&spec.queue) else {
+            self.set_aside(key);
+            return;
+        };
         let demand = WorkerDemand::of(step, rule, rank.class);
-        if self.blocked_steps.get(&demand).is_some_and(|blocked| *blocked >= MAX_BLOCKED_STEPS_PER_DEMAND) {
+        // Most steps of a long order end here, so the demand is not cloned for each of them.
+        if !self.blocked_steps.contains_key(&demand) {
+            let reached = self.state.rotation.reached(&demand);
+            self.blocked_steps.insert(demand.clone(), BlockedSteps::resumed_after(reached));
+        }
+        let Some(blocked) = self.blocked_steps.get_mut(&demand) else { return };
+        if !blocked.admit(ranked_step) {
             return;
         }
+        let (position, in_turn) = (blocked.count() + 1, blocked.is_past_front());
         let rule = rule.clone();
         if step.gang && state.placed > 0 {
             return;
@@ -102,10 +120,17 @@
             self.set_wait_reason(key, StepWait::TeamLimit);
             return;
         }
-        let blocked_before = self.blocked_steps.get(&demand).copied().unwrap_or_default();
-        let position = blocked_before + 1;
-        let pending =
-            PendingStep { key, rank, rule, task_rank, task_capacity, wanted_tasks, may_preempt, position };
+        let pending = PendingStep {
+            key,
+            rank,
+            rule,
+            task_rank,
+            task_capacity,
+            wanted_tasks,
+            may_preempt,
+            position,
+            in_turn,
+        };
         let candidates = self.candidates(&pending);
         let started = if gang {
             self.start_gang(&pending, &candidates)
@@ -126,7 +151,14 @@
             return;
         }
         let candidates = if started > 0 { self.candidates(&pending) } else { candidates };
-        self.blocked_steps.insert(demand, position);
+        if self.is_unplaceable(&pending, &candidates) {
+            self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
+            self.set_aside(key);
+            return;
+        }
+        if let Some(blocked) = self.blocked_steps.get_mut(&demand) {
+            blocked.add();
+        }
         if let Some(permit_rule) = pending.rule.permits {
             self.request_permits(&pending, permit_rule, &candidates, missing);
         }
@@ -157,6 +189,14 @@
         }
     }
 
+    /// Takes a step out of the order of starts until the list of workers, the configuration or the end of a run of the
+    /// step changes.
+    fn set_aside(&mut self, key: &StepKey) {
+        if let Some(rank) = self.state.step(key).and_then(|(_, _, state)| state.rank) {
+            self.state.ready.set_aside(&(rank, key.clone()));
+        }
+    }
+
     /// Returns how many tasks of a step wait and are past their backoff, and how many of them the limit of
     /// the team allows, less the headroom for tasks that may not use it. The second number is 0 for a gang
     /// unless all of its tasks are allowed.
--- a/src/kernel/cell/start_pass/pending_step.rs
+++ b/src/kernel/cell/start_pass/pending_step.rs
@@ -17,4 +17,7 @@
     /// Number of the step among those with the same demand that were blocked in this pass, from 1, if it is
     /// blocked itself.
     pub(super) position: usize,
+    /// Whether the step comes after the blocked ones that each pass tries. It then asks for permits only while the
+    /// advisor has time.
+    pub(super) in_turn: bool,
 }
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -55,7 +55,7 @@
         let assured = step.long_running || step.gang;
         let wait = self.state.permit_load.expected_wait(rank, assured);
         let max_wait = permit_rule.validity / VALIDITY_DIVISOR;
-        if wait > max_wait && !rank.skips_request_bound() {
+        if wait > max_wait && (pending.in_turn || !rank.skips_request_bound()) {
             return Err(PermitSkip::Queue);
         }
         let (queue, gang) = (spec.queue.clone(), step.gang);
@@ -83,8 +83,9 @@
             gang,
             verdicts,
             accepts_small_batch,
-            asks_early: pending.may_preempt
-                || (rank.may_claim_room() && pending.position <= MAX_STEPS_ASKING_EARLY),
+            asks_early: !pending.in_turn
+                && (pending.may_preempt
+                    || (rank.may_claim_room() && pending.position <= MAX_STEPS_ASKING_EARLY)),
             position: pending.position,
             claimed_tasks: tasks_in(claimed, pending.task_capacity),
             unused_renewals,
