Let a task wait for a run that may still be at work

Cause: a report showed that the present run of a task was gone with its worker, and that a delayed start of an earlier run was carried out by the next incarnation; the owner stopped the one and started the next elsewhere at once, so that two runs worked. Change: RunWatch keeps reported runs that are not placed, and unanswered starts while their worker is silent or not fenced; their tasks wait, and a start that was decided before is not sent.

--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -266,11 +266,12 @@
     }
 
     /// Returns whether a start that was decided earlier may still be sent: the run was neither given up nor
-    /// stopped since.
+    /// stopped since, and no other run of the task was reported.
     #[must_use]
     pub fn may_start(&self, task: &TaskKey, run: RunNumber) -> bool {
         let placement = self.state.placements.get(task);
         placement.is_some_and(|placement| placement.run == run && placement.stop_reason.is_none())
+            && self.state.late_runs.may_start(&task.step, task.index, &self.state.workers)
     }
 
     /// Returns the number of jobs of a queue of which no task has started yet.
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -1,11 +1,12 @@
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
-    EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LossCause, OccurrenceState, PartitionBound,
-    PassRotation, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, ReadySteps, RestartRule,
-    RoomForecast, RunEnd, RunTimeEstimator, ShareStanding, SlowRunState, StartCommand, StartInputs,
-    StepClass, StepKey, StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement,
-    TaskState, UsageCorrection, UsageWatch, WorkerPools,
+    EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LATE_CALL_WINDOW, LateEvidence, LateRun,
+    LossCause, OccurrenceState, PartitionBound, PassRotation, PermitLoad, PermitStats, PlacementPhase,
+    PreemptionHeadroom, ReadySteps, RestartRule, RoomForecast, RunEnd, RunTimeEstimator, RunWatch,
+    ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRanking, StepSpec,
+    StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
+    WorkerPools,
 };
 use crate::prelude::*;
 
@@ -44,6 +45,8 @@
     /// Runs beside the current run of their task, by task and number; see
     /// [`CopyKeeper`](crate::kernel::cell::CopyKeeper).
     pub copies: FastMap<(TaskKey, RunNumber), TaskPlacement>,
+    /// Runs that may be at work although they are not placed.
+    pub late_runs: RunWatch,
     /// The ready steps in the order of starts.
     pub ready: ReadySteps,
     /// Where the next start pass goes on with the steps that the last one did not try.
@@ -321,6 +324,7 @@
     /// requeues its task. If the task is part of a gang, stops the gang.
     pub fn mark_lost(&mut self, key: &TaskKey, cause: LossCause, now: Instant) {
         let Some(placement) = self.remove_placement(key) else { return };
+        self.watch_unanswered(key, &placement, cause, now);
         let record = CellRecord::Lost(key.clone(), placement.run);
         self.record_end(record, placement.slot, EndSource::Lost(cause));
         DiscardedRun { state: self, task: key, placement: &placement, now }.refund();
@@ -329,6 +333,23 @@
         self.complete_if_done(&key.step.job, now);
     }
 
+    /// Watches a run that was given up although a later incarnation of its worker may carry the start out.
+    fn watch_unanswered(&mut self, key: &TaskKey, placement: &TaskPlacement, cause: LossCause, now: Instant) {
+        let unanswered = !placement.is_confirmed() && cause == LossCause::AbsentFromReport;
+        let until = placement.placed_at + COMMAND_VALIDITY + LATE_CALL_WINDOW;
+        if unanswered && now < until && !self.allows_duplicates(&key.step) {
+            let evidence = LateEvidence::Unanswered(until);
+            let run = LateRun { index: key.index, run: placement.run, slot: placement.slot, evidence };
+            self.late_runs.note(&key.step, run);
+        }
+    }
+
+    /// Whether tasks of a step may run more than once at the same time.
+    #[must_use]
+    pub fn allows_duplicates(&self, key: &StepKey) -> bool {
+        self.step(key).is_some_and(|(_, step, _)| step.copies)
+    }
+
     /// Emits the record of the end of a run that the worker in a slot reported or was running.
     pub fn record_end(&mut self, record: CellRecord, slot: u32, source: EndSource) {
         let worker = self.worker(slot).map_or_else(WorkerId::default, |worker| worker.listing.worker.clone());
--- a/src/kernel/cell/leases/lease_watch.rs
+++ b/src/kernel/cell/leases/lease_watch.rs
@@ -35,6 +35,7 @@
         if !self.state.workers_listed {
             return;
         }
+        self.state.late_runs.expire(&self.state.workers, self.now);
         for slot in 0..u32::try_from(self.state.workers.len()).unwrap_or(u32::MAX) {
             let Some(worker) = self.state.worker(slot) else { continue };
             if worker.responsive || worker.lease_expires_at > self.now {
@@ -53,6 +54,9 @@
             let unwatch = worker.watched && !worker.listed && !only_confirmed;
             let name = worker.listing.worker.clone();
             let runs = tasks.len() + copies;
+            if !only_confirmed {
+                self.state.late_runs.forget_worker(slot);
+            }
             if runs > 0 {
                 let notice = CellNotice::LeaseExpired { worker: name.clone(), tasks: runs };
                 self.state.effects.push(CellEffect::Log(notice));
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -34,6 +34,7 @@
 mod handover_watch;
 mod job_snapshot;
 mod job_status;
+mod late_runs;
 mod leases;
 mod listing_update;
 mod order;
@@ -83,6 +84,7 @@
 pub use handover_watch::{HandoverWatch, MIN_OWNER_MILLICORES, Millicores, ProxyNumber};
 pub use job_snapshot::{JobSnapshot, OccurrenceSnapshot, StepSnapshot, TaskSnapshot};
 pub use job_status::JobStatus;
+pub use late_runs::{LateEvidence, LateRun, RunWatch};
 pub use leases::{
     CLOCK_READING_ERROR, CallFence, FORMER_CALL_TIME, FormerLease, InheritedLeases, LATE_CALL_WINDOW,
     LeaseBasis, LeaseWatch, RestartRule, WorkerFence, WorkerLease, longest_real_time,
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -1,6 +1,6 @@
 use crate::kernel::cell::{
-    CellEffect, CellNotice, CellRecord, CellState, CopyKeeper, EndHandler, EndedRun, LossCause,
-    PlacementPhase, PollReport, RunningRun, StopCommand, TaskKey,
+    CellEffect, CellNotice, CellRecord, CellState, CopyKeeper, EndHandler, EndedRun, LateEvidence, LateRun,
+    LossCause, PlacementPhase, PollReport, RunningRun, StopCommand, TaskKey,
 };
 use crate::prelude::*;
 
@@ -32,12 +32,14 @@
             }
         }
         self.note_handled(last);
+        let reported = report.running.iter().map(|running| (running.task.clone(), running.run)).collect();
+        self.state.late_runs.apply_report(self.slot, &reported, report.poll_sent_at);
         let mut present: FastSet<TaskKey> = FastSet::default();
         let mut present_copies: FastSet<(TaskKey, RunNumber)> = FastSet::default();
         for reported in report.running {
             if self.apply_running_copy(&reported) {
                 present_copies.insert((reported.task, reported.run));
-            } else if self.apply_running(&reported) {
+            } else if self.apply_running(&reported, report.poll_sent_at) {
                 present.insert(reported.task);
             }
         }
@@ -105,7 +107,7 @@
     }
 
     /// Applies a reported run; returns whether it is the current run of its task on this worker.
-    fn apply_running(&mut self, reported: &RunningRun) -> bool {
+    fn apply_running(&mut self, reported: &RunningRun, poll_sent_at: Instant) -> bool {
         let (slot, now) = (self.slot, self.now);
         let current = self
             .state
@@ -113,7 +115,7 @@
             .get_mut(&reported.task)
             .filter(|placement| placement.slot == slot && placement.run == reported.run);
         let Some(placement) = current else {
-            self.stop_unexpected(reported);
+            self.stop_unexpected(reported, poll_sent_at);
             return false;
         };
         if !matches!(placement.phase, PlacementPhase::Running(_)) {
@@ -150,8 +152,14 @@
         true
     }
 
-    /// Stops a run that is not placed on this worker, so that its task can run elsewhere.
-    fn stop_unexpected(&mut self, reported: &RunningRun) {
+    /// Stops a run that is not placed on this worker, so that its task can run elsewhere once it has ended.
+    fn stop_unexpected(&mut self, reported: &RunningRun, poll_sent_at: Instant) {
+        let step = &reported.task.step;
+        if !self.state.allows_duplicates(step) {
+            let evidence = LateEvidence::Reported(poll_sent_at);
+            let (index, run) = (reported.task.index, reported.run);
+            self.state.late_runs.note(step, LateRun { index, run, slot: self.slot, evidence });
+        }
         let Some(worker) = self.state.worker(self.slot) else { return };
         let worker = worker.listing.worker.clone();
         let (task, run) = (reported.task.clone(), reported.run);
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -20,7 +20,7 @@
 pub use pass_rotation::PassRotation;
 
 use crate::kernel::cell::{
-    CellState, PassOrder, PreemptionRule, RankedStep, StepClass, StepKey, StepWait, TaskRank,
+    CellState, PassOrder, PreemptionRule, RankedStep, StepClass, StepKey, StepState, StepWait, TaskRank,
 };
 use crate::prelude::*;
 
@@ -202,7 +202,7 @@
     /// unless all of its tasks are allowed.
     fn count_startable(&self, key: &StepKey) -> (u32, u32) {
         let Some((spec, step, state)) = self.state.step(key) else { return (0, 0) };
-        let due = |index: &&u32| state.tasks[**index as usize].may_start(self.now);
+        let due = |index: &&u32| self.may_start(key, state, **index);
         let waiting = u32::try_from(state.waiting.iter().filter(due).count()).unwrap_or(u32::MAX);
         if spec.team.is_empty() {
             return (waiting, waiting);
@@ -217,6 +217,12 @@
         (waiting, if step.gang && allowed < step.tasks { 0 } else { allowed })
     }
 
+    /// Whether a waiting task may start: its backoff is over, and no other run of it may be at work.
+    fn may_start(&self, key: &StepKey, state: &StepState, index: u32) -> bool {
+        state.tasks[index as usize].may_start(self.now)
+            && self.state.late_runs.may_start(key, index, &self.state.workers)
+    }
+
     /// Returns the part of its limit that a team keeps free for the tasks that may use its headroom.
     fn headroom(&self, team: &TeamId) -> ResourceVector {
         let limit = self.state.config.teams.get(team).map(|rule| rule.limit).unwrap_or_default();
--- a/tests/fixture_cell/mod.rs
+++ b/tests/fixture_cell/mod.rs
@@ -48,6 +48,8 @@
     pub effect_order: Vec<&'static str>,
     /// Whether workers answer their first poll at once, with nothing running.
     pub answers_first_poll: bool,
+    /// Whether workers answer starts; those that they do not answer may be carried out late.
+    pub workers_answer: bool,
     /// Whether the advisor answers permit requests; those that it does not answer stay open.
     pub advisor_answers: bool,
     ends: FastMap<String, u64>,
@@ -93,7 +95,9 @@
                 self.effect_order.push("start");
                 let (task, run, worker) = (command.task.clone(), command.run, command.worker.clone());
                 self.starts.push(command);
-                let event = CellEvent::StartAnswered(task, run, worker, CommandOutcome::Accepted);
+                let outcome =
+                    if self.workers_answer { CommandOutcome::Accepted } else { CommandOutcome::Unknown };
+                let event = CellEvent::StartAnswered(task, run, worker, outcome);
                 self.scheduler.handle(event, self.now);
             }
             CellEffect::Stop(command) => self.stops.push(command),
@@ -191,6 +195,7 @@
         looks: Vec::new(),
         effect_order: Vec::new(),
         answers_first_poll: true,
+        workers_answer: true,
         advisor_answers: true,
         ends: FastMap::default(),
     };
