Give a blocked step a turn only if there is room for it

Cause: the turns of the blocked steps took processor time also while all workers were full. The tests of turns and of the search pass.

--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -37,8 +37,8 @@
         if fitting < pending.wanted_tasks && pool.len() > window {
             let kind = (pending.rule.service.clone(), step.label.clone());
             if !self.exhausted_room.covers(&kind, pending.task_capacity) {
-                let with_room: Vec<u32> =
-                    pool.iter().copied().filter(|slot| self.has_room(pending, *slot)).collect();
+                let has_room = |slot: &u32| self.has_room(pending.task_capacity, *slot);
+                let with_room: Vec<u32> = pool.iter().copied().filter(has_room).collect();
                 candidates.extend(with_room.iter().filter_map(|slot| self.candidate(pending, view, *slot)));
                 if with_room.is_empty() {
                     self.exhausted_room.remember(kind, pending.task_capacity);
@@ -62,11 +62,24 @@
         usize::try_from(hash.wrapping_add(offset) % len.max(1) as u64).unwrap_or_default()
     }
 
-    /// Whether a task of the step fits into the room on a worker that is not reserved.
-    fn has_room(&self, pending: &PendingStep<'_>, slot: u32) -> bool {
+    /// Whether any worker of a service with a label has room that is not reserved.
+    pub(super) fn has_room_for(&mut self, kind: (ServiceId, Option<LabelId>), need: ResourceVector) -> bool {
+        if self.exhausted_room.covers(&kind, need) {
+            return false;
+        }
+        let pool = self.state.pools.with_label(&kind.0, kind.1.as_ref());
+        let found = pool.iter().any(|slot| self.has_room(need, *slot));
+        if !found {
+            self.exhausted_room.remember(kind, need);
+        }
+        found
+    }
+
+    /// Whether a task fits into the room on a worker that is not reserved.
+    fn has_room(&self, need: ResourceVector, slot: u32) -> bool {
         self.state.worker(slot).is_some_and(|worker| {
-            pending.task_capacity.fits(worker.free())
-                && pending.task_capacity.fits(self.unreserved(slot, worker.free()))
+            need.fits(worker.free())
+                && need.fits(self.unreserved(slot, worker.free()))
                 && worker.is_schedulable(self.now)
         })
     }
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -88,23 +88,15 @@
 
     fn place(&mut self, ranked_step: &RankedStep) {
         let (rank, key) = (ranked_step.0, &ranked_step.1);
-        let Some((spec, step, state)) = self.state.step(key) else { return };
+        let Some((spec, step, _)) = self.state.step(key) else { return };
         let Some(rule) = self.state.config.queues.get(&spec.queue) else {
             self.set_aside(key);
             return;
         };
-        let demand = WorkerDemand::of(step, rule, rank.class);
-        // Most steps of a long order end here, so the demand is not cloned for each of them.
-        if !self.blocked_steps.contains_key(&demand) {
-            let reached = self.state.rotation.reached(&demand);
-            self.blocked_steps.insert(demand.clone(), BlockedSteps::resumed_after(reached));
-        }
-        let Some(blocked) = self.blocked_steps.get_mut(&demand) else { return };
-        if !blocked.admit(ranked_step) {
-            return;
-        }
-        let (position, in_turn) = (blocked.count() + 1, blocked.is_past_front());
-        let rule = rule.clone();
+        let (demand, need) = (WorkerDemand::of(step, rule, rank.class), step.occupied_capacity());
+        let Some((position, in_turn)) = self.admit(ranked_step, &demand, need) else { return };
+        let Some((spec, step, state)) = self.state.step(key) else { return };
+        let Some(rule) = self.state.config.queues.get(&spec.queue).cloned() else { return };
         if step.gang && state.placed > 0 {
             return;
         }
@@ -173,6 +165,27 @@
         }
     }
 
+    /// Returns the position of a step among the blocked ones of its demand, and whether it is tried in its turn; `None`
+    /// if the pass skips it. A step that finds no room needs no turn.
+    fn admit(
+        &mut self,
+        step: &RankedStep,
+        demand: &WorkerDemand,
+        need: ResourceVector,
+    ) -> Option<(usize, bool)> {
+        // Most steps of a long order end here, so the demand is not cloned for each of them.
+        if !self.blocked_steps.contains_key(demand) {
+            let reached = self.state.rotation.reached(demand);
+            self.blocked_steps.insert(demand.clone(), BlockedSteps::resumed_after(reached));
+        }
+        let is_past_front = self.blocked_steps.get(demand)?.is_past_front();
+        if is_past_front && !self.has_room_for((demand.service.clone(), demand.label.clone()), need) {
+            return None;
+        }
+        let blocked = self.blocked_steps.get_mut(demand)?;
+        blocked.admit(step).then(|| (blocked.count() + 1, is_past_front))
+    }
+
     /// Returns why tasks of a step wait that the limit of the team allows.
     fn wait_reason(&self, pending: &PendingStep<'_>, candidates: &[Candidate]) -> StepWait {
         let unasked = self.state.step(pending.key).is_none_or(|(_, _, state)| state.permit_cache.is_empty());
