Bound the memory of accepted jobs

Cause: the owner kept a state for each task of each accepted job, and nothing bounded what all of them took, so that a flood of legal jobs of one team ended each process that owned the cell; accepted jobs of other teams never began. Change: tasks have a state from their first start on, closed jobs keep no steps, and the memory for waiting jobs is a third of a process, divided among the teams; what does not fit is refused at once with 429. The notices of the owner carry the rooms for further jobs.

--- a/src/kernel/cell/admission/admission_watch.rs
+++ b/src/kernel/cell/admission/admission_watch.rs
@@ -57,7 +57,7 @@
                 wait,
             }));
         }
-        AdmissionNotice { waits }
+        AdmissionNotice { waits, ..AdmissionNotice::default() }
     }
 
     /// Returns the shortest recent wait of a team, or of the teams without waiting work.
--- a/src/kernel/cell/cell_job.rs
+++ b/src/kernel/cell/cell_job.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use crate::kernel::cell::admission::{StateBytes, waiting_bytes};
 use crate::kernel::cell::{GraphSpec, JobStatus, LogPosition, MAX_TASKS_PER_JOB, StepState};
 use crate::prelude::*;
 
@@ -19,6 +20,8 @@
 pub struct CellJob {
     /// The job as it was submitted.
     pub spec: Arc<GraphSpec>,
+    /// Bytes that the job takes while it waits.
+    pub waiting_bytes: StateBytes,
     /// State of the job as callers see it.
     pub status: JobStatus,
     /// When the job became known to this owner.
@@ -51,6 +54,7 @@
     pub fn new(spec: Arc<GraphSpec>, now: Instant, excess: bool, recorded_position: LogPosition) -> Self {
         let recorded_at = spec.submitted;
         Self {
+            waiting_bytes: waiting_bytes(&spec),
             spec,
             status: JobStatus::Queued,
             known_since: now,
@@ -79,6 +83,14 @@
         (MAX_TASKS_PER_JOB / self.spec.tasks().max(1)).max(1)
     }
 
+    /// Drops the steps of a closed job without runs. Only its state is asked for, and they take most of its memory.
+    pub fn drop_steps(&mut self) {
+        self.occurrences.clear();
+        if !self.spec.steps.is_empty() {
+            self.spec = self.spec.without_steps().into();
+        }
+    }
+
     /// Whether the retention time of the closed job is over.
     #[must_use]
     pub fn has_expired(&self, now: Instant) -> bool {
--- a/src/kernel/cell/cell_scheduler.rs
+++ b/src/kernel/cell/cell_scheduler.rs
@@ -427,6 +427,9 @@
             self.activate_due_occurrences(&id, now);
         }
         self.snapshot_old_jobs(now);
+        for job in self.state.jobs.values_mut().filter(|job| job.status.is_final() && job.placed == 0) {
+            job.drop_steps();
+        }
         self.state.early_cancels.retain(|_, at| now.saturating_duration_since(*at) < CLOSED_JOB_RETENTION);
         let has_snapshots = self.snapshot_interval.is_some();
         self.state.jobs.retain(|_, job| !job.has_expired(now) || has_snapshots && job.submission_outlives);
--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -1,3 +1,5 @@
+use std::ops::Range;
+
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
     CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
@@ -139,7 +141,7 @@
 
     /// Returns the state of a task for modification.
     pub fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
-        self.step_mut(&key.step)?.tasks.get_mut(key.index as usize)
+        self.step_mut(&key.step)?.tasks.get_mut(key.index)
     }
 
     /// Creates the state of an occurrence and adds its steps without dependencies to the ready steps.
@@ -180,7 +182,7 @@
     /// Places a waiting task on a worker, and emits the record and the command of its start.
     pub fn start(&mut self, key: &TaskKey, slot: u32, ticket: Option<PermitTicket>, now: Instant) {
         let Some((spec, _, state)) = self.step(&key.step) else { return };
-        let Some(task) = state.tasks.get(key.index as usize) else { return };
+        let Some(task) = state.tasks.get(key.index) else { return };
         let payload = spec.payload.clone();
         let (run, checkpoint) = (task.last_run + 1, task.checkpoint.clone());
         let resumed = checkpoint.is_some();
@@ -223,8 +225,8 @@
     /// each other.
     pub fn start_gang(&mut self, key: &StepKey, slots: &[(u32, Option<PermitTicket>)], now: Instant) {
         let Some(state) = self.step_mut(key) else { return };
-        let last = state.tasks.iter().map(|task| task.last_run).max().unwrap_or_default();
-        for task in &mut state.tasks {
+        let last = state.tasks.begun().map(|task| task.last_run).max().unwrap_or_default();
+        for task in state.tasks.all_mut() {
             task.last_run = last;
         }
         for (index, (slot, ticket)) in (0u32..).zip(slots) {
@@ -252,10 +254,10 @@
         let Some(state) = self.step_mut(&key.step) else { return };
         state.placed += 1;
         *state.per_worker.entry(slot).or_default() += 1;
-        if let Some(task) = state.tasks.get_mut(key.index as usize) {
+        if let Some(task) = state.tasks.get_mut(key.index) {
             task.last_run = task.last_run.max(run);
         }
-        state.waiting.remove(&key.index);
+        state.waiting.remove(key.index);
         if state.waiting.is_empty()
             && let Some(rank) = state.rank
         {
@@ -308,12 +310,12 @@
         // The end of a copy leaves the task with its current run.
         let idle = live && !self.placements.contains_key(key);
         let Some(state) = self.step_mut(&key.step).filter(|_| idle) else { return };
-        if state.tasks.get(key.index as usize).is_none_or(|task| task.done) {
+        if state.tasks.get(key.index).is_none_or(|task| task.done) {
             return;
         }
         state.waiting.insert(key.index);
         let Some(rank) = state.rank else { return };
-        let has_run_before = state.tasks.get(key.index as usize).is_some_and(|task| task.last_run > 0);
+        let has_run_before = state.tasks.get(key.index).is_some_and(|task| task.last_run > 0);
         let new_rank = if long_running && has_run_before { rank.of_restart() } else { rank };
         state.rank = Some(new_rank);
         self.ready.remove(&(rank, key.step.clone()));
@@ -385,7 +387,7 @@
     /// starts again.
     pub fn preempt(&mut self, key: &TaskKey, reason: &'static str, now: Instant) {
         if let Some(state) = self.step_mut(&key.step)
-            && let Some(task) = state.tasks.get_mut(key.index as usize)
+            && let Some(task) = state.tasks.get_mut(key.index)
         {
             let wait = PREEMPTION_BACKOFF * 2u32.pow(task.preemptions.min(MAX_PREEMPTION_DOUBLINGS));
             task.preemptions += 1;
@@ -409,10 +411,10 @@
         let gang = self.step(&key.step).is_some_and(|(_, step, _)| step.gang);
         let Some(state) = self.step_mut(&key.step) else { return };
         if gang {
-            for task in &mut state.tasks {
+            for task in state.tasks.all_mut() {
                 task.checkpoint = Some(checkpoint.clone());
             }
-        } else if let Some(task) = state.tasks.get_mut(key.index as usize) {
+        } else if let Some(task) = state.tasks.get_mut(key.index) {
             task.checkpoint = Some(checkpoint);
         }
     }
@@ -484,12 +486,12 @@
         let steps = job.occurrences.iter().flat_map(|(occurrence, occurrence_state)| {
             (0u32..)
                 .zip(&occurrence_state.steps)
-                .map(|(step, step_state)| (*occurrence, step, step_state.tasks.len()))
+                .map(|(step, step_state)| (*occurrence, step, step_state.tasks.begun_indices()))
         });
-        let steps: Vec<(u32, u32, usize)> = steps.collect();
+        let steps: Vec<(u32, u32, Range<u32>)> = steps.collect();
         for (occurrence, step, tasks) in steps {
             let key = StepKey { job: id.clone(), occurrence, step };
-            for index in 0..u32::try_from(tasks).unwrap_or(u32::MAX) {
+            for index in tasks {
                 self.stop(&key.task(index), "job_ended", now);
             }
         }
--- a/src/kernel/cell/end_handler.rs
+++ b/src/kernel/cell/end_handler.rs
@@ -105,7 +105,7 @@
         let took = self.now.saturating_duration_since(since);
         let Some((spec, step, state)) = self.state.step(&key.step) else { return };
         // A run that resumed from a checkpoint did only a part of the work.
-        let from_scratch = state.tasks.get(key.index as usize).is_some_and(|task| task.checkpoint.is_none());
+        let from_scratch = state.tasks.get(key.index).is_some_and(|task| task.checkpoint.is_none());
         if step.long_running || !from_scratch {
             return;
         }
@@ -147,7 +147,7 @@
     /// started again.
     fn apply_late_end(&mut self, key: &TaskKey, run: RunNumber, cause: EndCause) -> bool {
         let is_waiting = self.state.step(&key.step).is_some_and(|(_, step, state)| {
-            !step.gang && !step.long_running && state.waiting.contains(&key.index)
+            !step.gang && !step.long_running && state.waiting.contains(key.index)
         });
         let is_last_run = self.state.task_mut(key).is_some_and(|task| task.last_run == run && !task.done);
         if !is_waiting || !is_last_run || cause != EndCause::Done {
@@ -173,12 +173,12 @@
         let Some(state) = self.state.step_mut(&key.step) else { return };
         if gang {
             // The members of a gang end together, so the end of one completes the whole gang.
-            state.tasks.iter_mut().for_each(|task| task.done = true);
+            state.tasks.all_mut().for_each(|task| task.done = true);
             state.waiting.clear();
             state.remaining = 0;
-        } else if let Some(task) = state.tasks.get_mut(key.index as usize).filter(|task| !task.done) {
+        } else if let Some(task) = state.tasks.get_mut(key.index).filter(|task| !task.done) {
             task.done = true;
-            state.waiting.remove(&key.index);
+            state.waiting.remove(key.index);
             state.remaining -= 1;
         }
         let none_waiting = state.waiting.is_empty();
@@ -208,7 +208,7 @@
             }
             state.gang_failures.0
         } else {
-            let Some(task) = state.tasks.get_mut(key.index as usize) else { return };
+            let Some(task) = state.tasks.get_mut(key.index) else { return };
             task.failures += 1;
             if long_running && self.now.saturating_duration_since(placement.placed_at) < SHORT_RUN_TIME {
                 task.not_before = Some(self.now + RESTART_BACKOFF);
--- a/src/kernel/cell/graph_spec.rs
+++ b/src/kernel/cell/graph_spec.rs
@@ -45,6 +45,14 @@
 }
 
 impl GraphSpec {
+    /// Returns what is kept of a closed job: neither steps nor payload.
+    #[must_use]
+    pub fn without_steps(&self) -> Self {
+        let schedule = self.schedule;
+        let (id, queue, team) = (self.id.clone(), self.queue.clone(), self.team.clone());
+        Self { id, queue, team, payload: "".into(), steps: Vec::new(), schedule, submitted: self.submitted }
+    }
+
     /// Returns the number of tasks of one occurrence, at most `u32::MAX`.
     #[must_use]
     pub fn tasks(&self) -> u32 {
--- a/src/kernel/cell/job_snapshot.rs
+++ b/src/kernel/cell/job_snapshot.rs
@@ -90,9 +90,8 @@
     /// Returns the snapshot of a closed job without runs, of which only the state is asked for. It has neither
     /// steps nor a payload, as most of the jobs that are recorded again are closed.
     fn of_closed(job: &CellJob) -> Self {
-        let spec = GraphSpec { payload: "".into(), steps: Vec::new(), ..(*job.spec).clone() };
         Self {
-            spec: spec.into(),
+            spec: job.spec.without_steps().into(),
             status: job.status,
             excess: job.excess,
             next_occurrence: job.next_occurrence,
@@ -144,7 +143,7 @@
 impl StepSnapshot {
     fn of(step: &StepState) -> Self {
         let mut snapshot = Self { gang_failures: step.gang_failures, ..Self::default() };
-        for (index, task) in (0u32..).zip(&step.tasks) {
+        for (index, task) in (0u32..).zip(step.tasks.begun()) {
             if task.done {
                 snapshot.done.push(index);
             } else if task.last_run > 0 {
@@ -164,14 +163,14 @@
         let mut step = StepState::new(tasks);
         step.gang_failures = self.gang_failures;
         for index in self.done {
-            if let Some(task) = step.tasks.get_mut(index as usize) {
+            if let Some(task) = step.tasks.get_mut(index) {
                 task.done = true;
-                step.waiting.remove(&index);
+                step.waiting.remove(index);
                 step.remaining = step.remaining.saturating_sub(1);
             }
         }
         for begun in self.begun {
-            if let Some(task) = step.tasks.get_mut(begun.index as usize) {
+            if let Some(task) = step.tasks.get_mut(begun.index) {
                 (task.last_run, task.failures) = (begun.last_run, begun.failures);
                 task.checkpoint = begun.checkpoint;
             }
@@ -194,7 +193,7 @@
     for (occurrence, occurrence_state) in &job.occurrences {
         for (step, step_state) in (0u32..).zip(&occurrence_state.steps) {
             let key = StepKey { job: job.spec.id.clone(), occurrence: *occurrence, step };
-            for index in 0..u32::try_from(step_state.tasks.len()).unwrap_or(u32::MAX) {
+            for index in step_state.tasks.begun_indices() {
                 let task = key.task(index);
                 let Some(placement) = state.placements.get(&task) else { continue };
                 let Some(worker) = state.worker(placement.slot) else { continue };
--- a/src/kernel/cell/late_runs/run_watch.rs
+++ b/src/kernel/cell/late_runs/run_watch.rs
@@ -53,6 +53,12 @@
         !of_task.any(|run| run.bars_start(workers.get(run.slot as usize)))
     }
 
+    /// Whether a run of a task of a step is watched.
+    #[must_use]
+    pub fn concerns(&self, step: &StepKey) -> bool {
+        self.steps.contains_key(step)
+    }
+
     /// Returns the number of watched runs.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -58,8 +58,10 @@
 mod submit_rate;
 mod task_key;
 mod task_placement;
+mod task_table;
 mod term_release;
 mod usage;
+mod waiting_tasks;
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use cell_config::{CellConfig, PermitRule, QueueRule, TeamRule};
@@ -122,7 +124,9 @@
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
 pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use task_table::TaskTable;
 pub use term_release::TermRelease;
 pub use usage::{
     DiscardedRun, TeamStanding, TeamUsage, UsageCorrection, UsageRecord, UsageSchedule, UsageWatch,
 };
+pub use waiting_tasks::WaitingTasks;
--- a/src/kernel/cell/order/step_ranking.rs
+++ b/src/kernel/cell/order/step_ranking.rs
@@ -89,9 +89,8 @@
     /// Whether a long-running step has a task that has run before and waits again.
     fn restarts(&self, key: &StepKey) -> bool {
         self.state.step(key).is_some_and(|(_, spec, step)| {
-            let has_run_before =
-                |index: &u32| step.tasks.get(*index as usize).is_some_and(|task| task.last_run > 0);
-            spec.long_running && step.waiting.iter().any(has_run_before)
+            let has_run_before = |index: u32| step.tasks.get(index).is_some_and(|task| task.last_run > 0);
+            spec.long_running && step.waiting.single().any(has_run_before)
         })
     }
 
--- a/src/kernel/cell/slow_runs/slow_run_watch.rs
+++ b/src/kernel/cell/slow_runs/slow_run_watch.rs
@@ -119,7 +119,7 @@
             return SlowRunAction::Restart;
         }
         let max_attempts = self.state.config.queues.get(&spec.queue).map_or(0, |rule| rule.max_attempts);
-        let failures = state.tasks.get(key.index as usize).map_or(0, |task| task.failures);
+        let failures = state.tasks.get(key.index).map_or(0, |task| task.failures);
         let attempts_left = max_attempts.saturating_sub(failures);
         let rank = state.rank;
         let waits_for_room = |(other_rank, other): &(StepRank, StepKey)| {
@@ -150,7 +150,7 @@
             return None;
         }
         let (_, step, state) = self.state.step(&key.step)?;
-        if state.tasks.get(key.index as usize)?.slow_restarts >= MAX_RESTARTS {
+        if state.tasks.get(key.index)?.slow_restarts >= MAX_RESTARTS {
             return None;
         }
         let elapsed = self.now.saturating_duration_since(since);
--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -215,8 +215,14 @@
     /// unless all of its tasks are allowed.
     fn count_startable(&self, key: &StepKey) -> (u32, u32) {
         let Some((spec, step, state)) = self.state.step(key) else { return (0, 0) };
-        let due = |index: &&u32| self.may_start(key, state, **index);
-        let waiting = u32::try_from(state.waiting.iter().filter(due).count()).unwrap_or(u32::MAX);
+        let due = |index: &u32| self.may_start(key, state, *index);
+        // Tasks that were never placed have no backoff; a wide step has thousands of them.
+        let waiting = if self.state.late_runs.concerns(key) {
+            state.waiting.iter().filter(due).count()
+        } else {
+            state.waiting.single().filter(due).count() + state.waiting.unplaced_len()
+        };
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         if spec.team.is_empty() {
             return (waiting, waiting);
         }
@@ -232,7 +238,7 @@
 
     /// Whether a waiting task may start: its backoff is over, and no other run of it may be at work.
     fn may_start(&self, key: &StepKey, state: &StepState, index: u32) -> bool {
-        state.tasks[index as usize].may_start(self.now)
+        state.tasks.get(index).is_some_and(|task| task.may_start(self.now))
             && self.state.late_runs.may_start(key, index, &self.state.workers)
     }
 
--- a/src/kernel/cell/start_pass/task_starts.rs
+++ b/src/kernel/cell/start_pass/task_starts.rs
@@ -7,7 +7,7 @@
         let permitted = self.permitted(pending, candidates);
         let Some((_, _, state)) = self.state.step(pending.key) else { return 0 };
         let due = |index: &u32| self.may_start(pending.key, state, *index);
-        let waiting = state.waiting.iter().copied().filter(due);
+        let waiting = state.waiting.iter().filter(due);
         let waiting: Vec<u32> = waiting.take(pending.wanted_tasks as usize).collect();
         let mut waiting = waiting.into_iter();
         let mut remaining_counts: Vec<u32> =
--- a/src/kernel/cell/step_state.rs
+++ b/src/kernel/cell/step_state.rs
@@ -1,6 +1,4 @@
-use std::collections::BTreeSet;
-
-use crate::kernel::cell::{PermitCache, PermitSkip, StepRank};
+use crate::kernel::cell::{PermitCache, PermitSkip, StepRank, TaskTable, WaitingTasks};
 use crate::prelude::*;
 
 /// State of one task of a step.
@@ -23,6 +21,20 @@
 }
 
 impl TaskState {
+    /// Returns the state of a task that was never started.
+    #[must_use]
+    pub const fn unbegun() -> Self {
+        Self {
+            last_run: 0,
+            failures: 0,
+            checkpoint: None,
+            done: false,
+            preemptions: 0,
+            slow_restarts: 0,
+            not_before: None,
+        }
+    }
+
     /// Whether the backoff of the task is over.
     #[must_use]
     pub fn may_start(&self, now: Instant) -> bool {
@@ -54,9 +66,9 @@
 #[derive(Clone, Debug)]
 pub struct StepState {
     /// State of its tasks, by index.
-    pub tasks: Vec<TaskState>,
+    pub tasks: TaskTable,
     /// Indices of the tasks that wait to be placed.
-    pub waiting: BTreeSet<u32>,
+    pub waiting: WaitingTasks,
     /// Number of tasks that are not done.
     pub remaining: u32,
     /// Number of placed tasks.
@@ -82,8 +94,8 @@
     #[must_use]
     pub fn new(tasks: u32) -> Self {
         Self {
-            tasks: vec![TaskState::default(); tasks as usize],
-            waiting: (0..tasks).collect(),
+            tasks: TaskTable::new(tasks),
+            waiting: WaitingTasks::all(tasks),
             remaining: tasks,
             placed: 0,
             per_worker: FastMap::default(),
--- a/src/kernel/cell/usage/discarded_run.rs
+++ b/src/kernel/cell/usage/discarded_run.rs
@@ -21,7 +21,7 @@
     pub fn refund(self) {
         let Some((spec, step, step_state)) = self.state.step(&self.task.step) else { return };
         let status = self.state.jobs.get(&self.task.step.job).map(|job| job.status);
-        let task = step_state.tasks.get(self.task.index as usize);
+        let task = step_state.tasks.get(self.task.index);
         let has_checkpoint = task.is_some_and(|task| task.checkpoint.is_some());
         let by_team = matches!(status, Some(JobStatus::Cancelled | JobStatus::Failed));
         if step.long_running || has_checkpoint || by_team {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -175,7 +175,7 @@
 
 const fn status(refusal: &CellRefusal) -> StatusCode {
     match refusal {
-        CellRefusal::Overloaded(_) => StatusCode::TOO_MANY_REQUESTS,
+        CellRefusal::Overloaded(_) | CellRefusal::NoMemory => StatusCode::TOO_MANY_REQUESTS,
         CellRefusal::NoConfiguration | CellRefusal::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
         CellRefusal::UnknownQueue => StatusCode::NOT_FOUND,
         CellRefusal::UnknownKey => StatusCode::UNAUTHORIZED,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use crate::kernel::cell::Millicores;
+use crate::kernel::cell::admission::MemoryBudget;
 use crate::kernel::connections::{ClientLimits, ConnectionCapacity};
 use crate::prelude::*;
 use crate::settings::SettingFault;
@@ -133,8 +134,7 @@
 
     /// Returns the room for connections of clients: a part of the memory and descriptors of the process, or what
     /// is set in their place.
-    fn connection_capacity(&mut self) -> ConnectionCapacity {
-        let memory_mb = self.parse_or("limits.memory_mb", DEFAULT_MEMORY_MB);
+    fn connection_capacity(&mut self, memory_mb: u64) -> ConnectionCapacity {
         let descriptors = self.parse_or("limits.max_fds", DEFAULT_DESCRIPTORS);
         let derived = ConnectionCapacity::of_machine(memory_mb, descriptors);
         ConnectionCapacity {
@@ -186,6 +186,7 @@
     let mut parser = SettingsParser { values, faults: Vec::new() };
     let ip: IpAddr = parser.parse("ip", IpAddr::from([127, 0, 0, 1]));
     let metrics_port = parser.metrics_port();
+    let memory_mb = parser.parse_or("limits.memory_mb", DEFAULT_MEMORY_MB);
     let advisor = parser.values.get("advice").filter(|address| !address.is_empty());
     let settings = CellSettings {
         advisor_address: advisor.map(|address| address.as_str().into()),
@@ -199,7 +200,8 @@
         store_address: parser.text("platform.address").into(),
         store_limits: parser.store_limits(),
         cpu_limit: parser.cpu_limit(),
-        connection_capacity: parser.connection_capacity(),
+        memory_budget: MemoryBudget::of_process(memory_mb.saturating_mul(1_000_000)),
+        connection_capacity: parser.connection_capacity(memory_mb),
         exchange_timeout: parser.exchange_timeout(),
         longest_lease: parser.milliseconds("bounds.max_hold_ms"),
         log_retention: Duration::from_secs(parser.parse("platform.keep_s", 300)),
--- a/src/proto/cell.rs
+++ b/src/proto/cell.rs
@@ -93,11 +93,25 @@
     #[prost(uint64, tag = "3")]
     pub wait_ms: u64,
 }
-/// All long waits; each update replaces the one before.
+/// Memory for further jobs of a team.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TeamRoom {
+    /// All teams that the update does not name, if it is missing.
+    #[prost(string, optional, tag = "1")]
+    pub team: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "2")]
+    pub bytes: u64,
+}
+/// All long waits, and the memory for further jobs; each update replaces the one before.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct AdmissionUpdate {
     #[prost(message, repeated, tag = "1")]
     pub waits: ::prost::alloc::vec::Vec<LongWait>,
+    #[prost(message, repeated, tag = "2")]
+    pub rooms: ::prost::alloc::vec::Vec<TeamRoom>,
+    /// Number of processes that share the rooms.
+    #[prost(uint64, tag = "3")]
+    pub processes: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -382,7 +396,7 @@
                 .insert(GrpcMethod::new("godwithaven.cell.v1.Cell", "Assist"));
             self.inner.streaming(req, path, codec).await
         }
-        /// Opens a stream of the expected waits that are too long for callers. Nothing is sent while there are none.
+        /// Opens a stream of the expected waits that are too long for callers. It also tells the memory for further jobs.
         pub async fn follow_admission(
             &mut self,
             request: impl tonic::IntoRequest<super::FollowAdmissionRequest>,
@@ -460,7 +474,7 @@
             >
             + std::marker::Send
             + 'static;
-        /// Opens a stream of the expected waits that are too long for callers. Nothing is sent while there are none.
+        /// Opens a stream of the expected waits that are too long for callers. It also tells the memory for further jobs.
         async fn follow_admission(
             &self,
             request: tonic::Request<super::FollowAdmissionRequest>,
--- a/src/tasks/cell/admission.rs
+++ b/src/tasks/cell/admission.rs
@@ -5,10 +5,10 @@
 use tonic::Status;
 use tonic::transport::Channel;
 
-use crate::kernel::cell::admission::{AdmissionNotice, QueueWait};
+use crate::kernel::cell::admission::{AdmissionNotice, MemoryRoom, QueueWait};
 use crate::prelude::*;
 use crate::proto::cell::cell_client::CellClient;
-use crate::proto::cell::{AdmissionUpdate, FollowAdmissionRequest, LongWait};
+use crate::proto::cell::{AdmissionUpdate, FollowAdmissionRequest, LongWait, TeamRoom};
 use crate::tasks::cell::intake::IntakeMessage;
 
 /// Delay before a broken stream of notices is opened again.
@@ -51,6 +51,7 @@
     }
 
     async fn distribute(&self, notice: AdmissionNotice) {
+        let notice = AdmissionNotice { processes: self.followers.len() as u64 + 1, ..notice };
         for follower in &self.followers {
             if follower.try_send(notice.clone()).is_err() {
                 log::debug!("notice of long waits dropped: the process is slow or gone");
@@ -103,7 +104,10 @@
         team: long.team.map(|team| team.to_string()),
         wait_ms: u64::try_from(long.wait.as_millis()).unwrap_or(u64::MAX),
     });
-    AdmissionUpdate { waits: waits.collect() }
+    let rooms = notice.rooms.into_iter();
+    let rooms =
+        rooms.map(|room| TeamRoom { team: room.team.map(|team| team.to_string()), bytes: room.bytes });
+    AdmissionUpdate { waits: waits.collect(), rooms: rooms.collect(), processes: notice.processes }
 }
 
 fn decode_notice(update: AdmissionUpdate) -> AdmissionNotice {
@@ -112,5 +116,7 @@
         team: long.team.map(Into::into),
         wait: Duration::from_millis(long.wait_ms),
     });
-    AdmissionNotice { waits: waits.collect() }
+    let rooms = update.rooms.into_iter();
+    let rooms = rooms.map(|room| MemoryRoom { team: room.team.map(Into::into), bytes: room.bytes });
+    AdmissionNotice { waits: waits.collect(), rooms: rooms.collect(), processes: update.processes }
 }
--- a/src/tasks/cell/claim.rs
+++ b/src/tasks/cell/claim.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
+use crate::kernel::cell::admission::MemoryBudget;
 use crate::kernel::cell::{
     CellConfig, CellEvent, CellOwner, ClaimKind, ClaimRecord, ClaimWatch, ClockReading, HandoverWatch,
     Millicores, ProxyNumber, TermRelease,
@@ -117,6 +118,8 @@
     pub log_retention: Duration,
     /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
     pub usage_half_life: Duration,
+    /// Memory for accepted jobs.
+    pub memory_budget: MemoryBudget,
     /// Decides from the claim log when to claim the cell.
     pub claim_watch: ClaimWatch,
     /// Decides when to hand the cell over to a process with a higher CPU limit.
@@ -361,6 +364,7 @@
             former_release: self.claim_watch.former_release(),
             log_retention: self.log_retention,
             usage_half_life: self.usage_half_life,
+            memory_budget: self.memory_budget,
             metrics: self.metrics.clone(),
         };
         self.handover_watch.note_term(Instant::now());
--- a/src/tasks/cell/intake.rs
+++ b/src/tasks/cell/intake.rs
@@ -5,7 +5,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
-use crate::kernel::cell::admission::{AdmissionGate, AdmissionNotice, RefusalTally};
+use crate::kernel::cell::admission::{AdmissionGate, AdmissionNotice, MemoryGate, RefusalTally};
 use crate::kernel::cell::{
     CellConfig, GraphSpec, JobForecast, JobStatus, QueueRule, RepeatSchedule, StepSpec,
 };
@@ -13,7 +13,7 @@
 use crate::tasks::cell::metrics::CellMetrics;
 use crate::tasks::cell::owner::JobAnswer;
 use crate::tasks::cell::peer::OwnerRoute;
-use crate::tasks::cell::pending_refusal::PendingRefusal;
+use crate::tasks::cell::pending_refusal::{PendingRefusal, SubmitRefusal};
 use crate::tasks::cell::submit_queue::SubmitQueue;
 
 /// Topic of submissions and cancellations.
@@ -110,6 +110,9 @@
     /// The job could not be of use to its caller any more, as its queue waits for this long; nothing was done.
     #[display("expected wait of {} ms", _0.as_millis())]
     Overloaded(Duration),
+    /// The owner has no memory for the job now; nothing was done.
+    #[display("no memory for the job")]
+    NoMemory,
     /// The store refuses records or the owner cannot be queried, for this reason; nothing was done.
     #[display("{_0}")]
     Unavailable(String),
@@ -163,6 +166,8 @@
     pub config: Option<Arc<CellConfig>>,
     /// Decides which submissions are refused for load.
     pub gate: AdmissionGate,
+    /// Decides which submissions are refused for lack of memory.
+    pub memory_gate: MemoryGate,
     /// Bounds the log lines about these refusals.
     pub tally: RefusalTally,
     /// Sends messages to this task; cloned for queries to the owner.
@@ -184,7 +189,10 @@
                     Some(IntakeMessage::Relayed(record, deadline, reply)) => {
                         self.queue.add(&record, deadline, None, reply);
                     }
-                    Some(IntakeMessage::LongWaits(notice)) => self.gate.apply(notice, Instant::now()),
+                    Some(IntakeMessage::LongWaits(notice)) => {
+                        self.memory_gate.apply(&notice);
+                        self.gate.apply(notice, Instant::now());
+                    }
                     Some(IntakeMessage::Inspected(pending, answer)) => self.conclude(*pending, &answer),
                     Some(IntakeMessage::Ready(reply)) => respond(reply, self.config.is_some()),
                     Some(IntakeMessage::Forecast(call, reply)) => self.forecast(&call, reply),
@@ -232,13 +240,15 @@
         self.queue.add(record, deadline, client, reply);
     }
 
-    /// Stores a submission, unless its job could not be of use any more. The owner is asked before a refusal, as
+    /// Stores a submission, unless its job could not be of use any more or there is no memory for it. The owner is asked before a refusal, as
     /// the call may repeat one that was stored without an answer to its caller.
     fn submit(&mut self, spec: GraphSpec, deadline: Instant, reply: oneshot::Sender<CellReply>) {
         let refusal = self
             .config
             .as_ref()
             .and_then(|config| self.gate.refusal(&spec, config, Instant::now()))
+            .map(SubmitRefusal::Load)
+            .or_else(|| self.memory_gate.admit(&spec).err().map(SubmitRefusal::Memory))
             .filter(|_| !self.queue.holds(&spec.id));
         match refusal {
             Some(refusal) => {
@@ -250,7 +260,8 @@
         }
     }
 
-    /// Refuses a job of which the owner knows nothing. If the owner does not answer, the job is stored.
+    /// Refuses a job of which the owner knows nothing. If the owner does not answer, the job is stored, unless there is no
+    /// memory for it: whether it was stored by an earlier call is not known then.
     fn conclude(&mut self, pending: PendingRefusal, answer: &Result<JobAnswer, String>) {
         let checks = &self.metrics.load_checks;
         match answer {
@@ -263,6 +274,11 @@
                 let refusals = self.tally.count(&pending.spec.queue, &pending.spec.team, Instant::now());
                 pending.refuse(refusals);
             }
+            Err(_) if matches!(pending.refusal, SubmitRefusal::Memory(_)) => {
+                checks.with_label_values(&["unconfirmed"]).inc();
+                let refusal = CellRefusal::MayBeStored("owner does not answer".to_owned());
+                respond(pending.reply, CellReply::Refused(refusal, None));
+            }
             _ => {
                 checks.with_label_values(&["unconfirmed"]).inc();
                 self.store(&JobRecord::Submit(pending.spec), pending.deadline, pending.reply);
--- a/src/tasks/cell/owner.rs
+++ b/src/tasks/cell/owner.rs
@@ -4,6 +4,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
+use crate::kernel::cell::admission::MemoryBudget;
 use crate::kernel::cell::{
     CallFence, CellConfig, CellEffect, CellEvent, CellNotice, CellRecord, FormerRelease, GraphSpec,
     JobForecast, JobStatus, RestartRule, WorkerLease, WorkerListing, WorkerSession,
@@ -93,6 +94,8 @@
     pub log_retention: Duration,
     /// Time in which past use of the teams loses half of its weight; zero if it is not accounted for.
     pub usage_half_life: Duration,
+    /// Memory for accepted jobs.
+    pub memory_budget: MemoryBudget,
     /// Metrics of the process.
     pub metrics: CellMetrics,
 }
--- a/src/tasks/cell/process.rs
+++ b/src/tasks/cell/process.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::cell::admission::{AdmissionGate, RefusalTally};
+use crate::kernel::cell::admission::{AdmissionGate, MemoryGate, RefusalTally};
 use crate::kernel::cell::{ClaimWatch, HandoverWatch, MIN_OWNER_MILLICORES};
 use crate::kernel::connections::ClientLimits;
 use crate::prelude::*;
@@ -101,6 +101,7 @@
             route: routes.clone(),
             config: None,
             gate: AdmissionGate::default(),
+            memory_gate: MemoryGate::new(settings.memory_budget),
             tally: RefusalTally::default(),
             own_sender: intake_sender.clone(),
             metrics: metrics.clone(),
@@ -139,6 +140,7 @@
             longest_lease: settings.longest_lease,
             log_retention: settings.log_retention,
             usage_half_life: settings.usage_half_life,
+            memory_budget: settings.memory_budget,
             peers: settings.peer_addresses.iter().filter(|peer| **peer != own_address).cloned().collect(),
         };
         actix_rt::spawn(claim_task.run(claim_inbox, token.clone()));
--- a/src/tasks/cell/recovery.rs
+++ b/src/tasks/cell/recovery.rs
@@ -127,7 +127,7 @@
         let state = OwnerState {
             token: self.owner.token,
             scheduler,
-            admission: AdmissionReport::new(self.owner.admission_sender.clone()),
+            admission: AdmissionReport::new(self.owner.admission_sender.clone(), self.owner.memory_budget),
             log: TermLog::new(self.owner.store.clone(), self.owner.token),
             links: FastMap::default(),
             registrations: FastMap::default(),
--- a/src/tasks/cell/settings.rs
+++ b/src/tasks/cell/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::kernel::cell::Millicores;
+use crate::kernel::cell::admission::MemoryBudget;
 use crate::kernel::connections::ConnectionCapacity;
 use crate::prelude::*;
 use crate::tasks::cell::store_limits::StoreLimits;
@@ -32,6 +33,8 @@
     pub advisor_address: Option<Arc<str>>,
     /// CPU limit of the process in thousandths of a core.
     pub cpu_limit: Millicores,
+    /// Memory for accepted jobs.
+    pub memory_budget: MemoryBudget,
     /// How many connections of clients the process holds, and how many bytes they buffer together.
     pub connection_capacity: ConnectionCapacity,
     /// Longest time for the body of a request, and for an answer.
--- a/tests/cell_admission.rs
+++ b/tests/cell_admission.rs
@@ -8,8 +8,8 @@
 use fixture_cell::{CellDriver, cell, cell_with, config, job, step, submit, worker};
 use futures_util::FutureExt;
 use godwithaven::kernel::cell::admission::{
-    AdmissionEstimate, AdmissionGate, AdmissionNotice, AdmissionWatch, LoadRefusal, QueueWait, RefusalTally,
-    StartRates, WaitCause,
+    AdmissionEstimate, AdmissionGate, AdmissionNotice, AdmissionWatch, LoadRefusal, MemoryBudget, MemoryGate,
+    QueueWait, RefusalTally, StartRates, WaitCause,
 };
 use godwithaven::kernel::cell::{
     CellConfig, CellEvent, CellOwner, GraphSpec, JobStatus, PermitRule, RepeatSchedule, StepSpec,
@@ -72,7 +72,8 @@
 /// Returns the notice that new jobs of the team `red` in the queue `urgent` wait for a part of the usable wait.
 fn notice(percent: u32) -> AdmissionNotice {
     let wait = USABLE_WAIT * percent / 100;
-    AdmissionNotice { waits: vec![QueueWait { queue: "urgent".into(), team: Some("red".into()), wait }] }
+    let waits = vec![QueueWait { queue: "urgent".into(), team: Some("red".into()), wait }];
+    AdmissionNotice { waits, ..AdmissionNotice::default() }
 }
 
 /// Returns a gate that has received a notice at `now`.
@@ -432,6 +433,7 @@
         route: routes,
         config: Some(open_config().into()),
         gate: gate_with(notice(300), Instant::now()),
+        memory_gate: MemoryGate::new(MemoryBudget::of_process(260_000_000)),
         tally: RefusalTally::default(),
         own_sender: sender.clone(),
         metrics,
--- a/tests/cell_records_size.rs
+++ b/tests/cell_records_size.rs
@@ -99,7 +99,9 @@
 /// Returns how many tasks a new owner starts again, as it misses that they run or are done.
 fn repeated_tasks(old: &CellState, new: &CellState) -> usize {
     let is_done = |state: &CellState, key: &TaskKey| {
-        state.step(&key.step).is_some_and(|(_, _, step)| step.tasks[key.index as usize].done)
+        state
+            .step(&key.step)
+            .is_some_and(|(_, _, step)| step.tasks.get(key.index).is_some_and(|task| task.done))
     };
     let keys = |id: &str| (0..6).map(move |task| format!("{id}.0.0.{task}")).collect::<Vec<String>>();
     let keys = old.jobs.keys().flat_map(|id| keys(id));
--- a/tests/cell_recovery.rs
+++ b/tests/cell_recovery.rs
@@ -8,6 +8,7 @@
 use futures_util::FutureExt;
 use godwithaven::clock::unix_time;
 use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::admission::MemoryBudget;
 use godwithaven::kernel::cell::{CellRecord, EndCause, GraphSpec, JobStatus, StepSpec, TaskKey};
 use godwithaven::prelude::FastSet;
 use godwithaven::tasks::cell::intake::JobRecord;
@@ -140,6 +141,7 @@
         former_release: None,
         log_retention: Duration::from_secs(300),
         usage_half_life: Duration::ZERO,
+        memory_budget: MemoryBudget::of_process(260_000_000),
         metrics: CellMetrics::new().or_fail()?,
     };
     let stop = token.clone();
--- a/tests/cell_recovery_log.rs
+++ b/tests/cell_recovery_log.rs
@@ -8,6 +8,7 @@
 use fixture_log::{await_line, keep_lines, lines_with};
 use futures_util::FutureExt;
 use godwithaven::kernel::ResourceVector;
+use godwithaven::kernel::cell::admission::MemoryBudget;
 use godwithaven::kernel::cell::{CellRecord, EndCause, GraphSpec, StepSpec, TaskKey};
 use godwithaven::prelude::FastSet;
 use godwithaven::tasks::cell::intake::JobRecord;
@@ -130,6 +131,7 @@
         former_release: None,
         log_retention: Duration::from_secs(300),
         usage_half_life: Duration::ZERO,
+        memory_budget: MemoryBudget::of_process(260_000_000),
         metrics: CellMetrics::new().or_fail()?,
     };
     let stop = CancellationToken::new();
--- a/tests/cell_release.rs
+++ b/tests/cell_release.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use godwithaven::kernel::cell::admission::MemoryBudget;
 use godwithaven::kernel::cell::{CellConfig, ClaimKind, ClaimRecord, ClaimWatch, HandoverWatch};
 use godwithaven::tasks::cell::claim::{CLAIM_TOPIC, ClaimMessage, ClaimTask};
 use godwithaven::tasks::cell::metrics::CellMetrics;
@@ -88,6 +89,7 @@
         longest_lease: Duration::from_secs(10),
         log_retention: Duration::from_secs(300),
         usage_half_life: Duration::ZERO,
+        memory_budget: MemoryBudget::of_process(260_000_000),
         claim_watch: ClaimWatch::new(Duration::from_millis(100), Duration::ZERO),
         handover_watch: HandoverWatch::new(1_000),
         cpu_limit: 1_000,
--- a/tests/cell_takeover.rs
+++ b/tests/cell_takeover.rs
@@ -120,7 +120,8 @@
                 let key = StepKey { job: id.clone(), occurrence: *occurrence, step };
                 let placed_run =
                     |index| state.placements.get(&key.task(index)).map(|placement| placement.run);
-                for (index, task) in (0u32..).zip(&step_state.tasks) {
+                let indices = 0..u32::try_from(step_state.tasks.len()).expect("the step is small");
+                for (index, task) in indices.filter_map(|index| Some((index, step_state.tasks.get(index)?))) {
                     // A completed task never starts again, so its runs do not matter.
                     let runs = if task.done { None } else { Some((task.last_run, task.failures)) };
                     states.push(format!("{key}.{index} {runs:?} {:?}", placed_run(index)));
