Keep the room for jobs if a notice of the owner tells none

Cause: an owner of an earlier release sends notices without rooms, after which a process would refuse all jobs. Change: such a notice leaves the rooms as they are. Measured: a_notice_without_rooms_leaves_the_room_as_it_was.

--- a/src/kernel/cell/admission/memory_gate.rs
+++ b/src/kernel/cell/admission/memory_gate.rs
@@ -28,10 +28,12 @@
         Self { rooms, processes: DEFAULT_PROCESSES, accepted: <[_; 2]>::default() }
     }
 
-    /// Replaces the rooms by those in a notice.
+    /// Replaces the rooms by those in a notice. An owner of an earlier release tells none.
     pub fn apply(&mut self, notice: &AdmissionNotice) {
-        self.rooms = notice.rooms.iter().map(|room| (room.team.clone(), room.bytes)).collect();
-        self.processes = notice.processes.max(1);
+        if !notice.rooms.is_empty() {
+            self.rooms = notice.rooms.iter().map(|room| (room.team.clone(), room.bytes)).collect();
+            self.processes = notice.processes.max(1);
+        }
         self.accepted.swap(0, 1);
         self.accepted[0].clear();
     }
--- a/tests/cell_memory.rs
+++ b/tests/cell_memory.rs
@@ -128,6 +128,17 @@
     verify_that!(bytes, le(budget.limit / 8))
 }
 
+/// Guards against a process that refuses all jobs because the owner is of a release that tells no rooms.
+#[gtest]
+fn a_notice_without_rooms_leaves_the_room_as_it_was() -> Result<()> {
+    let mut gate = MemoryGate::new(MemoryBudget::of_process(260_000_000));
+
+    gate.apply(&AdmissionNotice::default());
+    let admitted = gate.admit(&job("small", "batch", vec![step(1)]));
+
+    verify_that!(admitted, ok(eq(())))
+}
+
 /// Guards against a budget that refuses the largest legal job although nothing else is kept.
 #[gtest]
 fn the_largest_job_is_accepted_in_calm() -> Result<()> {
