Read the runs of a report only while runs are watched

Cause: each poll report was copied into a set for the watched runs, of which there are usually none; the functions of the watch stood in CellState.

--- a/src/kernel/cell/cell_state.rs
+++ b/src/kernel/cell/cell_state.rs
@@ -2,18 +2,15 @@
 
 use crate::kernel::ShareAccounting;
 use crate::kernel::cell::{
-    CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun, EndSource,
-    EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LATE_CALL_WINDOW, LateEvidence, LateRun,
-    LossCause, OccurrenceState, PartitionBound, PassRotation, PermitLoad, PermitStats, PlacementPhase,
-    PreemptionHeadroom, ReadySteps, RestartRule, RoomForecast, RunEnd, RunTimeEstimator, RunWatch,
-    ShareStanding, SlowRunState, StartCommand, StartInputs, StepClass, StepKey, StepRanking, StepSpec,
-    StepState, StopCommand, SubmitRate, TaskKey, TaskPlacement, TaskState, UsageCorrection, UsageWatch,
-    WorkerPools,
+    COMMAND_VALIDITY, CellConfig, CellEffect, CellJob, CellRecord, CellWorker, CopyKeeper, DiscardedRun,
+    EndSource, EstimateRatios, GraphSpec, InheritedLeases, JobStatus, LossCause, OccurrenceState,
+    PartitionBound, PassRotation, PermitLoad, PermitStats, PlacementPhase, PreemptionHeadroom, ReadySteps,
+    RestartRule, RoomForecast, RunEnd, RunTimeEstimator, RunWatch, ShareStanding, SlowRunState, StartCommand,
+    StartInputs, StepClass, StepKey, StepRanking, StepSpec, StepState, StopCommand, SubmitRate, TaskKey,
+    TaskPlacement, TaskState, UsageCorrection, UsageWatch, WorkerPools,
 };
 use crate::prelude::*;
 
-/// Time after the decision within which the record of a start has to be stored and its command sent.
-const COMMAND_VALIDITY: Duration = Duration::from_millis(800);
 /// Backoff of a preempted task before it starts again; it doubles with each preemption.
 const PREEMPTION_BACKOFF: Duration = Duration::from_millis(400);
 /// Bounds the doublings of the backoff, so that it is at most 3.2 s.
@@ -326,7 +323,9 @@
     /// requeues its task. If the task is part of a gang, stops the gang.
     pub fn mark_lost(&mut self, key: &TaskKey, cause: LossCause, now: Instant) {
         let Some(placement) = self.remove_placement(key) else { return };
-        self.watch_unanswered(key, &placement, cause, now);
+        if cause == LossCause::AbsentFromReport && !self.allows_duplicates(&key.step) {
+            self.late_runs.note_absent(key, &placement, now);
+        }
         let record = CellRecord::Lost(key.clone(), placement.run);
         self.record_end(record, placement.slot, EndSource::Lost(cause));
         DiscardedRun { state: self, task: key, placement: &placement, now }.refund();
@@ -335,17 +334,6 @@
         self.complete_if_done(&key.step.job, now);
     }
 
-    /// Watches a run that was given up although a later incarnation of its worker may carry the start out.
-    fn watch_unanswered(&mut self, key: &TaskKey, placement: &TaskPlacement, cause: LossCause, now: Instant) {
-        let unanswered = !placement.is_confirmed() && cause == LossCause::AbsentFromReport;
-        let until = placement.placed_at + COMMAND_VALIDITY + LATE_CALL_WINDOW;
-        if unanswered && now < until && !self.allows_duplicates(&key.step) {
-            let evidence = LateEvidence::Unanswered(until);
-            let run = LateRun { index: key.index, run: placement.run, slot: placement.slot, evidence };
-            self.late_runs.note(&key.step, run);
-        }
-    }
-
     /// Whether tasks of a step may run more than once at the same time.
     #[must_use]
     pub fn allows_duplicates(&self, key: &StepKey) -> bool {
--- a/src/kernel/cell/late_runs/run_watch.rs
+++ b/src/kernel/cell/late_runs/run_watch.rs
@@ -1,5 +1,7 @@
 use super::{LateEvidence, LateRun};
-use crate::kernel::cell::{CellWorker, StepKey, TaskKey};
+use crate::kernel::cell::{
+    COMMAND_VALIDITY, CellWorker, LATE_CALL_WINDOW, PollReport, RunningRun, StepKey, TaskKey, TaskPlacement,
+};
 use crate::prelude::*;
 
 /// Watches runs that may be at work although they are not placed. Their tasks start no further run until a report of
@@ -17,16 +19,25 @@
         runs.push(run);
     }
 
+    /// Notes a run that a report or a confirmed stop has proved absent, if its start was not answered: a later incarnation
+    /// of the worker may still carry it out.
+    pub fn note_absent(&mut self, task: &TaskKey, placement: &TaskPlacement, now: Instant) {
+        let until = placement.placed_at + COMMAND_VALIDITY + LATE_CALL_WINDOW;
+        if !placement.is_confirmed() && now < until {
+            let (run, slot) = (placement.run, placement.slot);
+            let evidence = LateEvidence::Unanswered(until);
+            self.note(&task.step, LateRun { index: task.index, run, slot, evidence });
+        }
+    }
+
     /// Forgets the reported runs of a worker that a later report lacks.
-    pub fn apply_report(
-        &mut self,
-        slot: u32,
-        reported: &FastSet<(TaskKey, RunNumber)>,
-        poll_sent_at: Instant,
-    ) {
+    pub fn apply_report(&mut self, slot: u32, report: &PollReport) {
         self.retain(|step, run| match run.evidence {
             LateEvidence::Reported(noted) if run.slot == slot => {
-                noted >= poll_sent_at || reported.contains(&(step.task(run.index), run.run))
+                let is_run = |reported: &RunningRun| {
+                    reported.run == run.run && reported.task.index == run.index && reported.task.step == *step
+                };
+                noted >= report.poll_sent_at || report.running.iter().any(is_run)
             }
             _ => true,
         });
--- a/src/kernel/cell/mod.rs
+++ b/src/kernel/cell/mod.rs
@@ -123,7 +123,7 @@
 pub use store_health::StoreHealth;
 pub use submit_rate::SubmitRate;
 pub use task_key::TaskKey;
-pub use task_placement::{PlacementPhase, TaskPlacement};
+pub use task_placement::{COMMAND_VALIDITY, PlacementPhase, TaskPlacement};
 pub use task_table::TaskTable;
 pub use term_release::TermRelease;
 pub use usage::{
--- a/src/kernel/cell/poll_reconciler.rs
+++ b/src/kernel/cell/poll_reconciler.rs
@@ -17,6 +17,7 @@
 impl PollReconciler<'_> {
     /// Applies ended and running runs, marks absent ones as lost, and acknowledges the ends.
     pub fn apply(&mut self, report: PollReport) {
+        self.state.late_runs.apply_report(self.slot, &report);
         let incarnation = report.incarnation;
         self.allow_renewal(report.poll_sent_at);
         self.apply_incarnation(incarnation);
@@ -32,8 +33,6 @@
             }
         }
         self.note_handled(last);
-        let reported = report.running.iter().map(|running| (running.task.clone(), running.run)).collect();
-        self.state.late_runs.apply_report(self.slot, &reported, report.poll_sent_at);
         let mut present: FastSet<TaskKey> = FastSet::default();
         let mut present_copies: FastSet<(TaskKey, RunNumber)> = FastSet::default();
         for reported in report.running {
--- a/src/kernel/cell/task_placement.rs
+++ b/src/kernel/cell/task_placement.rs
@@ -1,6 +1,8 @@
 use crate::kernel::cell::{CommandOutcome, LossCause};
 use crate::prelude::*;
 
+/// Time after the decision within which the record of a start has to be stored and its command sent.
+pub const COMMAND_VALIDITY: Duration = Duration::from_millis(800);
 /// Time after which the stop of a run is sent again if it is not confirmed, as a command may get lost.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
--- a/tests/cell_admission.rs
+++ b/tests/cell_admission.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use godwithaven::kernel::cell::admission::{
     AdmissionEstimate, AdmissionGate, AdmissionNotice, AdmissionWatch, LoadRefusal, MemoryBudget, MemoryGate,
-    QueueWait, RefusalTally, StartRates, WaitCause,
+    MemoryRoom, QueueWait, RefusalTally, StartRates, WaitCause,
 };
 use godwithaven::kernel::cell::{
     CellConfig, CellEvent, CellOwner, GraphSpec, JobStatus, PermitRule, RepeatSchedule, StepSpec,
@@ -368,6 +368,10 @@
     let mut notice = notice(200);
     let wait = Duration::from_secs(70);
     notice.waits.push(QueueWait { queue: "batch".into(), team: None, wait });
+    notice.rooms = vec![
+        MemoryRoom { team: Some("red".into()), bytes: 1 << 40 },
+        MemoryRoom { team: None, bytes: 50_000_000 },
+    ];
     notice
 }
 
@@ -418,7 +422,9 @@
     };
     token.cancel();
 
-    verify_that!(received, some(pat!(IntakeMessage::LongWaits(eq(&notice_of_two_waits())))))
+    // The owner's process and the follower share the rooms.
+    let expected = AdmissionNotice { processes: 2, ..notice_of_two_waits() };
+    verify_that!(received, some(pat!(IntakeMessage::LongWaits(eq(&expected)))))
 }
 
 /// Returns what an intake answers to a submission that its gate refuses, if the owner gives `answer`.
