Let a step in its turn take only what is free

Cause: blocked steps that were tried in their turn also reserved room, preempted and claimed room that steps of other demands wait for. Change: a step in its turn starts or asks for a permit, and keeps nothing.

--- a/src/kernel/cell/start_pass/mod.rs
+++ b/src/kernel/cell/start_pass/mod.rs
@@ -155,6 +155,10 @@
             self.request_permits(&pending, permit_rule, &candidates, missing);
         }
         self.set_wait_reason(key, self.wait_reason(&pending, &candidates));
+        // A step in its turn takes what is free; it keeps nothing from those before and behind it.
+        if in_turn {
+            return;
+        }
         let unreserved = if rank.may_claim_room() {
             self.reserve_or_preempt(&pending, &candidates, missing)
         } else {
