Ask for permits in turn only if the job stands still

Change: a step in its turn asks once its job has waited for 2 s without a run; a step with permits looks outside its window only if no worker in it has room.

--- a/src/kernel/cell/start_pass/candidate_search.rs
+++ b/src/kernel/cell/start_pass/candidate_search.rs
@@ -34,7 +34,9 @@
             rack_slots.iter().filter(of_service).filter_map(|slot| self.candidate(pending, view, *slot));
         let mut candidates: Vec<Candidate> = searched.chain(on_rack).collect();
         let fitting = candidates.iter().fold(0u32, |sum, candidate| sum.saturating_add(candidate.fitting));
-        if fitting < pending.wanted_tasks && pool.len() > window {
+        // More workers with room would let a step with permits ask the advisor for more than it can start.
+        let wanted = if pending.rule.permits.is_some() { 1 } else { pending.wanted_tasks };
+        if fitting < wanted && pool.len() > window {
             let kind = (pending.rule.service.clone(), step.label.clone());
             if !self.exhausted_room.covers(&kind, pending.task_capacity) {
                 let has_room = |slot: &u32| self.has_room(pending.task_capacity, *slot);
--- a/src/kernel/cell/start_pass/permit_requests.rs
+++ b/src/kernel/cell/start_pass/permit_requests.rs
@@ -24,6 +24,10 @@
 /// hold, and its job must not stand still beside free workers for 3 s.
 const IDLE_STEP_DELAY: Duration = Duration::from_secs(1);
 
+/// Age of a job without a run from which a step asks in its turn, behind many blocked steps. The decision time is
+/// better used for those until then.
+const MIN_TURN_WAIT: Duration = Duration::from_secs(2);
+
 impl StartPass<'_> {
     /// Sends a permit request for the step if [`PermitPlanner`] finds one of use.
     pub(super) fn request_permits(
@@ -52,6 +56,11 @@
         if !state.permit_cache.may_request(now) {
             return Err(PermitSkip::Requested);
         }
+        let known_since = self.state.jobs.get(&pending.key.job).map_or(now, |job| job.known_since);
+        let stands_still = state.placed == 0 && now.saturating_duration_since(known_since) >= MIN_TURN_WAIT;
+        if pending.in_turn && !stands_still {
+            return Err(PermitSkip::Behind);
+        }
         let assured = step.long_running || step.gang;
         let wait = self.state.permit_load.expected_wait(rank, assured);
         let max_wait = permit_rule.validity / VALIDITY_DIVISOR;
